--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -18,6 +18,8 @@
       'no-constant-condition': ['error', { checkLoops: false }],
       'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
       'no-continue': 'off',
+      // Tasks keep the position of their stream in an object that their helpers advance.
+      'no-param-reassign': ['error', { props: false }],
       // Hashing needs bit operations.
       'no-bitwise': 'off',
       // Public items come first in a module, the functions that they use below.
--- /dev/null
+++ b/packages/node/src/admin/statusReport.ts
@@ -0,0 +1,114 @@
+/** What operators see: status of this node, the fleet, services, rollouts and upstreams. */
+
+import { failures } from '@godwittrack/core';
+import type { distribution } from '@godwittrack/protocol';
+import type * as fleetState from '../distribution/fleetState.js';
+import type * as parentTask from '../distribution/parentTask.js';
+import * as progress from '../distribution/progress.js';
+import type * as settings from '../settings.js';
+
+/** A platform contact older than this counts as unreachable. */
+const REACHABLE_AGE_MS = 5_000;
+
+export class StatusReport {
+  constructor(
+    private readonly cfg: settings.ResolvedSettings,
+    private readonly state: fleetState.FleetState,
+    private readonly parents: parentTask.ParentTask,
+  ) {}
+
+  /** @param version version that members are counted against; the node's own when null */
+  status(version: number | null) {
+    const { config, link } = this.state;
+    const { fleet } = this.state.progress;
+    const wanted = version ?? config.version;
+    const atVersion = progress.countAtLeast(fleet.counts, wanted);
+    const ready = this.state.members.all.filter((member) => member.ready).length;
+    const reachable = link.ageMs !== null && link.ageMs < REACHABLE_AGE_MS;
+    const inForce = atVersion >= fleet.known && fleet.known > 0;
+    return {
+      node: this.cfg.node as string,
+      region: this.cfg.region as string,
+      failureDomain: this.cfg.failureDomain as string,
+      role: this.parents.role,
+      parent: this.parents.parent,
+      configVersion: config.version as number,
+      platform: { reachable, ageMs: link.ageMs === null ? null : Math.round(link.ageMs) },
+      path: link.path,
+      members: { known: fleet.known, ready, atVersion },
+      services: this.services(),
+      summary: inForce
+        ? `Version ${wanted} is in force on all ${fleet.known} nodes.`
+        : `Version ${wanted} is in force on ${atVersion} of ${fleet.known} nodes.`,
+    };
+  }
+
+  rollouts(): unknown[] {
+    return this.state.rollouts.all.map((document) => JSON.parse(document.json) as unknown);
+  }
+
+  /** @throws objectNotFound */
+  rollout(id: string): unknown {
+    const found = this.state.rollouts.all.find((document) => document.name === id);
+    if (found === undefined) {
+      throw failures.raise({ type: 'objectNotFound', kind: 'rollout', name: id });
+    }
+    return JSON.parse(found.json) as unknown;
+  }
+
+  upstreams() {
+    return this.knownMembers()
+      .filter((member) => member.upstream !== undefined)
+      .map((member) => ({
+        node: member.node,
+        service: member.upstream?.service,
+        version: member.upstream?.version,
+        slots: member.upstream?.slots,
+        draining: (member.upstream?.draining ?? false) || member.draining,
+        healthy: member.upstream?.healthy,
+        region: member.region,
+        failureDomain: member.failureDomain,
+      }));
+  }
+
+  nodes() {
+    return this.knownMembers().map((member) => ({
+      node: member.node,
+      region: member.region,
+      failureDomain: member.failureDomain,
+      incarnation: member.incarnation,
+      ready: member.ready,
+      draining: member.draining,
+      parent: member.parent,
+      adminAddress: member.adminAddress,
+    }));
+  }
+
+  private services() {
+    const { services, plans } = this.state.config.current;
+    return [...services.keys()].map((service) => {
+      const plan = plans.get(service);
+      return {
+        service: service as string,
+        stable: plan?.stable ?? null,
+        target: plan?.target ?? null,
+        deadline: plan?.deadline ?? null,
+        phase: null,
+        sharePct: null,
+        summary: plan === undefined ? 'No version plan.' : `All traffic goes to ${plan.stable}.`,
+      };
+    });
+  }
+
+  /** Members of this region, and the entry members of the others. */
+  private knownMembers(): distribution.Member[] {
+    const found = new Map<string, distribution.Member>();
+    for (const summary of this.state.members.regions) {
+      for (const { entries } of summary.versions) {
+        entries.forEach((member) => found.set(member.node, member));
+      }
+    }
+    this.state.members.all.forEach((member) => found.set(member.node, member));
+    return [...found.values()].sort((a, b) => (a.node < b.node ? -1 : 1));
+  }
+}
--- /dev/null
+++ b/packages/node/src/config/configStore.ts
@@ -0,0 +1,136 @@
+/**
+ * The configuration that this node routes by. It is replaced as a whole by one assignment, only by
+ * a higher version, and only when every body is at hand and the whole passes its checks.
+ */
+
+import { configuration, failures, hash, ids, manifest, resources } from '@godwittrack/core';
+import type { distribution } from '@godwittrack/protocol';
+import * as signals from '../signals.js';
+
+/** Versions whose manifests are kept, to send deltas to children that lag. */
+const HISTORY_VERSIONS = 64;
+
+export class ConfigStore {
+  private config = configuration.Configuration.empty();
+
+  private readonly history: manifest.Manifest[] = [];
+
+  private bodies = new Map<ids.ContentHash, resources.RawSpec>();
+
+  /** Raised after each applied configuration. */
+  readonly changed = new signals.ChangeSignal();
+
+  get current(): configuration.Configuration {
+    return this.config;
+  }
+
+  get version(): ids.ConfigVersion {
+    return this.config.version;
+  }
+
+  body(contentHash: ids.ContentHash): resources.RawSpec | undefined {
+    return this.bodies.get(contentHash);
+  }
+
+  /** Hashes of the manifest whose bodies are neither held nor in `offered`. */
+  missingBodies(
+    next: manifest.Manifest,
+    offered: ReadonlyMap<ids.ContentHash, resources.RawSpec>,
+  ): ids.ContentHash[] {
+    const wanted = next.live.map((entry) => entry.hash);
+    return [...new Set(wanted)].filter((key) => !offered.has(key) && !this.bodies.has(key));
+  }
+
+  /**
+   * Applies a whole configuration; returns false when it is not newer than the one held.
+   * @throws incompleteConfiguration, hashMismatch, invalidConfiguration; nothing is changed then
+   */
+  apply(
+    next: manifest.Manifest,
+    offered: ReadonlyMap<ids.ContentHash, resources.RawSpec>,
+  ): boolean {
+    if (next.version <= this.config.version) return false;
+    const bodyOf = (key: ids.ContentHash) => offered.get(key) ?? this.bodies.get(key);
+    const resolved = configuration.Configuration.resolve(next, bodyOf);
+    const kept = new Map<ids.ContentHash, resources.RawSpec>();
+    for (const entry of next.live) kept.set(entry.hash, bodyOf(entry.hash) ?? {});
+    this.config = resolved;
+    this.bodies = kept;
+    this.history.push(next);
+    if (this.history.length > HISTORY_VERSIONS) this.history.shift();
+    this.changed.notify();
+    return true;
+  }
+
+  /** Change from the version that a child holds to the current one; null when it is up to date. */
+  deltaFrom(heldVersion: number, heldDigest: string): distribution.ConfigDelta | null {
+    const { manifest: target } = this.config;
+    if (heldVersion >= target.version) return null;
+    const base = this.history.find((item) => item.version === heldVersion);
+    const usable = base !== undefined && base.digest() === heldDigest ? base : null;
+    const from = usable ?? manifest.Manifest.empty();
+    const changed = target.entries.filter((entry) => {
+      const old = from.entry(entry.kind, entry.name);
+      return old?.ticket !== entry.ticket || old.hash !== entry.hash;
+    });
+    const known = new Set(from.live.map((entry) => entry.hash));
+    const needed = new Set(changed.flatMap(({ hash: key }) => (key === null ? [] : [key])));
+    return {
+      fromVersion: from.version,
+      toVersion: target.version,
+      entries: changed.map((entry) => ({ ...entry, hash: entry.hash ?? '' })),
+      bodies: [...needed]
+        .filter((key) => !known.has(key))
+        .map((key) => ({ hash: key, json: hash.canonicalJson(this.bodies.get(key)) })),
+      manifestDigest: target.digest(),
+    };
+  }
+
+  /**
+   * Applies a delta from the parent; returns false when it is not newer than the version held.
+   * @throws protocolViolation when the delta does not start at the held version or its digest differs
+   */
+  applyDelta(delta: distribution.ConfigDelta, peer: string): boolean {
+    if (delta.toVersion <= this.config.version) return false;
+    const full = delta.fromVersion === 0;
+    if (!full && delta.fromVersion !== this.config.version) {
+      const detail = `delta from ${delta.fromVersion}, held ${this.config.version}`;
+      throw failures.raise({ type: 'protocolViolation', peer, detail });
+    }
+    const held = full ? [] : this.config.manifest.entries;
+    const entries = [...held, ...delta.entries.map((entry) => decodeEntry(entry, peer))];
+    const next = new manifest.Manifest(ids.configVersion(delta.toVersion), entries);
+    if (next.digest() !== delta.manifestDigest) {
+      const detail = `manifest digest of version ${delta.toVersion} differs`;
+      throw failures.raise({ type: 'protocolViolation', peer, detail });
+    }
+    return this.apply(next, decodeBodies(delta.bodies, peer));
+  }
+}
+
+function decodeEntry(entry: distribution.ManifestEntry, peer: string): manifest.ManifestEntry {
+  const kind = resources.KINDS.find((known) => known === entry.kind);
+  if (kind === undefined) {
+    const detail = `unknown resource kind ${entry.kind}`;
+    throw failures.raise({ type: 'protocolViolation', peer, detail });
+  }
+  return {
+    kind,
+    name: entry.name,
+    ticket: ids.ticketNumber(entry.ticket),
+    hash: entry.hash === '' ? null : ids.contentHash(entry.hash),
+  };
+}
+
+function decodeBodies(bodies: readonly distribution.ResourceBody[], peer: string) {
+  const decoded = new Map<ids.ContentHash, resources.RawSpec>();
+  for (const body of bodies) {
+    try {
+      decoded.set(ids.contentHash(body.hash), JSON.parse(body.json) as resources.RawSpec);
+    } catch (err) {
+      const detail = `body ${body.hash} is not JSON`;
+      throw failures.raise({ type: 'protocolViolation', peer, detail }, err);
+    }
+  }
+  return decoded;
+}
--- /dev/null
+++ b/packages/node/src/config/ticketService.ts
@@ -0,0 +1,223 @@
+/**
+ * Files tickets: checks them against the whole configuration and accepts them by one conditional
+ * update of the manifest in the platform.
+ */
+
+import {
+  backoff,
+  clock,
+  configuration,
+  failures,
+  ids,
+  manifest,
+  resources,
+} from '@godwittrack/core';
+import type { ticket as tickets } from '@godwittrack/core';
+import type { objectStore } from '@godwittrack/platform';
+import type * as audit from '../admin/auditTrail.js';
+import type * as logging from '../logging.js';
+import type * as configStore from './configStore.js';
+
+const MAX_ATTEMPTS = 12;
+const CONTENTION_BACKOFF = { initialMs: 10, maxMs: 400 };
+/** Bodies read from the platform at once. */
+const BODY_READS = 16;
+
+export interface FiledTicket {
+  ticket: number;
+  version: number;
+  repeated: boolean;
+  atMs: number;
+}
+
+export type ChangeAction = 'create' | 'replace' | 'delete' | 'unchanged';
+
+export interface TicketPreview {
+  ticket: number;
+  valid: true;
+  wouldBeVersion: number;
+  changes: { resource: string; action: ChangeAction }[];
+}
+
+interface HeldManifest {
+  manifest: manifest.Manifest;
+  /** Object version for the conditional update; null when the manifest does not exist yet. */
+  objectVersion: number | null;
+}
+
+export class TicketService {
+  constructor(
+    private readonly store: objectStore.ObjectStore,
+    private readonly config: configStore.ConfigStore,
+    private readonly auditTrail: audit.AuditTrail,
+    private readonly log: logging.Logger,
+    private readonly time: clock.Clock,
+  ) {}
+
+  /** Runs every check that filing runs, and writes nothing. */
+  async check(ticket: tickets.Ticket): Promise<TicketPreview> {
+    const held = await this.readManifest();
+    const result = held.manifest.accept(ticket, this.time.nowMs());
+    await this.checkWhole(result.manifest, ticket);
+    return {
+      ticket: ticket.number,
+      valid: true,
+      wouldBeVersion: result.accepted.version,
+      changes: ticket.changes.map((change) => ({
+        resource: resources.resourceKey(change.kind, change.name),
+        action: actionOf(held.manifest, change),
+      })),
+    };
+  }
+
+  /**
+   * Files a ticket. After a lost answer the manifest is read back, so the result is known.
+   * @throws ticketConflict, ticketReused, invalidConfiguration: nothing was accepted
+   * @throws platformUnavailable, platformOverloaded: nothing was accepted
+   * @throws platformOutcomeUnknown: file the same ticket again
+   * @throws acceptContention after too many races with other operators
+   */
+  async file(ticket: tickets.Ticket): Promise<FiledTicket> {
+    try {
+      const filed = await this.acceptWithRetry(ticket);
+      if (!filed.repeated) await this.recordOutcome(ticket, 'accepted', filed.version, '');
+      return filed;
+    } catch (err) {
+      const failure = failures.of(err);
+      this.log.warn({ ticket: ticket.number, failure }, 'Ticket refused.');
+      await this.recordOutcome(ticket, `refused:${failure.type}`, null, failures.describe(failure));
+      throw err;
+    }
+  }
+
+  /** Accepted tickets, newest first. */
+  async list(): Promise<manifest.AcceptedTicket[]> {
+    const held = await this.readManifest();
+    return [...held.manifest.recent].reverse();
+  }
+
+  /** @throws ticketNotFound */
+  async show(number: ids.TicketNumber) {
+    const { manifest: current } = await this.readManifest();
+    const accepted = current.findTicket(number);
+    if (accepted === undefined) throw failures.raise({ type: 'ticketNotFound', ticket: number });
+    const changes = await Promise.all(
+      accepted.resources.map(async (resource) => {
+        const entry = current.entries.find(
+          ({ kind, name }) => resources.resourceKey(kind, name) === resource,
+        );
+        const isCurrent = entry?.ticket === number;
+        const spec = isCurrent && entry.hash !== null ? await this.readBody(entry.hash) : null;
+        return { resource, spec: spec ?? null, current: isCurrent };
+      }),
+    );
+    return { ...accepted, changes };
+  }
+
+  private async acceptWithRetry(ticket: tickets.Ticket): Promise<FiledTicket> {
+    const delays = new backoff.Backoff(CONTENTION_BACKOFF);
+    let unknown: failures.FailureError | null = null;
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      try {
+        return await this.acceptOnce(ticket);
+      } catch (err) {
+        if (failures.is(err, 'platformOutcomeUnknown')) unknown = err;
+        else if (unknown !== null && isPlatformFailure(err)) throw unknown;
+        else if (!failures.is(err, 'objectConflict')) throw err;
+        await backoff.sleep(delays.nextMs());
+      }
+    }
+    throw unknown ?? failures.raise({ type: 'acceptContention', attempts: MAX_ATTEMPTS });
+  }
+
+  private async acceptOnce(ticket: tickets.Ticket): Promise<FiledTicket> {
+    const held = await this.readManifest();
+    const { manifest: next, accepted, repeated } = held.manifest.accept(ticket, this.time.nowMs());
+    if (!repeated) {
+      await this.checkWhole(next, ticket);
+      await this.writeBodies(ticket);
+      const precondition: objectStore.Precondition =
+        held.objectVersion === null
+          ? { type: 'absent' }
+          : { type: 'version', version: held.objectVersion };
+      await this.store.put('manifest', 'current', next.toJSON(), precondition);
+      this.log.info({ ticket: ticket.number, version: next.version }, 'Ticket accepted.');
+    }
+    const { version, atMs } = accepted;
+    return { ticket: ticket.number, version, repeated, atMs };
+  }
+
+  private async readManifest(): Promise<HeldManifest> {
+    const object = await this.store.get('manifest', 'current');
+    if (object === null) return { manifest: manifest.Manifest.empty(), objectVersion: null };
+    return { manifest: manifest.Manifest.parse(object.value), objectVersion: object.version };
+  }
+
+  /** The check that every node runs before it applies the configuration. */
+  private async checkWhole(next: manifest.Manifest, ticket: tickets.Ticket): Promise<void> {
+    const bodies = new Map<ids.ContentHash, resources.RawSpec>();
+    for (const { hash, spec } of ticket.changes) {
+      if (hash !== null && spec !== null) bodies.set(hash, spec);
+    }
+    const missing = this.config.missingBodies(next, bodies);
+    for (let start = 0; start < missing.length; start += BODY_READS) {
+      const keys = missing.slice(start, start + BODY_READS);
+      const read = await Promise.all(keys.map((key) => this.readBody(key)));
+      read.forEach((body, index) => {
+        const key = keys[index];
+        if (body !== null && key !== undefined) bodies.set(key, body);
+      });
+    }
+    configuration.Configuration.resolve(next, (key) => bodies.get(key) ?? this.config.body(key));
+  }
+
+  private async readBody(key: ids.ContentHash): Promise<resources.RawSpec | null> {
+    const held = this.config.body(key);
+    if (held !== undefined) return held;
+    const object = await this.store.get('body', key);
+    return object === null ? null : (object.value as resources.RawSpec);
+  }
+
+  private async writeBodies(ticket: tickets.Ticket): Promise<void> {
+    await Promise.all(
+      ticket.changes.map(async ({ hash, spec }) => {
+        if (hash === null || this.config.body(hash) !== undefined) return;
+        try {
+          await this.store.put('body', hash, spec, { type: 'absent' });
+        } catch (err) {
+          // The name is the hash of the content, so an existing object is the same body.
+          if (!failures.is(err, 'objectConflict')) throw err;
+        }
+      }),
+    );
+  }
+
+  private async recordOutcome(
+    ticket: tickets.Ticket,
+    outcome: string,
+    version: number | null,
+    detail: string,
+  ): Promise<void> {
+    await this.auditTrail.record({
+      atMs: this.time.nowMs(),
+      actor: ticket.author,
+      action: 'ticket.file',
+      ticket: ticket.number,
+      resources: ticket.changes.map(({ kind, name }) => resources.resourceKey(kind, name)),
+      version,
+      outcome,
+      detail: detail === '' ? ticket.reason : detail,
+    });
+  }
+}
+
+function isPlatformFailure(err: unknown): boolean {
+  return failures.is(err, 'platformUnavailable') || failures.is(err, 'platformOverloaded');
+}
+
+function actionOf(held: manifest.Manifest, change: tickets.ResourceChange): ChangeAction {
+  const entry = held.entry(change.kind, change.name);
+  if (change.hash === null) return 'delete';
+  if (entry === undefined || entry.hash === null) return 'create';
+  return entry.hash === change.hash ? 'unchanged' : 'replace';
+}
--- /dev/null
+++ b/packages/node/src/distribution/childServer.ts
@@ -0,0 +1,382 @@
+/**
+ * Serves the streams of child nodes: one task for each child, which reads what the child reports
+ * and sends what changed.
+ */
+
+import type * as grpc from '@grpc/grpc-js';
+import { backoff, failures, ids } from '@godwittrack/core';
+import type { clock } from '@godwittrack/core';
+import type { distribution } from '@godwittrack/protocol';
+import * as constants from '../constants.js';
+import type * as logging from '../logging.js';
+import type * as contacts from '../membership/contacts.js';
+import type * as settings from '../settings.js';
+import * as signals from '../signals.js';
+import * as fleetState from './fleetState.js';
+import type * as peerProbe from './peerProbe.js';
+import * as streams from './streams.js';
+
+type SyncCall = grpc.ServerDuplexStream<distribution.ChildMessage, distribution.ParentMessage>;
+type ChildMessage = NonNullable<distribution.ChildMessage['message']>;
+type ParentMessage = NonNullable<distribution.ParentMessage['message']>;
+
+const HELLO_TIMEOUT_MS = 2_000;
+/** Joins accepted per second; a storm is spread by the Retry-After of the others. */
+const JOINS_PER_SECOND = 200;
+const SWEEP_INTERVAL_MS = 500;
+const JOIN_RETRY_AFTER_MS = 1_000;
+
+interface Session {
+  hello: distribution.Hello;
+  call: SyncCall;
+  ended: AbortController;
+}
+
+/** What was sent to one child so far. */
+interface Position {
+  configVersion: number;
+  manifestDigest: string;
+  members: number;
+  rollouts: number;
+  placements: number;
+  vetoes: number;
+  progress: string;
+}
+
+export class ChildServer {
+  private readonly sessions = new Map<string, Session>();
+
+  private readonly startMs: number;
+
+  private joinTokens = JOINS_PER_SECOND;
+
+  private joinRefillMs: number;
+
+  private closing = false;
+
+  constructor(
+    private readonly cfg: settings.ResolvedSettings,
+    private readonly state: fleetState.FleetState,
+    private readonly known: contacts.Contacts,
+    private readonly probe: peerProbe.PeerProbe,
+    private readonly log: logging.Logger,
+    private readonly time: clock.Clock,
+  ) {
+    this.startMs = time.monotonicMs();
+    this.joinRefillMs = this.startMs;
+  }
+
+  get children(): string[] {
+    return [...this.sessions.keys()];
+  }
+
+  /** Handler of `Distribution.Sync`. */
+  async serve(call: SyncCall): Promise<void> {
+    const ended = new AbortController();
+    const stop = () => ended.abort();
+    call.on('cancelled', stop);
+    call.on('error', stop);
+    try {
+      const messages = call[Symbol.asyncIterator]() as AsyncIterator<distribution.ChildMessage>;
+      const first = await streams.nextMessage(messages, HELLO_TIMEOUT_MS, 'hello');
+      if (first.message?.$case !== 'hello') {
+        const detail = 'the first message was not a hello';
+        throw failures.raise({ type: 'protocolViolation', peer: call.getPeer(), detail });
+      }
+      const hello = first.message.value;
+      const refusal = this.refusalFor(hello);
+      if (refusal === null) await this.hold({ hello, call, ended }, messages);
+      else {
+        const value = { reason: refusal, retryAfterMs: JOIN_RETRY_AFTER_MS };
+        call.write({ message: { $case: 'redirect', value } });
+      }
+    } catch (err) {
+      this.log.debug({ failure: failures.of(err) }, 'Child stream refused.');
+    } finally {
+      ended.abort();
+      call.end();
+    }
+  }
+
+  /** Handler of `Peers.Floor`. */
+  floor(): distribution.FloorReply {
+    const { config, local, members, progress, link } = this.state;
+    return {
+      node: this.cfg.node,
+      region: this.cfg.region,
+      highestVersion: Math.max(progress.highestVersion, link.platformVersion),
+      ownVersion: config.version,
+      members: members.all,
+      floorKnown: local.isReady,
+    };
+  }
+
+  /** Refuses new children and ends the streams of the present ones, which then move on. */
+  close(): void {
+    this.closing = true;
+    for (const session of this.sessions.values()) session.ended.abort();
+  }
+
+  /** Removes members that this node is responsible for and that have fallen silent. */
+  async sweep(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await backoff.sleep(SWEEP_INTERVAL_MS, signal);
+      const nowMs = this.time.monotonicMs();
+      this.removeSilentChildren(nowMs);
+      const { role } = this.known.attachment();
+      if (role === 'root' || role === 'regionRelay') {
+        this.removeOrphans(nowMs);
+        await this.removeSilentTops(nowMs);
+      }
+    }
+  }
+
+  private refusalFor(hello: distribution.Hello): string | null {
+    if (this.closing) return 'the node is stopping';
+    if (hello.node === this.cfg.node) return 'a node cannot be its own parent';
+    if (this.state.link.path.includes(hello.node)) return 'the path leads through the child';
+    const nowMs = this.time.monotonicMs();
+    const refill = ((nowMs - this.joinRefillMs) / 1_000) * JOINS_PER_SECOND;
+    this.joinTokens = Math.min(JOINS_PER_SECOND, this.joinTokens + refill);
+    this.joinRefillMs = nowMs;
+    if (this.joinTokens < 1) return 'too many nodes are joining';
+    this.joinTokens -= 1;
+    return null;
+  }
+
+  private async hold(
+    session: Session,
+    messages: AsyncIterator<distribution.ChildMessage>,
+  ): Promise<void> {
+    const { hello, ended } = session;
+    this.sessions.get(hello.node)?.ended.abort();
+    this.sessions.set(hello.node, session);
+    this.log.debug({ child: hello.node }, 'Child attached.');
+    const writing = this.write(session);
+    try {
+      while (!ended.signal.aborted) {
+        const message = await streams.nextMessage(messages, constants.CHILD_SILENCE_MS, hello.node);
+        if (message.message !== undefined) this.take(session, message.message);
+      }
+    } catch (err) {
+      this.log.debug({ child: hello.node, failure: failures.of(err) }, 'Child detached.');
+      if (failures.is(err, 'timeout')) this.removeIfMine(hello.node, hello.incarnation);
+    } finally {
+      ended.abort();
+      await writing;
+      if (this.sessions.get(hello.node) === session) {
+        this.sessions.delete(hello.node);
+        this.state.progress.removeChild(hello.node);
+      }
+    }
+  }
+
+  private take(session: Session, message: ChildMessage): void {
+    const { members, local, progress, evidence } = this.state;
+    const origin = session.hello.node;
+    switch (message.$case) {
+      case 'announce':
+        message.value.removals.forEach((item) =>
+          members.remove(item.node, item.incarnation, origin),
+        );
+        message.value.members.forEach((member) => members.merge(member, origin));
+        message.value.regions.forEach((summary) => members.mergeSummary(summary, origin));
+        local.defend();
+        break;
+      case 'progress':
+        progress.setChild(origin, message.value);
+        break;
+      case 'evidence':
+        message.value.samples.forEach((sample) => evidence.addSample(sample, origin));
+        break;
+      case 'vetoes':
+        message.value.vetoes.forEach((veto) => evidence.addVeto(veto, origin));
+        break;
+      case 'heartbeat':
+        break;
+      default:
+        throw failures.raise({
+          type: 'protocolViolation',
+          peer: origin,
+          detail: `unexpected message ${message.$case}`,
+        });
+    }
+  }
+
+  private async write(session: Session): Promise<void> {
+    const { call, ended, hello } = session;
+    const wakeup = new signals.Wakeup();
+    const unsubscribe = fleetState.subscribeAll(this.state, () => wakeup.notify());
+    const unsubscribeLink = this.state.link.contacted.subscribe(() => wakeup.notify());
+    ended.signal.addEventListener('abort', () => wakeup.notify(), { once: true });
+    const position: Position = {
+      configVersion: hello.configVersion,
+      manifestDigest: hello.manifestDigest,
+      members: 0,
+      rollouts: 0,
+      placements: 0,
+      vetoes: 0,
+      progress: '',
+    };
+    const welcome = {
+      node: this.cfg.node as string,
+      configVersion: this.state.config.version as number,
+      path: this.state.link.path,
+    };
+    await streams.send(call, { message: { $case: 'welcome', value: welcome } }, ended.signal);
+    let heartbeatAtMs = Number.NEGATIVE_INFINITY;
+    let contactAtMs = Number.NEGATIVE_INFINITY;
+    while (!ended.signal.aborted) {
+      for (const message of this.pendingMessages(hello, position)) {
+        await streams.send(call, { message }, ended.signal);
+      }
+      const nowMs = this.time.monotonicMs();
+      const ageMs = this.state.link.ageMs ?? Number.POSITIVE_INFINITY;
+      // The first contact is passed on at once: a starting child waits for it before it serves.
+      const freshContact = contactAtMs < 0 && Number.isFinite(ageMs);
+      if (freshContact || nowMs - heartbeatAtMs >= constants.HEARTBEAT_INTERVAL_MS) {
+        heartbeatAtMs = nowMs;
+        if (Number.isFinite(ageMs)) contactAtMs = nowMs - ageMs;
+        await streams.send(call, { message: this.heartbeat() }, ended.signal);
+      }
+      await wakeup.wait(constants.HEARTBEAT_INTERVAL_MS);
+    }
+    unsubscribe();
+    unsubscribeLink();
+    call.end();
+  }
+
+  /** Configuration goes first, so that a heartbeat never vouches for a version not yet sent. */
+  private pendingMessages(hello: distribution.Hello, position: Position): ParentMessage[] {
+    const { config, members, rollouts, placements, evidence, progress } = this.state;
+    const messages: ParentMessage[] = [];
+    const delta = config.deltaFrom(position.configVersion, position.manifestDigest);
+    if (delta !== null) {
+      position.configVersion = delta.toVersion;
+      position.manifestDigest = delta.manifestDigest;
+      messages.push({ $case: 'config', value: delta });
+    }
+    const vetoes = evidence.vetoesSince(position.vetoes, hello.node);
+    position.vetoes = evidence.currentSequence;
+    if (vetoes.length > 0) messages.push({ $case: 'vetoes', value: { vetoes } });
+    messages.push(...this.pendingDocuments(hello, position, rollouts, placements));
+    const across = hello.region !== this.cfg.region;
+    if (across) members.refreshSummary(this.time.nowMs());
+    const changes = members.changesSince(position.members, hello.node);
+    position.members = changes.sequence;
+    const value = {
+      members: across ? [] : changes.members,
+      removals: across ? [] : changes.removals,
+      regions: changes.regions,
+    };
+    if (value.members.length + value.removals.length + value.regions.length > 0) {
+      messages.push({ $case: 'members', value });
+    }
+    const text = JSON.stringify(progress.fleet);
+    if (text !== position.progress) {
+      position.progress = text;
+      messages.push({ $case: 'progress', value: progress.fleet });
+    }
+    return messages;
+  }
+
+  private pendingDocuments(
+    hello: distribution.Hello,
+    position: Position,
+    rollouts: fleetState.FleetState['rollouts'],
+    placements: fleetState.FleetState['placements'],
+  ): ParentMessage[] {
+    const messages: ParentMessage[] = [];
+    const rolloutChanges = rollouts.changesSince(position.rollouts);
+    position.rollouts = rolloutChanges.sequence;
+    const heldRollouts = new Map(hello.rollouts.map((item) => [item.rollout, item.revision]));
+    const newRollouts = rolloutChanges.documents
+      .filter((item) => item.revision > (heldRollouts.get(item.name) ?? 0))
+      .map(({ name, revision, json }) => ({ rollout: name, revision, json }));
+    if (newRollouts.length > 0) {
+      messages.push({ $case: 'rollouts', value: { rollouts: newRollouts } });
+    }
+    const placementChanges = placements.changesSince(position.placements);
+    position.placements = placementChanges.sequence;
+    const heldPlacements = new Map(hello.placements.map((item) => [item.service, item.epoch]));
+    const newPlacements = placementChanges.documents
+      .filter((item) => item.revision > (heldPlacements.get(item.name) ?? 0))
+      .map(({ name, revision, json }) => ({ service: name, epoch: revision, json }));
+    if (newPlacements.length > 0) {
+      messages.push({ $case: 'placements', value: { placements: newPlacements } });
+    }
+    return messages;
+  }
+
+  private heartbeat(): ParentMessage {
+    const { link } = this.state;
+    return {
+      $case: 'heartbeat',
+      value: {
+        platformAgeMs: link.ageMs ?? -1,
+        path: link.path,
+        platformVersion: link.platformVersion,
+      },
+    };
+  }
+
+  private removeIfMine(node: string, incarnation: number): void {
+    const member = this.state.members.get(node);
+    if (member === undefined || member.parent !== this.cfg.node) return;
+    if (member.incarnation > incarnation) return;
+    this.log.info({ member: node }, 'Member removed: its stream fell silent.');
+    this.state.members.remove(node, member.incarnation, '');
+  }
+
+  /** Members that name this node as their parent but hold no stream to it. */
+  private removeSilentChildren(nowMs: number): void {
+    for (const member of this.state.members.all) {
+      if (member.parent !== this.cfg.node || this.sessions.has(member.node)) continue;
+      if (this.quietMs(member, nowMs) > constants.CHILD_SILENCE_MS) {
+        this.removeIfMine(member.node, member.incarnation);
+      }
+    }
+  }
+
+  /** Members whose parent is gone and that have not attached elsewhere. */
+  private removeOrphans(nowMs: number): void {
+    const { members } = this.state;
+    for (const member of members.all) {
+      const orphaned = member.parent !== '' && members.get(member.parent) === undefined;
+      if (!orphaned || member.node === this.cfg.node) continue;
+      if (this.quietMs(member, nowMs) > constants.ORPHAN_GRACE_MS) {
+        this.log.info({ member: member.node }, 'Member removed: its parent is gone.');
+        members.remove(member.node, member.incarnation, '');
+      }
+    }
+  }
+
+  /** Members without a parent in this region, such as a former relay: asked directly. */
+  private async removeSilentTops(nowMs: number): Promise<void> {
+    const { members } = this.state;
+    const tops = members.all.filter(
+      (member) => member.parent === '' && member.node !== this.cfg.node,
+    );
+    for (const member of tops) {
+      if (this.quietMs(member, nowMs) < constants.CHILD_SILENCE_MS) continue;
+      if (await this.probe.answers(member)) this.silentTops.delete(member.node);
+      else this.noteSilentTop(member, nowMs);
+    }
+  }
+
+  private readonly silentTops = new Map<string, number>();
+
+  private noteSilentTop(member: distribution.Member, nowMs: number): void {
+    const sinceMs = this.silentTops.get(member.node) ?? nowMs;
+    this.silentTops.set(member.node, sinceMs);
+    if (nowMs - sinceMs < constants.CHILD_SILENCE_MS) return;
+    this.silentTops.delete(member.node);
+    this.log.info({ member: member.node }, 'Member removed: the former relay does not answer.');
+    this.state.members.remove(member.node, ids.incarnation(member.incarnation), '');
+  }
+
+  private quietMs(member: distribution.Member, nowMs: number): number {
+    const changedAtMs = this.state.members.changedAtMs(member.node) ?? nowMs;
+    return nowMs - Math.max(changedAtMs, this.startMs);
+  }
+}
--- /dev/null
+++ b/packages/node/src/distribution/documentTable.ts
@@ -0,0 +1,46 @@
+/** Versioned JSON documents (rollouts, placements) as the platform holds them. */
+
+import * as signals from '../signals.js';
+
+export interface VersionedDocument {
+  name: string;
+  /** Object version in the platform; the higher one is the later. */
+  revision: number;
+  json: string;
+}
+
+interface HeldDocument extends VersionedDocument {
+  sequence: number;
+}
+
+export class DocumentTable {
+  private readonly documents = new Map<string, HeldDocument>();
+
+  private sequence = 0;
+
+  readonly changed = new signals.ChangeSignal();
+
+  get all(): VersionedDocument[] {
+    return [...this.documents.values()];
+  }
+
+  /** Takes a document unless the same or a later revision is held. */
+  merge(document: VersionedDocument): boolean {
+    const held = this.documents.get(document.name);
+    if (held !== undefined && held.revision >= document.revision) return false;
+    this.sequence += 1;
+    this.documents.set(document.name, { ...document, sequence: this.sequence });
+    this.changed.notify();
+    return true;
+  }
+
+  remove(name: string): void {
+    if (this.documents.delete(name)) this.changed.notify();
+  }
+
+  /** Documents that changed after `sequence`. */
+  changesSince(sequence: number): { documents: VersionedDocument[]; sequence: number } {
+    const documents = [...this.documents.values()].filter((item) => item.sequence > sequence);
+    return { documents, sequence: this.sequence };
+  }
+}
--- /dev/null
+++ b/packages/node/src/distribution/peerChannels.ts
@@ -0,0 +1,62 @@
+/** gRPC channels to other nodes, one for each address, shared by all services. */
+
+import * as grpc from '@grpc/grpc-js';
+import { distribution, records, requests } from '@godwittrack/protocol';
+import * as constants from '../constants.js';
+
+const CHANNEL_OPTIONS: grpc.ChannelOptions = {
+  'grpc.max_receive_message_length': constants.MAX_PEER_MESSAGE_BYTES,
+  'grpc.max_send_message_length': constants.MAX_PEER_MESSAGE_BYTES,
+  // A lost peer is tried again soon; the callers above have their own backoff.
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 2_000,
+  // Settings name peers by IP number, so no service configuration is looked up.
+  'grpc.service_config_disable_resolution': 1,
+  'grpc.enable_retries': 0,
+};
+
+/** Clients of one peer. */
+export interface PeerClients {
+  distribution: distribution.DistributionClient;
+  peers: distribution.PeersClient;
+  requests: requests.RequestsClient;
+  records: records.RecordsClient;
+}
+
+interface HeldChannel {
+  channel: grpc.Channel;
+  clients: PeerClients;
+}
+
+export class PeerChannels {
+  private readonly channels = new Map<string, HeldChannel>();
+
+  get(address: string): PeerClients {
+    const held = this.channels.get(address);
+    if (held !== undefined) return held.clients;
+    const credentials = grpc.credentials.createInsecure();
+    const channel = new grpc.Channel(address, credentials, CHANNEL_OPTIONS);
+    const options = { channelOverride: channel };
+    const clients = {
+      distribution: new distribution.DistributionClient(address, credentials, options),
+      peers: new distribution.PeersClient(address, credentials, options),
+      requests: new requests.RequestsClient(address, credentials, options),
+      records: new records.RecordsClient(address, credentials, options),
+    };
+    this.channels.set(address, { channel, clients });
+    return clients;
+  }
+
+  /** Closes channels to addresses that are no longer in use. */
+  retain(addresses: ReadonlySet<string>): void {
+    for (const [address, held] of this.channels) {
+      if (addresses.has(address)) continue;
+      held.channel.close();
+      this.channels.delete(address);
+    }
+  }
+
+  close(): void {
+    this.retain(new Set());
+  }
+}
--- /dev/null
+++ b/packages/node/src/membership/localMember.ts
@@ -0,0 +1,198 @@
+/** This node's own member record and the announcement of its upstream. */
+
+import { failures, ids, resources } from '@godwittrack/core';
+import type { clock } from '@godwittrack/core';
+import type { distribution } from '@godwittrack/protocol';
+import * as z from 'zod';
+import * as constants from '../constants.js';
+import type * as logging from '../logging.js';
+import type * as settings from '../settings.js';
+import * as signals from '../signals.js';
+import type * as memberTable from './memberTable.js';
+
+const MAX_SLOTS = 10_000;
+
+/** What an upstream sends to `POST /v1/upstream`. */
+export const announcementSchema = z.strictObject({
+  service: resources.resourceName,
+  version: z.string().min(1).max(63),
+  /** `ip:port` of the upstream, on the same host. */
+  address: z.string().regex(/^[^\s:]+:\d{1,5}$/, 'must be an address and a port'),
+  slots: z.number().int().min(1).max(MAX_SLOTS),
+  connections: z.number().int().min(1).max(MAX_SLOTS).default(130),
+  state: z.enum(['serving', 'draining']).default('serving'),
+});
+
+export type Announcement = z.output<typeof announcementSchema>;
+
+export interface LocalUpstream extends Announcement {
+  /** Monotonic time of the first announcement of this version, for its cold start. */
+  sinceMs: number;
+  renewedAtMs: number;
+  healthy: boolean;
+}
+
+export class LocalMember {
+  private incarnationValue: number;
+
+  private revision = 0;
+
+  private parent = '';
+
+  private ready = false;
+
+  private draining = false;
+
+  private upstreamState: LocalUpstream | null = null;
+
+  /** Raised when the upstream was announced, changed or lost. */
+  readonly upstreamChanged = new signals.ChangeSignal();
+
+  constructor(
+    private readonly cfg: settings.ResolvedSettings,
+    private readonly table: memberTable.MemberTable,
+    private readonly time: clock.Clock,
+    private readonly log: logging.Logger,
+  ) {
+    this.incarnationValue = time.nowMs();
+  }
+
+  get node(): ids.NodeId {
+    return this.cfg.node;
+  }
+
+  get incarnation(): number {
+    return this.incarnationValue;
+  }
+
+  get upstream(): LocalUpstream | null {
+    return this.upstreamState;
+  }
+
+  get isReady(): boolean {
+    return this.ready;
+  }
+
+  get isDraining(): boolean {
+    return this.draining;
+  }
+
+  setParent(parent: string): void {
+    if (this.parent === parent) return;
+    this.parent = parent;
+    this.publish();
+  }
+
+  setReady(ready: boolean): void {
+    if (this.ready === ready) return;
+    this.ready = ready;
+    this.publish();
+  }
+
+  setDraining(): void {
+    this.draining = true;
+    this.publish();
+  }
+
+  setHealthy(healthy: boolean): void {
+    if (this.upstreamState === null || this.upstreamState.healthy === healthy) return;
+    this.upstreamState = { ...this.upstreamState, healthy };
+    this.publish();
+  }
+
+  /** @throws invalidRequest when the announcement has problems */
+  announce(announcement: Announcement): void {
+    const nowMs = this.time.monotonicMs();
+    const held = this.upstreamState;
+    const same =
+      held !== null &&
+      held.service === announcement.service &&
+      held.version === announcement.version &&
+      held.address === announcement.address;
+    const sinceMs = same ? held.sinceMs : nowMs;
+    const healthy = same ? held.healthy : true;
+    this.upstreamState = { ...announcement, sinceMs, renewedAtMs: nowMs, healthy };
+    if (same && held.state === announcement.state && held.slots === announcement.slots) return;
+    const { service, version, state } = announcement;
+    this.log.info({ service, version, state }, 'Upstream announced.');
+    this.publish();
+    this.upstreamChanged.notify();
+  }
+
+  withdraw(reason: string): void {
+    if (this.upstreamState === null) return;
+    this.log.info({ service: this.upstreamState.service, reason }, 'Upstream withdrawn.');
+    this.upstreamState = null;
+    this.publish();
+    this.upstreamChanged.notify();
+  }
+
+  /** Withdraws an upstream that has stopped to renew its announcement. */
+  expireUpstream(): void {
+    const held = this.upstreamState;
+    if (held === null) return;
+    const silentMs = this.time.monotonicMs() - held.renewedAtMs;
+    if (silentMs > constants.UPSTREAM_LEASE_MS) this.withdraw('announcement lapsed');
+  }
+
+  /** Writes the own record; raises the incarnation when an older life or a removal is in the way. */
+  publish(): void {
+    const seen = this.table.highestIncarnation(this.node);
+    const removed = this.table.isRemoved(this.node, this.incarnationValue);
+    if (removed || seen > this.incarnationValue) {
+      this.incarnationValue = Math.max(this.time.nowMs(), seen + 1);
+      this.log.info({ incarnation: this.incarnationValue }, 'Joined again with a new incarnation.');
+    }
+    this.revision += 1;
+    this.table.merge(this.toMember(), '');
+  }
+
+  /** Publishes again when the table lost this node or holds another life of it. */
+  defend(): void {
+    const held = this.table.get(this.node);
+    if (held?.incarnation === this.incarnationValue && held.revision === this.revision) return;
+    if (held !== undefined && held.incarnation === this.incarnationValue) {
+      this.revision = Math.max(this.revision, held.revision);
+    }
+    this.publish();
+  }
+
+  toMember(): distribution.Member {
+    const { advertise } = this.cfg;
+    const upstream = this.upstreamState;
+    return {
+      node: this.node,
+      incarnation: this.incarnationValue,
+      revision: this.revision,
+      region: this.cfg.region,
+      failureDomain: this.cfg.failureDomain,
+      peerAddress: advertise.peer,
+      externalPeerAddress: advertise.externalPeer,
+      adminAddress: advertise.admin,
+      upstream:
+        upstream === null
+          ? undefined
+          : {
+              service: upstream.service,
+              version: upstream.version,
+              slots: upstream.slots,
+              draining: upstream.state === 'draining',
+              healthy: upstream.healthy,
+            },
+      draining: this.draining,
+      ready: this.ready,
+      parent: this.parent,
+    };
+  }
+}
+
+/** Checks the body of an announcement. @throws invalidRequest */
+export function parseAnnouncement(body: unknown): Announcement {
+  const checked = announcementSchema.safeParse(body);
+  if (checked.success) return checked.data;
+  const found = checked.error.issues.map((issue) => ({
+    path: issue.path.join('.'),
+    message: issue.message,
+  }));
+  throw failures.raise({ type: 'invalidRequest', problems: found });
+}
--- /dev/null
+++ b/packages/node/src/metrics/metrics.ts
@@ -0,0 +1,111 @@
+/** Counters, gauges and latency histograms, served in the text exposition format. */
+
+import * as hdr from 'hdr-histogram-js';
+
+export type Labels = Readonly<Record<string, string>>;
+
+const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
+const MICROS_PER_MS = 1_000;
+const HIGHEST_MICROS = 120_000_000;
+
+interface Series<T> {
+  labels: Labels;
+  value: T;
+}
+
+type Family<T> = Map<string, Series<T>>;
+
+function labelKey(labels: Labels): string {
+  return JSON.stringify(Object.entries(labels).sort());
+}
+
+function escapeLabel(value: string): string {
+  return value.replace(/\\/g, '\\\\').replace(/"/g, '\\"').replace(/\n/g, '\\n');
+}
+
+function formatLabels(labels: Labels): string {
+  const parts = Object.entries(labels).map(([name, value]) => `${name}="${escapeLabel(value)}"`);
+  return parts.length === 0 ? '' : `{${parts.join(',')}}`;
+}
+
+function seriesOf<T>(
+  families: Map<string, Family<T>>,
+  name: string,
+  labels: Labels,
+  create: () => T,
+): Series<T> {
+  let family = families.get(name);
+  if (family === undefined) {
+    family = new Map();
+    families.set(name, family);
+  }
+  const key = labelKey(labels);
+  let series = family.get(key);
+  if (series === undefined) {
+    series = { labels, value: create() };
+    family.set(key, series);
+  }
+  return series;
+}
+
+/** Registry of all metrics of one node. Names follow `godwittrack_<what>_<unit>`. */
+export class Metrics {
+  private readonly counters = new Map<string, Family<number>>();
+
+  private readonly gauges = new Map<string, () => number>();
+
+  private readonly histograms = new Map<string, Family<hdr.Histogram>>();
+
+  increment(name: string, labels: Labels = {}, by = 1): void {
+    seriesOf(this.counters, name, labels, () => 0).value += by;
+  }
+
+  counter(name: string, labels: Labels = {}): number {
+    return this.counters.get(name)?.get(labelKey(labels))?.value ?? 0;
+  }
+
+  /** Registers a value that is read when metrics are served. */
+  gauge(name: string, read: () => number): void {
+    this.gauges.set(name, read);
+  }
+
+  /** Records a duration in milliseconds. */
+  observeMs(name: string, ms: number, labels: Labels = {}): void {
+    const create = () =>
+      hdr.build({ highestTrackableValue: HIGHEST_MICROS, numberOfSignificantValueDigits: 2 });
+    const micros = Math.min(HIGHEST_MICROS, Math.max(1, Math.round(ms * MICROS_PER_MS)));
+    seriesOf(this.histograms, name, labels, create).value.recordValue(micros);
+  }
+
+  /** Text exposition format, one family after the other. */
+  render(): string {
+    const lines: string[] = [];
+    for (const [name, family] of this.counters) {
+      lines.push(`# TYPE ${name} counter`);
+      for (const { labels, value } of family.values()) {
+        lines.push(`${name}${formatLabels(labels)} ${value}`);
+      }
+    }
+    for (const [name, read] of this.gauges) {
+      lines.push(`# TYPE ${name} gauge`, `${name} ${read()}`);
+    }
+    for (const [name, family] of this.histograms) {
+      lines.push(`# TYPE ${name} summary`);
+      for (const { labels, value } of family.values()) {
+        lines.push(...renderSummary(name, labels, value));
+      }
+    }
+    return `${lines.join('\n')}\n`;
+  }
+}
+
+function renderSummary(name: string, labels: Labels, histogram: hdr.Histogram): string[] {
+  const lines = QUANTILES.map((quantile) => {
+    const seconds = histogram.getValueAtPercentile(quantile * 100) / MICROS_PER_MS / 1_000;
+    return `${name}${formatLabels({ ...labels, quantile: String(quantile) })} ${seconds}`;
+  });
+  const sumSeconds = (histogram.mean * histogram.totalCount) / MICROS_PER_MS / 1_000;
+  lines.push(`${name}_sum${formatLabels(labels)} ${Number.isFinite(sumSeconds) ? sumSeconds : 0}`);
+  lines.push(`${name}_count${formatLabels(labels)} ${histogram.totalCount}`);
+  return lines;
+}
--- /dev/null
+++ b/packages/node/src/requests/retryBudget.ts
@@ -0,0 +1,41 @@
+/** Limits retries to a share of the requests of each service, so that they cannot add to a storm. */
+
+import type { clock } from '@godwittrack/core';
+
+/** Retries allowed for each service whatever its share, so that small traffic can retry at all. */
+const MIN_RETRIES_PER_WINDOW = 5;
+const WINDOW_MS = 10_000;
+
+interface Window {
+  startMs: number;
+  requests: number;
+  retries: number;
+}
+
+export class RetryBudget {
+  private readonly windows = new Map<string, Window>();
+
+  constructor(private readonly time: clock.Clock) {}
+
+  request(service: string): void {
+    this.windowOf(service).requests += 1;
+  }
+
+  /** Takes one retry from the budget; false when it is used up. */
+  takeRetry(service: string, budgetPct: number): boolean {
+    const window = this.windowOf(service);
+    const allowed = Math.max(MIN_RETRIES_PER_WINDOW, (window.requests * budgetPct) / 100);
+    if (budgetPct === 0 || window.retries >= allowed) return false;
+    window.retries += 1;
+    return true;
+  }
+
+  private windowOf(service: string): Window {
+    const nowMs = this.time.monotonicMs();
+    const held = this.windows.get(service);
+    if (held !== undefined && nowMs - held.startMs < WINDOW_MS) return held;
+    const fresh = { startMs: nowMs, requests: 0, retries: 0 };
+    this.windows.set(service, fresh);
+    return fresh;
+  }
+}
