--- a/playground/src/harness/deployment.ts
+++ b/playground/src/harness/deployment.ts
@@ -349,7 +349,12 @@
     const { parallelStarts = DEFAULT_PARALLEL_STARTS } = this.options;
     const startInTurn = async () => {
       for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
-        await next.start();
+        try {
+          await next.start();
+        } catch (err) {
+          waiting.length = 0;
+          throw err;
+        }
       }
     };
     await Promise.all([...Array(parallelStarts).keys()].map(startInTurn));
--- a/playground/src/harness/processes.ts
+++ b/playground/src/harness/processes.ts
@@ -46,6 +46,8 @@
   /** How the last run ended; undefined while it runs. */
   exit: Exit | undefined;
 
+  private retired = false;
+
   constructor(readonly options: ProcessOptions) {}
 
   get name(): string {
@@ -86,6 +88,7 @@
   /** Starts the process without waiting. */
   spawn(): void {
     if (this.running !== undefined) throw new Error(`${this.name} is already running`);
+    if (this.retired) throw new Error(`${this.name} belongs to a closed group`);
     const child = childProcess.spawn(process.execPath, this.options.args, {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, ...this.options.env },
@@ -125,6 +128,12 @@
     await this.end('SIGKILL');
   }
 
+  /** Kills the process and refuses later starts, so that no pending start outlives its group. */
+  async retire(): Promise<void> {
+    this.retired = true;
+    await this.kill();
+  }
+
   /** SIGTERM; killed with an error when it has not ended after the timeout. */
   async stop(timeoutMs = DEFAULT_STOP_TIMEOUT_MS): Promise<Exit | undefined> {
     const { running } = this;
@@ -215,7 +224,7 @@
 
   /** Kills a process and forgets it. */
   async remove(member: ManagedProcess): Promise<void> {
-    await member.kill();
+    await member.retire();
     this.members.delete(member);
   }
 
@@ -228,7 +237,7 @@
 
   /** Kills every process, waits until all have ended and removes the temporary directory. */
   async close(): Promise<void> {
-    await Promise.all(this.processes.map((member) => member.kill()));
+    await Promise.all(this.processes.map((member) => member.retire()));
     this.release();
   }
 
--- a/playground/src/upstream/server.ts
+++ b/playground/src/upstream/server.ts
@@ -380,6 +380,8 @@
   }
 
   private setHeaders({ res, requestId }: Exchange): void {
+    // Callers' pools let go of their connections before the drain ends.
+    if (this.drainingSinceMs !== undefined) res.setHeader('connection', 'close');
     res.setHeader('x-request-id', requestId);
     res.setHeader('x-upstream-service', this.options.service);
     res.setHeader('x-upstream-version', this.options.version);
