--- /dev/null
+++ b/packages/cli/src/renderMembers.ts
@@ -0,0 +1,55 @@
+/** Nodes and upstreams for people. */
+
+import type * as answers from './answers.js';
+import * as table from './table.js';
+
+export function renderNodeList(list: answers.NodeList, options: table.TableOptions): string {
+  const rows = list.nodes.map((node) => [
+    node.node,
+    node.region,
+    node.failureDomain,
+    node.role,
+    node.configVersion,
+    node.ready,
+    node.draining,
+    node.incarnation,
+  ]);
+  const header = [
+    'NODE',
+    'REGION',
+    'FAILURE DOMAIN',
+    'ROLE',
+    'VERSION',
+    'READY',
+    'DRAINING',
+    'INCARNATION',
+  ];
+  return table.formatTable(header, rows, options);
+}
+
+export function renderUpstreamList(
+  list: answers.UpstreamList,
+  options: table.TableOptions,
+): string {
+  const rows = list.upstreams.map((upstream) => [
+    upstream.service,
+    upstream.version,
+    upstream.node,
+    upstream.region,
+    upstream.failureDomain,
+    upstream.slots,
+    upstream.healthy,
+    upstream.draining,
+  ]);
+  const header = [
+    'SERVICE',
+    'VERSION',
+    'NODE',
+    'REGION',
+    'FAILURE DOMAIN',
+    'SLOTS',
+    'HEALTHY',
+    'DRAINING',
+  ];
+  return table.formatTable(header, rows, options);
+}
--- /dev/null
+++ b/packages/cli/src/renderRollouts.ts
@@ -0,0 +1,56 @@
+/** Rollouts for people. */
+
+import * as yaml from 'yaml';
+import type * as answers from './answers.js';
+import * as table from './table.js';
+
+export function renderRolloutList(list: answers.RolloutList, options: table.TableOptions): string {
+  const rows = list.rollouts.map((rollout) => [
+    rollout.id,
+    rollout.stable,
+    rollout.target,
+    rollout.phase,
+    rollout.sharePct,
+    rollout.deadline,
+    rollout.reason,
+  ]);
+  const header = ['ROLLOUT', 'STABLE', 'TARGET', 'PHASE', 'SHARE %', 'DEADLINE', 'REASON'];
+  return table.formatTable(header, rows, options);
+}
+
+export function renderRollout(rollout: answers.Rollout, options: table.TableOptions): string {
+  const parts = [
+    table.formatFields([
+      ['rollout', rollout.id],
+      ['service', rollout.service],
+      ['ticket', rollout.ticket],
+      ['stable', rollout.stable],
+      ['target', rollout.target],
+      ['phase', rollout.phase],
+      ['share', `${rollout.sharePct} %`],
+      ['deadline', rollout.deadline],
+      ['expected end', rollout.expectedEnd],
+      ['reason', rollout.reason],
+    ]),
+  ];
+  if (rollout.history?.length) {
+    const rows = rollout.history.map((step) => [
+      table.formatTime(step.atMs),
+      step.phase,
+      step.sharePct,
+      step.reason,
+    ]);
+    parts.push(table.formatTable(['TIME', 'PHASE', 'SHARE %', 'REASON'], rows, options));
+  }
+  if (rollout.evidence !== undefined && rollout.evidence !== null) {
+    // YAML quotes control characters, so the text cannot steer the terminal.
+    parts.push(`evidence\n${yaml.stringify(rollout.evidence).trimEnd().replace(/^/gm, '  ')}`);
+  }
+  return parts.join('\n\n');
+}
+
+/** One line of progress. */
+export function describePhase(rollout: answers.Rollout): string {
+  const reason = rollout.reason ? `: ${table.cleanText(rollout.reason)}` : '';
+  return `rollout ${rollout.id} is ${rollout.phase} at ${rollout.sharePct} %${reason}`;
+}
--- /dev/null
+++ b/packages/cli/src/table.ts
@@ -0,0 +1,63 @@
+/** Aligned columns for people. */
+
+import { styleText } from 'node:util';
+
+export type Cell = string | number | boolean | null | undefined;
+
+export interface TableOptions {
+  /** Emphasizes the header. Default false. */
+  color?: boolean;
+}
+
+const GAP = '  ';
+const EMPTY_CELL = '-';
+const graphemes = new Intl.Segmenter();
+
+/** Lines of a table; the last column is not padded. */
+export function formatTable(
+  header: readonly string[],
+  rows: readonly (readonly Cell[])[],
+  options: TableOptions = {},
+): string {
+  const texts = [header, ...rows].map((row) => row.map(cellText));
+  const widths = header.map((_, column) =>
+    Math.max(...texts.map((row) => width(row[column] ?? EMPTY_CELL))),
+  );
+  const lines = texts.map((row) =>
+    row
+      .map((cell, column) =>
+        column === header.length - 1
+          ? cell
+          : cell + ' '.repeat((widths[column] ?? 0) - width(cell)),
+      )
+      .join(GAP),
+  );
+  if (options.color) lines[0] = styleText('bold', lines[0] ?? '');
+  return lines.join('\n');
+}
+
+/** `name  value` lines with the values in one column. */
+export function formatFields(fields: readonly (readonly [string, Cell])[]): string {
+  const widest = Math.max(...fields.map(([name]) => width(name)));
+  return fields.map(([name, value]) => `${name.padEnd(widest)}${GAP}${cellText(value)}`).join('\n');
+}
+
+/** RFC 3339 time in UTC. */
+export function formatTime(ms: number): string {
+  return new Date(ms).toISOString();
+}
+
+/** Replaces control characters, so that text from a ticket cannot steer the terminal. */
+export function cleanText(text: string): string {
+  return text.replace(/[\p{Cc}\p{Cf}]+/gu, ' ').trim();
+}
+
+function cellText(cell: Cell): string {
+  if (cell === null || cell === undefined) return EMPTY_CELL;
+  if (typeof cell === 'boolean') return cell ? 'yes' : 'no';
+  return cleanText(String(cell)) || EMPTY_CELL;
+}
+
+function width(text: string): number {
+  return [...graphemes.segment(text)].length;
+}
--- /dev/null
+++ b/packages/cli/src/ticketCommand.ts
@@ -0,0 +1,34 @@
+/** Base of the commands that read a ticket file. */
+
+import { Option } from 'clipanion';
+import { failures } from '@godwittrack/core';
+import * as adminCommand from './adminCommand.js';
+import * as ticketSource from './ticketSource.js';
+
+export abstract class TicketCommand extends adminCommand.AdminCommand {
+  file = Option.String({ name: 'FILE' });
+
+  /** Reads the ticket and checks it without a node. */
+  protected async readTicket(): Promise<ticketSource.TicketSource> {
+    this.failureContext = { file: this.file };
+    const text = await ticketSource.readText(this.file, this.context.stdin);
+    return ticketSource.parse(this.file, text);
+  }
+
+  /** Runs a call about the ticket; its failures name the lines of the file. */
+  protected async withLines<T>(
+    source: ticketSource.TicketSource,
+    call: () => Promise<T>,
+  ): Promise<T> {
+    try {
+      return await call();
+    } catch (err) {
+      const failure = failures.of(err);
+      if (failure.type === 'ticketConflict') {
+        this.failureContext.line = ticketSource.lineOf(source, failure.resource);
+        this.failureDetails = { line: this.failureContext.line };
+      }
+      throw failures.raise(ticketSource.locateProblems(source, failure), err);
+    }
+  }
+}
