--- a/packages/cli/src/answers.ts
+++ b/packages/cli/src/answers.ts
@@ -48,7 +48,7 @@
   deadline: text.nullish(),
   expectedEnd: text.nullish(),
   reason: text.nullish(),
-  evidence: z.unknown(),
+  evidence: z.unknown().optional(),
   history: z
     .array(
       z.looseObject({
--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -32,10 +32,11 @@
   UpstreamListCommand,
 ];
 
-/** Shows a name for the values of options, which the library numbers. */
+/** Names the values of options, which the library numbers, and adds the exit codes. */
 class OperatorCli extends Cli {
   override usage(...args: Parameters<Cli['usage']>): string {
-    return nameValues(super.usage(...args));
+    const usage = nameValues(super.usage(...args));
+    return args[1]?.detailed ? `${usage}\n${exitCodes.HELP}` : usage;
   }
 }
 
@@ -53,9 +54,7 @@
   }
   try {
     const command = cli.process(args, context);
-    const exitCode = await cli.run(command, context);
-    if (command.help) context.stdout.write(`\n${exitCodes.HELP}`);
-    return exitCode;
+    return await cli.run(command, context);
   } catch (err) {
     const message = err instanceof Error ? err.message : String(err);
     return adminCommand.writeUsageError(context, shorten(message), json);
@@ -76,10 +75,12 @@
 
 /** Leaves out the list of all commands, unless it holds the suggestions of the message. */
 function shorten(message: string): string {
-  const [first = ''] = message.split('\n\n');
-  return first.endsWith(':') ? nameValues(message) : first;
+  const [first = '', usage = ''] = message.split('\n\n');
+  if (first.endsWith(':')) return nameValues(message);
+  return usage === '' || usage.includes('\n') ? first : nameValues(`${first} ${usage}`);
 }
 
 function nameValues(text: string): string {
-  return text.replaceAll('#0', 'VALUE');
+  // The longer word takes three columns from the gap before a description.
+  return text.replace(/#0 {3}(?= )/g, 'VALUE').replaceAll('#0', 'VALUE');
 }
--- a/packages/cli/src/commands/help.ts
+++ b/packages/cli/src/commands/help.ts
@@ -4,6 +4,9 @@
 import * as exitCodes from '../exitCodes.js';
 import * as nodes from '../nodes.js';
 
+/** First words of commands that have no command of their own. */
+const GROUPS = ['ticket', 'rollout', 'upstream', 'node'];
+
 const GLOBAL_OPTIONS = `Options of every command:
   --node URL   node to ask; may be repeated or hold several URLs separated by commas;
                default $${nodes.NODE_VARIABLE}, then ${nodes.DEFAULT_NODE}
@@ -12,7 +15,15 @@
 `;
 
 export class HelpCommand extends Command {
-  static override paths = [['help'], ['-h'], ['--help']];
+  static override paths = [
+    ['help'],
+    ['-h'],
+    ['--help'],
+    ...GROUPS.flatMap((group) => [
+      [group, '-h'],
+      [group, '--help'],
+    ]),
+  ];
 
   override async execute(): Promise<number> {
     this.context.stdout.write(`${this.cli.usage()}\n${GLOBAL_OPTIONS}\n${exitCodes.HELP}`);
--- a/packages/cli/src/commands/ticketFile.ts
+++ b/packages/cli/src/commands/ticketFile.ts
@@ -6,6 +6,7 @@
 import type * as answers from '../answers.js';
 import * as exitCodes from '../exitCodes.js';
 import * as renderTickets from '../renderTickets.js';
+import * as table from '../table.js';
 import * as ticketCommand from '../ticketCommand.js';
 import * as waiting from '../waiting.js';
 
@@ -92,7 +93,7 @@
   }
 
   private progress(line: string): void {
-    this.context.stderr.write(`${line}\n`);
+    this.context.stderr.write(`${table.cleanText(line)}\n`);
   }
 }
 
--- a/packages/cli/src/renderRollouts.ts
+++ b/packages/cli/src/renderRollouts.ts
@@ -43,8 +43,7 @@
     parts.push(table.formatTable(['TIME', 'PHASE', 'SHARE %', 'REASON'], rows, options));
   }
   if (rollout.evidence !== undefined && rollout.evidence !== null) {
-    // YAML quotes control characters, so the text cannot steer the terminal.
-    parts.push(`evidence\n${yaml.stringify(rollout.evidence).trimEnd().replace(/^/gm, '  ')}`);
+    parts.push(`evidence\n${table.formatBlock(yaml.stringify(rollout.evidence))}`);
   }
   return parts.join('\n\n');
 }
--- a/packages/cli/src/renderTickets.ts
+++ b/packages/cli/src/renderTickets.ts
@@ -29,7 +29,7 @@
     const state = change.current ? 'current' : 'replaced by a later ticket';
     const title = `${table.cleanText(change.resource)} (${state})`;
     if (change.spec === null) return `${title}\n  deleted`;
-    return `${title}\n${indent(yaml.stringify(change.spec))}`;
+    return `${title}\n${table.formatBlock(yaml.stringify(change.spec))}`;
   });
   return [head, ...changes].join('\n\n');
 }
@@ -45,11 +45,3 @@
   const at = table.formatTime(filed.atMs);
   return `Ticket ${filed.ticket} ${how} as version ${filed.version} at ${at}.`;
 }
-
-function indent(text: string): string {
-  return text
-    .trimEnd()
-    .split('\n')
-    .map((line) => `  ${table.cleanText(line) && line}`)
-    .join('\n');
-}
--- a/packages/cli/src/table.ts
+++ b/packages/cli/src/table.ts
@@ -11,6 +11,8 @@
 
 const GAP = '  ';
 const EMPTY_CELL = '-';
+/** Control and invisible format characters. */
+const CONTROL = /[\p{Cc}\p{Cf}]+/gu;
 const graphemes = new Intl.Segmenter();
 
 /** Lines of a table; the last column is not padded. */
@@ -49,7 +51,13 @@
 
 /** Replaces control characters, so that text from a ticket cannot steer the terminal. */
 export function cleanText(text: string): string {
-  return text.replace(/[\p{Cc}\p{Cf}]+/gu, ' ').trim();
+  return text.replace(CONTROL, ' ').trim();
+}
+
+/** Indented lines of a longer text, such as YAML. */
+export function formatBlock(text: string): string {
+  const lines = text.trimEnd().split('\n');
+  return lines.map((line) => `  ${line.replace(CONTROL, ' ')}`).join('\n');
 }
 
 function cellText(cell: Cell): string {
