fix(cli): refuse rollout names of another form

"rollout show .." resolved to another path of the API. Encoding alone was ruled out: it leaves dots as they are. The name is checked against {service}.{ticket} and refused as wrong usage.

--- a/packages/cli/src/__tests__/cli.test.ts
+++ b/packages/cli/src/__tests__/cli.test.ts
@@ -81,6 +81,7 @@
         ['stat'],
         ['status', '--bogus'],
         ['ticket', 'show', '0'],
+        ['rollout', 'show', '..'],
         ['audit', '--limit', 'x'],
         ['status', '--node', 'nowhere'],
         ['ticket', 'file', '-', '--timeout', '30'],
--- a/packages/cli/src/commands/rolloutShow.ts
+++ b/packages/cli/src/commands/rolloutShow.ts
@@ -1,6 +1,7 @@
 /** `godwittrack rollout show ID` */
 
 import { Command, Option } from 'clipanion';
+import * as t from 'typanion';
 import * as adminCommand from '../adminCommand.js';
 import * as renderRollouts from '../renderRollouts.js';
 
@@ -16,7 +17,10 @@
     ],
   });
 
-  id = Option.String({ name: 'ID' });
+  id = Option.String({
+    name: 'ID',
+    validator: t.cascade(t.isString(), [t.matchesRegExp(/^[a-z0-9-]+\.[1-9]\d*$/)]),
+  });
 
   protected override async run(): Promise<adminCommand.CommandResult> {
     const document = await this.createClient().rollout(this.id);
