--- a/packages/node/src/admin/statusReport.ts
+++ b/packages/node/src/admin/statusReport.ts
@@ -7,6 +7,32 @@
 import * as progress from '../distribution/progress.js';
 import type * as settings from '../settings.js';
 
+export interface ServiceStatus {
+  service: string;
+  stable: string | null;
+  target: string | null;
+  deadline: string | null;
+  phase: string | null;
+  sharePct: number | null;
+  summary: string;
+}
+
+export interface NodeStatus {
+  node: string;
+  region: string;
+  failureDomain: string;
+  role: string;
+  parent: string | null;
+  configVersion: number;
+  platform: { reachable: boolean; ageMs: number | null };
+  /** Node ids from this node to the one that watches the platform. */
+  path: string[];
+  /** `known` and `atVersion` count the whole fleet, `ready` this node's region. */
+  members: { known: number; ready: number; atVersion: number };
+  services: ServiceStatus[];
+  summary: string;
+}
+
 /** A platform contact older than this counts as unreachable. */
 const REACHABLE_AGE_MS = 5_000;
 
@@ -18,7 +44,7 @@
   ) {}
 
   /** @param version version that members are counted against; the node's own when null */
-  status(version: number | null) {
+  status(version: number | null): NodeStatus {
     const { config, link } = this.state;
     const { fleet } = this.state.progress;
     const wanted = version ?? config.version;
@@ -27,12 +53,12 @@
     const reachable = link.ageMs !== null && link.ageMs < REACHABLE_AGE_MS;
     const inForce = atVersion >= fleet.known && fleet.known > 0;
     return {
-      node: this.cfg.node as string,
-      region: this.cfg.region as string,
-      failureDomain: this.cfg.failureDomain as string,
+      node: this.cfg.node,
+      region: this.cfg.region,
+      failureDomain: this.cfg.failureDomain,
       role: this.parents.role,
       parent: this.parents.parent,
-      configVersion: config.version as number,
+      configVersion: config.version,
       platform: { reachable, ageMs: link.ageMs === null ? null : Math.round(link.ageMs) },
       path: link.path,
       members: { known: fleet.known, ready, atVersion },
@@ -84,12 +110,12 @@
     }));
   }
 
-  private services() {
+  private services(): ServiceStatus[] {
     const { services, plans } = this.state.config.current;
     return [...services.keys()].map((service) => {
       const plan = plans.get(service);
       return {
-        service: service as string,
+        service,
         stable: plan?.stable ?? null,
         target: plan?.target ?? null,
         deadline: plan?.deadline ?? null,
--- a/packages/node/src/distribution/parentTask.ts
+++ b/packages/node/src/distribution/parentTask.ts
@@ -244,7 +244,7 @@
           members.remove(item.node, item.incarnation, origin),
         );
         message.value.members.forEach((member) => members.merge(member, origin));
-        message.value.regions.forEach((summary) => members.mergeSummary(summary, origin));
+        this.takeRegions(message.value.regions, origin);
         local.defend();
         break;
       case 'rollouts':
@@ -279,6 +279,17 @@
     }
   }
 
+  /**
+   * A summary of this node's own region comes from another node that acts as its relay; its relays
+   * become known, so that the two agree on one of them.
+   */
+  private takeRegions(regions: readonly distribution.RegionSummary[], origin: string): void {
+    for (const summary of regions) {
+      if (summary.region !== this.cfg.region) this.state.members.mergeSummary(summary, origin);
+      else summary.relays.forEach((relay) => this.known.addHint(relay));
+    }
+  }
+
   private takeConfig(session: Session, delta: distribution.ConfigDelta): void {
     try {
       if (this.state.config.applyDelta(delta, session.parent.node)) {
--- a/playground/src/link/link.ts
+++ b/playground/src/link/link.ts
@@ -151,10 +151,10 @@
     const server = net.createServer(options, (socket) => {
       void this.forward(forwarding, socket);
     });
-    // eslint-disable-next-line no-param-reassign
+
     forwarding.server = server;
     const listen = await addresses.listen(server, forwarding.mapping.listen);
-    // eslint-disable-next-line no-param-reassign
+
     forwarding.mapping = { ...forwarding.mapping, listen };
   }
 
@@ -162,13 +162,13 @@
     const { opens, target } = forwarding.mapping;
     const back = opposite(opens);
     const { host, port } = addresses.parseAddress(target);
-    /* eslint-disable no-param-reassign */
+
     forwarding.opened += 1;
     forwarding.connections += 1;
     near.once('close', () => {
       forwarding.connections -= 1;
     });
-    /* eslint-enable no-param-reassign */
+
     this.track(forwarding, near);
     // The opening crosses the link and back before any data, as a TCP handshake does.
     await this.cross(opens);
@@ -216,7 +216,7 @@
     };
     const carry = (chunk: Buffer) => {
       underWay += chunk.length;
-      // eslint-disable-next-line no-param-reassign
+
       forwarding.bytes[direction] += chunk.length;
       shaper.send(chunk.length, () => {
         underWay -= chunk.length;
@@ -246,7 +246,7 @@
 
 function shut(forwarding: Forwarding): void {
   forwarding.server?.close();
-  // eslint-disable-next-line no-param-reassign
+
   forwarding.server = undefined;
   forwarding.sockets.forEach((socket) => socket.destroy());
 }
--- a/playground/src/link/shaper.ts
+++ b/playground/src/link/shaper.ts
@@ -83,7 +83,7 @@
   private schedule(item: Item): void {
     const startMs = Math.max(this.sentAtMs, performance.now());
     this.sentAtMs = startMs + (item.bytes * 8 * 1_000) / this.bitsPerSecond;
-    // eslint-disable-next-line no-param-reassign
+
     item.deliverAtMs = this.sentAtMs + this.delayMs;
   }
 
--- a/playground/src/upstream/behaviour.ts
+++ b/playground/src/upstream/behaviour.ts
@@ -97,7 +97,7 @@
     if (rule.method !== undefined && rule.method !== facts.method) return false;
     if (rule.aboveInFlight !== undefined && facts.inFlight <= rule.aboveInFlight) return false;
     if (this.nowMs() - active.setAtMs < (rule.afterMs ?? 0)) return false;
-    // eslint-disable-next-line no-param-reassign
+
     active.matched += 1;
     return active.matched > (rule.afterRequests ?? 0);
   }
