--- /dev/null
+++ b/packages/bench/src/experiment.ts
@@ -0,0 +1,23 @@
+/** Base of the experiments that `godwittrack-bench` runs. */
+
+export interface ExperimentOptions {
+  /** Seeds every random choice of the experiment. */
+  seed: number;
+  /** Smaller sizes, to try an experiment; its figures are not for the record. */
+  quick: boolean;
+  /** Further settings as `name=value`. */
+  settings: ReadonlyMap<string, string>;
+  /** Reports progress to people; goes to standard error. */
+  report: (line: string) => void;
+}
+
+/** Result of an experiment: one flat JSON object. */
+export type ExperimentResult = Record<string, number | string | boolean | null>;
+
+export abstract class Experiment {
+  abstract readonly name: string;
+
+  abstract readonly description: string;
+
+  abstract run(options: ExperimentOptions): Promise<ExperimentResult>;
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** Load and experiment tool. */
+
+export * as experiment from './experiment.js';
