fix: processes of a harness end when the harness is killed

Cause: a test runner that gives up kills the test process with SIGKILL, and its stand-ins and nodes stayed behind. The id comes by environment, because a parent that ended before the child read its parent id went unnoticed (seen in the new test).

--- a/playground/src/harness/__tests__/deployment.test.ts
+++ b/playground/src/harness/__tests__/deployment.test.ts
@@ -60,6 +60,27 @@
   });
 });
 
+describe('process group', () => {
+  it('leaves no process behind when its own process is killed', async () => {
+    const outer = new processes.ProcessGroup();
+    const module = new URL('../processes.js', import.meta.url).href;
+    const script = `
+      const { ProcessGroup } = await import('${module}');
+      const inner = new ProcessGroup().add({ name: 'inner', args: ['-e', 'setInterval(() => 0, 1e3)'] });
+      await inner.start();
+      console.log(JSON.stringify({ pid: inner.pid }));`;
+    const args = ['--input-type=module', '-e', script];
+    const parent = outer.add({ name: 'parent', args, env: { TMPDIR: outer.dir } });
+    await parent.start();
+    await wait.waitFor('the inner process', () => parent.records.length > 0);
+    const pid = Number(parent.records[0]?.pid);
+    assert.ok(isAlive(pid));
+    await parent.kill();
+    await wait.waitFor('the end of the inner process', () => !isAlive(pid));
+    await outer.close();
+  });
+});
+
 describe('deployment without nodes', () => {
   let deployment: deployments.Deployment;
 
--- a/playground/src/harness/processes.ts
+++ b/playground/src/harness/processes.ts
@@ -26,6 +26,7 @@
   signal: NodeJS.Signals | null;
 }
 
+const PRELOAD_URL = new URL('./exitWithParent.js', import.meta.url).href;
 const READY_POLL_MS = 25;
 const DEFAULT_READY_TIMEOUT_MS = 15_000;
 const DEFAULT_STOP_TIMEOUT_MS = 20_000;
@@ -89,10 +90,18 @@
   spawn(): void {
     if (this.running !== undefined) throw new Error(`${this.name} is already running`);
     if (this.retired) throw new Error(`${this.name} belongs to a closed group`);
-    const child = childProcess.spawn(process.execPath, this.options.args, {
-      stdio: ['ignore', 'pipe', 'pipe'],
-      env: { ...process.env, ...this.options.env },
-    });
+    const child = childProcess.spawn(
+      process.execPath,
+      ['--import', PRELOAD_URL, ...this.options.args],
+      {
+        stdio: ['ignore', 'pipe', 'pipe'],
+        env: {
+          ...process.env,
+          ...this.options.env,
+          HARNESS_PARENT_PID: String(process.pid),
+        },
+      },
+    );
     this.exit = undefined;
     this.collect(child.stdout);
     this.collect(child.stderr);
