feat: rollout aggregate, evidence, sequential test and controller

Cause: version plans need traffic to move by a deadline and bad versions to be taken back. Change: aggregate in core; evidence recorder and merge, betting test, local guard, vetoes, share view, step planner, lease, controller and a seeded experiment in packages/node/src/rollouts. Ruled out: a fixed error threshold, which a fault shared by both versions trips. Not covered yet: unit tests and the operators' page.

--- a/packages/core/src/failures.ts
+++ b/packages/core/src/failures.ts
@@ -36,6 +36,7 @@
   | { type: 'olderVersion'; held: number; offered: number }
   | { type: 'rolloutFinal'; rollout: string; phase: string }
   | { type: 'rolloutFenced'; rollout: string; heldEpoch: number; epoch: number }
+  | { type: 'rolloutTransition'; rollout: string; from: string; to: string; detail: string }
   | { type: 'notReady'; detail: string; retryAfterMs: number }
   | { type: 'noRoute'; method: string; path: string }
   | { type: 'noUpstream'; service: string; detail: string; retryAfterMs: number }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,5 +10,6 @@
 export * as problems from './problems.js';
 export * as rendezvous from './rendezvous.js';
 export * as resources from './resources.js';
+export * as rollout from './rollout.js';
 export * as ticket from './ticket.js';
 export * as units from './units.js';
--- /dev/null
+++ b/packages/node/src/rollouts/index.ts
@@ -0,0 +1,12 @@
+/** Rollouts: evidence, decisions, vetoes, shares and the controller. */
+
+export * as decisionExperiment from './decisionExperiment.js';
+export * as evidenceMerge from './evidenceMerge.js';
+export * as evidenceRecorder from './evidenceRecorder.js';
+export * as lease from './lease.js';
+export * as localGuard from './localGuard.js';
+export * as rolloutController from './rolloutController.js';
+export * as sequentialTest from './sequentialTest.js';
+export * as shareView from './shareView.js';
+export * as stepPlanner from './stepPlanner.js';
+export * as vetoSet from './vetoSet.js';
--- /dev/null
+++ b/packages/node/src/rollouts/shareView.ts
@@ -0,0 +1,147 @@
+/**
+ * What share of each service and route goes to which version, from the configuration, the rollout
+ * documents and the vetoes that a node holds.
+ */
+
+import { ids, rollout as rollouts } from '@godwittrack/core';
+import type { configuration } from '@godwittrack/core';
+import type * as vetoSet from './vetoSet.js';
+
+export interface VersionShare {
+  /** Empty when no rollout runs. */
+  rollout: string;
+  stable: string;
+  /** Null when all traffic goes to `stable`. */
+  target: string | null;
+  targetPct: number;
+  /** The target is proved, so that it may take over when the stable version has no server. */
+  targetProved: boolean;
+}
+
+export interface Choice {
+  version: string;
+  rollout: string;
+  /** The chosen version had no ready server. */
+  fallback: boolean;
+}
+
+/** Share of a target under local suspicion, percent; the rest is compared with. */
+const SUSPECT_SHARE_PCT = 50;
+const PROVED_PHASES: readonly rollouts.Phase[] = ['stepping', 'soaking', 'done'];
+
+export class ShareView {
+  private readonly vetoes: vetoSet.VetoSet;
+
+  private plans: ReadonlyMap<ids.ServiceName, configuration.VersionPlan> = new Map();
+
+  private readonly documents = new Map<string, rollouts.Rollout>();
+
+  private readonly isSuspect: (rollout: string) => boolean;
+
+  constructor(vetoes: vetoSet.VetoSet, isSuspect: (rollout: string) => boolean = () => false) {
+    this.vetoes = vetoes;
+    this.isSuspect = isSuspect;
+  }
+
+  setConfiguration(next: Pick<configuration.Configuration, 'plans'>): void {
+    this.plans = next.plans;
+    for (const [id, { data }] of this.documents) {
+      const plan = this.plans.get(ids.serviceName(data.service));
+      const isCurrent = plan !== undefined && this.documentOf(plan)?.id === id;
+      if (plan !== undefined && plan.ticket > data.ticket && !isCurrent) this.documents.delete(id);
+    }
+    this.vetoes.forget((id) => this.isOld(id));
+  }
+
+  /** Returns false for a document that is not newer than the one held. */
+  apply(document: rollouts.Rollout): boolean {
+    const held = this.documents.get(document.id);
+    if (held !== undefined && held.data.revision >= document.data.revision) return false;
+    this.documents.set(document.id, document);
+    return true;
+  }
+
+  /** Current documents, for status and for children. */
+  all(): rollouts.Rollout[] {
+    return [...this.documents.values()];
+  }
+
+  /** Null when the service has no plan; any version may then serve it. */
+  shareOf(service: string, route: string): VersionShare | null {
+    const plan = this.plans.get(ids.serviceName(service));
+    if (plan === undefined) return null;
+    const id = ids.rolloutId(plan.service, plan.ticket);
+    const onlyStable = {
+      rollout: '',
+      stable: plan.stable,
+      target: null,
+      targetPct: 0,
+      targetProved: false,
+    };
+    if (plan.target === undefined) return onlyStable;
+    const document = this.documentOf(plan);
+    const related = [id, document?.id ?? id, document?.data.continues ?? id];
+    if (document === undefined || related.some((one) => this.vetoes.has(one))) {
+      return { ...onlyStable, rollout: id };
+    }
+    const { phase } = document.data;
+    if (phase === 'takenBack') return { ...onlyStable, rollout: id };
+    const share = phase === 'done' ? 100 : document.shareOf(route);
+    const capped = this.isSuspect(id) ? Math.min(share, SUSPECT_SHARE_PCT) : share;
+    return {
+      rollout: id,
+      stable: plan.stable,
+      target: plan.target,
+      targetPct: capped,
+      targetProved:
+        PROVED_PHASES.includes(phase) || document.data.sharePct > rollouts.MAX_UNPROVED_SHARE_PCT,
+    };
+  }
+
+  /**
+   * Chooses a version by share; `random` is in [0, 1). A version without a ready server is replaced
+   * by the other one where that is allowed: always by the stable version, and by the target only
+   * when it is proved and the route sends it traffic. Null means any version.
+   */
+  chooseVersion(
+    service: string,
+    route: string,
+    random: number,
+    hasReady: (version: string) => boolean = () => true,
+  ): Choice | null {
+    const share = this.shareOf(service, route);
+    if (share === null) return null;
+    const { rollout, stable, target, targetPct } = share;
+    if (target === null) return { version: stable, rollout, fallback: false };
+    const wantsTarget = random * 100 < targetPct;
+    const wanted = wantsTarget ? target : stable;
+    if (hasReady(wanted)) return { version: wanted, rollout, fallback: false };
+    const mayUseTarget = share.targetProved && targetPct > 0;
+    const other = wantsTarget ? stable : target;
+    const allowed = wantsTarget || mayUseTarget;
+    if (allowed && hasReady(other)) return { version: other, rollout, fallback: true };
+    return { version: wanted, rollout, fallback: false };
+  }
+
+  /** A rollout is old once the configuration holds a later plan of its service. */
+  isOld(rollout: string): boolean {
+    const dot = rollout.lastIndexOf('.');
+    const plan = this.plans.get(ids.serviceName(rollout.slice(0, dot)));
+    if (plan === undefined || plan.ticket <= Number(rollout.slice(dot + 1))) return false;
+    const document = this.documentOf(plan);
+    return document?.id !== rollout && document?.data.continues !== rollout;
+  }
+
+  private documentOf(plan: configuration.VersionPlan): rollouts.Rollout | undefined {
+    return this.documents.get(ids.rolloutId(plan.service, plan.ticket)) ?? this.previousOf(plan);
+  }
+
+  /** Until a continued rollout has its own document, the share of the one before holds. */
+  private previousOf(plan: configuration.VersionPlan): rollouts.Rollout | undefined {
+    const earlier = [...this.documents.values()].filter(
+      ({ data }) => data.service === plan.service && data.ticket < plan.ticket,
+    );
+    const last = earlier.sort((a, b) => b.data.ticket - a.data.ticket)[0];
+    return last?.continuesIn(plan) ? last : undefined;
+  }
+}
