--- /dev/null
+++ b/packages/node/src/rollouts/__tests__/shareView.test.ts
@@ -0,0 +1,175 @@
+import * as assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { ids, rollout as rollouts } from '@godwittrack/core';
+import type { configuration } from '@godwittrack/core';
+import type { distribution } from '@godwittrack/protocol';
+import * as fc from 'fast-check';
+import * as guards from '../localGuard.js';
+import * as shareViews from '../shareView.js';
+import * as vetoSets from '../vetoSet.js';
+
+const service = ids.serviceName('fontworks');
+
+function makePlan(ticket: number, target: string | undefined = 'v2'): configuration.VersionPlan {
+  const deadline = '2026-01-01T00:00:00Z';
+  const number = ids.ticketNumber(ticket);
+  return { service, ticket: number, stable: 'v1', target, deadline, soak: 0, balance: 'even' };
+}
+
+function plansOf(plan: configuration.VersionPlan) {
+  return { plans: new Map([[service, plan]]) };
+}
+
+function makeVeto(ticket: number, node = 'node-1'): distribution.Veto {
+  const rollout = `fontworks.${ticket}`;
+  return { rollout, version: 'v2', route: '', node, reason: 'test', atMs: 1 };
+}
+
+function documents(ticket: number): rollouts.Rollout[] {
+  const path: [rollouts.Phase, number][] = [
+    ['canary', 5],
+    ['stepping', 40],
+    ['stepping', 100],
+    ['soaking', 100],
+    ['done', 100],
+  ];
+  let held = rollouts.Rollout.create(makePlan(ticket), 1, 0);
+  return [
+    held,
+    ...path.map(([phase, sharePct]) => {
+      held = held.move({ epoch: 1, phase, sharePct, reason: 'test' }, 0);
+      return held;
+    }),
+  ];
+}
+
+describe('share view', () => {
+  it('sends all to stable without a document, and all to the target after done', () => {
+    const view = new shareViews.ShareView(new vetoSets.VetoSet());
+    view.setConfiguration(plansOf(makePlan(1)));
+    assert.equal(view.shareOf(service, 'proof')?.targetPct, 0);
+    documents(1).forEach((document) => view.apply(document));
+    assert.equal(view.chooseVersion(service, 'proof', 0.999)?.version, 'v2');
+  });
+
+  it('ends at the same share for any order and repeat; a veto is never outrun by a document', () => {
+    type Message = { document: rollouts.Rollout } | { veto: distribution.Veto };
+    const messages: Message[] = [
+      ...documents(1).map((document) => ({ document })),
+      { veto: makeVeto(1) },
+      { veto: makeVeto(1, 'node-2') },
+    ];
+    fc.assert(
+      fc.property(fc.array(fc.constantFrom(...messages), { maxLength: 40 }), (order) => {
+        const vetoes = new vetoSets.VetoSet();
+        const view = new shareViews.ShareView(vetoes);
+        view.setConfiguration(plansOf(makePlan(1)));
+        let newest = 0;
+        let share = 0;
+        for (const message of order) {
+          if ('veto' in message) vetoes.merge([message.veto]);
+          else {
+            const { revision, sharePct } = message.document.data;
+            assert.equal(view.apply(message.document), revision > newest);
+            if (revision > newest) share = sharePct;
+            newest = Math.max(newest, revision);
+          }
+          const expected = vetoes.has('fontworks.1') ? 0 : share;
+          assert.equal(view.shareOf(service, 'proof')?.targetPct, expected);
+        }
+      }),
+    );
+  });
+
+  it('does not carry a veto over to a new ticket, nor forget it within the rollout', () => {
+    const vetoes = new vetoSets.VetoSet();
+    const view = new shareViews.ShareView(vetoes);
+    view.setConfiguration(plansOf(makePlan(1)));
+    vetoes.merge([makeVeto(1), makeVeto(2)]);
+    view.setConfiguration(plansOf(makePlan(1)));
+    assert.equal(vetoes.has('fontworks.1'), true);
+    view.setConfiguration(plansOf(makePlan(2)));
+    assert.deepEqual([vetoes.has('fontworks.1'), vetoes.has('fontworks.2')], [false, true]);
+  });
+
+  it('holds the share while a plan with another deadline has no document yet', () => {
+    const view = new shareViews.ShareView(new vetoSets.VetoSet());
+    view.setConfiguration(plansOf(makePlan(1)));
+    documents(1)
+      .slice(0, 3)
+      .forEach((document) => view.apply(document));
+    view.setConfiguration(plansOf(makePlan(2)));
+    assert.equal(view.shareOf(service, 'proof')?.targetPct, 40);
+    view.setConfiguration(plansOf(makePlan(3, 'v3')));
+    assert.equal(view.shareOf(service, 'proof')?.targetPct, 0);
+  });
+
+  it('falls back to the target only when it is proved and not vetoed', () => {
+    const vetoes = new vetoSets.VetoSet();
+    const view = new shareViews.ShareView(vetoes);
+    const [planned, canary, stepping] = documents(1);
+    assert.ok(planned && canary && stepping);
+    view.setConfiguration(plansOf(makePlan(1)));
+    const choose = () => view.chooseVersion(service, 'proof', 0.99, (one) => one === 'v2')?.version;
+    view.apply(canary);
+    assert.equal(choose(), 'v1');
+    view.apply(stepping);
+    assert.equal(choose(), 'v2');
+    vetoes.merge([makeVeto(1)]);
+    assert.equal(choose(), 'v1');
+  });
+});
+
+describe('local guard', () => {
+  function makeGuard(readyServers = 3) {
+    const vetoes: distribution.Veto[] = [];
+    const guard = new guards.LocalGuard({
+      node: 'node-1',
+      nowMs: () => 0,
+      onVeto: (veto) => vetoes.push(veto),
+      readyServers: () => readyServers,
+    });
+    guard.watch([{ rollout: 's.1', stable: 'v1', target: 'v2', balance: 'even' }]);
+    const send = (version: string, outcome: 'ok' | 'error' | 'refused', server = 'a') =>
+      guard.record({
+        rollout: 's.1',
+        version,
+        route: 'proof',
+        server,
+        outcome,
+        latencyMs: 1,
+        coldStart: false,
+      });
+    return { guard, vetoes, send };
+  }
+
+  it('vetoes a failing version within a few requests while stable succeeds', () => {
+    const { vetoes, send } = makeGuard();
+    for (let at = 0; at < 5; at++) {
+      send('v2', 'error', `server-${at % 2}`);
+      for (let stable = 0; stable < 19; stable++) send('v1', 'ok');
+    }
+    assert.equal(vetoes.length, 1);
+  });
+
+  it('does not veto for a fault shared with stable, one bad host, or shed load', () => {
+    const shared = makeGuard();
+    const oneHost = makeGuard();
+    const shed = makeGuard();
+    for (let at = 0; at < 100; at++) {
+      shared.send('v2', 'error', `server-${at % 2}`);
+      shared.send('v1', at % 2 === 0 ? 'error' : 'ok');
+      oneHost.send('v2', 'error', 'server-1');
+      oneHost.send('v1', 'ok');
+      shed.send('v2', 'refused', `server-${at % 2}`);
+      shed.send('v1', 'ok');
+    }
+    assert.deepEqual([shared.vetoes, oneHost.vetoes, shed.vetoes], [[], [], []]);
+  });
+
+  it('compares first when no stable traffic is left, instead of blaming the target', () => {
+    const { guard, vetoes, send } = makeGuard();
+    for (let at = 0; at < 20; at++) send('v2', 'error', `server-${at % 2}`);
+    assert.deepEqual([vetoes.length, guard.isSuspect('s.1')], [0, true]);
+  });
+});
--- a/packages/node/src/rollouts/decisionExperiment.ts
+++ b/packages/node/src/rollouts/decisionExperiment.ts
@@ -38,12 +38,22 @@
 
 type Prefixed<T> = { [Key in keyof T as `naive${Capitalize<string & Key>}`]: T[Key] };
 
+interface KindSums {
+  versions: number;
+  takenBack: number;
+  onTime: number;
+  /** Callers that met a failure or slowness of the target. */
+  hurt: number;
+  /** Longest time from the first such caller to zero share; 0 when there was none. */
+  maxFaultToZeroMs: number;
+}
+
 export interface ExperimentResult extends Quality, Prefixed<Quality> {
   seed: number;
   versions: number;
   balance: rollouts.Balance;
   requestsPerSecond: number;
-  byKind: Record<string, { versions: number; takenBack: number; onTime: number; hurt: number }>;
+  byKind: Record<string, KindSums>;
 }
 
 const GOOD_KINDS = [
@@ -403,11 +413,18 @@
 function byKind(runs: readonly Run[]): ExperimentResult['byKind'] {
   const result: ExperimentResult['byKind'] = {};
   for (const run of runs) {
-    const sums = result[run.kind] ?? { versions: 0, takenBack: 0, onTime: 0, hurt: 0 };
+    const sums = result[run.kind] ?? {
+      versions: 0,
+      takenBack: 0,
+      onTime: 0,
+      hurt: 0,
+      maxFaultToZeroMs: 0,
+    };
     sums.versions += 1;
     sums.takenBack += Number(run.takenBack);
     sums.onTime += Number(run.onTime);
     sums.hurt += run.hurt;
+    sums.maxFaultToZeroMs = Math.max(sums.maxFaultToZeroMs, run.faultToZeroMs ?? 0);
     result[run.kind] = sums;
   }
   return result;
--- a/packages/node/src/rollouts/sequentialTest.ts
+++ b/packages/node/src/rollouts/sequentialTest.ts
@@ -282,7 +282,7 @@
 
   private bet(intervals: Interval[]): void {
     if (intervals.length === 0) return;
-    const weight = restartWeight(this.intervals);
+    const weight = weightOf(this.intervals);
     this.intervals += 1;
     const servers = new Set(intervals.flatMap(({ servers: seen }) => [...seen.keys()]));
     for (const [kind, rates] of [
@@ -482,7 +482,7 @@
   return target.ok + target.errors + stable.ok + stable.errors > 0;
 }
 
-function restartWeight(interval: number): number {
+function weightOf(interval: number): number {
   const index = interval + 2;
   return 1 / (RESTART_WEIGHT_SUM * index * Math.log(index) ** 2);
 }
