--- a/packages/node/src/rollouts/decisionExperiment.ts
+++ b/packages/node/src/rollouts/decisionExperiment.ts
@@ -82,7 +82,8 @@
 const STEP_MS = 100;
 const REPORT_MS = 500;
 const DEADLINE_MS = 180_000;
-const SOAK_MS = 30_000;
+/** The default of a plan. A fault that begins after the soak period is outside of a rollout. */
+const SOAK_MS = 60_000;
 const NAIVE_STEPS = [5, 25, 50, 100];
 const COLD_START_MS = 8_000;
 const BASE_LATENCY_MS = 20;
@@ -125,7 +126,8 @@
   constructor(kind: Kind, random: () => number) {
     this.kind = kind;
     this.random = random;
-    this.onsetMs = 30_000 + random() * 150_000;
+    // From early in the canary to just before the soak period of the fastest rollout ends.
+    this.onsetMs = 10_000 + random() * 130_000;
     this.onsetRequests = 50 + Math.floor(random() * 1_000);
   }
 
--- a/packages/node/src/rollouts/sequentialTest.ts
+++ b/packages/node/src/rollouts/sequentialTest.ts
@@ -80,6 +80,10 @@
 /** Below this part of the traffic the stable version cannot serve as comparison. */
 const COMPARABLE_PART = 0.02;
 
+/** Wealth beyond any decision limit, kept clear of overflow. */
+const MAX_WEALTH = 1e200;
+const MAX_LOG = 200;
+
 /** One interval of one route: requests and failures on each side. */
 interface Table {
   targetCount: number;
@@ -88,25 +92,29 @@
   stableHits: number;
 }
 
-/** Wealth of one family of bets, as logarithms, with a restart weight added per interval. */
+/** Wealth of one family of bets, with a restart weight added per interval. */
 class Process {
-  private logs: number[];
+  private wealth: number[];
 
-  constructor(logs: number[] = ODDS_BETS.map(() => -Infinity)) {
-    this.logs = logs;
+  constructor(wealth: number[] = [0, 0, 0]) {
+    this.wealth = wealth;
   }
 
-  step(logRatios: readonly number[], restartWeight: number): void {
-    const bonus = Math.log(restartWeight / this.logs.length);
-    this.logs = this.logs.map((log, index) => logSum(log, bonus) + (logRatios[index] ?? 0));
+  step(logRatios: readonly number[], restart: number): void {
+    const bonus = restart / this.wealth.length;
+    this.wealth = this.wealth.map((held, index) => {
+      const ratio = logRatios[index] ?? 0;
+      const next = held + bonus;
+      return ratio === 0 ? next : Math.min(MAX_WEALTH, next * Math.exp(Math.min(ratio, MAX_LOG)));
+    });
   }
 
   copy(): Process {
-    return new Process([...this.logs]);
+    return new Process([...this.wealth]);
   }
 
   get log(): number {
-    return this.logs.reduce(logSum, -Infinity);
+    return Math.log(sum(this.wealth));
   }
 }
 
@@ -121,9 +129,9 @@
     this.floor = floor;
   }
 
-  step(versus: readonly number[], floor: readonly number[], restartWeight: number): void {
-    this.versus.step(versus, restartWeight);
-    this.floor.step(floor, restartWeight);
+  step(versus: readonly number[], floor: readonly number[], restart: number): void {
+    this.versus.step(versus, restart);
+    this.floor.step(floor, restart);
   }
 
   copy(): Pair {
@@ -154,7 +162,7 @@
     }
   }
 
-  step(tablesWithout: (server: string) => Table[], rates: Rates, restartWeight: number): void {
+  step(tablesWithout: (server: string) => Table[], rates: Rates, restart: number): void {
     for (const [server, pair] of this.byLeftOut) {
       const tables = tablesWithout(server);
       const versus = ODDS_BETS.map((odds) =>
@@ -163,7 +171,7 @@
       const floor = rates.bets.map((bet) =>
         sum(tables.map((table) => logRateRatio(table, bet, rates.tolerated))),
       );
-      pair.step(versus, floor, restartWeight);
+      pair.step(versus, floor, restart);
     }
   }
 
@@ -196,12 +204,17 @@
   buckets: readonly number[];
 }
 
+/** Counts of one interval; `slow` are answers from the first slow bucket on. */
+interface Added extends Counts {
+  slow: number;
+}
+
 /** What one interval adds on one route. */
 interface Interval {
   route: string;
-  target: Counts;
-  stable: Counts;
-  servers: Map<string, Counts>;
+  target: Added;
+  stable: Added;
+  servers: Map<string, Added>;
   /** First bucket that counts as slow; null without a reference. */
   slowFrom: number | null;
 }
@@ -256,19 +269,20 @@
     const state = this.routeState(route);
     const target = versions.get(this.options.target);
     const stable = versions.get(this.options.stable);
-    const servers = new Map<string, Counts>();
+    const from = slowFrom(state.reference);
+    const servers = new Map<string, Added>();
     for (const [server, counts] of target?.servers ?? []) {
       const group = groupOf(server, target?.servers.size ?? 0);
-      const added = subtract(counts, state.held.get(`server ${server}`));
+      const added = subtract(counts, state.held.get(`server ${server}`), from);
       servers.set(group, addCounts(servers.get(group), added));
       state.held.set(`server ${server}`, copyCounts(counts));
     }
     const interval = {
       route,
-      target: subtract(target, state.held.get('target')),
-      stable: subtract(stable, state.held.get('stable')),
+      target: subtract(target, state.held.get('target'), from),
+      stable: subtract(stable, state.held.get('stable'), from),
       servers,
-      slowFrom: slowFrom(state.reference),
+      slowFrom: from,
     };
     if (target !== undefined) state.held.set('target', copyCounts(target));
     if (stable !== undefined) state.held.set('stable', copyCounts(stable));
@@ -508,16 +522,12 @@
   if (from === null) return { targetCount: 0, targetHits: 0, stableCount: 0, stableHits: 0 };
   return {
     targetCount: target.ok - (left?.ok ?? 0),
-    targetHits: above(target.buckets, from) - above(left?.buckets ?? [], from),
+    targetHits: target.slow - (left?.slow ?? 0),
     stableCount: stable.ok,
-    stableHits: above(stable.buckets, from),
+    stableHits: stable.slow,
   };
 }
 
-function above(buckets: readonly number[], from: number): number {
-  return sum(buckets.slice(from));
-}
-
 function slowFrom(reference: readonly number[]): number | null {
   const total = sum(reference);
   if (total < MIN_REFERENCE) return null;
@@ -582,7 +592,7 @@
 }
 
 /** Never below zero: an evicted incarnation of a node lowers the totals. */
-function subtract(now: Counts | undefined, before: Counts | undefined): Counts {
+function subtract(now: Counts | undefined, before: Counts | undefined, from: number | null): Added {
   const buckets = (now?.buckets ?? []).map((count, index) =>
     Math.max(0, count - (before?.buckets[index] ?? 0)),
   );
@@ -590,15 +600,17 @@
     ok: Math.max(0, (now?.ok ?? 0) - (before?.ok ?? 0)),
     errors: Math.max(0, (now?.errors ?? 0) - (before?.errors ?? 0)),
     buckets,
+    slow: from === null ? 0 : sum(buckets.slice(from)),
   };
 }
 
-function addCounts(first: Counts | undefined, second: Counts): Counts {
+function addCounts(first: Added | undefined, second: Added): Added {
   if (first === undefined) return second;
   return {
     ok: first.ok + second.ok,
     errors: first.errors + second.errors,
-    buckets: second.buckets.map((count, index) => count + (first.buckets[index] ?? 0)),
+    buckets: second.buckets,
+    slow: first.slow + second.slow,
   };
 }
 
