--- a/packages/node/src/rollouts/__tests__/evidence.test.ts
+++ b/packages/node/src/rollouts/__tests__/evidence.test.ts
@@ -45,6 +45,20 @@
     );
   });
 
+  it('reports servers of the target only, so that a report stays small', () => {
+    const held = new recorder.EvidenceRecorder('node-1', 1, 0);
+    held.retain(new Map([['fontworks.1', 'v2']]));
+    held.record(finished());
+    held.record(finished({ version: 'v1' }));
+    const servers = held.samples().map((sample) => [sample.version, sample.servers.length]);
+    assert.deepEqual(servers, [
+      ['v2', 1],
+      ['v1', 0],
+    ]);
+    held.retain(new Map());
+    assert.deepEqual(held.samples({ all: true }), []);
+  });
+
   it('puts each latency under its bucket bound, so that quantiles are not understated', () => {
     fc.assert(
       fc.property(fc.double({ min: 0, max: 30_000, noNaN: true }), (latencyMs) => {
--- a/packages/node/src/rollouts/evidenceRecorder.ts
+++ b/packages/node/src/rollouts/evidenceRecorder.ts
@@ -37,15 +37,18 @@
 const MAX_SERVERS = 64;
 const OTHER_SERVERS = '*';
 
-interface Counters {
+interface Outcomes {
+  ok: number;
+  errors: number;
+  buckets: number[];
+}
+
+interface Counters extends Outcomes {
   rollout: string;
   version: string;
   route: string;
-  ok: number;
-  errors: number;
   refused: number;
-  buckets: number[];
-  servers: Map<string, { ok: number; errors: number; buckets: number[] }>;
+  servers: Map<string, Outcomes>;
   changed: boolean;
 }
 
@@ -63,6 +66,8 @@
 
   private readonly counters = new Map<string, Counters>();
 
+  private targets: ReadonlyMap<string, string> = new Map();
+
   private sequence = 0;
 
   constructor(node: string, incarnation: number, startMs: number) {
@@ -80,23 +85,12 @@
       counters.refused += 1;
       return;
     }
-    const known = counters.servers.has(req.server) || counters.servers.size < MAX_SERVERS;
-    const name = known ? req.server : OTHER_SERVERS;
-    let server = counters.servers.get(name);
-    if (server === undefined) {
-      server = { ok: 0, errors: 0, buckets: emptyBuckets() };
-      counters.servers.set(name, server);
-    }
-    if (req.outcome === 'error') {
-      counters.errors += 1;
-      server.errors += 1;
-      return;
-    }
     const bucket = bucketOf(req.latencyMs);
-    counters.ok += 1;
-    server.ok += 1;
-    counters.buckets[bucket] = (counters.buckets[bucket] ?? 0) + 1;
-    server.buckets[bucket] = (server.buckets[bucket] ?? 0) + 1;
+    count(counters, req.outcome, bucket);
+    const target = this.targets.get(req.rollout);
+    if (target === undefined || target === req.version) {
+      count(serverOf(counters, req.server), req.outcome, bucket);
+    }
   }
 
   /**
@@ -112,8 +106,12 @@
     return due.map((one) => this.toSample(one));
   }
 
-  /** Forgets rollouts that are final or unknown. */
-  retain(running: ReadonlySet<string>): void {
+  /**
+   * Forgets rollouts other than the running ones, given with their target versions. Servers are
+   * told apart for the target only, because the stable version's would double the report's size.
+   */
+  retain(running: ReadonlyMap<string, string>): void {
+    this.targets = running;
     for (const [key, one] of this.counters)
       if (!running.has(one.rollout)) this.counters.delete(key);
   }
@@ -131,12 +129,12 @@
       ok: one.ok,
       errors: one.errors,
       refused: one.refused,
-      latencyBuckets: [...one.buckets],
+      latencyBuckets: trimmed(one.buckets),
       servers: [...one.servers].map(([server, { ok, errors, buckets }]) => ({
         server,
         ok,
         errors,
-        latencyBuckets: [...buckets],
+        latencyBuckets: trimmed(buckets),
       })),
       windowStartMs: this.startMs,
     };
@@ -166,3 +164,26 @@
 export function emptyBuckets(): number[] {
   return new Array<number>(BUCKET_COUNT).fill(0);
 }
+
+function serverOf(counters: Counters, name: string): Outcomes {
+  const known = counters.servers.has(name) || counters.servers.size < MAX_SERVERS;
+  const key = known ? name : OTHER_SERVERS;
+  const held = counters.servers.get(key) ?? { ok: 0, errors: 0, buckets: emptyBuckets() };
+  counters.servers.set(key, held);
+  return held;
+}
+
+function count(outcomes: Outcomes, outcome: 'ok' | 'error', bucket: number): void {
+  const into = outcomes;
+  if (outcome === 'error') {
+    into.errors += 1;
+    return;
+  }
+  into.ok += 1;
+  into.buckets[bucket] = (into.buckets[bucket] ?? 0) + 1;
+}
+
+/** Without trailing zeros, which the receiver assumes. */
+function trimmed(buckets: readonly number[]): number[] {
+  return buckets.slice(0, buckets.findLastIndex((held) => held > 0) + 1);
+}
--- a/packages/node/src/rollouts/stepPlanner.ts
+++ b/packages/node/src/rollouts/stepPlanner.ts
@@ -59,7 +59,7 @@
     canaryPct: 3,
     steps: [8, 15, 30, 50, 75, 100],
     freshRequests: 40,
-    timePart: 0.8,
+    timePart: 0.7,
     waiveFresh: false,
   },
 };
