fix: proof is weighed per interval

Change: each interval's answers count at the stable version's failure rate of that time. Ruled out: ignoring intervals with stable errors, which would hide a target that fails more.

--- a/packages/node/src/rollouts/sequentialTest.ts
+++ b/packages/node/src/rollouts/sequentialTest.ts
@@ -67,6 +67,10 @@
 /** Weight kept per interval by the stable version's latency histogram. */
 const REFERENCE_DECAY = 0.995;
 const MIN_STABLE_RATE = 0.005;
+/** Weight kept per interval by the stable version's failure rate that the proof compares with. */
+const PROOF_DECAY = 0.9;
+/** Part of the target's errors above which one server is taken as a bad host in the proof. */
+const ONE_HOST_PART = 0.6;
 const SLOW_PROOF_MARGIN = 0.25;
 /** Servers left out one by one; further servers share the places by hash. */
 const MAX_SERVER_GROUPS = 24;
@@ -248,6 +252,13 @@
 
   private readonly recent: Recent[] = [];
 
+  private readonly stableRecent = { requests: 0, errors: 0 };
+
+  private readonly proofByServer = new Map<string, number>();
+
+  /** Server that has most of the target's errors; the proof does without it. */
+  private leftOut: string | null = null;
+
   private readonly slowTotals = { target: 0, targetSlow: 0, stable: 0, stableSlow: 0 };
 
   constructor(options: BettingTestOptions) {
@@ -261,6 +272,7 @@
     // Totals found at the start mix periods with different shares; comparing them as one interval
     // would mistake a shared fault for a fault of the target.
     if (this.started) this.bet(intervals.filter(hasTraffic));
+    this.addProof(intervals);
     this.started = true;
     return this.judge(totals);
   }
@@ -294,6 +306,25 @@
     return interval;
   }
 
+  /**
+   * Adds each interval's answers at the stable version's failure rate of that time, so that errors
+   * during a shared fault do not hold up the proof.
+   */
+  private addProof(intervals: readonly Interval[]): void {
+    const { stableRecent, proofByServer } = this;
+    const requests = sum(intervals.map(({ stable }) => stable.ok + stable.errors));
+    const errors = sum(intervals.map(({ stable }) => stable.errors));
+    stableRecent.requests = stableRecent.requests * PROOF_DECAY + requests;
+    stableRecent.errors = stableRecent.errors * PROOF_DECAY + errors;
+    const { perError, perOk } = this.proofRates();
+    for (const { servers } of intervals) {
+      for (const [server, counts] of servers) {
+        const held = proofByServer.get(server) ?? 0;
+        proofByServer.set(server, held + counts.errors * perError + counts.ok * perOk);
+      }
+    }
+  }
+
   private bet(intervals: Interval[]): void {
     if (intervals.length === 0) return;
     const weight = weightOf(this.intervals);
@@ -354,7 +385,7 @@
         }
       }
     }
-    const proved = this.isProved(summary);
+    const proved = this.isProved();
     const reason = proved
       ? 'enough evidence that the version is no worse'
       : `not enough requests to judge: ${summary.targetRequests} of about ${summary.neededRequests}`;
@@ -378,39 +409,36 @@
         servers.set(server, counts);
       }
     }
-    const worst = [...servers.values()].sort((a, b) => b.errors - a.errors)[0];
-    const oneHost = servers.size > 1 && worst && worst.errors > 0.6 * summary.targetErrors;
-    if (oneHost && worst.errors > 0) {
-      summary.targetRequests -= worst.requests;
-      summary.targetErrors -= worst.errors;
+    const [worst] = [...servers].sort(([, a], [, b]) => b.errors - a.errors);
+    const isOneHost =
+      servers.size > 1 &&
+      worst !== undefined &&
+      worst[1].errors > ONE_HOST_PART * summary.targetErrors;
+    this.leftOut = isOneHost && worst[1].errors > 0 ? groupOf(worst[0], servers.size) : null;
+    if (this.leftOut !== null && worst !== undefined) {
+      summary.targetRequests -= worst[1].requests;
+      summary.targetErrors -= worst[1].errors;
     }
-    summary.neededRequests = Math.ceil(
-      Math.max(0, Math.log(this.settings.proof) - this.proofLog(summary)) /
-        this.proofRate(summary) +
-        summary.targetRequests,
-    );
+    const missing = Math.max(0, Math.log(this.settings.proof) - this.proofLog());
+    summary.neededRequests = summary.targetRequests + Math.ceil(missing / this.proofRates().perOk);
     return summary;
   }
 
-  private stableRate({ stableErrors, stableRequests }: rollouts.EvidenceSummary): number {
-    return Math.min(0.9, Math.max(MIN_STABLE_RATE, stableErrors / Math.max(1, stableRequests)));
-  }
-
-  /** Log evidence for the target being no worse that one answered request adds. */
-  private proofRate(summary: rollouts.EvidenceSummary): number {
-    const rate = this.stableRate(summary);
-    return Math.log((1 - rate) / (1 - rate - this.settings.margin));
+  /** Log evidence for the target being no worse that one error and one good answer add. */
+  private proofRates(): { perError: number; perOk: number } {
+    const { requests, errors } = this.stableRecent;
+    const rate = Math.min(0.9, Math.max(MIN_STABLE_RATE, errors / Math.max(1, requests)));
+    const worse = rate + this.settings.margin;
+    return { perError: Math.log(rate / worse), perOk: Math.log((1 - rate) / (1 - worse)) };
   }
 
-  private proofLog(summary: rollouts.EvidenceSummary): number {
-    const rate = this.stableRate(summary);
-    const { targetRequests, targetErrors } = summary;
-    const perError = Math.log(rate / (rate + this.settings.margin));
-    return targetErrors * perError + (targetRequests - targetErrors) * this.proofRate(summary);
+  private proofLog(): number {
+    const all = sum([...this.proofByServer.values()]);
+    return all - (this.leftOut === null ? 0 : (this.proofByServer.get(this.leftOut) ?? 0));
   }
 
-  private isProved(summary: rollouts.EvidenceSummary): boolean {
-    if (this.proofLog(summary) < Math.log(this.settings.proof)) return false;
+  private isProved(): boolean {
+    if (this.proofLog() < Math.log(this.settings.proof)) return false;
     const { target, targetSlow, stable, stableSlow } = this.slowTotals;
     if (target === 0) return false;
     const rate = Math.max(1 - SLOW_QUANTILE, stableSlow / Math.max(1, stable));
