--- /dev/null
+++ b/packages/core/src/placement.ts
@@ -0,0 +1,208 @@
+/**
+ * The placement aggregate: the members that hold a service's idempotency records, with an epoch.
+ * Stored as `placement/{service}` in the platform and changed only by conditional update.
+ */
+
+import * as z from 'zod';
+import * as failures from './failures.js';
+import type * as ids from './ids.js';
+import * as rendezvous from './rendezvous.js';
+
+export const HOLDERS_PER_KEY = 3;
+
+/** Time between two planned epochs, so that members copy records before the next change. */
+export const SETTLE_MS = 10_000;
+
+/** Members that the first placement waits for, so that a key survives the loss of one holder. */
+export const MIN_FIRST_MEMBERS = 3;
+
+const memberSchema = z.object({
+  node: z.string().min(1),
+  incarnation: z.number().int().min(0),
+  region: z.string(),
+  failureDomain: z.string(),
+  fullFromMs: z.number(),
+});
+
+export const placementSchema = z.object({
+  service: z.string().min(1),
+  epoch: z.number().int().positive(),
+  changedAtMs: z.number(),
+  members: z.array(memberSchema),
+  previous: z.array(memberSchema),
+});
+
+export type PlacementData = z.output<typeof placementSchema>;
+
+export interface LiveMember {
+  node: ids.NodeId;
+  incarnation: ids.Incarnation;
+  region: ids.RegionName;
+  failureDomain: ids.DomainName;
+}
+
+export interface Member extends LiveMember {
+  /**
+   * Earliest wall-clock time of the controller at which the member has the full history. For
+   * status only: holders decide by their own durations.
+   */
+  fullFromMs: number;
+}
+
+/** Grants that a claim needs: a majority of the key's holders. */
+export function quorum(holders: number): number {
+  return Math.floor(holders / 2) + 1;
+}
+
+/** Holders whose records together contain every claim that had a quorum. */
+export function coverage(holders: number): number {
+  return holders - quorum(holders) + 1;
+}
+
+/**
+ * Holders of a key: the first-ranked member, the first-ranked in another failure domain of its
+ * region, and the first-ranked in a further domain, another region preferred. Where there are too
+ * few domains, the next-ranked members fill the places, so a group of one or two gives one or two
+ * holders; two holders must both grant.
+ */
+export function selectHolders<T extends LiveMember>(key: string, members: readonly T[]): T[] {
+  const ranked = rendezvous.rank(key, members, (member) => member.node);
+  const [first] = ranked;
+  if (first === undefined) return [];
+  const sameRegion = (member: T) => member.region === first.region;
+  const chosen = [first];
+  const unused = (member: T) => !chosen.includes(member);
+  const fresh = (member: T) => chosen.every((c) => domainKey(c) !== domainKey(member));
+  const second = ranked.find((member) => sameRegion(member) && fresh(member)) ?? ranked.find(fresh);
+  if (second !== undefined) chosen.push(second);
+  const nextRegion = rendezvous
+    .rank(key, [...new Set(ranked.map((member) => member.region))], (region) => region)
+    .find((region) => chosen.every((member) => member.region !== region));
+  const third =
+    ranked.find((member) => member.region === nextRegion && fresh(member)) ?? ranked.find(fresh);
+  if (third !== undefined && chosen.length < HOLDERS_PER_KEY) chosen.push(third);
+  while (chosen.length < HOLDERS_PER_KEY) {
+    const next = ranked.find(unused);
+    if (next === undefined) break;
+    chosen.push(next);
+  }
+  return chosen;
+}
+
+export class Placement {
+  readonly service: ids.ServiceName;
+
+  readonly epoch: number;
+
+  readonly changedAtMs: number;
+
+  readonly members: readonly Member[];
+
+  /** Members of the epoch before; new holders copy from them. */
+  readonly previous: readonly Member[];
+
+  constructor(
+    service: ids.ServiceName,
+    epoch: number,
+    changedAtMs: number,
+    members: readonly Member[],
+    previous: readonly Member[] = [],
+  ) {
+    this.service = service;
+    this.epoch = epoch;
+    this.changedAtMs = changedAtMs;
+    this.members = members;
+    this.previous = previous;
+  }
+
+  /** First placement, or null while fewer than `minMembers` members live. */
+  static first(
+    service: ids.ServiceName,
+    live: readonly LiveMember[],
+    nowMs: number,
+    minMembers = MIN_FIRST_MEMBERS,
+  ): Placement | null {
+    if (live.length === 0 || live.length < minMembers) return null;
+    const members = live.map((member) => ({ ...member, fullFromMs: nowMs }));
+    return new Placement(service, 1, nowMs, members);
+  }
+
+  /** @throws invalidConfiguration when the stored value has another shape */
+  static parse(value: unknown): Placement {
+    const checked = placementSchema.safeParse(value);
+    if (!checked.success) {
+      const [issue] = checked.error.issues;
+      throw failures.raise({
+        type: 'invalidConfiguration',
+        problems: [{ path: issue?.path.join('.') ?? '', message: issue?.message ?? 'invalid' }],
+      });
+    }
+    const { service, epoch, changedAtMs, members, previous } = checked.data;
+    return new Placement(
+      service as ids.ServiceName,
+      epoch,
+      changedAtMs,
+      members as Member[],
+      previous as Member[],
+    );
+  }
+
+  holders(key: string): Member[] {
+    return selectHolders(key, this.members);
+  }
+
+  previousHolders(key: string): Member[] {
+    return selectHolders(key, this.previous);
+  }
+
+  member(node: string): Member | undefined {
+    return this.members.find((member) => member.node === node);
+  }
+
+  /**
+   * Plans the next epoch, or returns null when nothing changes or the last change still settles.
+   * Lost members (gone, or restarted and so without records) go first. Those of one failure domain
+   * change together when there are three domains, because no key has two holders in one domain.
+   * Members lost in several domains change together: keys that lost two holders have to wait for
+   * `waitMs` (retention and placement lease) in any order. Otherwise one member changes.
+   */
+  next(live: readonly LiveMember[], nowMs: number, waitMs: number): Placement | null {
+    const liveByNode = new Map(live.map((member) => [member.node as string, member]));
+    const lost = this.members.filter(
+      (member) => liveByNode.get(member.node)?.incarnation !== member.incarnation,
+    );
+    const joined = live.find((member) => this.member(member.node) === undefined);
+    if (live.length === 0 || (lost.length === 0 && joined === undefined)) return null;
+    const settling = nowMs >= this.changedAtMs && nowMs < this.changedAtMs + SETTLE_MS;
+    if (settling) return null;
+    const lostDomains = new Set(lost.map(domainKey)).size;
+    const domains = new Set(this.members.map(domainKey)).size;
+    const recoverable = lost.length === 1 || (lostDomains === 1 && domains >= HOLDERS_PER_KEY);
+    const fullFromMs = recoverable || lost.length === 0 ? nowMs : nowMs + waitMs;
+    const kept = this.members.filter((member) => !lost.includes(member));
+    const restarted = lost.flatMap((member) => {
+      const again = liveByNode.get(member.node);
+      return again === undefined ? [] : [{ ...again, fullFromMs }];
+    });
+    const added = lost.length === 0 && joined !== undefined ? [{ ...joined, fullFromMs }] : [];
+    const members = [...kept, ...restarted, ...added];
+    // Every member is gone: the live ones that wait to join take over.
+    const group = members.length > 0 ? members : live.map((m) => ({ ...m, fullFromMs }));
+    return new Placement(this.service, this.epoch + 1, nowMs, group, this.members);
+  }
+
+  toJSON(): PlacementData {
+    const { service, epoch, changedAtMs } = this;
+    return {
+      service,
+      epoch,
+      changedAtMs,
+      members: [...this.members],
+      previous: [...this.previous],
+    };
+  }
+}
+
+function domainKey(member: LiveMember): string {
+  return `${member.region}/${member.failureDomain}`;
+}
