--- a/packages/node/src/records/__tests__/atMostOnce.test.ts
+++ b/packages/node/src/records/__tests__/atMostOnce.test.ts
@@ -287,7 +287,9 @@
       3,
       fc.integer({ min: 1, max: 31 }).map((mask) => async (m) => {
         m.advance(5_600);
-        m.nodes.forEach((node) => void node.recovery.round(SERVICE));
+        m.nodes.forEach((node) => {
+          void node.recovery.round(SERVICE);
+        });
         await m.drain(mask);
       }),
     ),
--- /dev/null
+++ b/packages/node/src/records/__tests__/recordStore.test.ts
@@ -0,0 +1,202 @@
+import * as assert from 'node:assert/strict';
+import { beforeEach, describe, it } from 'node:test';
+import { clock as clocks, ids, placement as placements } from '@godwittrack/core';
+import { records } from '@godwittrack/protocol';
+import * as recordStore from '../recordStore.js';
+import * as testing from './recordFixtures.js';
+
+const { ClaimResult: R } = records;
+const { claimRequest, completeRequest, SERVICE } = testing;
+
+describe('record store', () => {
+  let clock: clocks.ManualClock;
+  let first: placements.Placement;
+  let stores: recordStore.RecordStore[];
+  const at = (i: number) => stores[i]!;
+
+  /** Copies from one node to another, as recovery does. */
+  function copy(from: number, to: number): boolean {
+    const epoch = at(to).placement(SERVICE)?.epoch ?? 0;
+    const req = { service: SERVICE, node: at(to).node, epoch };
+    return at(to).merge(SERVICE, at(from).node, epoch, at(from).copyFor(req));
+  }
+
+  function restart(i: number, placement = first): void {
+    stores[i] = testing.createStore(i, 2, clock);
+    at(i).adopt(placement);
+  }
+
+  function waitForOldGrants(): void {
+    clock.advance(recordStore.GRANT_LIFETIME_MS + recordStore.CLOCK_MARGIN_MS);
+  }
+
+  beforeEach(() => {
+    clock = new clocks.ManualClock(1);
+    stores = [0, 1, 2].map((i) => testing.createStore(i, 1, clock));
+    first = testing.firstPlacement(3);
+    stores.forEach((store) => store.adopt(first));
+  });
+
+  describe('claims', () => {
+    it('grants a key once, so that a repeat does not run beside the first attempt', () => {
+      assert.equal(at(0).claim(claimRequest('a')).result, R.CLAIM_RESULT_GRANTED);
+      assert.equal(at(0).claim(claimRequest('a')).result, R.CLAIM_RESULT_GRANTED);
+      assert.equal(at(0).claim(claimRequest('b')).result, R.CLAIM_RESULT_IN_PROGRESS);
+      clock.advance(testing.DEADLINE_MS);
+      assert.equal(at(0).claim(claimRequest('b')).result, R.CLAIM_RESULT_OUTCOME_UNKNOWN);
+      const other = { ...claimRequest('b'), fingerprint: 'other' };
+      assert.equal(at(0).claim(other).result, R.CLAIM_RESULT_FINGERPRINT_MISMATCH);
+      clock.advance(testing.RETENTION_MS + testing.DEADLINE_MS);
+      at(0).adopt(first);
+      assert.equal(at(0).claim(claimRequest('b')).result, R.CLAIM_RESULT_GRANTED);
+    });
+
+    it('keeps the first answer against a later answer and a late release', () => {
+      at(0).claim(claimRequest('a'));
+      assert.equal(at(0).complete(completeRequest('a', 'one')).stored, true);
+      assert.equal(at(0).complete(completeRequest('b', 'two')).stored, false);
+      at(0).release({ service: SERVICE, key: 'k', claim: 'a' });
+      const reply = at(0).claim(claimRequest('c'));
+      assert.equal(reply.result, R.CLAIM_RESULT_COMPLETED);
+      assert.equal(reply.answer?.body.toString(), 'one');
+    });
+
+    it('frees a key only by the claim that holds it, and refuses a claim after its release', () => {
+      at(0).claim(claimRequest('a'));
+      at(0).release({ service: SERVICE, key: 'k', claim: 'b' });
+      assert.equal(at(0).claim(claimRequest('c')).result, R.CLAIM_RESULT_IN_PROGRESS);
+      at(0).release({ service: SERVICE, key: 'k', claim: 'a' });
+      assert.notEqual(at(0).claim(claimRequest('a')).result, R.CLAIM_RESULT_GRANTED);
+      assert.equal(at(0).claim(claimRequest('c')).result, R.CLAIM_RESULT_GRANTED);
+    });
+
+    it('refuses new keys when full and forgets no live one', () => {
+      const options = { maxEntries: 1, maxBytes: 1_000 };
+      const store = testing.createStore(0, 1, clock, options);
+      store.adopt(first);
+      assert.equal(store.claim(claimRequest('a')).result, R.CLAIM_RESULT_GRANTED);
+      assert.equal(store.claim(claimRequest('b', 'k2')).result, R.CLAIM_RESULT_FULL);
+      assert.equal(store.complete(completeRequest('a', 'x'.repeat(2_000))).stored, true);
+      const reply = store.claim(claimRequest('c'));
+      assert.equal(reply.result, R.CLAIM_RESULT_COMPLETED);
+      assert.equal(reply.answer?.bodyKept, false);
+      clock.advance(testing.RETENTION_MS * 2);
+      store.expire();
+      assert.deepEqual(store.size, { entries: 0, bytes: 0 });
+    });
+
+    it('grants nothing without a recent confirmation of its placement', () => {
+      clock.advance(testing.LEASE_MS + 1);
+      assert.equal(at(0).claim(claimRequest('a')).result, R.CLAIM_RESULT_RECOVERING);
+      at(0).adopt(first, 10);
+      assert.equal(at(0).claim(claimRequest('a')).result, R.CLAIM_RESULT_GRANTED);
+    });
+  });
+
+  describe('recovery', () => {
+    it('needs the copies of both other holders, because only one may know an earlier run', () => {
+      at(0).claim(claimRequest('a'));
+      at(1).claim(claimRequest('a'));
+      restart(0);
+      waitForOldGrants();
+      assert.equal(copy(2, 0), true);
+      assert.equal(at(0).claim(claimRequest('b')).result, R.CLAIM_RESULT_RECOVERING);
+      assert.equal(copy(1, 0), true);
+      assert.equal(at(0).claim(claimRequest('b')).result, R.CLAIM_RESULT_OUTCOME_UNKNOWN);
+    });
+
+    it('takes no copy while a grant of the former life may still be completed to a quorum', () => {
+      at(0).claim(claimRequest('a'));
+      restart(0);
+      assert.equal(copy(1, 0), false);
+      waitForOldGrants();
+      assert.equal(copy(1, 0), true);
+    });
+
+    it('does not count a repeated claim as a grant before it has the full history', () => {
+      at(1).claim(claimRequest('a'));
+      at(2).claim(claimRequest('b'));
+      restart(0);
+      waitForOldGrants();
+      copy(1, 0);
+      assert.equal(at(0).claim(claimRequest('a')).result, R.CLAIM_RESULT_RECOVERING);
+    });
+
+    it('keeps every copied claim until each is released, because any one may have run', () => {
+      at(0).claim(claimRequest('a'));
+      at(1).claim(claimRequest('a'));
+      at(2).claim(claimRequest('b'));
+      restart(0);
+      waitForOldGrants();
+      assert.ok(copy(2, 0) && copy(1, 0));
+      at(0).release({ service: SERVICE, key: 'k', claim: 'b' });
+      assert.notEqual(at(0).claim(claimRequest('c')).result, R.CLAIM_RESULT_GRANTED);
+    });
+
+    it('does not count the copy of a member that has lost its own records', () => {
+      restart(0);
+      restart(1);
+      waitForOldGrants();
+      assert.equal(copy(1, 0), false);
+      assert.equal(copy(2, 0), true);
+      assert.equal(at(0).isReady(SERVICE, 'k'), false);
+      clock.advance(testing.RETENTION_MS + testing.LEASE_MS + 6_000);
+      assert.equal(at(0).isReady(SERVICE, 'k'), true);
+    });
+  });
+
+  describe('epochs', () => {
+    function joined(): placements.Placement {
+      const next = first.next(testing.members([0, 1, 2, 3]), placements.SETTLE_MS, 0);
+      assert.ok(next);
+      return next;
+    }
+
+    it('refuses the old epoch once a copy for the new one was given', () => {
+      const newest: number[] = [];
+      const onNewerEpoch = (_: string, epoch: number) => newest.push(epoch);
+      const store = testing.createStore(0, 1, clock, { onNewerEpoch });
+      store.adopt(first);
+      store.copyFor({ service: SERVICE, node: 'n3', epoch: 2 });
+      assert.equal(store.claim(claimRequest('a')).result, R.CLAIM_RESULT_WRONG_EPOCH);
+      assert.deepEqual(newest, [2]);
+    });
+
+    it('lets a new holder grant after two copies of the former holders', () => {
+      const next = joined();
+      const key = Array.from({ length: 50 }, (_, i) => `k${i}`).find((k) =>
+        next.holders(k).some(({ node }) => node === 'n3'),
+      );
+      assert.ok(key);
+      stores[3] = testing.createStore(3, 1, clock);
+      at(3).adopt(next);
+      waitForOldGrants();
+      assert.equal(copy(0, 3), true);
+      assert.equal(at(3).isReady(SERVICE, key), false);
+      assert.equal(copy(1, 3), true);
+      assert.equal(at(3).isReady(SERVICE, key), true);
+    });
+
+    it('starts over after a skipped epoch, whose holders it does not know', () => {
+      const third = joined().next(testing.members([0, 1, 2]), placements.SETTLE_MS * 2, 0);
+      assert.ok(third);
+      at(0).adopt(third);
+      assert.equal(at(0).isReady(SERVICE, 'k'), false);
+      assert.equal(at(0).claim(claimRequest('a')).result, R.CLAIM_RESULT_WRONG_EPOCH);
+    });
+
+    it('waits when one holder is left of three, because it may lack what the others ran', () => {
+      const next = first.next(testing.members([0]), placements.SETTLE_MS, 0);
+      assert.ok(next);
+      at(0).adopt(next);
+      assert.equal(at(0).isReady(SERVICE, 'k'), false);
+    });
+
+    it('knows its incarnation: a restarted member has nothing', () => {
+      const store = testing.createStore(0, 2, clock);
+      store.adopt(first);
+      assert.equal(store.isReady(SERVICE, 'k'), false);
+      assert.equal(store.incarnation, ids.incarnation(2));
+    });
+  });
+});
