--- a/packages/node/src/records/recordStore.ts
+++ b/packages/node/src/records/recordStore.ts
@@ -274,6 +274,13 @@
     return copy.fullAtEpoch || copy.fullAtPrevious;
   }
 
+  /** Request for the copies that this node needs at its present epoch; null without a placement. */
+  copyRequest(service: string): records.RecoverRequest | null {
+    const epoch = this.placement(service)?.epoch;
+    if (epoch === undefined) return null;
+    return { service, node: this.node, epoch, fullAtPrevious: this.isFull(service, epoch - 1) };
+  }
+
   /** Members whose copy is still of use to this node at the present epoch. */
   copySources(service: string): placements.Member[] {
     const join = this.services.get(service)?.joins.at(-1);
@@ -385,7 +392,12 @@
     const placement = this.placement(req.service);
     // Without the asker's placement its keys are unknown, so all records are sent.
     if (placement === null || placement.epoch !== req.epoch) return true;
-    return placement.holders(key).some(({ node }) => node === req.node);
+    const asks = ({ node }: placements.Member) => node === req.node;
+    const holders = placement.holders(key);
+    if (!holders.some(asks)) return false;
+    const before = placement.previousHolders(key);
+    const stays = rules.quorum(holders.length) >= rules.coverage(before.length);
+    return !(req.fullAtPrevious && stays && before.some(asks));
   }
 
   private hasWaited(service: string, join: Join): boolean {
