fix: drop lapsed records before a copy or an answer is stored

Cause: a lapsed but not yet removed record hid the copied record of a newer run; the holder then granted the key again. Change: stores and merges look at live records only.

--- a/packages/node/src/records/recordStore.ts
+++ b/packages/node/src/records/recordStore.ts
@@ -354,7 +354,7 @@
     req: { key: string; claim: string; fingerprint: string; answer: records.RecordedAnswer },
     keepMs: number,
   ): boolean {
-    const existing = state.entries.get(req.key);
+    const existing = this.liveEntry(state, req.key);
     if (existing !== undefined && existing.answered !== null) {
       return existing.answered.claim === req.claim;
     }
@@ -376,12 +376,12 @@
   private mergeRecord(service: string, state: ServiceState, record: records.KeyRecord): boolean {
     if (record.answer !== undefined) {
       const { answer } = record;
-      const existing = state.entries.get(record.key);
+      const existing = this.liveEntry(state, record.key);
       if (existing?.answered) return true;
       return this.addAnswer(state, { ...record, answer }, record.retentionLeftMs);
     }
     if (this.released.has(record.claim)) return true;
-    const existing = state.entries.get(record.key);
+    const existing = this.liveEntry(state, record.key);
     if (existing?.answered) return true;
     if (!this.hasRoom(record.key, record.claim, record.fingerprint)) return false;
     this.addClaim(state, record, record.retentionLeftMs);
@@ -427,6 +427,14 @@
     return state;
   }
 
+  /** A record past its retention must not stand in the way of a newer one. */
+  private liveEntry(state: ServiceState, key: string): KeyEntry | undefined {
+    const entry = state.entries.get(key);
+    if (entry === undefined || entry.expiresAtMs > this.clock.monotonicMs()) return entry;
+    this.drop(state, key, entry);
+    return undefined;
+  }
+
   private entry(state: ServiceState, key: string): KeyEntry {
     let entry = state.entries.get(key);
     if (entry === undefined) {
