--- a/packages/node/src/rollouts/decisionExperiment.ts
+++ b/packages/node/src/rollouts/decisionExperiment.ts
@@ -63,7 +63,6 @@
   'sharedSlowness',
   'oneBadHost',
   'shedsLoad',
-  'slowLink',
 ] as const;
 const BAD_KINDS = [
   'failsAtOnce',
@@ -317,7 +316,6 @@
         route,
         server: `${isTarget ? 'new' : 'old'}-${server}`,
         outcome: outcomeOf(answer),
-        // Latency is measured at the destination, so a slow link does not enter it.
         latencyMs: answer.latencyMs,
         coldStart: answer.cold,
       };
