feat(node): rollouts run in the node

The runtime connects shares to the request path, evidence and vetoes to the tree, and the controller to the root relay.

--- a/packages/node/src/admin/statusReport.ts
+++ b/packages/node/src/admin/statusReport.ts
@@ -1,10 +1,13 @@
 /** What operators see: status of this node, the fleet, services, rollouts and upstreams. */
 
-import { failures } from '@godwittrack/core';
+import { failures, ids } from '@godwittrack/core';
+import type { rollout as rollouts } from '@godwittrack/core';
 import type { distribution } from '@godwittrack/protocol';
 import type * as fleetState from '../distribution/fleetState.js';
 import type * as parentTask from '../distribution/parentTask.js';
 import * as progress from '../distribution/progress.js';
+import * as rolloutController from '../rollouts/rolloutController.js';
+import type * as rolloutRuntime from '../rollouts/rolloutRuntime.js';
 import type * as settings from '../settings.js';
 
 export interface ServiceStatus {
@@ -33,6 +36,14 @@
   summary: string;
 }
 
+/** A rollout with times in RFC 3339 and its state in plain words. */
+export interface RolloutReport extends Omit<rollouts.RolloutData, 'deadlineMs' | 'expectedEndMs'> {
+  deadline: string;
+  expectedEnd: string | null;
+  summary: string;
+  vetoes: distribution.Veto[];
+}
+
 /** A platform contact older than this counts as unreachable. */
 const REACHABLE_AGE_MS = 5_000;
 
@@ -41,6 +52,7 @@
     private readonly cfg: settings.ResolvedSettings,
     private readonly state: fleetState.FleetState,
     private readonly parents: parentTask.ParentTask,
+    private readonly runtime: rolloutRuntime.RolloutRuntime,
   ) {}
 
   /** @param version version that members are counted against; the node's own when null */
@@ -50,7 +62,7 @@
     const wanted = version ?? config.version;
     const atVersion = progress.countAtLeast(fleet.counts, wanted);
     const ready = this.state.members.all.filter((member) => member.ready).length;
-    const reachable = link.ageMs !== null && link.ageMs < REACHABLE_AGE_MS;
+    const reachable = this.isPlatformReachable();
     const inForce = atVersion >= fleet.known && fleet.known > 0;
     return {
       node: this.cfg.node,
@@ -69,17 +81,17 @@
     };
   }
 
-  rollouts(): unknown[] {
-    return this.state.rollouts.all.map((document) => JSON.parse(document.json) as unknown);
+  rollouts(): RolloutReport[] {
+    return this.runtime.documents().map((document) => this.describe(document));
   }
 
   /** @throws objectNotFound */
-  rollout(id: string): unknown {
-    const found = this.state.rollouts.all.find((document) => document.name === id);
+  rollout(id: string): RolloutReport {
+    const found = this.runtime.documents().find((document) => document.id === id);
     if (found === undefined) {
       throw failures.raise({ type: 'objectNotFound', kind: 'rollout', name: id });
     }
-    return JSON.parse(found.json) as unknown;
+    return this.describe(found);
   }
 
   upstreams() {
@@ -110,18 +122,43 @@
     }));
   }
 
+  private describe(document: rollouts.Rollout): RolloutReport {
+    const { deadlineMs, expectedEndMs, ...data } = document.data;
+    const unreachable = !document.isFinal && !this.isPlatformReachable();
+    const note = unreachable ? 'the platform is unreachable' : undefined;
+    return {
+      ...data,
+      deadline: new Date(deadlineMs).toISOString(),
+      expectedEnd: expectedEndMs === null ? null : new Date(expectedEndMs).toISOString(),
+      summary: rolloutController.describeStatus(document, note).summary,
+      vetoes: this.runtime.vetoesOf(document.id),
+    };
+  }
+
+  private isPlatformReachable(): boolean {
+    const { ageMs } = this.state.link;
+    return ageMs !== null && ageMs < REACHABLE_AGE_MS;
+  }
+
   private services(): ServiceStatus[] {
     const { services, plans } = this.state.config.current;
     return [...services.keys()].map((service) => {
       const plan = plans.get(service);
+      const share = this.runtime.shareOf(service);
+      const id = plan === undefined ? '' : ids.rolloutId(service, plan.ticket);
+      const document = this.runtime.documents().find((one) => one.id === id);
+      const target = plan?.target;
+      const waiting = target === undefined ? '' : ` The rollout to ${target} has not begun.`;
+      const without =
+        plan === undefined ? 'No version plan.' : `All traffic goes to ${plan.stable}.`;
       return {
         service,
         stable: plan?.stable ?? null,
-        target: plan?.target ?? null,
+        target: target ?? null,
         deadline: plan?.deadline ?? null,
-        phase: null,
-        sharePct: null,
-        summary: plan === undefined ? 'No version plan.' : `All traffic goes to ${plan.stable}.`,
+        phase: document?.data.phase ?? null,
+        sharePct: share === null || target === undefined ? null : share.targetPct,
+        summary: document === undefined ? without + waiting : this.describe(document).summary,
       };
     });
   }
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -19,3 +19,5 @@
 export const SHORT_RETRY_AFTER_MS = 1_000;
 /** Most hops of one call chain. */
 export const MAX_HOPS = 8;
+/** Requests of a server's first seconds say nothing about its version. */
+export const COLD_START_MS = 5_000;
--- a/packages/node/src/membership/localMember.ts
+++ b/packages/node/src/membership/localMember.ts
@@ -127,6 +127,18 @@
     this.upstreamChanged.notify();
   }
 
+  /** True for the first seconds after an upstream's first announcement. */
+  private isColdStart(upstream: LocalUpstream): boolean {
+    return this.time.monotonicMs() - upstream.sinceMs < constants.COLD_START_MS;
+  }
+
+  /** Publishes the end of the cold start; called regularly. */
+  reviewColdStart(): void {
+    const published = this.table.get(this.node)?.upstream?.coldStart ?? false;
+    const held = this.upstreamState;
+    if (held !== null && published !== this.isColdStart(held)) this.publish();
+  }
+
   /** Withdraws an upstream that has stopped to renew its announcement. */
   expireUpstream(): void {
     const held = this.upstreamState;
@@ -178,6 +190,7 @@
               slots: upstream.slots,
               draining: upstream.state === 'draining',
               healthy: upstream.healthy,
+              coldStart: this.isColdStart(upstream),
             },
       draining: this.draining,
       ready: this.ready,
--- a/packages/node/src/nodeProcess.ts
+++ b/packages/node/src/nodeProcess.ts
@@ -14,6 +14,7 @@
 import type * as callerServer from './requests/callerServer.js';
 import type * as forwardServer from './requests/forwardServer.js';
 import type * as upstreamClient from './requests/upstreamClient.js';
+import type * as rolloutRuntime from './rollouts/rolloutRuntime.js';
 import type * as settings from './settings.js';
 
 export interface NodeParts {
@@ -27,6 +28,7 @@
   log: logging.Logger;
   parents: parentTask.ParentTask;
   peers: peerServer.PeerServer;
+  rollouts: rolloutRuntime.RolloutRuntime;
   rosters: roster.RosterWriter;
   upstreams: upstreamClient.UpstreamClient;
 }
@@ -49,7 +51,8 @@
 
   /** Returns when all listeners are open; the node becomes ready later. */
   async start(): Promise<void> {
-    const { admin, bootstrap: starter, callers, children, parents, peers, rosters } = this.parts;
+    const { admin, bootstrap: starter, callers, children, parents, peers } = this.parts;
+    const { rollouts, rosters } = this.parts;
     const { signal } = this.stopping;
     await peers.listen();
     await admin.listen();
@@ -61,6 +64,7 @@
       parents.run(signal),
       children.sweep(signal),
       rosters.run(signal),
+      rollouts.run(signal),
       starter.run(signal),
       this.expireUpstreams(),
     ];
@@ -104,6 +108,7 @@
     while (!this.stopping.signal.aborted) {
       await backoff.sleep(LEASE_CHECK_MS, this.stopping.signal);
       this.state.local.expireUpstream();
+      this.state.local.reviewColdStart();
     }
   }
 }
--- a/packages/node/src/requests/balancer.ts
+++ b/packages/node/src/requests/balancer.ts
@@ -16,6 +16,8 @@
   address: string;
   slots: number;
   version: string;
+  /** The server is in its cold start. */
+  coldStart: boolean;
 }
 
 /** Nearest first: same failure domain, same region, across a link. */
@@ -172,6 +174,7 @@
       address: near ? member.peerAddress : member.externalPeerAddress,
       slots: upstream.slots,
       version: upstream.version,
+      coldStart: upstream.coldStart,
     });
   }
 
--- a/packages/node/src/requests/dispatcher.ts
+++ b/packages/node/src/requests/dispatcher.ts
@@ -25,8 +25,15 @@
   body: () => exchange.Body | null;
 }
 
+/** Server of one attempt, and the rollout to which its evidence belongs. */
+interface Chosen {
+  server: balancer.Candidate;
+  rollout: string;
+}
+
 const MAX_ATTEMPTS = 4;
 const SERVER_ERROR = 500;
+const SHED = 503;
 
 export class Dispatcher {
   constructor(
@@ -56,7 +63,7 @@
         return await this.attempt(request, chosen, body, Math.ceil(remainingMs), signal);
       } catch (err) {
         last = err instanceof failures.FailureError ? err : failures.raise(failures.of(err), err);
-        tried.add(chosen.node);
+        tried.add(chosen.server.node);
         if (signal.aborted || !this.mayRetry(route, last.failure)) throw last;
         this.meters.increment('godwittrack_retries_total', { service: route.service });
       }
@@ -64,21 +71,23 @@
     throw last ?? this.noUpstream(route);
   }
 
-  private choose(
-    route: configuration.Route,
-    tried: ReadonlySet<string>,
-  ): balancer.Candidate | null {
-    const version = this.versions.choose(route);
-    if (version !== null) return this.servers.pick(route.service, version, tried);
+  private choose(route: configuration.Route, tried: ReadonlySet<string>): Chosen | null {
+    const isReady = (version: string) => this.servers.count(route.service, version) > 0;
+    const choice = this.versions.choose(route, isReady);
+    if (choice !== null) {
+      const server = this.servers.pick(route.service, choice.version, tried);
+      return server === null ? null : { server, rollout: choice.rollout };
+    }
     // Without a plan every version that is present may serve.
     const present = [...this.servers.versions(route.service)];
     const any = present[Math.floor(Math.random() * present.length)];
-    return any === undefined ? null : this.servers.pick(route.service, any, tried);
+    const server = any === undefined ? null : this.servers.pick(route.service, any, tried);
+    return server === null ? null : { server, rollout: '' };
   }
 
   private async attempt(
     request: CallerRequest,
-    chosen: balancer.Candidate,
+    { server: chosen, rollout }: Chosen,
     body: exchange.Body,
     timeoutMs: number,
     signal: AbortSignal,
@@ -93,16 +102,27 @@
             this.channels.get(chosen.address).requests,
           );
     const outlier = this.config.current.services.get(route.service)?.outlier;
-    const finish = (failed: boolean) => {
+    const startMs = performance.now();
+    const finish = (failed: boolean, outcome: versionChooser.AttemptOutcome | null, ms: number) => {
       if (outlier !== undefined) this.servers.end(chosen, route.service, failed, outlier);
+      if (outcome === null || rollout === '') return;
+      const { node: server, version, coldStart } = chosen;
+      const attempt = { rollout, version, route: route.name, server, outcome, coldStart };
+      this.versions.finished({ ...attempt, latencyMs: ms });
     };
     this.servers.begin(chosen.node);
     try {
       const answer = await destination.forward(head, body, signal);
-      const failed = answer.head.status >= SERVER_ERROR;
-      return { head: answer.head, body: finishAfter(answer.body, failed, finish) };
+      const { status, upstreamMs } = answer.head;
+      const failed = status >= SERVER_ERROR;
+      const outcome = outcomeOfStatus(status);
+      const end = (broken: boolean) =>
+        finish(broken || failed, broken ? 'error' : outcome, upstreamMs);
+      return { head: answer.head, body: finishAfter(answer.body, end) };
     } catch (err) {
-      finish(speaksAgainstServer(failures.of(err), signal));
+      const failure = failures.of(err);
+      const ms = performance.now() - startMs;
+      finish(speaksAgainstServer(failure, signal), outcomeOfFailure(failure, signal), ms);
       throw err;
     }
   }
@@ -130,19 +150,27 @@
   return failure.type !== 'queueFull' && failure.type !== 'draining' && failure.type !== 'notRun';
 }
 
-async function* finishAfter(
-  body: exchange.Body,
-  failed: boolean,
-  finish: (failed: boolean) => void,
-): exchange.Body {
+/** An upstream that sheds load answers 503; that says nothing about its version. */
+function outcomeOfStatus(status: number): versionChooser.AttemptOutcome {
+  if (status === SHED) return 'refused';
+  return status >= SERVER_ERROR ? 'error' : 'ok';
+}
+
+/** Null when the caller went away, which tells nothing. */
+function outcomeOfFailure(
+  failure: failures.Failure,
+  signal: AbortSignal,
+): versionChooser.AttemptOutcome | null {
+  if (signal.aborted && failure.type === 'cancelled') return null;
+  return refusals.provesNotStarted(failure) ? 'refused' : 'error';
+}
+
+async function* finishAfter(body: exchange.Body, end: (broken: boolean) => void): exchange.Body {
   let broken = true;
   try {
     yield* body;
     broken = false;
-  } catch (err) {
-    finish(true);
-    throw err;
   } finally {
-    if (!broken) finish(failed);
+    end(broken);
   }
 }
--- a/packages/node/src/wiring.ts
+++ b/packages/node/src/wiring.ts
@@ -37,7 +37,7 @@
 import * as localDestination from './requests/localDestination.js';
 import * as retryBudget from './requests/retryBudget.js';
 import * as upstreamClient from './requests/upstreamClient.js';
-import * as versionChooser from './requests/versionChooser.js';
+import * as rolloutRuntime from './rollouts/rolloutRuntime.js';
 import type * as settings from './settings.js';
 
 /** Identifiers of the parts in the container. */
@@ -63,7 +63,7 @@
   upstreamClient: Symbol.for('upstreamClient'),
   localDestination: Symbol.for('localDestination'),
   balancer: Symbol.for('balancer'),
-  versionChooser: Symbol.for('versionChooser'),
+  rolloutRuntime: Symbol.for('rolloutRuntime'),
   dispatcher: Symbol.for('dispatcher'),
   forwardServer: Symbol.for('forwardServer'),
   callerServer: Symbol.for('callerServer'),
@@ -213,8 +213,17 @@
   bindOnce(container, parts.balancer, () => new balancer.Balancer(cfg, state().members, time()));
   bindOnce(
     container,
-    parts.versionChooser,
-    () => new versionChooser.StableVersionChooser(state().config),
+    parts.rolloutRuntime,
+    () =>
+      new rolloutRuntime.RolloutRuntime(
+        state(),
+        container.get(parts.parentTask),
+        container.get(parts.objectStore),
+        container.get(parts.auditTrail),
+        meters(),
+        loggerOf(container, 'rollouts'),
+        time(),
+      ),
   );
   bindOnce(
     container,
@@ -224,7 +233,7 @@
         cfg,
         state().config,
         container.get(parts.balancer),
-        container.get(parts.versionChooser),
+        container.get(parts.rolloutRuntime),
         container.get(parts.localDestination),
         container.get(parts.channels),
         new retryBudget.RetryBudget(time()),
@@ -266,7 +275,13 @@
   bindOnce(
     container,
     parts.statusReport,
-    () => new statusReport.StatusReport(cfg, state(), container.get(parts.parentTask)),
+    () =>
+      new statusReport.StatusReport(
+        cfg,
+        state(),
+        container.get(parts.parentTask),
+        container.get(parts.rolloutRuntime),
+      ),
   );
   bindOnce(
     container,
@@ -307,6 +322,7 @@
         log: loggerOf(container, 'node'),
         parents: container.get(parts.parentTask),
         peers: container.get(parts.peerServer),
+        rollouts: container.get(parts.rolloutRuntime),
         rosters: container.get(parts.rosterWriter),
         upstreams: container.get(parts.upstreamClient),
       }),
