feat(node): idempotency records run in the node

A member's life is told by the start time of its process and not by its incarnation, because a node that joins again after a pause has kept its records.

--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -22,6 +22,8 @@
   region: z.string(),
   failureDomain: z.string(),
   fullFromMs: z.number(),
+  peerAddress: z.string().optional(),
+  externalPeerAddress: z.string().optional(),
 });
 
 export const placementSchema = z.object({
@@ -39,6 +41,9 @@
   incarnation: ids.Incarnation;
   region: ids.RegionName;
   failureDomain: ids.DomainName;
+  /** Addresses of the member at the time of the placement; other regions may not know it else. */
+  peerAddress?: string;
+  externalPeerAddress?: string;
 }
 
 export interface Member extends LiveMember {
--- a/packages/node/src/distribution/peerServer.ts
+++ b/packages/node/src/distribution/peerServer.ts
@@ -2,7 +2,7 @@
 
 import * as grpc from '@grpc/grpc-js';
 import { failures } from '@godwittrack/core';
-import { distribution, requests } from '@godwittrack/protocol';
+import { distribution, records, requests } from '@godwittrack/protocol';
 import * as constants from '../constants.js';
 import type * as forwardServer from '../requests/forwardServer.js';
 import type * as settings from '../settings.js';
@@ -37,9 +37,9 @@
     } satisfies requests.RequestsServer);
   }
 
-  /** Adds a service of another part before `listen`. */
-  addService(service: grpc.ServiceDefinition, handlers: grpc.UntypedServiceImplementation): void {
-    this.server.addService(service, handlers);
+  /** Adds the service of idempotency records; call it before `listen`. */
+  addRecords(handlers: records.RecordsServer): void {
+    this.server.addService(records.RecordsService, handlers);
   }
 
   /** @throws internal when the address cannot be bound */
--- a/packages/node/src/membership/localMember.ts
+++ b/packages/node/src/membership/localMember.ts
@@ -33,6 +33,9 @@
 }
 
 export class LocalMember {
+  /** Tells this life of the process from others; does not change when the node joins again. */
+  readonly startedAtMs: number;
+
   private incarnationValue: number;
 
   private revision = 0;
@@ -54,7 +57,8 @@
     private readonly time: clock.Clock,
     private readonly log: logging.Logger,
   ) {
-    this.incarnationValue = time.nowMs();
+    this.startedAtMs = time.nowMs();
+    this.incarnationValue = this.startedAtMs;
   }
 
   get node(): ids.NodeId {
@@ -195,6 +199,7 @@
       draining: this.draining,
       ready: this.ready,
       parent: this.parent,
+      startedAtMs: this.startedAtMs,
     };
   }
 }
--- a/packages/node/src/membership/roster.ts
+++ b/packages/node/src/membership/roster.ts
@@ -43,6 +43,7 @@
     draining: false,
     ready: false,
     parent: '',
+    startedAtMs: 0,
   }));
 }
 
--- a/packages/node/src/nodeProcess.ts
+++ b/packages/node/src/nodeProcess.ts
@@ -14,6 +14,8 @@
 import type * as callerServer from './requests/callerServer.js';
 import type * as forwardServer from './requests/forwardServer.js';
 import type * as upstreamClient from './requests/upstreamClient.js';
+import * as recordsService from './records/recordsService.js';
+import type * as recordsRuntime from './records/recordsRuntime.js';
 import type * as rolloutRuntime from './rollouts/rolloutRuntime.js';
 import type * as settings from './settings.js';
 
@@ -28,6 +30,7 @@
   log: logging.Logger;
   parents: parentTask.ParentTask;
   peers: peerServer.PeerServer;
+  records: recordsRuntime.RecordsRuntime;
   rollouts: rolloutRuntime.RolloutRuntime;
   rosters: roster.RosterWriter;
   upstreams: upstreamClient.UpstreamClient;
@@ -52,8 +55,9 @@
   /** Returns when all listeners are open; the node becomes ready later. */
   async start(): Promise<void> {
     const { admin, bootstrap: starter, callers, children, parents, peers } = this.parts;
-    const { rollouts, rosters } = this.parts;
+    const { records, rollouts, rosters } = this.parts;
     const { signal } = this.stopping;
+    peers.addRecords(recordsService.createRecordsService(records.store));
     await peers.listen();
     await admin.listen();
     await callers.listen();
@@ -64,6 +68,7 @@
       parents.run(signal),
       children.sweep(signal),
       rosters.run(signal),
+      records.run(signal),
       rollouts.run(signal),
       starter.run(signal),
       this.expireUpstreams(),
--- a/packages/node/src/wiring.ts
+++ b/packages/node/src/wiring.ts
@@ -37,6 +37,7 @@
 import * as localDestination from './requests/localDestination.js';
 import * as retryBudget from './requests/retryBudget.js';
 import * as upstreamClient from './requests/upstreamClient.js';
+import * as recordsRuntime from './records/recordsRuntime.js';
 import * as rolloutRuntime from './rollouts/rolloutRuntime.js';
 import type * as settings from './settings.js';
 
@@ -63,6 +64,7 @@
   upstreamClient: Symbol.for('upstreamClient'),
   localDestination: Symbol.for('localDestination'),
   balancer: Symbol.for('balancer'),
+  recordsRuntime: Symbol.for('recordsRuntime'),
   rolloutRuntime: Symbol.for('rolloutRuntime'),
   dispatcher: Symbol.for('dispatcher'),
   forwardServer: Symbol.for('forwardServer'),
@@ -211,6 +213,20 @@
       ),
   );
   bindOnce(container, parts.balancer, () => new balancer.Balancer(cfg, state().members, time()));
+  bindOnce(
+    container,
+    parts.recordsRuntime,
+    () =>
+      new recordsRuntime.RecordsRuntime(
+        cfg,
+        state(),
+        container.get(parts.parentTask),
+        container.get(parts.channels),
+        container.get(parts.objectStore),
+        loggerOf(container, 'records'),
+        time(),
+      ),
+  );
   bindOnce(
     container,
     parts.rolloutRuntime,
@@ -322,6 +338,7 @@
         log: loggerOf(container, 'node'),
         parents: container.get(parts.parentTask),
         peers: container.get(parts.peerServer),
+        records: container.get(parts.recordsRuntime),
         rollouts: container.get(parts.rolloutRuntime),
         rosters: container.get(parts.rosterWriter),
         upstreams: container.get(parts.upstreamClient),
