--- a/packages/node/src/distribution/peerChannels.ts
+++ b/packages/node/src/distribution/peerChannels.ts
@@ -1,7 +1,7 @@
 /** gRPC channels to other nodes, one for each address, shared by all services. */
 
 import * as grpc from '@grpc/grpc-js';
-import { distribution, records, requests } from '@godwittrack/protocol';
+import { distribution, records } from '@godwittrack/protocol';
 import * as constants from '../constants.js';
 
 const CHANNEL_OPTIONS: grpc.ChannelOptions = {
@@ -19,7 +19,6 @@
 export interface PeerClients {
   distribution: distribution.DistributionClient;
   peers: distribution.PeersClient;
-  requests: requests.RequestsClient;
   records: records.RecordsClient;
 }
 
@@ -40,7 +39,6 @@
     const clients = {
       distribution: new distribution.DistributionClient(address, credentials, options),
       peers: new distribution.PeersClient(address, credentials, options),
-      requests: new requests.RequestsClient(address, credentials, options),
       records: new records.RecordsClient(address, credentials, options),
     };
     this.channels.set(address, { channel, clients });
--- a/packages/node/src/distribution/peerServer.ts
+++ b/packages/node/src/distribution/peerServer.ts
@@ -1,22 +1,24 @@
-/** gRPC server for other nodes. */
+/** Server for other nodes: gRPC, and forwarded requests on the same address. */
 
 import * as grpc from '@grpc/grpc-js';
 import { failures } from '@godwittrack/core';
-import { distribution, requests } from '@godwittrack/protocol';
+import { distribution } from '@godwittrack/protocol';
 import * as constants from '../constants.js';
 import type * as forwardServer from '../requests/forwardServer.js';
-import type * as settings from '../settings.js';
+import * as peerPort from '../requests/peerPort.js';
+import * as settings from '../settings.js';
 import type * as childServer from './childServer.js';
 
 const SERVER_OPTIONS: grpc.ServerOptions = {
   'grpc.max_receive_message_length': constants.MAX_PEER_MESSAGE_BYTES,
   'grpc.max_send_message_length': constants.MAX_PEER_MESSAGE_BYTES,
-  'grpc.max_concurrent_streams': 10_000,
 };
 
 export class PeerServer {
   private readonly server = new grpc.Server(SERVER_OPTIONS);
 
+  private readonly port: peerPort.PeerPort;
+
   constructor(
     private readonly cfg: settings.ResolvedSettings,
     children: childServer.ChildServer,
@@ -30,11 +32,11 @@
     this.server.addService(distribution.PeersService, {
       floor: (_call, callback) => callback(null, children.floor()),
     } satisfies distribution.PeersServer);
-    this.server.addService(requests.RequestsService, {
-      forward: (call) => {
-        void forwards.serve(call);
-      },
-    } satisfies requests.RequestsServer);
+    const injector = this.server.createConnectionInjector(grpc.ServerCredentials.createInsecure());
+    this.port = new peerPort.PeerPort({
+      grpc: (socket) => injector.injectConnection(socket),
+      forward: (socket) => forwards.accept(socket),
+    });
   }
 
   /** Adds a service of another part before `listen`. */
@@ -45,19 +47,18 @@
   /** @throws internal when the address cannot be bound */
   async listen(): Promise<void> {
     const address = this.cfg.listen.peer;
-    const credentials = grpc.ServerCredentials.createInsecure();
-    await new Promise<void>((resolve, reject) => {
-      this.server.bindAsync(address, credentials, (err) => {
-        if (err === null) resolve();
-        else {
-          const detail = `cannot listen on ${address}: ${err.message}`;
-          reject(failures.raise({ type: 'internal', detail }, err));
-        }
-      });
-    });
+    const { host, port } = settings.splitAddress(address);
+    try {
+      await this.port.listen(host, port);
+    } catch (err) {
+      const reason = err instanceof Error ? err.message : String(err);
+      const detail = `cannot listen on ${address}: ${reason}`;
+      throw failures.raise({ type: 'internal', detail }, err);
+    }
   }
 
   close(): void {
+    this.port.close();
     this.server.forceShutdown();
   }
 }
--- a/packages/node/src/nodeProcess.ts
+++ b/packages/node/src/nodeProcess.ts
@@ -13,6 +13,7 @@
 import type * as roster from './membership/roster.js';
 import type * as callerServer from './requests/callerServer.js';
 import type * as forwardServer from './requests/forwardServer.js';
+import type * as peerDestination from './requests/peerDestination.js';
 import type * as upstreamClient from './requests/upstreamClient.js';
 import type * as settings from './settings.js';
 
@@ -23,6 +24,7 @@
   callers: callerServer.CallerServer;
   channels: peerChannels.PeerChannels;
   children: childServer.ChildServer;
+  connections: peerDestination.PeerConnections;
   forwards: forwardServer.ForwardServer;
   log: logging.Logger;
   parents: parentTask.ParentTask;
@@ -76,6 +78,7 @@
     local.setDraining();
     await backoff.sleep(Math.min(LEAVE_NOTICE_MS, this.cfg.drainTimeMs));
     callers.stopAccepting();
+    forwards.drain();
     while (callers.inFlight + forwards.inFlight > 0 && performance.now() < deadlineMs) {
       await backoff.sleep(DRAIN_POLL_MS);
     }
@@ -87,6 +90,7 @@
 
   private async close(): Promise<void> {
     const { admin, audit, callers, channels, children, peers, upstreams } = this.parts;
+    const { connections, forwards } = this.parts;
     children.close();
     this.state.members.remove(this.cfg.node, this.state.local.incarnation, '');
     await backoff.sleep(DRAIN_POLL_MS);
@@ -94,6 +98,8 @@
     await Promise.race([Promise.all(this.tasks), backoff.sleep(LEAVE_NOTICE_MS)]);
     await Promise.race([audit.settled(), backoff.sleep(LEAVE_NOTICE_MS)]);
     callers.close();
+    forwards.close();
+    connections.close();
     admin.close();
     peers.close();
     channels.close();
--- /dev/null
+++ b/packages/node/src/requests/__tests__/callerServer.test.ts
@@ -0,0 +1,217 @@
+import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
+import { describe, it } from 'node:test';
+import { failures } from '@godwittrack/core';
+import * as exchange from '../exchange.js';
+import * as fixtures from './requestFixtures.js';
+
+const TIMEOUT_MS = 400;
+
+async function settled(stack: fixtures.Stack): Promise<void> {
+  for (let n = 0; n < 100 && stack.gate.inFlight + stack.callers.inFlight > 0; n++) {
+    await timers.setTimeout(20);
+  }
+}
+
+describe('requests through a node', () => {
+  it('give back their slots however they end', async () => {
+    // Guards against slots that leak with HEAD, 204 and 304 answers and callers that leave.
+    const stack = await fixtures.createStack((req, res) => {
+      const status = Number(/status=(\d+)/.exec(req.url ?? '')?.[1] ?? 200);
+      if (req.url?.includes('slow')) return;
+      res.writeHead(status, status === 200 ? { 'Content-Length': 5 } : {});
+      res.end(req.method === 'HEAD' || status !== 200 ? undefined : 'hello');
+    });
+    for (let n = 0; n < 3; n++) {
+      assert.equal((await fixtures.call(stack.port, '/safe', { method: 'HEAD' })).status, 200);
+      assert.equal((await fixtures.call(stack.port, '/safe?status=204')).status, 204);
+      assert.equal((await fixtures.call(stack.port, '/safe?status=304')).status, 304);
+      const leaving = http.get({ host: '127.0.0.1', port: stack.port, path: '/safe?slow' });
+      leaving.on('error', () => undefined);
+      setTimeout(() => leaving.destroy(), 20);
+      await timers.setTimeout(60);
+    }
+    await settled(stack);
+    assert.deepEqual([stack.gate.inFlight, stack.callers.inFlight], [0, 0]);
+    assert.equal((await fixtures.call(stack.port, '/safe')).body.toString(), 'hello');
+    stack.close();
+  });
+
+  it('give back their slots when the caller does not read its answer', async () => {
+    const stack = await fixtures.createStack((_req, res) => {
+      res.end(Buffer.alloc(32 * 1024 * 1024));
+    });
+    const caller = net.connect(stack.port, '127.0.0.1');
+    caller.on('error', () => undefined);
+    caller.write('GET /safe HTTP/1.1\r\nHost: a\r\n\r\n');
+    caller.pause();
+    await timers.setTimeout(TIMEOUT_MS + 200);
+    await settled(stack);
+    assert.deepEqual([stack.gate.inFlight, stack.callers.inFlight], [0, 0]);
+    caller.destroy();
+    stack.close();
+  });
+
+  it('send a body with its framing, so that the upstream reads one request', async () => {
+    // Guards against a chunked GET or DELETE body that the upstream takes for another request.
+    const seen: string[] = [];
+    const stack = await fixtures.createStack((req, res) => {
+      req.resume();
+      req.on('end', () => {
+        seen.push(`${req.method} ${req.url}`);
+        res.end('ok');
+      });
+    });
+    const inner = 'POST /once HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n';
+    const chunked = `${inner.length.toString(16)}\r\n${inner}\r\n0\r\n\r\n`;
+    for (const method of ['GET', 'DELETE', 'OPTIONS']) {
+      const head = `${method} /safe HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n`;
+      await fixtures.raw(stack.port, `${head}Connection: close\r\n\r\n${chunked}`);
+    }
+    assert.deepEqual(seen, ['GET /safe', 'DELETE /safe', 'OPTIONS /safe']);
+    stack.close();
+  });
+
+  it('are refused when they are malformed, and only their connection is closed', async () => {
+    let runs = 0;
+    const stack = await fixtures.createStack((_req, res) => {
+      runs += 1;
+      res.end('ok');
+    });
+    const base = 'POST /safe HTTP/1.1\r\nHost: a\r\nConnection: close\r\n';
+    const malformed = [
+      `${base}Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
+      `${base}Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello`,
+      `${base}Transfer-Encoding: chunked\r\n\r\nzz\r\n`,
+      `${base}X: a\rb\r\n\r\n`,
+      'POST /safe HTTP/1.1\r\nHost: a\r\nHost: b\r\nConnection: close\r\n\r\n',
+      'GET /safe/../once HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n',
+      'GET /safe/%2e%2E/once HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n',
+      'GET /safe/..%2fonce HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n',
+      'GET //safe HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n',
+    ];
+    for (const text of malformed) {
+      assert.match(await fixtures.raw(stack.port, text), /^HTTP\/1.1 400 /, text);
+    }
+    const long = `GET /safe/${'x'.repeat(20_000)} HTTP/1.1\r\nHost: a\r\n\r\n`;
+    assert.match(await fixtures.raw(stack.port, long), /^HTTP\/1.1 431 /);
+    assert.equal(runs, 0);
+    assert.equal((await fixtures.call(stack.port, '/safe')).status, 200);
+    stack.close();
+  });
+
+  it('are refused with 413 when the upload passes the limit midway', async () => {
+    const stack = await fixtures.createStack((req) => {
+      req.resume();
+    });
+    const headers = { 'Transfer-Encoding': 'chunked' };
+    const body = Buffer.alloc(300 * 1024);
+    const options = { method: 'POST', headers, body };
+    const reply = await fixtures.call(stack.port, '/safe', options);
+    assert.equal(reply.status, 413);
+    assert.equal(reply.headers['x-godwittrack-outcome'], 'unknown');
+    await settled(stack);
+    assert.equal(stack.gate.inFlight, 0);
+    stack.close();
+  });
+
+  it('never carry the word of an upstream as that of the node', async () => {
+    const stack = await fixtures.createStack((_req, res) => {
+      res.setHeader('X-Godwittrack-Outcome', 'notRun');
+      res.end('ran');
+    });
+    const reply = await fixtures.call(stack.port, '/safe');
+    assert.equal(reply.headers['x-godwittrack-outcome'], undefined);
+    stack.close();
+  });
+
+  it('end at their deadline with an answer that says what is known', async () => {
+    const stack = await fixtures.createStack(() => undefined, { slots: 1 });
+    const reply = await fixtures.call(stack.port, '/safe', { headers: { 'x-request-id': 'mine' } });
+    assert.equal(reply.status, 504);
+    assert.equal(reply.headers['x-godwittrack-outcome'], 'unknown');
+    assert.equal(reply.headers['x-request-id'], 'mine');
+    assert.ok(Number(reply.headers['retry-after']) >= 1);
+    stack.close();
+  });
+
+  it('say notRun only for what no attempt can have run', async () => {
+    // Guards against a late refusal that hides an earlier attempt whose fate is unknown.
+    let attempts = 0;
+    class Flaky extends exchange.Destination {
+      override forward(): Promise<exchange.Answer> {
+        attempts += 1;
+        const { SERVICE: service } = fixtures;
+        return Promise.reject(
+          attempts === 1
+            ? failures.raise({ type: 'upstreamFailed', service, detail: 'reset', started: true })
+            : failures.raise({ type: 'queueFull', service, retryAfterMs: 10 }),
+        );
+      }
+    }
+    const stack = await fixtures.createStack(() => undefined, { wrap: () => new Flaky() });
+    const reply = await fixtures.call(stack.port, '/safe');
+    assert.equal(attempts, 2);
+    assert.equal(reply.headers['x-godwittrack-outcome'], 'unknown');
+    const plain = await fixtures.call(stack.port, '/safe');
+    assert.equal(plain.headers['x-godwittrack-outcome'], 'notRun');
+    stack.close();
+  });
+
+  it('run once where the route says so, and need a key', async () => {
+    let runs = 0;
+    const stack = await fixtures.createStack((req) => {
+      runs += 1;
+      req.socket.destroy();
+    });
+    const bare = await fixtures.call(stack.port, '/once', { method: 'POST' });
+    assert.equal(bare.status, 400);
+    assert.equal(bare.headers['x-godwittrack-outcome'], 'notRun');
+    const headers = { 'idempotency-key': 'k1' };
+    const reply = await fixtures.call(stack.port, '/once', { method: 'POST', headers });
+    assert.equal(reply.status, 502);
+    assert.equal(reply.headers['x-godwittrack-outcome'], 'unknown');
+    assert.equal(runs, 1);
+    const lost = await fixtures.call(stack.port, '/none', { method: 'POST', headers });
+    assert.equal(lost.headers['x-godwittrack-outcome'], 'unknown');
+    stack.close();
+  });
+
+  it('stop at the hop limit, also with a count that is no number', async () => {
+    const stack = await fixtures.createStack((req, res) => {
+      res.end(String(req.headers['x-godwittrack-hops']));
+    });
+    const withHops = (hops: string) =>
+      fixtures.call(stack.port, '/safe', { headers: { 'x-godwittrack-hops': hops } });
+    assert.equal((await withHops('3')).body.toString(), '4');
+    for (const hops of ['8', '-5', 'many', '1e1']) assert.equal((await withHops(hops)).status, 508);
+    stack.close();
+  });
+
+  it('are not given to an upstream that began to drain while they waited', async () => {
+    let runs = 0;
+    const stack = await fixtures.createStack(
+      (_req, res) => {
+        runs += 1;
+        setTimeout(() => res.end('ok'), 100);
+      },
+      { slots: 1 },
+    );
+    const first = fixtures.call(stack.port, '/safe');
+    await timers.setTimeout(30);
+    const waiting = fixtures.call(stack.port, '/safe');
+    await timers.setTimeout(30);
+    const { upstream } = stack.local;
+    if (upstream === null) throw new Error('no upstream');
+    const { service, version, address, slots, connections } = upstream;
+    stack.local.announce({ service, version, address, slots, connections, state: 'draining' });
+    assert.equal((await first).status, 200);
+    const refused = await waiting;
+    assert.equal(refused.status, 503);
+    assert.equal(refused.headers['x-godwittrack-outcome'], 'notRun');
+    assert.equal(runs, 1);
+    stack.close();
+  });
+});
--- /dev/null
+++ b/packages/node/src/requests/__tests__/forwarding.test.ts
@@ -0,0 +1,192 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
+import { after, before, describe, it } from 'node:test';
+import * as fc from 'fast-check';
+import { failures } from '@godwittrack/core';
+import type { requests } from '@godwittrack/protocol';
+import * as exchange from '../exchange.js';
+import * as forwardServer from '../forwardServer.js';
+import * as peerDestination from '../peerDestination.js';
+import * as peerPort from '../peerPort.js';
+import * as fixtures from './requestFixtures.js';
+
+const HEAD: requests.RequestHead = {
+  requestId: 'r1',
+  method: 'POST',
+  path: '/x',
+  headers: [],
+  service: fixtures.SERVICE,
+  version: '',
+  route: 'x',
+  timeoutMs: 5_000,
+  hops: 1,
+  priority: 5,
+  callingService: '',
+  configVersion: 1,
+};
+
+type Handler = (
+  head: requests.RequestHead,
+  body: exchange.RequestBody,
+  signal: AbortSignal,
+) => Promise<exchange.Answer>;
+
+class FakeDestination extends exchange.Destination {
+  handle: Handler = () => Promise.reject(new Error('not set'));
+
+  override forward(...args: Parameters<Handler>): Promise<exchange.Answer> {
+    return this.handle(...args);
+  }
+}
+
+function answer(body: exchange.Body, headers: requests.Header[] = []): exchange.Answer {
+  return { head: { status: 200, headers, requestId: 'r1', upstreamMs: 1 }, body };
+}
+
+async function readAll(body: exchange.Body): Promise<Buffer> {
+  const chunks: Uint8Array[] = [];
+  for await (const chunk of body) chunks.push(chunk);
+  return Buffer.concat(chunks);
+}
+
+async function* each(chunks: Uint8Array[]): exchange.Body {
+  for (const chunk of chunks) {
+    await timers.setImmediate();
+    yield chunk;
+  }
+}
+
+describe('forwarding between nodes', () => {
+  const local = new FakeDestination();
+  const server = new forwardServer.ForwardServer('n2', local, fixtures.SILENT);
+  const connections = new peerDestination.PeerConnections();
+  let accepted = 0;
+  const port = new peerPort.PeerPort({
+    grpc: (socket) => socket.destroy(),
+    forward: (socket) => {
+      accepted += 1;
+      server.accept(socket);
+    },
+  });
+  let peer: peerDestination.PeerDestination;
+
+  before(async () => {
+    const free = await fixtures.freePort();
+    await port.listen('127.0.0.1', free);
+    peer = new peerDestination.PeerDestination('n2', `127.0.0.1:${free}`, connections);
+  });
+
+  after(() => {
+    connections.close();
+    port.close();
+    server.close();
+  });
+
+  it('passes any body and any headers unchanged, in both directions', async () => {
+    const chunk = fc.uint8Array({ maxLength: 3_000 });
+    const fields = { name: fc.constantFrom('a', 'b', 'A'), value: fc.string() };
+    const header = fc.record(fields, { noNullPrototype: true });
+    const property = fc.asyncProperty(
+      fc.array(chunk, { maxLength: 4 }),
+      fc.array(chunk, { maxLength: 4 }),
+      fc.array(header, { maxLength: 4 }),
+      fc.boolean(),
+      async (sent, returned, headers, whole) => {
+        local.handle = async (head, body) => {
+          assert.deepEqual(head.headers, headers);
+          assert.ok((await readAll(body.chunks)).equals(Buffer.concat(sent)));
+          return answer(each(returned), headers);
+        };
+        const all = Buffer.concat(sent);
+        const body = whole ? exchange.wholeBody(all) : { whole: null, chunks: each(sent) };
+        const { signal } = new AbortController();
+        const got = await peer.forward({ ...HEAD, headers }, body, signal);
+        assert.deepEqual(got.head.headers, headers);
+        assert.ok((await readAll(got.body)).equals(Buffer.concat(returned)));
+      },
+    );
+    await fc.assert(property, { numRuns: 60 });
+  });
+
+  it('uses a connection again after a whole answer', async () => {
+    // Guards against closing the connection between the last frame and the end of the message.
+    local.handle = () => Promise.resolve(answer(exchange.bodyOf(Buffer.alloc(100))));
+    const earlier = accepted;
+    for (let n = 0; n < 20; n++) {
+      const got = await peer.forward(HEAD, exchange.wholeBody(), new AbortController().signal);
+      await readAll(got.body);
+      await exchange.discard(got.body);
+      await timers.setImmediate();
+    }
+    assert.ok(accepted - earlier <= 2, `${accepted - earlier} connections for 20 requests`);
+  });
+
+  it('reports an answer that breaks off as incomplete', async () => {
+    async function* broken(): exchange.Body {
+      yield Buffer.alloc(70_000);
+      await timers.setTimeout(5);
+      const { SERVICE: service } = fixtures;
+      throw failures.raise({ type: 'answerIncomplete', service, detail: 'cut' });
+    }
+    local.handle = () => Promise.resolve(answer(broken()));
+    const got = await peer.forward(HEAD, exchange.wholeBody(), new AbortController().signal);
+    await assert.rejects(readAll(got.body), /answerIncomplete/);
+  });
+
+  it('tells a request that never left from one whose fate is unknown', async () => {
+    const nowhere = new peerDestination.PeerDestination(
+      'n3',
+      `127.0.0.1:${await fixtures.freePort()}`,
+      connections,
+    );
+    const { signal } = new AbortController();
+    await assert.rejects(nowhere.forward(HEAD, exchange.wholeBody(), signal), /started=false/);
+    const deaf = net.createServer((socket) => {
+      socket.once('data', () => socket.destroy());
+    });
+    await new Promise<void>((resolve) => {
+      deaf.listen(0, '127.0.0.1', resolve);
+    });
+    const address = `127.0.0.1:${(deaf.address() as net.AddressInfo).port}`;
+    const dying = new peerDestination.PeerDestination('n4', address, connections);
+    await assert.rejects(dying.forward(HEAD, exchange.wholeBody(), signal), /started=true/);
+    deaf.close();
+  });
+
+  it('cancels the work at the destination when the entry node gives up', async () => {
+    const cancelled = new Promise<void>((resolve) => {
+      local.handle = (_head, _body, signal) =>
+        new Promise((_resolve, reject) => {
+          signal.addEventListener('abort', () => {
+            resolve();
+            reject(failures.raise({ type: 'cancelled', detail: 'test' }));
+          });
+        });
+    });
+    const own = new AbortController();
+    const pending = peer.forward(HEAD, exchange.wholeBody(), own.signal);
+    await timers.setTimeout(30);
+    const reason = { type: 'deadlineExceeded', timeoutMs: 1, retryAfterMs: 1 } as const;
+    own.abort(failures.raise(reason));
+    await assert.rejects(pending, /deadlineExceeded/);
+    await cancelled;
+  });
+
+  it('refuses as draining what arrives late, and finishes what runs', async () => {
+    let finish = () => {};
+    local.handle = async () => {
+      await new Promise<void>((resolve) => {
+        finish = resolve;
+      });
+      return answer(exchange.bodyOf(Buffer.from('done')));
+    };
+    const { signal } = new AbortController();
+    const running = peer.forward(HEAD, exchange.wholeBody(), signal);
+    await timers.setTimeout(30);
+    server.drain();
+    await assert.rejects(peer.forward(HEAD, exchange.wholeBody(), signal), /draining/);
+    finish();
+    assert.equal((await readAll((await running).body)).toString(), 'done');
+  });
+});
--- a/packages/node/src/requests/balancer.ts
+++ b/packages/node/src/requests/balancer.ts
@@ -16,19 +16,28 @@
   address: string;
   slots: number;
   version: string;
+  incarnation: number;
 }
 
+/** How a request ended, as far as it speaks for or against the server. */
+export type Ending = 'ok' | 'busy' | 'failed' | 'unreachable' | 'neutral';
+
 /** Nearest first: same failure domain, same region, across a link. */
 type Locality = 0 | 1 | 2;
 
 interface Health {
+  incarnation: number;
   outstanding: number;
+  /** Until then the server is passed over because it refused a request for want of room. */
+  busyUntilMs: number;
   consecutiveFailures: number;
   ejections: number;
   ejectedUntilMs: number;
 }
 
 const MAX_EJECTION_DOUBLINGS = 6;
+/** Short against the time in which queues change, so that a server with room is soon used again. */
+const BUSY_MS = 25;
 
 export class Balancer {
   private readonly health = new Map<string, Health>();
@@ -52,16 +61,18 @@
     const tiers = this.candidates().get(indexKey(service, version));
     if (tiers === undefined) return null;
     const nowMs = this.time.monotonicMs();
-    for (const tier of tiers) {
-      const usable = tier.filter(
-        ({ node }) => !exclude.has(node) && this.healthOf(node).ejectedUntilMs <= nowMs,
-      );
-      const chosen = this.leastLoadedOfTwo(usable);
+    const left = tiers.map((tier) => tier.filter(({ node }) => !exclude.has(node)));
+    const usable = left.map((tier) =>
+      tier.filter(({ node }) => this.healthOf(node).ejectedUntilMs <= nowMs),
+    );
+    for (const tier of usable) {
+      // A full locality is left for the next one before its servers have to refuse.
+      const free = tier.filter((candidate) => this.hasRoom(candidate, nowMs));
+      const chosen = this.leastLoadedOfTwo(free);
       if (chosen !== null) return chosen;
     }
-    // When everything is ejected, an ejected server is better than none.
-    const rest = tiers.flat().filter(({ node }) => !exclude.has(node));
-    return this.leastLoadedOfTwo(rest);
+    // When everything is full or ejected, such a server is better than none.
+    return this.leastLoadedOfTwo(usable.flat()) ?? this.leastLoadedOfTwo(left.flat());
   }
 
   /** Versions of a service that have at least one usable server. */
@@ -79,26 +90,37 @@
     return this.candidates().get(indexKey(service, version))?.flat().length ?? 0;
   }
 
-  begin(node: string): void {
-    this.healthOf(node).outstanding += 1;
+  begin(candidate: Candidate): void {
+    const health = this.healthOf(candidate.node);
+    if (health.incarnation < candidate.incarnation) {
+      // A node that has restarted is not held to what its earlier life did.
+      Object.assign(health, createHealth(), { outstanding: health.outstanding });
+      health.incarnation = candidate.incarnation;
+    }
+    health.outstanding += 1;
   }
 
-  /** Notes the end of a request; a failure is one that speaks against the server. */
+  /** Notes the end of a request. */
   end(
     candidate: Candidate,
     service: string,
-    failed: boolean,
+    ending: Ending,
     limits: resources.ServiceSpec['outlier'],
   ): void {
     const health = this.healthOf(candidate.node);
     health.outstanding = Math.max(0, health.outstanding - 1);
-    if (!failed) {
+    if (health.incarnation > candidate.incarnation) return;
+    if (ending === 'ok') {
       health.consecutiveFailures = 0;
       health.ejections = 0;
-      return;
     }
-    health.consecutiveFailures += 1;
-    if (health.consecutiveFailures < limits.consecutiveFailures) return;
+    if (ending === 'busy') health.busyUntilMs = this.time.monotonicMs() + BUSY_MS;
+    if (ending === 'failed') health.consecutiveFailures += 1;
+    // Nothing listens there: no further request is spent on finding that out again.
+    const decided =
+      ending === 'unreachable' ||
+      (ending === 'failed' && health.consecutiveFailures >= limits.consecutiveFailures);
+    if (!decided || this.isEjected(candidate.node)) return;
     if (!this.mayEject(candidate, service, limits.maxEjectedPct)) return;
     const factor = 2 ** Math.min(health.ejections, MAX_EJECTION_DOUBLINGS);
     health.ejectedUntilMs = this.time.monotonicMs() + limits.ejectionTime * factor;
@@ -119,12 +141,19 @@
 
   private leastLoadedOfTwo(candidates: readonly Candidate[]): Candidate | null {
     if (candidates.length === 0) return null;
-    const first = candidates[Math.floor(this.random() * candidates.length)];
-    const second = candidates[Math.floor(this.random() * candidates.length)];
+    const at = Math.floor(this.random() * candidates.length);
+    // Two different ones: with two servers, drawing the same twice would ignore load half the time.
+    const step = 1 + Math.floor(this.random() * (candidates.length - 1));
+    const first = candidates[at];
+    const second = candidates[(at + step) % candidates.length];
     if (first === undefined || second === undefined) return null;
     return this.load(second) < this.load(first) ? second : first;
   }
 
+  private hasRoom(candidate: Candidate, nowMs: number): boolean {
+    return this.healthOf(candidate.node).busyUntilMs <= nowMs && this.load(candidate) < 1;
+  }
+
   private load(candidate: Candidate): number {
     return this.healthOf(candidate.node).outstanding / Math.max(1, candidate.slots);
   }
@@ -132,7 +161,7 @@
   private healthOf(node: string): Health {
     let health = this.health.get(node);
     if (health === undefined) {
-      health = { outstanding: 0, consecutiveFailures: 0, ejections: 0, ejectedUntilMs: 0 };
+      health = createHealth();
       this.health.set(node, health);
     }
     return health;
@@ -172,6 +201,7 @@
       address: near ? member.peerAddress : member.externalPeerAddress,
       slots: upstream.slots,
       version: upstream.version,
+      incarnation: member.incarnation,
     });
   }
 
@@ -188,6 +218,17 @@
   }
 }
 
+function createHealth(): Health {
+  return {
+    incarnation: 0,
+    outstanding: 0,
+    busyUntilMs: 0,
+    consecutiveFailures: 0,
+    ejections: 0,
+    ejectedUntilMs: 0,
+  };
+}
+
 function indexKey(service: string, version: string): string {
   return `${service}\u0000${version}`;
 }
--- a/packages/node/src/requests/callerServer.ts
+++ b/packages/node/src/requests/callerServer.ts
@@ -15,6 +15,9 @@
 import type * as dispatcher from './dispatcher.js';
 import * as exchange from './exchange.js';
 import * as httpFailures from './httpFailures.js';
+import * as outgoing from './outgoing.js';
+import * as refusals from './refusals.js';
+import * as requestPath from './requestPath.js';
 import * as replayBody from './replayBody.js';
 import * as router from './router.js';
 
@@ -71,20 +74,27 @@
     const startMs = performance.now();
     const gone = new AbortController();
     res.on('close', () => {
-      if (!res.writableFinished) gone.abort();
+      if (res.writableFinished) return;
+      gone.abort(failures.raise({ type: 'cancelled', detail: 'the caller left' }));
     });
-    const requestId = headerOf(req, 'x-request-id') || crypto.randomUUID();
+    // A connection that is open when the listener stops would be closed under its next request.
+    if (this.local.isDraining) res.shouldKeepAlive = false;
+    const given = headerOf(req, 'x-request-id');
+    const requestId = given === '' ? crypto.randomUUID() : given;
+    const state: RequestState = { request: null };
     this.active += 1;
     let outcome = 'answered';
     try {
-      await this.answer(req, res, requestId, gone);
+      await this.answer(req, res, requestId, gone, state);
     } catch (err) {
       const failure = failures.of(err);
       outcome = failure.type;
       if (failure.type === 'internal') this.log.error({ err, requestId }, 'Request failed.');
       else this.log.debug({ failure, requestId }, 'Request failed.');
-      httpFailures.send(res, failure, requestId);
+      httpFailures.send(res, failure, requestId, mayHaveRun(state, req, failure));
     } finally {
+      // What is not handed to the system yet would be lost if the process ended now.
+      await outgoing.flushed(res);
       this.active -= 1;
       const ms = performance.now() - startMs;
       this.meters.observeMs('godwittrack_request_seconds', ms);
@@ -97,32 +107,46 @@
     res: http.ServerResponse,
     requestId: string,
     gone: AbortController,
+    state: RequestState,
   ): Promise<void> {
+    const startMs = performance.now();
     const route = this.routeOf(req);
     const head = this.headOf(req, route, requestId);
-    const timer = setTimeout(() => gone.abort(), head.timeoutMs);
+    const { timeoutMs } = head;
+    const expire = () => {
+      const retryAfterMs = constants.SHORT_RETRY_AFTER_MS;
+      gone.abort(failures.raise({ type: 'deadlineExceeded', timeoutMs, retryAfterMs }));
+    };
+    const timer = setTimeout(expire, timeoutMs);
     try {
       const body = new replayBody.ReplayBody(req, this.cfg.limits.maxBodyBytes);
-      const answer = await this.dispatch.dispatch(
-        { route, head, body: () => body.open() },
-        gone.signal,
-      );
-      res.writeHead(answer.head.status, exchange.flattenHeaders(answerHeaders(answer, requestId)));
-      for await (const chunk of answer.body) {
-        if (!res.write(chunk)) await Promise.race([once(res, 'drain'), once(res, 'close')]);
+      if (!body.isReady) await raceAbort(body.prefetch(), gone.signal);
+      const idempotencyKey = headerOf(req, 'idempotency-key');
+      const remainingMs = timeoutMs - (performance.now() - startMs);
+      state.request = {
+        route,
+        head: { ...head, timeoutMs: Math.max(1, Math.ceil(remainingMs)) },
+        body: () => body.open(),
+        wholeBody: body.whole,
+        idempotencyKey,
+        mayHaveRun: route.semantics === 'once' && idempotencyKey !== '',
+      };
+      const answer = await this.dispatch.dispatch(state.request, gone.signal);
+      try {
+        await relay(res, answer, requestId, gone.signal);
+      } finally {
+        await exchange.discard(answer.body);
       }
-      res.end();
     } catch (err) {
-      const late = gone.signal.aborted && !res.destroyed;
-      if (!late) throw err;
-      const { timeoutMs } = head;
-      throw failures.raise({ type: 'deadlineExceeded', timeoutMs, retryAfterMs: 0 }, err);
+      // What was refused with proof stays so, also when the deadline passes at that moment.
+      if (!refusals.provesNotStarted(failures.of(err))) exchange.throwReason(gone.signal);
+      throw err;
     } finally {
       clearTimeout(timer);
     }
   }
 
-  /** @throws notReady, draining, noRoute */
+  /** @throws notReady, invalidRequest, noRoute */
   private routeOf(req: http.IncomingMessage): configuration.Route {
     const retryAfterMs = constants.SHORT_RETRY_AFTER_MS;
     if (!this.local.isReady) {
@@ -130,6 +154,8 @@
       throw failures.raise({ type: 'notReady', detail, retryAfterMs });
     }
     const { method = 'GET', url: path = '/' } = req;
+    const problem = requestPath.problemOf(path) ?? hostProblem(req);
+    if (problem !== null) throw failures.raise({ type: 'invalidRequest', problems: [problem] });
     const route = this.routes.match({ method, path, host: req.headers.host ?? '' });
     if (route === null) throw failures.raise({ type: 'noRoute', method, path });
     return route;
@@ -140,7 +166,7 @@
     route: configuration.Route,
     requestId: string,
   ): requests.RequestHead {
-    const hops = Number(headerOf(req, 'x-godwittrack-hops')) || 0;
+    const hops = hopsOf(headerOf(req, 'x-godwittrack-hops'));
     if (hops >= constants.MAX_HOPS) {
       throw failures.raise({ type: 'tooManyHops', hops, limit: constants.MAX_HOPS });
     }
@@ -170,7 +196,74 @@
   return typeof value === 'string' ? value : '';
 }
 
-function answerHeaders(answer: exchange.Answer, requestId: string): requests.Header[] {
-  const rest = answer.head.headers.filter(({ name }) => name.toLowerCase() !== 'x-request-id');
-  return [...rest, { name: 'X-Request-Id', value: requestId }];
+/** What is known of a request when it fails; null before its dispatch. */
+interface RequestState {
+  request: dispatcher.CallerRequest | null;
+}
+
+/** Before dispatch a key is not looked up, so an earlier request with it may have run. */
+function mayHaveRun(
+  { request }: RequestState,
+  req: http.IncomingMessage,
+  failure: failures.Failure,
+): boolean {
+  if (request !== null) return request.mayHaveRun;
+  return headerOf(req, 'idempotency-key') !== '' && failure.type !== 'keyRequired';
+}
+
+async function relay(
+  res: http.ServerResponse,
+  answer: dispatcher.DispatchedAnswer,
+  requestId: string,
+  signal: AbortSignal,
+): Promise<void> {
+  const { status } = answer.head;
+  const chunks = answer.body[Symbol.asyncIterator]();
+  let next = await chunks.next();
+  res.writeHead(status, exchange.flattenHeaders(answerHeaders(answer, requestId)));
+  while (!next.done) {
+    const chunk = next.value;
+    const following = chunks.next();
+    const ready = await outgoing.nextAtHand(following);
+    if (ready?.done === true) {
+      // One write for head, body and end of a small answer.
+      res.end(chunk);
+      return;
+    }
+    await outgoing.write(res, chunk, signal);
+    exchange.throwReason(signal);
+    next = ready ?? (await following);
+  }
+  res.end();
+}
+
+function answerHeaders(answer: dispatcher.DispatchedAnswer, requestId: string): requests.Header[] {
+  const headers = answer.head.headers.filter(({ name }) => name.toLowerCase() !== 'x-request-id');
+  headers.push({ name: 'X-Request-Id', value: requestId });
+  if (answer.replayed) headers.push({ name: 'X-Godwittrack-Outcome', value: 'replayed' });
+  return headers;
+}
+
+/** Anything but a small whole number counts as the limit: a lost count must not allow a loop. */
+function hopsOf(text: string): number {
+  if (text === '') return 0;
+  return /^\d{1,3}$/.test(text) ? Number(text) : constants.MAX_HOPS;
+}
+
+/** Two hosts may be routed by one and served by the other. */
+function hostProblem(req: http.IncomingMessage): failures.Problem | null {
+  const hosts = req.rawHeaders.filter((name, i) => i % 2 === 0 && name.toLowerCase() === 'host');
+  return hosts.length > 1 ? { path: 'Host', message: 'is given more than once' } : null;
+}
+
+async function raceAbort(work: Promise<void>, signal: AbortSignal): Promise<void> {
+  let stop = () => {};
+  const aborted = new Promise<void>((resolve) => {
+    stop = resolve;
+    signal.addEventListener('abort', stop);
+  });
+  await Promise.race([work, aborted]);
+  signal.removeEventListener('abort', stop);
+  work.catch(() => undefined);
+  exchange.throwReason(signal);
 }
--- a/packages/node/src/requests/dispatcher.ts
+++ b/packages/node/src/requests/dispatcher.ts
@@ -3,17 +3,20 @@
  * where nothing can have run, or where it may run twice.
  */
 
-import { configuration, failures } from '@godwittrack/core';
+import * as crypto from 'node:crypto';
+import { failures } from '@godwittrack/core';
+import type { configuration } from '@godwittrack/core';
 import type { requests } from '@godwittrack/protocol';
 import type * as configStore from '../config/configStore.js';
 import * as constants from '../constants.js';
-import type * as peerChannels from '../distribution/peerChannels.js';
 import type * as metrics from '../metrics/metrics.js';
 import type * as settings from '../settings.js';
+import * as attemptTime from './attemptTime.js';
 import type * as balancer from './balancer.js';
-import type * as exchange from './exchange.js';
-import * as peerDestination from './peerDestination.js';
+import * as exchange from './exchange.js';
+import type * as onceGuard from './onceGuard.js';
 import * as refusals from './refusals.js';
+import * as replayBody from './replayBody.js';
 import type * as retryBudget from './retryBudget.js';
 import type * as versionChooser from './versionChooser.js';
 
@@ -22,44 +25,125 @@
   route: configuration.Route;
   head: requests.RequestHead;
   /** Gives the body from its start; null when it can be read only once and has been. */
-  body: () => exchange.Body | null;
+  body: () => exchange.RequestBody | null;
+  /** The whole body when it was small enough to be read before dispatch. */
+  wholeBody: Uint8Array | null;
+  /** Empty when the caller sent none. */
+  idempotencyKey: string;
+  /**
+   * False while it is proved that nothing ran: for this request, and for earlier ones with the same
+   * idempotency key. Kept up to date by the dispatcher; refusals to the caller follow it.
+   */
+  mayHaveRun: boolean;
 }
 
+export interface DispatchedAnswer extends exchange.Answer {
+  /** The recorded answer of an earlier request with the same key. */
+  replayed: boolean;
+}
+
+/** Gives the destination at a server. */
+export type DestinationOf = (candidate: balancer.Candidate) => exchange.Destination;
+
 const MAX_ATTEMPTS = 4;
 const SERVER_ERROR = 500;
+const SHED_STATUS = 503;
+const NO_EJECTION = { consecutiveFailures: 1, ejectionTime: 0, maxEjectedPct: 0 };
+
+interface Attempt {
+  request: CallerRequest;
+  chosen: balancer.Candidate;
+  body: exchange.RequestBody;
+  remainingMs: number;
+  signal: AbortSignal;
+}
 
 export class Dispatcher {
+  private readonly times = new attemptTime.AttemptTimes();
+
   constructor(
     private readonly cfg: settings.ResolvedSettings,
     private readonly config: configStore.ConfigStore,
     private readonly servers: balancer.Balancer,
     private readonly versions: versionChooser.VersionChooser,
-    private readonly local: exchange.Destination,
-    private readonly channels: peerChannels.PeerChannels,
+    private readonly destinationOf: DestinationOf,
+    private readonly guard: onceGuard.OnceGuard,
     private readonly budget: retryBudget.RetryBudget,
     private readonly meters: metrics.Metrics,
   ) {}
 
-  /** @throws the failure of the last attempt */
-  async dispatch(request: CallerRequest, signal: AbortSignal): Promise<exchange.Answer> {
-    const { route } = request;
+  /** @throws the failure of the last attempt, or of the last one that may have run */
+  async dispatch(request: CallerRequest, signal: AbortSignal): Promise<DispatchedAnswer> {
     const startMs = performance.now();
+    this.budget.request(request.route.service);
+    if (request.route.semantics === 'once') return this.dispatchOnce(request, startMs, signal);
+    const answer = await this.attempts(request, startMs, signal, () => true);
+    return { ...answer, replayed: false };
+  }
+
+  private async dispatchOnce(
+    request: CallerRequest,
+    startMs: number,
+    signal: AbortSignal,
+  ): Promise<DispatchedAnswer> {
+    const { route, head, idempotencyKey: key } = request;
+    if (key === '') throw failures.raise({ type: 'keyRequired', route: route.name });
+    const outcome = await this.guard.claim({
+      service: route.service,
+      key,
+      fingerprint: fingerprintOf(request),
+      timeoutMs: head.timeoutMs,
+    });
+    if (outcome.type === 'replayed') return { ...outcome.answer, replayed: true };
+    const { claim } = outcome;
+    request.mayHaveRun = false;
+    let dispatched = false;
+    try {
+      const answer = await this.attempts(request, startMs, signal, () => {
+        dispatched = claim.beginDispatch();
+        return dispatched;
+      });
+      return { ...answer, body: recordAnswer(answer, claim), replayed: false };
+    } catch (err) {
+      if (request.mayHaveRun) throw err;
+      const given = claim.release(dispatched);
+      if (given.type === 'notRun') throw err;
+      request.mayHaveRun = true;
+      throw failures.raise(given, err);
+    }
+  }
+
+  private async attempts(
+    request: CallerRequest,
+    startMs: number,
+    signal: AbortSignal,
+    begin: () => boolean,
+  ): Promise<exchange.Answer> {
+    const { route } = request;
     const tried = new Set<string>();
-    this.budget.request(route.service);
     let last: failures.FailureError | null = null;
+    let latest: failures.Failure | null = null;
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       const remainingMs = request.head.timeoutMs - (performance.now() - startMs);
-      const chosen = this.choose(route, tried);
+      const chosen = this.choose(route, tried) ?? this.chooseAgain(route, latest);
       const body = request.body();
-      if (chosen === null || body === null || remainingMs <= 0) break;
+      if (chosen === null || body === null || remainingMs <= 0 || !begin()) break;
       try {
-        return await this.attempt(request, chosen, body, Math.ceil(remainingMs), signal);
+        const answer = await this.attempt({ request, chosen, body, remainingMs, signal });
+        tried.add(chosen.node);
+        if (!this.isShedElsewhere(request, answer, tried)) return answer;
+        await exchange.discard(answer.body);
       } catch (err) {
-        last = err instanceof failures.FailureError ? err : failures.raise(failures.of(err), err);
+        const failed =
+          err instanceof failures.FailureError ? err : failures.raise(failures.of(err));
+        latest = failed.failure;
+        // A later refusal must not hide that an earlier attempt may have run.
+        const hides = request.mayHaveRun && refusals.provesNotStarted(failed.failure);
+        if (last === null || !hides) last = failed;
         tried.add(chosen.node);
-        if (signal.aborted || !this.mayRetry(route, last.failure)) throw last;
-        this.meters.increment('godwittrack_retries_total', { service: route.service });
+        if (signal.aborted || !this.mayRetry(route, failed.failure)) throw last;
       }
+      this.meters.increment('godwittrack_retries_total', { service: route.service });
     }
     throw last ?? this.noUpstream(route);
   }
@@ -76,40 +160,87 @@
     return any === undefined ? null : this.servers.pick(route.service, any, tried);
   }
 
-  private async attempt(
-    request: CallerRequest,
-    chosen: balancer.Candidate,
-    body: exchange.Body,
-    timeoutMs: number,
-    signal: AbortSignal,
-  ): Promise<exchange.Answer> {
+  /** The only server may be tried again when its connection broke, for example a stale one. */
+  private chooseAgain(
+    route: configuration.Route,
+    latest: failures.Failure | null,
+  ): balancer.Candidate | null {
+    const broke = latest?.type === 'upstreamFailed' && latest.started;
+    return broke && route.semantics !== 'once' ? this.choose(route, new Set()) : null;
+  }
+
+  private async attempt(of: Attempt): Promise<exchange.Answer> {
+    const { request, chosen, body, signal } = of;
     const { route } = request;
-    const head = { ...request.head, version: chosen.version, timeoutMs };
-    const destination =
-      chosen.node === this.cfg.node
-        ? this.local
-        : new peerDestination.PeerDestination(
-            chosen.node,
-            this.channels.get(chosen.address).requests,
-          );
-    const outlier = this.config.current.services.get(route.service)?.outlier;
-    const finish = (failed: boolean) => {
-      if (outlier !== undefined) this.servers.end(chosen, route.service, failed, outlier);
+    const repeatable = route.semantics !== 'once';
+    const startMs = performance.now();
+    const attemptMs = repeatable ? this.times.limitMs(route.name, of.remainingMs) : of.remainingMs;
+    const head = { ...request.head, version: chosen.version, timeoutMs: Math.ceil(of.remainingMs) };
+    const own = new AbortController();
+    const cancel = () => own.abort(signal.reason);
+    const expire = () => {
+      this.times.observeTimeout(route.name, attemptMs);
+      const operation = `attempt at ${chosen.node}`;
+      own.abort(failures.raise({ type: 'timeout', operation, timeoutMs: Math.round(attemptMs) }));
     };
-    this.servers.begin(chosen.node);
+    signal.addEventListener('abort', cancel);
+    if (signal.aborted) cancel();
+    const timer = repeatable ? setTimeout(expire, attemptMs) : undefined;
+    const before = request.mayHaveRun;
+    request.mayHaveRun = true;
+    this.servers.begin(chosen);
     try {
-      const answer = await destination.forward(head, body, signal);
-      const failed = answer.head.status >= SERVER_ERROR;
-      return { head: answer.head, body: finishAfter(answer.body, failed, finish) };
+      const answer = await this.destinationOf(chosen).forward(head, body, own.signal);
+      this.times.observe(route.name, performance.now() - startMs);
+      const ending = endingOf(answer.head.status);
+      return {
+        head: answer.head,
+        body: exchange.settleAfter(answer.body, (err) => {
+          signal.removeEventListener('abort', cancel);
+          this.finish(of, err === null ? ending : endingOfFailure(failures.of(err), signal));
+        }),
+      };
     } catch (err) {
-      finish(speaksAgainstServer(failures.of(err), signal));
+      signal.removeEventListener('abort', cancel);
+      const failure = failures.of(err);
+      if (refusals.provesNotStarted(failure)) request.mayHaveRun = before;
+      this.finish(of, endingOfFailure(failure, signal));
       throw err;
+    } finally {
+      clearTimeout(timer);
     }
   }
 
+  private finish({ request, chosen }: Attempt, ending: balancer.Ending): void {
+    const { service } = request.route;
+    const outlier = this.config.current.services.get(service)?.outlier;
+    this.servers.end(chosen, service, ending, outlier ?? NO_EJECTION);
+  }
+
+  /** Whether a request that the upstream itself shed is tried at another server. */
+  private isShedElsewhere(
+    { route, wholeBody }: CallerRequest,
+    answer: exchange.Answer,
+    tried: ReadonlySet<string>,
+  ): boolean {
+    if (answer.head.status !== SHED_STATUS || route.semantics === 'once') return false;
+    if (this.choose(route, tried) === null || wholeBody === null) return false;
+    return this.takeRetry(route);
+  }
+
   private mayRetry(route: configuration.Route, failure: failures.Failure): boolean {
-    const repeatable = route.semantics !== 'once' && failure.type !== 'cancelled';
+    // A planned stop is not a sign of overload, and each server stops once: not budgeted.
+    if (failure.type === 'draining') return true;
+    const repeatable =
+      route.semantics !== 'once' &&
+      failure.type !== 'cancelled' &&
+      failure.type !== 'bodyTooLarge' &&
+      failure.type !== 'deadlineExceeded';
     if (!refusals.provesNotStarted(failure) && !repeatable) return false;
+    return this.takeRetry(route);
+  }
+
+  private takeRetry(route: configuration.Route): boolean {
     const service = this.config.current.services.get(route.service);
     return this.budget.takeRetry(route.service, service?.retryBudgetPct ?? 0);
   }
@@ -124,25 +255,51 @@
   }
 }
 
+/** A server that sheds load is busy, not faulty. */
+function endingOf(status: number): balancer.Ending {
+  if (status === SHED_STATUS) return 'busy';
+  return status >= SERVER_ERROR ? 'failed' : 'ok';
+}
+
 /** A refusal under load and a caller that went away say nothing against the server. */
-function speaksAgainstServer(failure: failures.Failure, signal: AbortSignal): boolean {
-  if (signal.aborted) return false;
-  return failure.type !== 'queueFull' && failure.type !== 'draining' && failure.type !== 'notRun';
+function endingOfFailure(failure: failures.Failure, signal: AbortSignal): balancer.Ending {
+  if (signal.aborted && failure.type !== 'deadlineExceeded') return 'neutral';
+  if (failure.type === 'cancelled' || failure.type === 'bodyTooLarge') return 'neutral';
+  if (failure.type === 'upstreamFailed' && !failure.started) return 'unreachable';
+  return refusals.provesNotStarted(failure) ? 'busy' : 'failed';
 }
 
-async function* finishAfter(
-  body: exchange.Body,
-  failed: boolean,
-  finish: (failed: boolean) => void,
-): exchange.Body {
-  let broken = true;
-  try {
-    yield* body;
-    broken = false;
-  } catch (err) {
-    finish(true);
-    throw err;
-  } finally {
-    if (!broken) finish(failed);
-  }
+/** A body that is not at hand counts by its declared length only. */
+function fingerprintOf({ head, wholeBody }: CallerRequest): string {
+  const hash = crypto.createHash('sha256').update(`${head.method} ${head.path}\n`);
+  if (wholeBody !== null) hash.update(wholeBody);
+  else hash.update(exchange.headerValue(head.headers, 'content-length') ?? 'chunked');
+  return hash.digest('hex');
+}
+
+/** Passes the answer on and records it once it is whole; a broken one leaves the outcome unknown. */
+function recordAnswer(answer: exchange.Answer, claim: onceGuard.OnceClaim): exchange.Body {
+  const { status, headers } = answer.head;
+  const inner = answer.body[Symbol.asyncIterator]();
+  const kept: Uint8Array[] = [];
+  let keptBytes = 0;
+  const iterator: AsyncIterableIterator<Uint8Array> = {
+    [Symbol.asyncIterator]: () => iterator,
+    async next() {
+      const result = await inner.next();
+      if (result.done) {
+        const fits = keptBytes <= replayBody.REPLAY_LIMIT_BYTES;
+        claim.complete({ status, headers, body: fits ? Buffer.concat(kept) : null });
+        return result;
+      }
+      keptBytes += result.value.length;
+      if (keptBytes <= replayBody.REPLAY_LIMIT_BYTES) kept.push(result.value);
+      return result;
+    },
+    async return() {
+      await inner.return?.();
+      return { done: true, value: undefined };
+    },
+  };
+  return iterator;
 }
--- a/packages/node/src/requests/exchange.ts
+++ b/packages/node/src/requests/exchange.ts
@@ -1,27 +1,97 @@
 /** A request and its answer as they pass between the parts of a node. */
 
+import type { failures } from '@godwittrack/core';
 import type { requests } from '@godwittrack/protocol';
 
 export type Body = AsyncIterable<Uint8Array>;
 
+export interface RequestBody {
+  /** The whole body when it is at hand; `chunks` then repeats it. */
+  readonly whole: Uint8Array | null;
+  readonly chunks: Body;
+}
+
 export interface Answer {
   head: requests.ResponseHead;
-  /** Ends normally only when the answer is whole; otherwise throws `answerIncomplete`. */
+  /**
+   * Ends normally only when the answer is whole; otherwise throws `answerIncomplete`. Its owner
+   * reads it to the end or passes it to `discard`.
+   */
   body: Body;
 }
 
 /** Where a request can be sent: the local upstream, or the node beside another one. */
 export abstract class Destination {
   /**
-   * Sends a request and waits for the head of the answer.
-   * @throws queueFull, draining, notRun: the upstream did not start the request
-   * @throws upstreamFailed, peerUnavailable, deadlineExceeded, cancelled
+   * Sends a request and waits for the head of the answer. When `signal` is aborted with a
+   * `FailureError` as its reason, that failure is thrown.
+   * @throws queueFull, draining, noUpstream, notRun: the upstream did not start the request
+   * @throws upstreamFailed, answerIncomplete, protocolViolation, deadlineExceeded, bodyTooLarge
    */
-  abstract forward(head: requests.RequestHead, body: Body, signal: AbortSignal): Promise<Answer>;
+  abstract forward(
+    head: requests.RequestHead,
+    body: RequestBody,
+    signal: AbortSignal,
+  ): Promise<Answer>;
+}
+
+const NO_BYTES = new Uint8Array(0);
+
+/** Body that is at hand as a whole. */
+export function wholeBody(whole: Uint8Array = NO_BYTES): RequestBody {
+  return { whole, chunks: bodyOf(whole) };
+}
+
+export async function* bodyOf(whole: Uint8Array): Body {
+  if (whole.length > 0) yield whole;
 }
 
-export async function* emptyBody(): Body {
-  // Nothing to send.
+/** Ends a body that is not read to its end, whether or not its reading has begun. */
+export async function discard(body: Body): Promise<void> {
+  await body[Symbol.asyncIterator]().return?.();
+}
+
+/**
+ * The same body with a call of `settle` when it ends, breaks or is discarded, once. A generator
+ * does not do: its `finally` is skipped when the body is discarded before the first read.
+ */
+export function settleAfter(body: Body, settle: (err: unknown) => void): Body {
+  const inner = body[Symbol.asyncIterator]();
+  let settled = false;
+  const finish = (err: unknown) => {
+    if (settled) return;
+    settled = true;
+    settle(err);
+  };
+  const iterator: AsyncIterableIterator<Uint8Array> = {
+    [Symbol.asyncIterator]: () => iterator,
+    async next() {
+      try {
+        const result = await inner.next();
+        if (result.done) finish(null);
+        return result;
+      } catch (err) {
+        finish(err);
+        throw err;
+      }
+    },
+    async return() {
+      await inner.return?.();
+      finish(null);
+      return { done: true, value: undefined };
+    },
+  };
+  return iterator;
+}
+
+/** Throws the reason of an aborted signal when it is a failure. */
+export function throwReason(signal: AbortSignal): void {
+  const reason: unknown = signal.reason;
+  if (signal.aborted && isFailureError(reason)) throw reason;
+}
+
+function isFailureError(value: unknown): value is failures.FailureError {
+  return value instanceof Error && 'failure' in value;
 }
 
 /** Headers that belong to one connection and are not passed on. */
@@ -30,6 +100,7 @@
   'keep-alive',
   'proxy-authenticate',
   'proxy-authorization',
+  'proxy-connection',
   'te',
   'trailer',
   'transfer-encoding',
@@ -37,6 +108,9 @@
   'expect',
 ]);
 
+/** Headers that a `Connection` header must not remove: without them the meaning changes. */
+const KEPT_HEADERS: ReadonlySet<string> = new Set(['host', 'content-length', 'idempotency-key']);
+
 /** Header pairs without those of the connection, from Node's flat list of names and values. */
 export function endToEndHeaders(raw: readonly string[]): requests.Header[] {
   const headers: requests.Header[] = [];
@@ -49,13 +123,20 @@
   for (let i = 0; i + 1 < raw.length; i += 2) {
     const name = raw[i] ?? '';
     const lower = name.toLowerCase();
-    if (!HOP_HEADERS.has(lower) && !named.has(lower))
-      headers.push({ name, value: raw[i + 1] ?? '' });
+    const dropped = HOP_HEADERS.has(lower) || (named.has(lower) && !KEPT_HEADERS.has(lower));
+    if (!dropped) headers.push({ name, value: raw[i + 1] ?? '' });
   }
   return headers;
 }
 
 /** Flat list of names and values, as Node's HTTP functions take it. */
 export function flattenHeaders(headers: readonly requests.Header[]): string[] {
-  return headers.flatMap(({ name, value }) => [name, value]);
+  const flat: string[] = [];
+  for (const { name, value } of headers) flat.push(name, value);
+  return flat;
+}
+
+/** Value of the first header of this lower-case name. */
+export function headerValue(headers: readonly requests.Header[], name: string): string | undefined {
+  return headers.find((header) => header.name.toLowerCase() === name)?.value;
 }
--- a/packages/node/src/requests/forwardServer.ts
+++ b/packages/node/src/requests/forwardServer.ts
@@ -1,103 +1,180 @@
-/** Serves `Requests.Forward`: one task for each forwarded request. */
+/** Serves requests that other nodes forward: one task for each. */
 
-import type * as grpc from '@grpc/grpc-js';
+import * as http from 'node:http';
+import type { Socket } from 'node:net';
 import { failures } from '@godwittrack/core';
-import type { requests } from '@godwittrack/protocol';
+import { requests } from '@godwittrack/protocol';
+import * as constants from '../constants.js';
 import type * as logging from '../logging.js';
-import * as streams from '../distribution/streams.js';
-import type * as exchange from './exchange.js';
+import * as exchange from './exchange.js';
+import * as frames from './frames.js';
+import * as incomingBody from './incomingBody.js';
+import * as outgoing from './outgoing.js';
 import * as refusals from './refusals.js';
 
-type ForwardCall = grpc.ServerDuplexStream<requests.RequestFrame, requests.ResponseFrame>;
+/** Above the time for which peers keep idle connections, so that they close them first. */
+const IDLE_CONNECTION_MS = 75_000;
+
+type RequestReader = frames.FrameReader<requests.RequestFrame>;
 
 export class ForwardServer {
   private active = 0;
 
+  private draining = false;
+
+  private readonly server: http.Server;
+
   constructor(
+    private readonly node: string,
     private readonly local: exchange.Destination,
     private readonly log: logging.Logger,
-  ) {}
+  ) {
+    const options = { keepAliveTimeout: IDLE_CONNECTION_MS, requestTimeout: 0 };
+    this.server = http.createServer(options, (req, res) => {
+      void this.serve(req, res);
+    });
+  }
 
   get inFlight(): number {
     return this.active;
   }
 
-  /** Handler of `Requests.Forward`. */
-  async serve(call: ForwardCall): Promise<void> {
+  /** Takes a connection of a peer. */
+  accept(socket: Socket): void {
+    this.server.emit('connection', socket);
+  }
+
+  /** Refuses what arrives from now on as `draining`; what runs is finished. */
+  drain(): void {
+    this.draining = true;
+    this.server.closeIdleConnections();
+  }
+
+  close(): void {
+    this.server.closeAllConnections();
+  }
+
+  private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const cancelled = new AbortController();
-    call.on('cancelled', () => cancelled.abort());
-    call.on('error', () => cancelled.abort());
+    res.on('close', () => {
+      if (!res.writableFinished) cancelled.abort();
+    });
+    if (this.draining) res.shouldKeepAlive = false;
+    const peer = req.socket.remoteAddress ?? '';
+    const incoming = new incomingBody.IncomingBody(req, (detail) =>
+      failures.raise({ type: 'cancelled', detail: `the peer left: ${detail}` }),
+    );
+    const received = { whole: false };
     this.active += 1;
     try {
-      await this.exchange(call, cancelled.signal);
+      await this.exchange(incoming, res, cancelled, peer, received);
     } catch (err) {
       const failure = failures.of(err);
       this.log.debug({ failure }, 'Forwarded request failed.');
-      if (call.writable) call.write(emptyFrame({ refusal: refusals.encode(failure) }));
+      const frame = frames.encodeResponse({ refusal: refusals.encode(failure) });
+      if (!res.headersSent) res.writeHead(200, { 'Content-Length': frame.length });
+      res.end(frame);
     } finally {
+      await outgoing.flushed(res);
+      // After the last frame only the end of the HTTP message is missing; its connection is kept.
+      if (!received.whole) await incoming.return();
       this.active -= 1;
-      call.end();
     }
   }
 
-  private async exchange(call: ForwardCall, signal: AbortSignal): Promise<void> {
-    const frames = call[Symbol.asyncIterator]() as AsyncIterator<requests.RequestFrame>;
-    const first = await frames.next();
-    const frame = first.done ? undefined : first.value;
-    if (frame?.head === undefined) {
+  private async exchange(
+    incoming: incomingBody.IncomingBody,
+    res: http.ServerResponse,
+    cancelled: AbortController,
+    peer: string,
+    received: { whole: boolean },
+  ): Promise<void> {
+    const startMs = performance.now();
+    const decode = (message: Uint8Array) => requests.RequestFrame.decode(message);
+    const reader = new frames.FrameReader(incoming, decode, peer);
+    const first = await reader.next();
+    if (first?.head === undefined) {
       const detail = 'the first frame carries no head';
-      throw failures.raise({ type: 'protocolViolation', peer: call.getPeer(), detail });
+      throw failures.raise({ type: 'protocolViolation', peer, detail });
+    }
+    const { head } = first;
+    received.whole = first.end;
+    if (this.draining) {
+      const retryAfterMs = constants.SHORT_RETRY_AFTER_MS;
+      throw failures.raise({ type: 'draining', node: this.node, retryAfterMs });
+    }
+    const { timeoutMs } = head;
+    const remainingMs = timeoutMs - (performance.now() - startMs);
+    const expire = () => {
+      const retryAfterMs = constants.SHORT_RETRY_AFTER_MS;
+      cancelled.abort(failures.raise({ type: 'deadlineExceeded', timeoutMs, retryAfterMs }));
+    };
+    const timer = setTimeout(expire, Math.max(0, remainingMs));
+    try {
+      const body = first.end
+        ? exchange.wholeBody(first.chunk)
+        : { whole: null, chunks: readChunks(first, reader, peer, received) };
+      const answer = await this.local.forward(head, body, cancelled.signal);
+      await sendAnswer(res, answer, cancelled.signal);
+    } finally {
+      clearTimeout(timer);
     }
-    const body = readFrames(frame, frames, call.getPeer());
-    const answer = await this.local.forward(frame.head, body, signal);
-    await this.answer(call, answer, signal);
   }
+}
 
-  /** The first chunk travels with the head, so that a small answer is one message. */
-  private async answer(
-    call: ForwardCall,
-    answer: exchange.Answer,
-    signal: AbortSignal,
-  ): Promise<void> {
-    let head: requests.ResponseHead | undefined = answer.head;
-    let held: Uint8Array | null = null;
-    for await (const chunk of answer.body) {
-      if (held !== null) {
-        await streams.send(call, emptyFrame({ head, chunk: held }), signal);
-        head = undefined;
+/** Sends head and first chunk together; a small answer is one frame and one write. */
+async function sendAnswer(
+  res: http.ServerResponse,
+  answer: exchange.Answer,
+  signal: AbortSignal,
+): Promise<void> {
+  const chunks = answer.body[Symbol.asyncIterator]();
+  let head: requests.ResponseHead | undefined = answer.head;
+  try {
+    let next = await chunks.next();
+    while (!next.done) {
+      const chunk = next.value as Buffer;
+      const following = chunks.next();
+      const ready = await outgoing.nextAtHand(following);
+      if (ready?.done === true) {
+        endWith(res, frames.encodeResponse({ head, chunk, end: true }));
+        return;
       }
-      held = chunk;
+      await outgoing.write(res, frames.encodeResponse({ head, chunk }), signal);
+      head = undefined;
+      next = ready ?? (await following);
     }
-    await streams.send(call, emptyFrame({ head, chunk: held ?? undefined, end: true }), signal);
+    endWith(res, frames.encodeResponse({ head, end: true }));
+  } catch (err) {
+    // A refusal may follow a head that was not sent yet: the entry node then sends no answer.
+    exchange.throwReason(signal);
+    throw err;
+  } finally {
+    await chunks.return?.();
   }
 }
 
-const NO_BYTES = new Uint8Array(0) as Buffer;
-
-function emptyFrame(frame: {
-  head?: requests.ResponseHead;
-  chunk?: Uint8Array;
-  end?: boolean;
-  refusal?: requests.Refusal;
-}): requests.ResponseFrame {
-  const { head, chunk = NO_BYTES, end = false, refusal } = frame;
-  return { head, chunk: chunk as Buffer, end, refusal };
+function endWith(res: http.ServerResponse, frame: Buffer): void {
+  if (!res.headersSent) res.writeHead(200, { 'Content-Length': frame.length });
+  res.end(frame);
 }
 
-async function* readFrames(
+async function* readChunks(
   first: requests.RequestFrame,
-  frames: AsyncIterator<requests.RequestFrame>,
+  reader: RequestReader,
   peer: string,
+  received: { whole: boolean },
 ): exchange.Body {
   let frame = first;
   while (true) {
+    received.whole = frame.end;
     if (frame.chunk.length > 0) yield frame.chunk;
     if (frame.end) return;
-    const next = await frames.next();
-    if (next.done) {
+    const next = await reader.next();
+    if (next === null) {
       const detail = 'the request ended before its last frame';
       throw failures.raise({ type: 'protocolViolation', peer, detail });
     }
-    frame = next.value;
+    frame = next;
   }
 }
--- /dev/null
+++ b/packages/node/src/requests/frames.ts
@@ -0,0 +1,73 @@
+/** Frames between nodes: protobuf messages, each after its length in four bytes, big endian. */
+
+import { failures } from '@godwittrack/core';
+import { requests } from '@godwittrack/protocol';
+
+/** Largest frame; a head has at most 16 KiB of headers and a chunk at most 64 KiB by default. */
+const MAX_FRAME_BYTES = 8 * 1024 * 1024;
+const LENGTH_BYTES = 4;
+const NO_BYTES = Buffer.alloc(0);
+
+export const FORWARD_PATH = '/godwittrack.v1/forward';
+
+export function encodeRequest(frame: Partial<requests.RequestFrame>): Buffer {
+  const { head, chunk = NO_BYTES, end = false } = frame;
+  return withLength(requests.RequestFrame.encode({ head, chunk, end }).finish());
+}
+
+export function encodeResponse(frame: Partial<requests.ResponseFrame>): Buffer {
+  const { head, chunk = NO_BYTES, end = false, refusal } = frame;
+  return withLength(requests.ResponseFrame.encode({ head, chunk, end, refusal }).finish());
+}
+
+function withLength(message: Uint8Array): Buffer {
+  const framed = Buffer.allocUnsafe(LENGTH_BYTES + message.length);
+  framed.writeUInt32BE(message.length, 0);
+  framed.set(message, LENGTH_BYTES);
+  return framed;
+}
+
+/** Splits the bytes of one message into frames. */
+export class FrameReader<T> {
+  private held: Buffer = NO_BYTES;
+
+  constructor(
+    private readonly source: AsyncIterator<Uint8Array>,
+    private readonly decode: (message: Uint8Array) => T,
+    private readonly peer: string,
+  ) {}
+
+  /** Next frame; null at the end. @throws protocolViolation, and what the source throws */
+  async next(): Promise<T | null> {
+    while (true) {
+      const frame = this.split();
+      if (frame !== null) return frame;
+      const result = await this.source.next();
+      if (result.done) {
+        if (this.held.length === 0) return null;
+        throw this.violation('the message ended within a frame');
+      }
+      const chunk = result.value as Buffer;
+      this.held = this.held.length === 0 ? chunk : Buffer.concat([this.held, chunk]);
+    }
+  }
+
+  private split(): T | null {
+    if (this.held.length < LENGTH_BYTES) return null;
+    const length = this.held.readUInt32BE(0);
+    if (length > MAX_FRAME_BYTES) throw this.violation(`a frame of ${length} bytes`);
+    const end = LENGTH_BYTES + length;
+    if (this.held.length < end) return null;
+    const message = this.held.subarray(LENGTH_BYTES, end);
+    this.held = this.held.subarray(end);
+    try {
+      return this.decode(message);
+    } catch (err) {
+      throw this.violation(`a frame that cannot be decoded: ${String(err)}`);
+    }
+  }
+
+  private violation(detail: string): failures.FailureError {
+    return failures.raise({ type: 'protocolViolation', peer: this.peer, detail });
+  }
+}
--- /dev/null
+++ b/packages/node/src/requests/httpExchange.ts
@@ -0,0 +1,101 @@
+/** One HTTP exchange as a client, shared by the upstream client and the node-to-node path. */
+
+import * as http from 'node:http';
+import { failures } from '@godwittrack/core';
+import * as exchange from './exchange.js';
+import * as outgoing from './outgoing.js';
+
+/** Several times the round trip between regions; a host that is gone does not answer at all. */
+const CONNECT_TIMEOUT_MS = 500;
+
+export interface Exchange {
+  options: http.RequestOptions;
+  service: string;
+  /** Sent whole when given; otherwise `chunks` is written as it arrives. */
+  whole: Uint8Array | null;
+  chunks: exchange.Body;
+  signal: AbortSignal;
+}
+
+/**
+ * Sends a request and waits for the head of the answer.
+ * @throws upstreamFailed, with `started: false` only when no connection was established for it
+ * @throws the failure of the body, or the failure for which the signal was aborted
+ */
+export async function start(of: Exchange): Promise<http.IncomingMessage> {
+  const { service, signal } = of;
+  exchange.throwReason(signal);
+  let connected = false;
+  let bodyFailure: unknown = null;
+  const failureOf = (err: Error) => {
+    const reason: unknown = signal.reason;
+    if (bodyFailure instanceof failures.FailureError) return bodyFailure;
+    if (signal.aborted && connected && reason instanceof failures.FailureError) return reason;
+    const detail = err.message;
+    return failures.raise({ type: 'upstreamFailed', service, detail, started: connected }, err);
+  };
+  return new Promise((resolve, reject) => {
+    let settled = false;
+    const fail = (err: Error) => {
+      // The events of an exchange that went well must not cost the stack trace of an error.
+      if (settled) return;
+      settled = true;
+      reject(failureOf(err));
+    };
+    let req: http.ClientRequest;
+    try {
+      req = http.request(of.options);
+    } catch (err) {
+      fail(err instanceof Error ? err : new Error(String(err)));
+      return;
+    }
+    const cancel = () => req.destroy(new Error('cancelled'));
+    signal.addEventListener('abort', cancel);
+    req.on('close', () => {
+      signal.removeEventListener('abort', cancel);
+      // Without this, a request that closes silently would leave its caller waiting.
+      if (!settled) fail(new Error('the connection closed'));
+    });
+    req.on('error', fail);
+    req.on('socket', (socket) => {
+      if (!socket.connecting) {
+        connected = true;
+        return;
+      }
+      const late = () => req.destroy(new Error('no connection within the time for it'));
+      const timer = setTimeout(late, CONNECT_TIMEOUT_MS);
+      socket.once('close', () => clearTimeout(timer));
+      socket.once('connect', () => {
+        clearTimeout(timer);
+        connected = true;
+      });
+    });
+    req.on('response', (res) => {
+      // An answer may end before the upload does; the rest has no taker and ends the connection.
+      res.on('end', () => {
+        if (!req.writableEnded) req.destroy();
+      });
+      settled = true;
+      resolve(res);
+    });
+    if (of.whole !== null) req.end(of.whole);
+    else {
+      void writeBody(req, of.chunks, signal).catch((err: unknown) => {
+        bodyFailure = err;
+        req.destroy(err instanceof Error ? err : new Error(String(err)));
+      });
+    }
+  });
+}
+
+async function writeBody(
+  req: http.ClientRequest,
+  body: exchange.Body,
+  signal: AbortSignal,
+): Promise<void> {
+  for await (const chunk of body) {
+    if (req.destroyed) return;
+    await outgoing.write(req, chunk, signal);
+  }
+  req.end();
+}
--- a/packages/node/src/requests/httpFailures.ts
+++ b/packages/node/src/requests/httpFailures.ts
@@ -14,6 +14,7 @@
   bodyTooLarge: 413,
   tooManyHops: 508,
   deadlineExceeded: 504,
+  timeout: 504,
   answerIncomplete: 502,
   upstreamFailed: 502,
   protocolViolation: 502,
@@ -22,32 +23,41 @@
 
 const UNAVAILABLE = 503;
 
+/** What a refusal says about the request, in the `X-Godwittrack-Outcome` header. */
+export type Outcome = 'notRun' | 'unknown' | 'inProgress';
+
 export function statusOf(failure: failures.Failure): number {
+  if (failure.type === 'upstreamFailed' && !failure.started) return UNAVAILABLE;
   return STATUS[failure.type] ?? UNAVAILABLE;
 }
 
-/** Value of the `X-Godwittrack-Outcome` header; empty when nothing is claimed. */
-export function outcomeOf(failure: failures.Failure): string {
-  if (refusals.provesNotStarted(failure)) return 'notRun';
+/** @param mayHaveRun whether anything that may have run the request was done for it before */
+export function outcomeOf(failure: failures.Failure, mayHaveRun: boolean): Outcome {
   if (failure.type === 'keyInProgress') return 'inProgress';
-  return failure.type === 'outcomeUnknown' || failure.type === 'upstreamFailed' ? 'unknown' : '';
+  return mayHaveRun ? 'unknown' : 'notRun';
 }
 
 /** Answers with the failure, or breaks the connection when an answer has begun already. */
-export function send(res: http.ServerResponse, failure: failures.Failure, requestId: string): void {
+export function send(
+  res: http.ServerResponse,
+  failure: failures.Failure,
+  requestId: string,
+  mayHaveRun: boolean,
+): void {
   if (res.destroyed) return;
   if (res.headersSent) {
-    res.destroy();
+    // A reset, not an end: an answer without length or chunks would otherwise look whole.
+    if (res.socket === null) res.destroy();
+    else res.socket.resetAndDestroy();
     return;
   }
-  const outcome = outcomeOf(failure);
   const retryAfterMs = refusals.retryAfterMs(failure);
   const text = JSON.stringify({ error: { ...failure, message: failures.describe(failure) } });
   res.writeHead(statusOf(failure), {
     'Content-Type': 'application/json',
     'Content-Length': Buffer.byteLength(text),
     'X-Request-Id': requestId,
-    ...(outcome === '' ? {} : { 'X-Godwittrack-Outcome': outcome }),
+    'X-Godwittrack-Outcome': outcomeOf(failure, mayHaveRun),
     ...(retryAfterMs > 0 ? { 'Retry-After': String(Math.ceil(retryAfterMs / 1_000)) } : {}),
   });
   res.end(text);
--- /dev/null
+++ b/packages/node/src/requests/incomingBody.ts
@@ -0,0 +1,99 @@
+/** Body of an HTTP message, read ahead of its consumer up to a limit. */
+
+import type * as http from 'node:http';
+import type { failures } from '@godwittrack/core';
+
+/** Read ahead, so that a slow caller does not hold an upstream's slot for a usual answer. */
+const READ_AHEAD_BYTES = 256 * 1024;
+
+export class IncomingBody implements AsyncIterableIterator<Uint8Array> {
+  private readonly held: Buffer[] = [];
+
+  private heldBytes = 0;
+
+  private paused = false;
+
+  private ended = false;
+
+  private failure: failures.FailureError | null = null;
+
+  private wake: (() => void) | null = null;
+
+  /**
+   * @param failureOf builds the error for a message that broke off
+   * @param onEnd called once when the message has arrived whole or broken off
+   */
+  constructor(
+    private readonly source: http.IncomingMessage,
+    private readonly failureOf: (detail: string) => failures.FailureError,
+    private readonly onEnd: () => void = () => undefined,
+  ) {
+    source.on('data', (chunk: Buffer) => this.take(chunk));
+    source.on('end', () => {
+      this.finish(source.complete ? null : 'the connection closed before the end of the message');
+    });
+    source.on('error', (err) => this.finish(err.message));
+    source.on('close', () => this.finish('the connection closed'));
+  }
+
+  /** True when the whole message has arrived. */
+  get isWhole(): boolean {
+    return this.ended && this.failure === null;
+  }
+
+  [Symbol.asyncIterator](): this {
+    return this;
+  }
+
+  async next(): Promise<IteratorResult<Uint8Array>> {
+    while (true) {
+      const chunk = this.held.shift();
+      if (chunk !== undefined) {
+        this.heldBytes -= chunk.length;
+        this.resume();
+        return { done: false, value: chunk };
+      }
+      if (this.failure !== null) throw this.failure;
+      if (this.ended) return { done: true, value: undefined };
+      await new Promise<void>((resolve) => {
+        this.wake = resolve;
+      });
+    }
+  }
+
+  /** Gives up the rest; the connection is closed when the message has not arrived whole. */
+  async return(): Promise<IteratorResult<Uint8Array>> {
+    this.held.length = 0;
+    if (!this.ended) this.source.destroy();
+    return { done: true, value: undefined };
+  }
+
+  private take(chunk: Buffer): void {
+    this.held.push(chunk);
+    this.heldBytes += chunk.length;
+    if (this.heldBytes >= READ_AHEAD_BYTES && !this.paused) {
+      this.paused = true;
+      this.source.pause();
+    }
+    this.notify();
+  }
+
+  private resume(): void {
+    if (!this.paused || this.heldBytes >= READ_AHEAD_BYTES / 2) return;
+    this.paused = false;
+    this.source.resume();
+  }
+
+  private finish(problem: string | null): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.failure = problem === null ? null : this.failureOf(problem);
+    this.onEnd();
+    this.notify();
+  }
+
+  private notify(): void {
+    this.wake?.();
+    this.wake = null;
+  }
+}
--- a/packages/node/src/requests/localDestination.ts
+++ b/packages/node/src/requests/localDestination.ts
@@ -8,79 +8,131 @@
 import type * as metrics from '../metrics/metrics.js';
 import type * as admission from './admission.js';
 import * as exchange from './exchange.js';
-import type * as upstreamClient from './upstreamClient.js';
+import * as upstreamClient from './upstreamClient.js';
+import type * as upstreamHealth from './upstreamHealth.js';
 
 const DEFAULT_QUEUE_LENGTH = 24;
 const DEFAULT_QUEUE_TIMEOUT_MS = 500;
+const SHED_STATUS = 503;
 
 export class LocalDestination extends exchange.Destination {
+  /** Address and version that the admission has learned about. */
+  private known = '';
+
   constructor(
     private readonly local: localMember.LocalMember,
     private readonly config: configStore.ConfigStore,
     private readonly gate: admission.Admission,
     private readonly client: upstreamClient.UpstreamClient,
+    private readonly health: upstreamHealth.UpstreamHealth,
     private readonly meters: metrics.Metrics,
   ) {
     super();
     this.updateLimits();
     config.changed.subscribe(() => this.updateLimits());
-    local.upstreamChanged.subscribe(() => this.updateLimits());
+    local.upstreamChanged.subscribe(() => this.onUpstreamChanged());
   }
 
   override async forward(
     head: requests.RequestHead,
-    body: exchange.Body,
+    body: exchange.RequestBody,
     signal: AbortSignal,
   ): Promise<exchange.Answer> {
-    const target = this.targetFor(head);
-    const release = await this.gate.enter(head.priority, head.timeoutMs, signal);
+    const startMs = performance.now();
+    this.targetFor(head);
+    const release = await this.gate.enter(head, signal);
     try {
-      const answer = await this.client.send(target, withContext(head), body, signal);
+      // The upstream may have left or changed while the request waited.
+      const target = this.targetFor(head);
+      const waitedMs = performance.now() - startMs;
+      const timeoutMs = Math.max(1, Math.floor(head.timeoutMs - waitedMs));
+      const sent = withContext({ ...head, timeoutMs });
+      const answer = await this.send(target, sent, body, signal, release);
       this.meters.observeMs('godwittrack_upstream_seconds', answer.head.upstreamMs);
-      return { head: answer.head, body: releaseAfter(answer.body, release) };
+      if (answer.head.status === SHED_STATUS) this.gate.noteShed();
+      return answer;
     } catch (err) {
       release();
       throw err;
     }
   }
 
+  private async send(
+    target: upstreamClient.UpstreamTarget,
+    head: requests.RequestHead,
+    body: exchange.RequestBody,
+    signal: AbortSignal,
+    release: () => void,
+  ): Promise<exchange.Answer> {
+    try {
+      return await this.client.send(target, head, body, signal, release);
+    } catch (err) {
+      const refused = failures.is(err, 'upstreamFailed') && !err.failure.started && !signal.aborted;
+      if (refused) this.health.noteRefused(target.address);
+      throw err;
+    }
+  }
+
   /** @throws noUpstream, draining when the request cannot be taken here; nothing ran */
   private targetFor(head: requests.RequestHead): upstreamClient.UpstreamTarget {
     const { upstream } = this.local;
     const { service, version } = head;
     const retryAfterMs = constants.SHORT_RETRY_AFTER_MS;
+    const refuse = (detail: string) =>
+      failures.raise({ type: 'noUpstream', service, detail, retryAfterMs });
     if (upstream === null || upstream.service !== service) {
-      const detail = 'the upstream of this service is not here';
-      throw failures.raise({ type: 'noUpstream', service, detail, retryAfterMs });
+      throw refuse('the upstream of this service is not here');
     }
     if (version !== '' && upstream.version !== version) {
-      const detail = `the upstream here runs ${upstream.version}, not ${version}`;
-      throw failures.raise({ type: 'noUpstream', service, detail, retryAfterMs });
+      throw refuse(`the upstream here runs ${upstream.version}, not ${version}`);
     }
     if (upstream.state === 'draining') {
       throw failures.raise({ type: 'draining', node: this.local.node, retryAfterMs });
     }
+    if (!upstream.healthy) throw refuse('the upstream here accepts no connections');
     return { service, address: upstream.address, connections: upstream.connections };
   }
 
+  private onUpstreamChanged(): void {
+    const { upstream } = this.local;
+    this.updateLimits();
+    if (upstream === null || upstream.state === 'draining') {
+      const retryAfterMs = constants.SHORT_RETRY_AFTER_MS;
+      this.gate.refuseAll({ type: 'draining', node: this.local.node, retryAfterMs });
+      return;
+    }
+    const now = `${upstream.address} ${upstream.version}`;
+    if (now !== this.known) this.gate.reset();
+    this.known = now;
+  }
+
   private updateLimits(): void {
     const { upstream } = this.local;
     const service =
       upstream === null
         ? undefined
         : [...this.config.current.services.values()].find(({ name }) => name === upstream.service);
+    const connections = Math.floor(
+      (upstream?.connections ?? 0) / upstreamClient.CONNECTION_DIVISOR,
+    );
     this.gate.setLimits({
-      slots: upstream?.slots ?? 0,
+      // More requests than connections would wait a second time, in the connection pool.
+      slots: upstream === null ? 0 : Math.max(1, Math.min(upstream.slots, connections)),
       queueLength: service?.queueLength ?? DEFAULT_QUEUE_LENGTH,
       queueTimeoutMs: service?.queueTimeout ?? DEFAULT_QUEUE_TIMEOUT_MS,
     });
   }
 }
 
+const CONTEXT_HEADERS: ReadonlySet<string> = new Set([
+  'x-request-id',
+  'x-request-timeout-ms',
+  'x-godwittrack-hops',
+]);
+
 /** Headers by which the upstream learns the request's identifier, deadline and hops. */
 function withContext(head: requests.RequestHead): requests.RequestHead {
-  const own = new Set(['x-request-id', 'x-request-timeout-ms', 'x-godwittrack-hops']);
-  const headers = head.headers.filter(({ name }) => !own.has(name.toLowerCase()));
+  const headers = head.headers.filter(({ name }) => !CONTEXT_HEADERS.has(name.toLowerCase()));
   headers.push(
     { name: 'X-Request-Id', value: head.requestId },
     { name: 'X-Request-Timeout-Ms', value: String(head.timeoutMs) },
@@ -88,11 +140,3 @@
   );
   return { ...head, headers };
 }
-
-async function* releaseAfter(body: exchange.Body, release: () => void): exchange.Body {
-  try {
-    yield* body;
-  } finally {
-    release();
-  }
-}
--- a/packages/node/src/requests/peerDestination.ts
+++ b/packages/node/src/requests/peerDestination.ts
@@ -1,136 +1,152 @@
-/** The node beside another upstream as a destination, over `Requests.Forward`. */
+/**
+ * The node beside another upstream as a destination: frames over pooled HTTP connections to its
+ * peer address. See docs/requestClient.md for the comparison with gRPC streams.
+ */
 
-import * as grpc from '@grpc/grpc-js';
+import * as http from 'node:http';
 import { failures } from '@godwittrack/core';
-import type { requests } from '@godwittrack/protocol';
-import * as streams from '../distribution/streams.js';
+import { requests } from '@godwittrack/protocol';
 import * as exchange from './exchange.js';
+import * as frames from './frames.js';
+import * as httpExchange from './httpExchange.js';
+import * as incomingBody from './incomingBody.js';
 import * as refusals from './refusals.js';
 
-type ForwardStream = grpc.ClientDuplexStream<requests.RequestFrame, requests.ResponseFrame>;
+/** Below the time after which a forward server closes idle connections, so that no reuse races. */
+const IDLE_CONNECTION_MS = 30_000;
+/** Connections to one peer; each carries one request at a time. */
+const MAX_CONNECTIONS = 512;
 
-/** grpc-js reports a request that never left this node with a text that starts like this. */
-const NEVER_SENT = 'No connection established';
-const NO_BYTES = new Uint8Array(0) as Buffer;
+type ResponseReader = frames.FrameReader<requests.ResponseFrame>;
+
+/** Connections to the forward servers of all peers. */
+export class PeerConnections {
+  readonly agent = new http.Agent({
+    keepAlive: true,
+    timeout: IDLE_CONNECTION_MS,
+    maxSockets: MAX_CONNECTIONS,
+    maxFreeSockets: MAX_CONNECTIONS,
+  });
+
+  close(): void {
+    this.agent.destroy();
+  }
+}
+
+/** Chunks of an answer; whole only with the frame that is marked as the last. */
+class AnswerBody implements AsyncIterableIterator<Uint8Array> {
+  private frame: requests.ResponseFrame | null;
+
+  private ended = false;
 
-export class PeerDestination extends exchange.Destination {
   constructor(
-    private readonly peer: string,
-    private readonly client: requests.RequestsClient,
+    first: requests.ResponseFrame,
+    private readonly reader: ResponseReader,
+    private readonly incoming: incomingBody.IncomingBody,
+    private readonly service: string,
   ) {
-    super();
+    this.frame = first;
   }
 
-  override async forward(
-    head: requests.RequestHead,
-    body: exchange.Body,
-    signal: AbortSignal,
-  ): Promise<exchange.Answer> {
-    const stream = this.client.forward({ deadline: Date.now() + head.timeoutMs });
-    const cancel = () => stream.cancel();
-    signal.addEventListener('abort', cancel, { once: true });
-    const settle = () => signal.removeEventListener('abort', cancel);
-    // Iteration reports the error; this listener keeps it from being thrown as uncaught.
-    stream.on('error', settle);
-    void writeFrames(stream, head, body, signal);
-    const frames = stream[Symbol.asyncIterator]() as AsyncIterator<requests.ResponseFrame>;
+  [Symbol.asyncIterator](): this {
+    return this;
+  }
+
+  async next(): Promise<IteratorResult<Uint8Array>> {
     try {
-      const first = await this.nextFrame(frames, head, signal);
-      if (first.refusal !== undefined) {
-        throw failures.raise(refusals.decode(first.refusal, head.service));
-      }
-      if (first.head === undefined) {
-        const detail = 'the first frame carries no head';
-        throw failures.raise({ type: 'protocolViolation', peer: this.peer, detail });
+      while (!this.ended) {
+        const frame = this.frame ?? (await this.reader.next());
+        this.frame = null;
+        if (frame === null) throw new Error('the answer ended before its last frame');
+        if (frame.refusal !== undefined) throw new Error(frame.refusal.detail);
+        this.ended = frame.end;
+        if (frame.chunk.length > 0) return { done: false, value: frame.chunk };
       }
-      return { head: first.head, body: this.readBody(first, frames, head, signal, settle) };
+      return { done: true, value: undefined };
     } catch (err) {
-      settle();
-      stream.cancel();
-      throw err;
+      this.ended = true;
+      await this.incoming.return();
+      const { service } = this;
+      const detail = err instanceof Error ? err.message : String(err);
+      throw failures.raise({ type: 'answerIncomplete', service, detail }, err);
     }
   }
 
-  private async nextFrame(
-    frames: AsyncIterator<requests.ResponseFrame>,
-    head: requests.RequestHead,
-    signal: AbortSignal,
-  ): Promise<requests.ResponseFrame> {
-    try {
-      const next = await frames.next();
-      if (!next.done) return next.value;
-    } catch (err) {
-      throw this.failureOf(err as grpc.ServiceError, head, signal);
-    }
-    const detail = 'the stream ended early';
-    throw failures.raise({ type: 'upstreamFailed', service: head.service, detail, started: true });
+  async return(): Promise<IteratorResult<Uint8Array>> {
+    // After the last frame only the end of the HTTP message is missing; its connection is kept.
+    if (this.ended) return { done: true, value: undefined };
+    this.ended = true;
+    return this.incoming.return();
   }
+}
 
-  private failureOf(
-    err: grpc.ServiceError,
-    head: requests.RequestHead,
-    signal: AbortSignal,
-  ): failures.FailureError {
-    const detail = err.details ?? err.message;
-    if (signal.aborted) return failures.raise({ type: 'cancelled', detail }, err);
-    if (err.code === grpc.status.DEADLINE_EXCEEDED) {
-      const { timeoutMs } = head;
-      return failures.raise({ type: 'deadlineExceeded', timeoutMs, retryAfterMs: 0 }, err);
-    }
-    const started = !detail.startsWith(NEVER_SENT);
-    return failures.raise({ type: 'upstreamFailed', service: head.service, detail, started }, err);
+export class PeerDestination extends exchange.Destination {
+  constructor(
+    private readonly peer: string,
+    private readonly address: string,
+    private readonly connections: PeerConnections,
+  ) {
+    super();
   }
 
-  private async *readBody(
-    first: requests.ResponseFrame,
-    frames: AsyncIterator<requests.ResponseFrame>,
+  override async forward(
     head: requests.RequestHead,
+    body: exchange.RequestBody,
     signal: AbortSignal,
-    settle: () => void,
-  ): exchange.Body {
-    let frame = first;
+  ): Promise<exchange.Answer> {
+    const at = this.address.lastIndexOf(':');
+    const { service } = head;
+    const whole =
+      body.whole === null
+        ? null
+        : frames.encodeRequest({ head, chunk: body.whole as Buffer, end: true });
+    const res = await httpExchange.start({
+      options: {
+        host: this.address.slice(0, at),
+        port: Number(this.address.slice(at + 1)),
+        method: 'POST',
+        path: frames.FORWARD_PATH,
+        headers: whole === null ? {} : { 'Content-Length': whole.length },
+        agent: this.connections.agent,
+      },
+      service,
+      whole,
+      chunks: framesOf(head, body.chunks),
+      signal,
+    });
+    const failureOf = (detail: string) =>
+      failures.raise({ type: 'upstreamFailed', service, detail, started: true });
+    const incoming = new incomingBody.IncomingBody(res, failureOf);
     try {
-      while (true) {
-        if (frame.refusal !== undefined) {
-          throw failures.raise(refusals.decode(frame.refusal, head.service));
-        }
-        if (frame.chunk.length > 0) yield frame.chunk;
-        if (frame.end) return;
-        frame = await this.nextFrame(frames, head, signal);
-      }
+      return await this.readAnswer(incoming, service);
     } catch (err) {
-      const { service } = head;
-      const detail = failures.describe(failures.of(err));
-      throw failures.raise({ type: 'answerIncomplete', service, detail }, err);
-    } finally {
-      settle();
+      await incoming.return();
+      exchange.throwReason(signal);
+      throw err;
     }
   }
-}
 
-/** The first chunk travels with the head, so that a small request is one message. */
-async function writeFrames(
-  stream: ForwardStream,
-  head: requests.RequestHead,
-  body: exchange.Body,
-  signal: AbortSignal,
-): Promise<void> {
-  let pendingHead: requests.RequestHead | undefined = head;
-  let held: Uint8Array | null = null;
-  try {
-    for await (const chunk of body) {
-      if (held !== null) {
-        const frame = { head: pendingHead, chunk: held as Buffer, end: false };
-        await streams.send(stream, frame, signal);
-        pendingHead = undefined;
-      }
-      held = chunk;
+  private async readAnswer(
+    incoming: incomingBody.IncomingBody,
+    service: string,
+  ): Promise<exchange.Answer> {
+    const decode = (message: Uint8Array) => requests.ResponseFrame.decode(message);
+    const reader = new frames.FrameReader(incoming, decode, this.peer);
+    const first = await reader.next();
+    if (first?.refusal !== undefined) throw failures.raise(refusals.decode(first.refusal, service));
+    if (first?.head === undefined) {
+      const detail = 'the first frame carries no head';
+      throw failures.raise({ type: 'protocolViolation', peer: this.peer, detail });
     }
-    const last = { head: pendingHead, chunk: (held ?? NO_BYTES) as Buffer, end: true };
-    await streams.send(stream, last, signal);
-    stream.end();
-  } catch {
-    // The caller's body broke off: without the last frame the destination does not count it whole.
-    stream.cancel();
+    return { head: first.head, body: new AnswerBody(first, reader, incoming, service) };
+  }
+}
+
+async function* framesOf(head: requests.RequestHead, chunks: exchange.Body): exchange.Body {
+  let first: requests.RequestHead | undefined = head;
+  for await (const chunk of chunks) {
+    yield frames.encodeRequest({ head: first, chunk: chunk as Buffer });
+    first = undefined;
   }
+  yield frames.encodeRequest({ head: first, end: true });
 }
--- a/packages/node/src/requests/refusals.ts
+++ b/packages/node/src/requests/refusals.ts
@@ -2,6 +2,7 @@
 
 import { failures } from '@godwittrack/core';
 import type { requests } from '@godwittrack/protocol';
+import * as constants from '../constants.js';
 
 /** Failures that are raised only before the upstream is given the request. */
 const NOT_STARTED: ReadonlySet<failures.FailureType> = new Set([
@@ -15,14 +16,27 @@
   'keyRequired',
 ]);
 
+/** Failures that another try by the caller cannot change, so they carry no Retry-After. */
+const FINAL: ReadonlySet<failures.FailureType> = new Set([
+  'noRoute',
+  'invalidRequest',
+  'bodyTooLarge',
+  'tooManyHops',
+  'keyRequired',
+  'keyReused',
+  'answerNotKept',
+]);
+
 /** True when the failure proves that the upstream did not start the request. */
 export function provesNotStarted(failure: failures.Failure): boolean {
   if (failure.type === 'upstreamFailed') return !failure.started;
   return NOT_STARTED.has(failure.type);
 }
 
+/** Zero when another try makes no sense. */
 export function retryAfterMs(failure: failures.Failure): number {
-  return 'retryAfterMs' in failure ? failure.retryAfterMs : 0;
+  if ('retryAfterMs' in failure && failure.retryAfterMs > 0) return failure.retryAfterMs;
+  return FINAL.has(failure.type) ? 0 : constants.SHORT_RETRY_AFTER_MS;
 }
 
 export function encode(failure: failures.Failure): requests.Refusal {
@@ -36,9 +50,14 @@
 
 /** Failure as the receiving node sees it. */
 export function decode(refusal: requests.Refusal, service: string): failures.Failure {
-  const { detail, retryAfterMs: afterMs } = refusal;
-  if (refusal.type === 'queueFull') return { type: 'queueFull', service, retryAfterMs: afterMs };
-  if (refusal.type === 'answerIncomplete') return { type: 'answerIncomplete', service, detail };
-  if (refusal.notRun) return { type: 'notRun', detail, retryAfterMs: afterMs };
+  const { type, detail, notRun, retryAfterMs: afterMs } = refusal;
+  if (notRun) {
+    if (type === 'queueFull') return { type, service, retryAfterMs: afterMs };
+    if (type === 'noUpstream') return { type, service, detail, retryAfterMs: afterMs };
+    // The detail names the node that drains.
+    if (type === 'draining') return { type, node: detail, retryAfterMs: afterMs };
+    return { type: 'notRun', detail, retryAfterMs: afterMs };
+  }
+  if (type === 'answerIncomplete') return { type, service, detail };
   return { type: 'upstreamFailed', service, detail, started: true };
 }
--- a/packages/node/src/requests/replayBody.ts
+++ b/packages/node/src/requests/replayBody.ts
@@ -3,9 +3,10 @@
 import type * as http from 'node:http';
 import { failures } from '@godwittrack/core';
 import * as exchange from './exchange.js';
+import * as incomingBody from './incomingBody.js';
 
-/** Bodies up to this size are kept for another attempt. */
-const REPLAY_LIMIT_BYTES = 64 * 1024;
+/** Bodies up to this size are read before dispatch and kept for another attempt. */
+export const REPLAY_LIMIT_BYTES = 64 * 1024;
 
 /** Body of a caller's request; what fits the replay limit can be read again. */
 export class ReplayBody {
@@ -13,44 +14,67 @@
 
   private keptBytes = 0;
 
-  private totalBytes = 0;
+  /** The whole body when it fits the replay limit; null before `prefetch` and for larger ones. */
+  whole: Uint8Array | null = null;
 
   private opened = false;
 
-  private readonly chunks: AsyncIterator<Uint8Array>;
-
-  private readonly empty: boolean;
+  private readonly source: incomingBody.IncomingBody | null;
 
   constructor(
     req: http.IncomingMessage,
     private readonly limitBytes: number,
   ) {
     const declared = Number(req.headers['content-length'] ?? 0);
-    this.empty = declared === 0 && req.headers['transfer-encoding'] === undefined;
     if (declared > limitBytes) throw failures.raise({ type: 'bodyTooLarge', limitBytes });
-    this.chunks = req[Symbol.asyncIterator]() as AsyncIterator<Uint8Array>;
+    const empty = declared === 0 && req.headers['transfer-encoding'] === undefined;
+    this.source = empty
+      ? null
+      : new incomingBody.IncomingBody(req, (detail) =>
+          failures.raise({ type: 'cancelled', detail: `the request broke off: ${detail}` }),
+        );
+    if (empty) this.whole = Buffer.alloc(0);
+  }
+
+  get isReady(): boolean {
+    return this.whole !== null;
   }
 
-  /** The body from its start; null when more was read than is kept. */
-  open(): exchange.Body | null {
-    if (this.empty) return exchange.emptyBody();
-    if (this.opened && this.keptBytes > REPLAY_LIMIT_BYTES) return null;
+  /** Reads up to the replay limit, so that a slow small upload does not hold a slot. */
+  async prefetch(): Promise<void> {
+    while (this.source !== null && this.keptBytes <= REPLAY_LIMIT_BYTES) {
+      const next = await this.source.next();
+      if (next.done) break;
+      this.kept.push(next.value);
+      this.keptBytes += next.value.length;
+      if (this.keptBytes > this.limitBytes) throw this.tooLarge();
+    }
+    if (this.source === null || this.keptBytes <= REPLAY_LIMIT_BYTES) {
+      this.whole = Buffer.concat(this.kept);
+    }
+  }
+
+  /** The body from its start; null when more was read than is kept. Call `prefetch` first. */
+  open(): exchange.RequestBody | null {
+    if (this.whole !== null) return exchange.wholeBody(this.whole);
+    if (this.opened) return null;
     this.opened = true;
-    return this.read();
+    return { whole: null, chunks: this.read() };
   }
 
   private async *read(): exchange.Body {
-    yield* [...this.kept];
-    while (true) {
-      const next = await this.chunks.next();
+    yield* this.kept;
+    let total = this.keptBytes;
+    while (this.source !== null) {
+      const next = await this.source.next();
       if (next.done) return;
-      this.totalBytes += next.value.length;
-      if (this.totalBytes > this.limitBytes) {
-        throw failures.raise({ type: 'bodyTooLarge', limitBytes: this.limitBytes });
-      }
-      this.keptBytes += next.value.length;
-      if (this.keptBytes <= REPLAY_LIMIT_BYTES) this.kept.push(next.value);
+      total += next.value.length;
+      if (total > this.limitBytes) throw this.tooLarge();
       yield next.value;
     }
   }
+
+  private tooLarge(): failures.FailureError {
+    return failures.raise({ type: 'bodyTooLarge', limitBytes: this.limitBytes });
+  }
 }
--- a/packages/node/src/requests/upstreamClient.ts
+++ b/packages/node/src/requests/upstreamClient.ts
@@ -4,6 +4,8 @@
 import { failures } from '@godwittrack/core';
 import type { requests } from '@godwittrack/protocol';
 import * as exchange from './exchange.js';
+import * as httpExchange from './httpExchange.js';
+import * as incomingBody from './incomingBody.js';
 
 export interface UpstreamTarget {
   service: string;
@@ -16,50 +18,69 @@
 export abstract class UpstreamClient {
   /**
    * Sends one request to the upstream.
+   * @param onEnd called once when the upstream is done: its answer has arrived whole or broken off;
+   *   not called when the promise rejects
    * @throws upstreamFailed, with `started: false` only when no byte of the request was taken
    */
   abstract send(
     target: UpstreamTarget,
     head: requests.RequestHead,
-    body: exchange.Body,
+    body: exchange.RequestBody,
     signal: AbortSignal,
+    onEnd: () => void,
   ): Promise<exchange.Answer>;
 
   abstract close(): void;
 }
 
 /** Share of the upstream's connections that this node may use, as a divisor. */
-const CONNECTION_DIVISOR = 2;
-const CONNECTION_ERRORS: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-]);
+export const CONNECTION_DIVISOR = 2;
+/** Below Node's own keep-alive time of 5 s, so that this side closes an idle connection first. */
+const IDLE_CONNECTION_MS = 4_000;
+const METHODS_WITH_BODY: ReadonlySet<string> = new Set(['POST', 'PUT', 'PATCH']);
+/** Only the node itself states what it knows about a request. */
+const OWN_ANSWER_HEADERS: ReadonlySet<string> = new Set(['x-godwittrack-outcome']);
 
 /** Client on `node:http`: leaner per call than an HTTP library, see docs/requestClient.md. */
 export class NodeHttpUpstreamClient extends UpstreamClient {
-  private agent = new http.Agent({ keepAlive: true });
+  private readonly agent = new http.Agent({ keepAlive: true, timeout: IDLE_CONNECTION_MS });
 
   private agentSockets = 0;
 
   override async send(
     target: UpstreamTarget,
     head: requests.RequestHead,
-    body: exchange.Body,
+    body: exchange.RequestBody,
     signal: AbortSignal,
+    onEnd: () => void,
   ): Promise<exchange.Answer> {
     this.resize(target.connections);
     const startMs = performance.now();
-    const res = await this.request(target, head, body, signal);
+    const at = target.address.lastIndexOf(':');
+    const res = await httpExchange.start({
+      options: {
+        host: target.address.slice(0, at),
+        port: Number(target.address.slice(at + 1)),
+        method: head.method,
+        path: head.path,
+        headers: exchange.flattenHeaders(framedHeaders(head, body)),
+        agent: this.agent,
+      },
+      service: target.service,
+      whole: body.whole,
+      chunks: body.chunks,
+      signal,
+    });
     const upstreamMs = performance.now() - startMs;
+    const { service } = target;
+    const failureOf = (detail: string) =>
+      failures.raise({ type: 'answerIncomplete', service, detail });
+    const headers = exchange
+      .endToEndHeaders(res.rawHeaders)
+      .filter(({ name }) => !OWN_ANSWER_HEADERS.has(name.toLowerCase()));
     return {
-      head: {
-        status: res.statusCode ?? 502,
-        headers: exchange.endToEndHeaders(res.rawHeaders),
-        requestId: head.requestId,
-        upstreamMs,
-      },
-      body: readWhole(res, target.service),
+      head: { status: res.statusCode ?? 502, headers, requestId: head.requestId, upstreamMs },
+      body: new incomingBody.IncomingBody(res, failureOf, onEnd),
     };
   }
 
@@ -74,63 +95,26 @@
     this.agent.maxSockets = wanted;
     this.agent.maxFreeSockets = wanted;
   }
-
-  private async request(
-    target: UpstreamTarget,
-    head: requests.RequestHead,
-    body: exchange.Body,
-    signal: AbortSignal,
-  ): Promise<http.IncomingMessage> {
-    const at = target.address.lastIndexOf(':');
-    const req = http.request({
-      host: target.address.slice(0, at),
-      port: Number(target.address.slice(at + 1)),
-      method: head.method,
-      path: head.path,
-      headers: exchange.flattenHeaders(head.headers),
-      agent: this.agent,
-      signal,
-    });
-    const answered = new Promise<http.IncomingMessage>((resolve, reject) => {
-      req.on('response', resolve);
-      req.on('error', (err: NodeJS.ErrnoException) => {
-        const started = !CONNECTION_ERRORS.has(err.code ?? '');
-        const { service } = target;
-        const detail = err.message;
-        reject(failures.raise({ type: 'upstreamFailed', service, detail, started }, err));
-      });
-    });
-    await Promise.race([answered, writeBody(req, body)]);
-    return answered;
-  }
-}
-
-async function writeBody(req: http.ClientRequest, body: exchange.Body): Promise<void> {
-  try {
-    for await (const chunk of body) {
-      if (req.destroyed) return;
-      if (!req.write(chunk)) {
-        await new Promise<void>((resolve) => {
-          req.once('drain', resolve);
-          req.once('close', resolve);
-        });
-      }
-    }
-    req.end();
-  } catch (err) {
-    req.destroy(err instanceof Error ? err : undefined);
-  }
 }
 
-async function* readWhole(res: http.IncomingMessage, service: string): exchange.Body {
-  try {
-    for await (const chunk of res) yield chunk as Uint8Array;
-  } catch (err) {
-    const detail = err instanceof Error ? err.message : String(err);
-    throw failures.raise({ type: 'answerIncomplete', service, detail }, err);
+/**
+ * Headers with exactly one framing of the body. Node sends a GET or DELETE body that has no framing
+ * header as bare bytes, which the upstream would read as another request.
+ */
+function framedHeaders(head: requests.RequestHead, body: exchange.RequestBody): requests.Header[] {
+  const declared = exchange.headerValue(head.headers, 'content-length');
+  const headers = head.headers.filter(({ name }) => name.toLowerCase() !== 'content-length');
+  if (body.whole === null) {
+    headers.push(
+      declared === undefined
+        ? { name: 'Transfer-Encoding', value: 'chunked' }
+        : { name: 'Content-Length', value: declared },
+    );
+    return headers;
   }
-  if (!res.complete) {
-    const detail = 'the upstream closed the connection before the end';
-    throw failures.raise({ type: 'answerIncomplete', service, detail });
+  const { length } = body.whole;
+  if (length > 0 || declared !== undefined || METHODS_WITH_BODY.has(head.method)) {
+    headers.push({ name: 'Content-Length', value: String(length) });
   }
+  return headers;
 }
--- a/packages/node/src/wiring.ts
+++ b/packages/node/src/wiring.ts
@@ -35,8 +35,11 @@
 import * as dispatcher from './requests/dispatcher.js';
 import * as forwardServer from './requests/forwardServer.js';
 import * as localDestination from './requests/localDestination.js';
+import * as onceGuard from './requests/onceGuard.js';
+import * as peerDestination from './requests/peerDestination.js';
 import * as retryBudget from './requests/retryBudget.js';
 import * as upstreamClient from './requests/upstreamClient.js';
+import * as upstreamHealth from './requests/upstreamHealth.js';
 import * as versionChooser from './requests/versionChooser.js';
 import type * as settings from './settings.js';
 
@@ -64,6 +67,8 @@
   localDestination: Symbol.for('localDestination'),
   balancer: Symbol.for('balancer'),
   versionChooser: Symbol.for('versionChooser'),
+  onceGuard: Symbol.for('onceGuard'),
+  peerConnections: Symbol.for('peerConnections'),
   dispatcher: Symbol.for('dispatcher'),
   forwardServer: Symbol.for('forwardServer'),
   callerServer: Symbol.for('callerServer'),
@@ -195,7 +200,7 @@
   bindOnce(
     container,
     parts.admission,
-    () => new admission.Admission(() => state().local.upstream?.service ?? ''),
+    () => new admission.Admission(() => state().local.upstream?.service ?? '', time()),
   );
   bindOnce(container, parts.upstreamClient, () => new upstreamClient.NodeHttpUpstreamClient());
   bindOnce(
@@ -207,6 +212,7 @@
         state().config,
         container.get(parts.admission),
         container.get(parts.upstreamClient),
+        new upstreamHealth.UpstreamHealth(state().local),
         meters(),
       ),
   );
@@ -216,24 +222,30 @@
     parts.versionChooser,
     () => new versionChooser.StableVersionChooser(state().config),
   );
-  bindOnce(
+  bindOnce<onceGuard.OnceGuard>(
     container,
-    parts.dispatcher,
-    () =>
-      new dispatcher.Dispatcher(
-        cfg,
-        state().config,
-        container.get(parts.balancer),
-        container.get(parts.versionChooser),
-        container.get(parts.localDestination),
-        container.get(parts.channels),
-        new retryBudget.RetryBudget(time()),
-        meters(),
-      ),
+    parts.onceGuard,
+    () => new onceGuard.UnrecordedOnceGuard(),
   );
+  bindOnce(container, parts.peerConnections, () => new peerDestination.PeerConnections());
+  bindOnce(container, parts.dispatcher, () => {
+    const local = container.get<localDestination.LocalDestination>(parts.localDestination);
+    const connections = container.get<peerDestination.PeerConnections>(parts.peerConnections);
+    return new dispatcher.Dispatcher(
+      cfg,
+      state().config,
+      container.get(parts.balancer),
+      container.get(parts.versionChooser),
+      ({ node, address }) =>
+        node === cfg.node ? local : new peerDestination.PeerDestination(node, address, connections),
+      container.get(parts.onceGuard),
+      new retryBudget.RetryBudget(time()),
+      meters(),
+    );
+  });
   bindOnce(container, parts.forwardServer, () => {
     const log = loggerOf(container, 'requests');
-    return new forwardServer.ForwardServer(container.get(parts.localDestination), log);
+    return new forwardServer.ForwardServer(cfg.node, container.get(parts.localDestination), log);
   });
   bindOnce(container, parts.callerServer, () => {
     const { config, local } = state();
@@ -303,6 +315,7 @@
         callers: container.get(parts.callerServer),
         channels: container.get(parts.channels),
         children: container.get(parts.childServer),
+        connections: container.get(parts.peerConnections),
         forwards: container.get(parts.forwardServer),
         log: loggerOf(container, 'node'),
         parents: container.get(parts.parentTask),
