--- /dev/null
+++ b/packages/node/src/records/recordedOnceGuard.ts
@@ -0,0 +1,47 @@
+/** Connects `once` routes with the records of idempotency keys. */
+
+import type { failures } from '@godwittrack/core';
+import type { records } from '@godwittrack/protocol';
+import * as onceGuard from '../requests/onceGuard.js';
+import type * as keyGuard from './keyGuard.js';
+
+class RecordedClaim extends onceGuard.OnceClaim {
+  constructor(private readonly claim: keyGuard.KeyClaim) {
+    super();
+  }
+
+  override beginDispatch(): boolean {
+    return this.claim.beginDispatch();
+  }
+
+  override complete(answer: onceGuard.KeptAnswer): void {
+    const { status, headers, body } = answer;
+    const bytes = Buffer.from(body ?? new Uint8Array(0));
+    // The holders are told while the answer is on its way to the caller, who does not wait.
+    void this.claim.complete({ status, headers, body: bytes, bodyKept: body !== null });
+  }
+
+  override release(refused: boolean): failures.Failure {
+    return this.claim.release({ refused });
+  }
+}
+
+async function* bodyOf(answer: records.RecordedAnswer): AsyncIterable<Uint8Array> {
+  yield answer.body;
+}
+
+export class RecordedOnceGuard extends onceGuard.OnceGuard {
+  constructor(private readonly guard: keyGuard.KeyGuard) {
+    super();
+  }
+
+  override async claim(request: onceGuard.OnceRequest): Promise<onceGuard.OnceOutcome> {
+    const { service, key, fingerprint, timeoutMs } = request;
+    const outcome = await this.guard.claim(service, key, fingerprint, timeoutMs);
+    if (outcome.type === 'granted')
+      return { type: 'granted', claim: new RecordedClaim(outcome.claim) };
+    const { answer } = outcome;
+    const head = { status: answer.status, headers: answer.headers, requestId: '', upstreamMs: 0 };
+    return { type: 'replayed', answer: { head, body: bodyOf(answer) } };
+  }
+}
--- a/packages/node/src/wiring.ts
+++ b/packages/node/src/wiring.ts
@@ -35,9 +35,12 @@
 import * as dispatcher from './requests/dispatcher.js';
 import * as forwardServer from './requests/forwardServer.js';
 import * as localDestination from './requests/localDestination.js';
+import * as peerDestination from './requests/peerDestination.js';
 import * as retryBudget from './requests/retryBudget.js';
 import * as upstreamClient from './requests/upstreamClient.js';
+import * as recordedOnceGuard from './records/recordedOnceGuard.js';
 import * as recordsRuntime from './records/recordsRuntime.js';
+import * as upstreamHealth from './requests/upstreamHealth.js';
 import * as rolloutRuntime from './rollouts/rolloutRuntime.js';
 import type * as settings from './settings.js';
 
@@ -66,6 +69,8 @@
   balancer: Symbol.for('balancer'),
   recordsRuntime: Symbol.for('recordsRuntime'),
   rolloutRuntime: Symbol.for('rolloutRuntime'),
+  onceGuard: Symbol.for('onceGuard'),
+  peerConnections: Symbol.for('peerConnections'),
   dispatcher: Symbol.for('dispatcher'),
   forwardServer: Symbol.for('forwardServer'),
   callerServer: Symbol.for('callerServer'),
@@ -197,7 +202,7 @@
   bindOnce(
     container,
     parts.admission,
-    () => new admission.Admission(() => state().local.upstream?.service ?? ''),
+    () => new admission.Admission(() => state().local.upstream?.service ?? '', time()),
   );
   bindOnce(container, parts.upstreamClient, () => new upstreamClient.NodeHttpUpstreamClient());
   bindOnce(
@@ -209,6 +214,7 @@
         state().config,
         container.get(parts.admission),
         container.get(parts.upstreamClient),
+        new upstreamHealth.UpstreamHealth(state().local),
         meters(),
       ),
   );
@@ -243,22 +249,31 @@
   );
   bindOnce(
     container,
-    parts.dispatcher,
+    parts.onceGuard,
     () =>
-      new dispatcher.Dispatcher(
-        cfg,
-        state().config,
-        container.get(parts.balancer),
-        container.get(parts.rolloutRuntime),
-        container.get(parts.localDestination),
-        container.get(parts.channels),
-        new retryBudget.RetryBudget(time()),
-        meters(),
+      new recordedOnceGuard.RecordedOnceGuard(
+        container.get<recordsRuntime.RecordsRuntime>(parts.recordsRuntime).guard,
       ),
   );
+  bindOnce(container, parts.peerConnections, () => new peerDestination.PeerConnections());
+  bindOnce(container, parts.dispatcher, () => {
+    const local = container.get<localDestination.LocalDestination>(parts.localDestination);
+    const connections = container.get<peerDestination.PeerConnections>(parts.peerConnections);
+    return new dispatcher.Dispatcher(
+      cfg,
+      state().config,
+      container.get(parts.balancer),
+      container.get(parts.rolloutRuntime),
+      ({ node, address }) =>
+        node === cfg.node ? local : new peerDestination.PeerDestination(node, address, connections),
+      container.get(parts.onceGuard),
+      new retryBudget.RetryBudget(time()),
+      meters(),
+    );
+  });
   bindOnce(container, parts.forwardServer, () => {
     const log = loggerOf(container, 'requests');
-    return new forwardServer.ForwardServer(container.get(parts.localDestination), log);
+    return new forwardServer.ForwardServer(cfg.node, container.get(parts.localDestination), log);
   });
   bindOnce(container, parts.callerServer, () => {
     const { config, local } = state();
@@ -334,6 +349,7 @@
         callers: container.get(parts.callerServer),
         channels: container.get(parts.channels),
         children: container.get(parts.childServer),
+        connections: container.get(parts.peerConnections),
         forwards: container.get(parts.forwardServer),
         log: loggerOf(container, 'node'),
         parents: container.get(parts.parentTask),
