--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -1,5 +1,8 @@
 /** All experiments, in the order of the help text. */
 
 import type * as experiment from '../experiment.js';
+import * as convergence from './convergence.js';
 
-export const EXPERIMENTS: readonly experiment.Experiment[] = [];
+export const EXPERIMENTS: readonly experiment.Experiment[] = [
+  new convergence.ConvergenceExperiment(),
+];
--- a/packages/node/src/admin/auditTrail.ts
+++ b/packages/node/src/admin/auditTrail.ts
@@ -1,19 +1,21 @@
 /**
- * Audit trail of changes, kept in the platform as a ring of segments so that its size is bounded.
+ * Audit trail of changes, kept in the platform as a ring of entries so that its size is bounded. An
+ * entry is an object of its own: an append to a shared segment would carry the segment each time.
  * Entries wait in memory while the platform is down and are written when it answers again.
  */
 
-import { backoff, failures } from '@godwittrack/core';
+import { backoff, failures, rendezvous } from '@godwittrack/core';
 import type { objectStore } from '@godwittrack/platform';
 import * as z from 'zod';
 import type * as logging from '../logging.js';
 
-/** Segments of the ring; with the entries per segment this bounds the trail. */
-const SEGMENTS = 32;
-const ENTRIES_PER_SEGMENT = 200;
+/** Accepted tickets kept; two days at 2,000 changes a day. */
+const TICKET_SLOTS = 4_096;
+/** Other entries (refusals, steps of rollouts) share the slots of their minute for a day. */
+const OTHER_MINUTES = 1_440;
+const OTHER_SLOTS_PER_MINUTE = 4;
 /** Entries that wait for the platform; the oldest are dropped beyond it, with a log line. */
 const MAX_PENDING = 1_000;
-const MAX_ATTEMPTS = 20;
 const DETAIL_LIMIT = 500;
 
 const entrySchema = z.object({
@@ -29,24 +31,14 @@
   detail: z.string(),
 });
 
-const segmentSchema = z.object({ sequence: z.number(), entries: z.array(entrySchema) });
-
 export type AuditEntry = z.output<typeof entrySchema>;
 export type NewAuditEntry = Omit<AuditEntry, 'id'>;
-type Segment = z.output<typeof segmentSchema>;
-
-interface HeldSegment {
-  segment: Segment;
-  objectVersion: number | null;
-}
 
 export class AuditTrail {
   private readonly pending: AuditEntry[] = [];
 
   private flushing: Promise<void> | null = null;
 
-  private latest: HeldSegment | null = null;
-
   private counter = 0;
 
   constructor(
@@ -78,79 +70,37 @@
   /** Entries, newest first. @throws platformUnavailable */
   async read(limit: number, service?: string): Promise<AuditEntry[]> {
     const listed = await this.store.list('audit');
-    const segments = listed.items
-      .map((item) => segmentSchema.safeParse(item.value))
+    return listed.items
+      .map((item) => entrySchema.safeParse(item.value))
       .flatMap((checked) => (checked.success ? [checked.data] : []))
-      .sort((a, b) => b.sequence - a.sequence);
-    return segments
-      .flatMap((segment) => [...segment.entries].reverse())
       .filter((entry) => service === undefined || concerns(entry, service))
+      .sort((a, b) => b.atMs - a.atMs || (b.version ?? 0) - (a.version ?? 0))
       .slice(0, limit);
   }
 
   private async flush(): Promise<void> {
-    const delays = new backoff.Backoff({ initialMs: 20, maxMs: 2_000 });
-    for (let attempt = 0; attempt < MAX_ATTEMPTS && this.pending.length > 0; attempt++) {
+    const delays = new backoff.Backoff({ initialMs: 20, maxMs: 5_000 });
+    for (let [entry] = this.pending; entry !== undefined; [entry] = this.pending) {
       try {
-        await this.appendPending();
+        // The same entry has the same name, so a write whose answer was lost may be repeated.
+        await this.store.put('audit', slotOf(entry), entry, { type: 'none' });
+        if (this.pending[0] === entry) this.pending.shift();
         delays.reset();
       } catch (err) {
-        this.latest = null;
-        if (!failures.is(err, 'objectConflict')) {
-          this.log.debug({ failure: failures.of(err) }, 'Audit entry waits for the platform.');
-        }
+        this.log.debug({ failure: failures.of(err) }, 'Audit entry waits for the platform.');
         await backoff.sleep(delays.nextMs());
       }
     }
   }
+}
 
-  private async appendPending(): Promise<void> {
-    const held = this.latest ?? (await this.findLatest());
-    const batch = this.pending.slice(0, ENTRIES_PER_SEGMENT);
-    const written = new Set(held.segment.entries.map((entry) => entry.id));
-    const fresh = batch.filter((entry) => !written.has(entry.id));
-    // A segment that another node began may be full as well; the next attempt looks again.
-    const target =
-      held.segment.entries.length + fresh.length > ENTRIES_PER_SEGMENT
-        ? await this.nextSegment(held.segment.sequence + 1)
-        : held;
-    if (fresh.length > 0) {
-      const { sequence } = target.segment;
-      const segment = { sequence, entries: [...target.segment.entries, ...fresh] };
-      const objectVersion = await this.store.put(
-        'audit',
-        String(sequence % SEGMENTS),
-        segment,
-        target.objectVersion === null
-          ? { type: 'absent' }
-          : { type: 'version', version: target.objectVersion },
-      );
-      this.latest = { segment, objectVersion };
-    }
-    this.pending.splice(0, batch.length);
-  }
-
-  private async findLatest(): Promise<HeldSegment> {
-    const { items } = await this.store.list('audit');
-    let latest: HeldSegment = { segment: { sequence: 0, entries: [] }, objectVersion: null };
-    for (const item of items) {
-      const checked = segmentSchema.safeParse(item.value);
-      if (checked.success && checked.data.sequence >= latest.segment.sequence) {
-        latest = { segment: checked.data, objectVersion: item.version };
-      }
-    }
-    return latest;
-  }
-
-  /** Segment in place of the oldest one of the ring, unless another node has begun it already. */
-  private async nextSegment(sequence: number): Promise<HeldSegment> {
-    const old = await this.store.get('audit', String(sequence % SEGMENTS));
-    const checked = segmentSchema.safeParse(old?.value);
-    if (old !== null && checked.success && checked.data.sequence >= sequence) {
-      return { segment: checked.data, objectVersion: old.version };
-    }
-    return { segment: { sequence, entries: [] }, objectVersion: old?.version ?? null };
+/** Place in the ring: by version for accepted tickets, by minute and id for everything else. */
+function slotOf(entry: AuditEntry): string {
+  if (entry.action === 'ticket.file' && entry.version !== null) {
+    return `ticket-${entry.version % TICKET_SLOTS}`;
   }
+  const minute = Math.floor(entry.atMs / 60_000) % OTHER_MINUTES;
+  return `other-${minute}-${rendezvous.hash32(entry.id) % OTHER_SLOTS_PER_MINUTE}`;
 }
 
 function concerns(entry: AuditEntry, service: string): boolean {
--- a/packages/node/src/bootstrap.ts
+++ b/packages/node/src/bootstrap.ts
@@ -73,9 +73,8 @@
 
   /** A contact with the platform after the start of this process gives the floor. */
   private floorFromContact(): number | null {
-    const { link } = this.state;
-    const sinceStartMs = this.time.monotonicMs() - this.startMs;
-    return link.ageMs !== null && link.ageMs < sinceStartMs ? link.platformVersion : null;
+    const { contactAtMs, platformVersion } = this.state.link;
+    return contactAtMs !== null && contactAtMs > this.startMs ? platformVersion : null;
   }
 
   /**
--- a/packages/node/src/config/configStore.ts
+++ b/packages/node/src/config/configStore.ts
@@ -17,6 +17,9 @@
 
   private bodies = new Map<ids.ContentHash, resources.RawSpec>();
 
+  /** Deltas to the current version, by the version that they start from. */
+  private readonly deltas = new Map<string, distribution.ConfigDelta>();
+
   /** Raised after each applied configuration. */
   readonly changed = new signals.ChangeSignal();
 
@@ -56,6 +59,7 @@
     for (const entry of next.live) kept.set(entry.hash, bodyOf(entry.hash) ?? {});
     this.config = resolved;
     this.bodies = kept;
+    this.deltas.clear();
     this.history.push(next);
     if (this.history.length > HISTORY_VERSIONS) this.history.shift();
     this.changed.notify();
@@ -67,8 +71,17 @@
     const { manifest: target } = this.config;
     if (heldVersion >= target.version) return null;
     const base = this.history.find((item) => item.version === heldVersion);
-    const usable = base !== undefined && base.digest() === heldDigest ? base : null;
+    const usable = base !== undefined && digestOf(base) === heldDigest ? base : null;
     const from = usable ?? manifest.Manifest.empty();
+    const key = `${from.version}`;
+    const cached = this.deltas.get(key);
+    if (cached !== undefined) return cached;
+    const delta = this.buildDelta(from, target);
+    this.deltas.set(key, delta);
+    return delta;
+  }
+
+  private buildDelta(from: manifest.Manifest, target: manifest.Manifest) {
     const changed = target.entries.filter((entry) => {
       const old = from.entry(entry.kind, entry.name);
       return old?.ticket !== entry.ticket || old.hash !== entry.hash;
@@ -82,7 +95,7 @@
       bodies: [...needed]
         .filter((key) => !known.has(key))
         .map((key) => ({ hash: key, json: hash.canonicalJson(this.bodies.get(key)) })),
-      manifestDigest: target.digest(),
+      manifestDigest: digestOf(target),
     };
   }
 
@@ -100,7 +113,7 @@
     const held = full ? [] : this.config.manifest.entries;
     const entries = [...held, ...delta.entries.map((entry) => decodeEntry(entry, peer))];
     const next = new manifest.Manifest(ids.configVersion(delta.toVersion), entries);
-    if (next.digest() !== delta.manifestDigest) {
+    if (digestOf(next) !== delta.manifestDigest) {
       const detail = `manifest digest of version ${delta.toVersion} differs`;
       throw failures.raise({ type: 'protocolViolation', peer, detail });
     }
@@ -108,6 +121,17 @@
   }
 }
 
+const digests = new WeakMap<manifest.Manifest, string>();
+
+/** Digest of a manifest, computed once; a relay needs it for each of its children. */
+export function digestOf(item: manifest.Manifest): string {
+  const known = digests.get(item);
+  if (known !== undefined) return known;
+  const digest = item.digest();
+  digests.set(item, digest);
+  return digest;
+}
+
 function decodeEntry(entry: distribution.ManifestEntry, peer: string): manifest.ManifestEntry {
   const kind = resources.KINDS.find((known) => known === entry.kind);
   if (kind === undefined) {
--- a/packages/node/src/config/ticketService.ts
+++ b/packages/node/src/config/ticketService.ts
@@ -16,10 +16,15 @@
 import type { objectStore } from '@godwittrack/platform';
 import type * as audit from '../admin/auditTrail.js';
 import type * as logging from '../logging.js';
-import type * as configStore from './configStore.js';
+import * as configStore from './configStore.js';
+import type * as heldManifests from './heldManifest.js';
 
 const MAX_ATTEMPTS = 12;
 const CONTENTION_BACKOFF = { initialMs: 10, maxMs: 400 };
+/** Largest manifest; the platform holds values up to 1 MiB. */
+const MAX_MANIFEST_BYTES = 896 * 1024;
+/** Part of it for the accepted tickets that it remembers. */
+const MAX_RECENT_BYTES = 64 * 1024;
 /** Bodies read from the platform at once. */
 const BODY_READS = 16;
 
@@ -39,19 +44,27 @@
   changes: { resource: string; action: ChangeAction }[];
 }
 
-interface HeldManifest {
-  manifest: manifest.Manifest;
-  /** Object version for the conditional update; null when the manifest does not exist yet. */
-  objectVersion: number | null;
+/** Files tickets at the node that watches the platform. */
+export abstract class TicketForwarder {
+  /**
+   * Returns null when there is no such node, when it is this one, or when it does not answer; the
+   * ticket may have been accepted in the last case. Failures of the other node are thrown.
+   */
+  abstract forward(ticket: tickets.Ticket): Promise<FiledTicket | null>;
 }
 
 export class TicketService {
+  /** Ends when the previous ticket is decided; two of this node never race for the manifest. */
+  private lastTurn: Promise<unknown> = Promise.resolve();
+
   constructor(
     private readonly store: objectStore.ObjectStore,
     private readonly config: configStore.ConfigStore,
     private readonly auditTrail: audit.AuditTrail,
     private readonly log: logging.Logger,
     private readonly time: clock.Clock,
+    private readonly cache: heldManifests.HeldManifestCache,
+    private readonly forwarder: TicketForwarder | null = null,
   ) {}
 
   /** Runs every check that filing runs, and writes nothing. */
@@ -71,13 +84,37 @@
   }
 
   /**
-   * Files a ticket. After a lost answer the manifest is read back, so the result is known.
+   * Files a ticket at the platform's watcher, or from here when that node cannot.
+   * @throws as `fileHere`
+   */
+  async file(ticket: tickets.Ticket): Promise<FiledTicket> {
+    try {
+      const filed = await this.forwarder?.forward(ticket);
+      if (filed !== undefined && filed !== null) return filed;
+    } catch (err) {
+      // The platform may answer here although it is lost there.
+      if (!failures.is(err, 'platformUnavailable') && !failures.is(err, 'platformOutcomeUnknown')) {
+        throw err;
+      }
+    }
+    return this.fileHere(ticket);
+  }
+
+  /**
+   * Files a ticket from this node, one after the other. After a lost answer the manifest is read
+   * back, so the result is known.
    * @throws ticketConflict, ticketReused, invalidConfiguration: nothing was accepted
    * @throws platformUnavailable, platformOverloaded: nothing was accepted
    * @throws platformOutcomeUnknown: file the same ticket again
    * @throws acceptContention after too many races with other operators
    */
-  async file(ticket: tickets.Ticket): Promise<FiledTicket> {
+  async fileHere(ticket: tickets.Ticket): Promise<FiledTicket> {
+    const turn = this.lastTurn.then(() => this.fileInTurn(ticket));
+    this.lastTurn = turn.catch(() => undefined);
+    return turn;
+  }
+
+  private async fileInTurn(ticket: tickets.Ticket): Promise<FiledTicket> {
     try {
       const filed = await this.acceptWithRetry(ticket);
       if (!filed.repeated) await this.recordOutcome(ticket, 'accepted', filed.version, '');
@@ -119,7 +156,9 @@
     let unknown: failures.FailureError | null = null;
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       try {
-        return await this.acceptOnce(ticket);
+        const filed = await this.acceptOnce(ticket);
+        // After a lost answer, the acceptance that is found is the one that was tried here.
+        return unknown === null ? filed : { ...filed, repeated: false };
       } catch (err) {
         if (failures.is(err, 'platformOutcomeUnknown')) unknown = err;
         else if (unknown !== null && isPlatformFailure(err)) throw unknown;
@@ -130,31 +169,70 @@
     throw unknown ?? failures.raise({ type: 'acceptContention', attempts: MAX_ATTEMPTS });
   }
 
+  /** Decides on the manifest at hand; only an acceptance counts then, a refusal is read again. */
   private async acceptOnce(ticket: tickets.Ticket): Promise<FiledTicket> {
-    const held = await this.readManifest();
-    const { manifest: next, accepted, repeated } = held.manifest.accept(ticket, this.time.nowMs());
+    const { latest } = this.cache;
+    if (latest !== null) {
+      try {
+        return await this.acceptOnto(latest, ticket);
+      } catch (err) {
+        this.cache.clear();
+        if (failures.is(err, 'platformOutcomeUnknown') || isPlatformFailure(err)) throw err;
+      }
+    }
+    return this.acceptOnto(await this.readManifest(), ticket);
+  }
+
+  private async acceptOnto(
+    held: heldManifests.HeldManifest,
+    ticket: tickets.Ticket,
+  ): Promise<FiledTicket> {
+    const result = held.manifest.accept(ticket, this.time.nowMs());
+    const { accepted, repeated } = result;
     if (!repeated) {
-      await this.checkWhole(next, ticket);
+      const next = trimRecent(result.manifest);
+      refuseOversized(next);
+      const bodies = await this.checkWhole(next, ticket);
       await this.writeBodies(ticket);
       const precondition: objectStore.Precondition =
         held.objectVersion === null
           ? { type: 'absent' }
           : { type: 'version', version: held.objectVersion };
-      await this.store.put('manifest', 'current', next.toJSON(), precondition);
+      const written = await this.store.put('manifest', 'current', next.toJSON(), precondition);
+      this.cache.offer({ manifest: next, objectVersion: written });
       this.log.info({ ticket: ticket.number, version: next.version }, 'Ticket accepted.');
+      this.applyHere(next, bodies);
     }
     const { version, atMs } = accepted;
     return { ticket: ticket.number, version, repeated, atMs };
   }
 
-  private async readManifest(): Promise<HeldManifest> {
+  /** What was accepted here is in force here, and on its way to the children, at once. */
+  private applyHere(
+    next: manifest.Manifest,
+    bodies: ReadonlyMap<ids.ContentHash, resources.RawSpec>,
+  ): void {
+    try {
+      if (!this.config.apply(next, bodies)) return;
+      const digest = configStore.digestOf(next);
+      this.log.info({ version: next.version, digest }, 'Configuration applied.');
+    } catch (err) {
+      // The ticket stays accepted; the watch brings the configuration again.
+      this.log.error({ failure: failures.of(err) }, 'Accepted configuration not applied here.');
+    }
+  }
+
+  private async readManifest(): Promise<heldManifests.HeldManifest> {
     const object = await this.store.get('manifest', 'current');
     if (object === null) return { manifest: manifest.Manifest.empty(), objectVersion: null };
     return { manifest: manifest.Manifest.parse(object.value), objectVersion: object.version };
   }
 
   /** The check that every node runs before it applies the configuration. */
-  private async checkWhole(next: manifest.Manifest, ticket: tickets.Ticket): Promise<void> {
+  private async checkWhole(
+    next: manifest.Manifest,
+    ticket: tickets.Ticket,
+  ): Promise<ReadonlyMap<ids.ContentHash, resources.RawSpec>> {
     const bodies = new Map<ids.ContentHash, resources.RawSpec>();
     for (const { hash, spec } of ticket.changes) {
       if (hash !== null && spec !== null) bodies.set(hash, spec);
@@ -169,6 +247,7 @@
       });
     }
     configuration.Configuration.resolve(next, (key) => bodies.get(key) ?? this.config.body(key));
+    return bodies;
   }
 
   private async readBody(key: ids.ContentHash): Promise<resources.RawSpec | null> {
@@ -211,6 +290,29 @@
   }
 }
 
+/** Keeps as many of the newest accepted tickets as fit, so that long reasons crowd nothing out. */
+function trimRecent(next: manifest.Manifest): manifest.Manifest {
+  let bytes = 0;
+  const fitting = [...next.recent].reverse().filter((accepted, index) => {
+    bytes += Buffer.byteLength(JSON.stringify(accepted));
+    return index === 0 || bytes <= MAX_RECENT_BYTES;
+  });
+  if (fitting.length === next.recent.length) return next;
+  return new manifest.Manifest(next.version, next.entries, fitting.reverse());
+}
+
+/** @throws invalidConfiguration well before the platform would refuse the manifest */
+function refuseOversized(next: manifest.Manifest): void {
+  const bytes = Buffer.byteLength(JSON.stringify(next.toJSON()));
+  if (bytes <= MAX_MANIFEST_BYTES) return;
+  const message = `the manifest would hold ${bytes} bytes; the limit is ${MAX_MANIFEST_BYTES}`;
+  const hint = 'Use fewer resources or shorter names; deleted resources count too.';
+  throw failures.raise({
+    type: 'invalidConfiguration',
+    problems: [{ path: '', message, hint }],
+  });
+}
+
 function isPlatformFailure(err: unknown): boolean {
   return failures.is(err, 'platformUnavailable') || failures.is(err, 'platformOverloaded');
 }
--- a/packages/node/src/distribution/childServer.ts
+++ b/packages/node/src/distribution/childServer.ts
@@ -11,8 +11,8 @@
 import type * as logging from '../logging.js';
 import type * as contacts from '../membership/contacts.js';
 import type * as settings from '../settings.js';
-import * as signals from '../signals.js';
-import * as fleetState from './fleetState.js';
+import * as compression from './compression.js';
+import type * as fleetState from './fleetState.js';
 import type * as peerProbe from './peerProbe.js';
 import * as streams from './streams.js';
 
@@ -26,7 +26,16 @@
 const SWEEP_INTERVAL_MS = 500;
 const JOIN_RETRY_AFTER_MS = 1_000;
 
+/** Latest time that the child sent, and when it arrived here. */
+interface Echo {
+  sentMs: number;
+  arrivedAtMs: number;
+}
+
 interface Session {
+  echo: Echo;
+  /** Time of arrival of the hello. */
+  joinedAtMs: number;
   hello: distribution.Hello;
   call: SyncCall;
   ended: AbortController;
@@ -41,6 +50,13 @@
   placements: number;
   vetoes: number;
   progress: string;
+  path: string;
+}
+
+interface Refusal {
+  reason: string;
+  /** 0 sends the child to another parent. */
+  retryAfterMs: number;
 }
 
 export class ChildServer {
@@ -85,11 +101,10 @@
       }
       const hello = first.message.value;
       const refusal = this.refusalFor(hello);
-      if (refusal === null) await this.hold({ hello, call, ended }, messages);
-      else {
-        const value = { reason: refusal, retryAfterMs: JOIN_RETRY_AFTER_MS };
-        call.write({ message: { $case: 'redirect', value } });
-      }
+      const joinedAtMs = this.time.monotonicMs();
+      const echo = { sentMs: hello.sentMs, arrivedAtMs: joinedAtMs };
+      if (refusal === null) await this.hold({ hello, call, ended, echo, joinedAtMs }, messages);
+      else call.write({ message: { $case: 'redirect', value: refusal } });
     } catch (err) {
       this.log.debug({ failure: failures.of(err) }, 'Child stream refused.');
     } finally {
@@ -99,15 +114,16 @@
   }
 
   /** Handler of `Peers.Floor`. */
-  floor(): distribution.FloorReply {
+  floor(withMembers: boolean): distribution.FloorReply {
     const { config, local, members, progress, link } = this.state;
     return {
       node: this.cfg.node,
       region: this.cfg.region,
       highestVersion: Math.max(progress.highestVersion, link.platformVersion),
       ownVersion: config.version,
-      members: members.all,
+      members: withMembers ? members.all : [],
       floorKnown: local.isReady,
+      platformAgeMs: link.ageMs ?? -1,
     };
   }
 
@@ -131,15 +147,24 @@
     }
   }
 
-  private refusalFor(hello: distribution.Hello): string | null {
-    if (this.closing) return 'the node is stopping';
-    if (hello.node === this.cfg.node) return 'a node cannot be its own parent';
-    if (this.state.link.path.includes(hello.node)) return 'the path leads through the child';
+  private refusalFor(hello: distribution.Hello): Refusal | null {
+    const elsewhere = (reason: string) => ({ reason, retryAfterMs: 0 });
+    if (this.closing || this.state.local.isDraining) return elsewhere('the node is stopping');
+    if (hello.node === this.cfg.node) return elsewhere('a node cannot be its own parent');
+    if (this.state.link.path.includes(hello.node)) {
+      return elsewhere('the path leads through the child');
+    }
+    const present = this.sessions.get(hello.node);
+    if (present !== undefined && present.hello.incarnation > hello.incarnation) {
+      return elsewhere('a later life of the child holds a stream');
+    }
     const nowMs = this.time.monotonicMs();
     const refill = ((nowMs - this.joinRefillMs) / 1_000) * JOINS_PER_SECOND;
     this.joinTokens = Math.min(JOINS_PER_SECOND, this.joinTokens + refill);
     this.joinRefillMs = nowMs;
-    if (this.joinTokens < 1) return 'too many nodes are joining';
+    if (this.joinTokens < 1) {
+      return { reason: 'too many nodes are joining', retryAfterMs: JOIN_RETRY_AFTER_MS };
+    }
     this.joinTokens -= 1;
     return null;
   }
@@ -155,8 +180,14 @@
     const writing = this.write(session);
     try {
       while (!ended.signal.aborted) {
-        const message = await streams.nextMessage(messages, constants.CHILD_SILENCE_MS, hello.node);
-        if (message.message !== undefined) this.take(session, message.message);
+        const message = await streams.nextMessage(
+          messages,
+          constants.CHILD_SILENCE_MS,
+          hello.node,
+          ended.signal,
+        );
+        const plain = compression.unpackChild(message, hello.node);
+        if (plain.message !== undefined) this.take(session, plain.message);
       }
     } catch (err) {
       this.log.debug({ child: hello.node, failure: failures.of(err) }, 'Child detached.');
@@ -193,6 +224,10 @@
         message.value.vetoes.forEach((veto) => evidence.addVeto(veto, origin));
         break;
       case 'heartbeat':
+        session.echo = {
+          sentMs: message.value.sentMs,
+          arrivedAtMs: this.time.monotonicMs(),
+        };
         break;
       default:
         throw failures.raise({
@@ -205,10 +240,9 @@
 
   private async write(session: Session): Promise<void> {
     const { call, ended, hello } = session;
-    const wakeup = new signals.Wakeup();
-    const unsubscribe = fleetState.subscribeAll(this.state, () => wakeup.notify());
-    const unsubscribeLink = this.state.link.contacted.subscribe(() => wakeup.notify());
-    ended.signal.addEventListener('abort', () => wakeup.notify(), { once: true });
+    const across = hello.region !== this.cfg.region;
+    const pacer = new streams.Pacer(this.state, across);
+    ended.signal.addEventListener('abort', () => pacer.wake(), { once: true });
     const position: Position = {
       configVersion: hello.configVersion,
       manifestDigest: hello.manifestDigest,
@@ -217,6 +251,7 @@
       placements: 0,
       vetoes: 0,
       progress: '',
+      path: this.state.link.path.join(' '),
     };
     const welcome = {
       node: this.cfg.node as string,
@@ -225,29 +260,37 @@
     };
     await streams.send(call, { message: { $case: 'welcome', value: welcome } }, ended.signal);
     let heartbeatAtMs = Number.NEGATIVE_INFINITY;
-    let contactAtMs = Number.NEGATIVE_INFINITY;
+    let vouched = false;
     while (!ended.signal.aborted) {
-      for (const message of this.pendingMessages(hello, position)) {
-        await streams.send(call, { message }, ended.signal);
+      const gathered = pacer.takeGathered();
+      for (const message of this.pendingMessages(hello, position, gathered)) {
+        const sent = across ? compression.packParent({ message }) : { message };
+        await streams.send(call, sent, ended.signal);
       }
       const nowMs = this.time.monotonicMs();
-      const ageMs = this.state.link.ageMs ?? Number.POSITIVE_INFINITY;
-      // The first contact is passed on at once: a starting child waits for it before it serves.
-      const freshContact = contactAtMs < 0 && Number.isFinite(ageMs);
-      if (freshContact || nowMs - heartbeatAtMs >= constants.HEARTBEAT_INTERVAL_MS) {
+      const { link } = this.state;
+      // The first contact after the join is passed on at once, because a starting child waits for
+      // it before it serves; so is another path, because a loop has to be seen soon.
+      const fresh: boolean = !vouched && (link.contactAtMs ?? 0) > session.joinedAtMs;
+      const moved = link.path.join(' ') !== position.path;
+      if (fresh || moved || nowMs - heartbeatAtMs >= constants.HEARTBEAT_INTERVAL_MS) {
         heartbeatAtMs = nowMs;
-        if (Number.isFinite(ageMs)) contactAtMs = nowMs - ageMs;
-        await streams.send(call, { message: this.heartbeat() }, ended.signal);
+        vouched ||= fresh;
+        const message = this.heartbeat(session, position);
+        await streams.send(call, { message }, ended.signal);
       }
-      await wakeup.wait(constants.HEARTBEAT_INTERVAL_MS);
+      await pacer.wait(heartbeatAtMs + constants.HEARTBEAT_INTERVAL_MS - nowMs);
     }
-    unsubscribe();
-    unsubscribeLink();
+    pacer.close();
     call.end();
   }
 
   /** Configuration goes first, so that a heartbeat never vouches for a version not yet sent. */
-  private pendingMessages(hello: distribution.Hello, position: Position): ParentMessage[] {
+  private pendingMessages(
+    hello: distribution.Hello,
+    position: Position,
+    gathered: boolean,
+  ): ParentMessage[] {
     const { config, members, rollouts, placements, evidence, progress } = this.state;
     const messages: ParentMessage[] = [];
     const delta = config.deltaFrom(position.configVersion, position.manifestDigest);
@@ -260,6 +303,7 @@
     position.vetoes = evidence.currentSequence;
     if (vetoes.length > 0) messages.push({ $case: 'vetoes', value: { vetoes } });
     messages.push(...this.pendingDocuments(hello, position, rollouts, placements));
+    if (!gathered) return messages;
     const across = hello.region !== this.cfg.region;
     if (across) members.refreshSummary(this.time.nowMs());
     const changes = members.changesSince(position.members, hello.node);
@@ -308,14 +352,19 @@
     return messages;
   }
 
-  private heartbeat(): ParentMessage {
-    const { link } = this.state;
+  private heartbeat(session: Session, position: Position): ParentMessage {
+    const { contactAtMs, path, platformVersion } = this.state.link;
+    const { sentMs, arrivedAtMs } = session.echo;
+    const text = path.join(' ');
+    const moved = text !== position.path;
+    position.path = text;
     return {
       $case: 'heartbeat',
       value: {
-        platformAgeMs: link.ageMs ?? -1,
-        path: link.path,
-        platformVersion: link.platformVersion,
+        echoMs: sentMs,
+        contactOffsetMs: contactAtMs === null ? undefined : contactAtMs - arrivedAtMs,
+        platformVersion,
+        path: moved ? path : [],
       },
     };
   }
--- a/packages/node/src/distribution/fleetState.ts
+++ b/packages/node/src/distribution/fleetState.ts
@@ -5,6 +5,7 @@
 import type * as memberTable from '../membership/memberTable.js';
 import type * as evidenceExchange from './evidenceExchange.js';
 import type * as documentTable from './documentTable.js';
+import type * as signals from '../signals.js';
 import type * as platformLink from './platformLink.js';
 import type * as progress from './progress.js';
 
@@ -19,16 +20,21 @@
   evidence: evidenceExchange.EvidenceExchange;
 }
 
-/** Calls `wake` on every change that a stream may have to send; returns a function to stop. */
-export function subscribeAll(state: FleetState, wake: () => void): () => void {
-  const stops = [
-    state.config.changed,
-    state.members.changed,
-    state.rollouts.changed,
-    state.placements.changed,
-    state.progress.subtreeChanged,
-    state.progress.fleetChanged,
-    state.evidence.changed,
-  ].map((signal) => signal.subscribe(wake));
+function subscribe(changes: readonly signals.ChangeSignal[], wake: () => void): () => void {
+  const stops = changes.map((signal) => signal.subscribe(wake));
   return () => stops.forEach((stop) => stop());
 }
+
+/** Calls `wake` on changes that streams send at once; returns a function to stop. */
+export function subscribeUrgent(state: FleetState, wake: () => void): () => void {
+  const { config, rollouts, placements, evidence, link } = state;
+  const changes = [config.changed, rollouts.changed, placements.changed, evidence.vetoed];
+  return subscribe([...changes, link.contacted], wake);
+}
+
+/** Calls `wake` on changes that streams gather before they send them. */
+export function subscribeGathered(state: FleetState, wake: () => void): () => void {
+  const { members, progress, evidence } = state;
+  const changes = [members.changed, progress.subtreeChanged, progress.fleetChanged];
+  return subscribe([...changes, evidence.changed], wake);
+}
--- a/packages/node/src/distribution/parentTask.ts
+++ b/packages/node/src/distribution/parentTask.ts
@@ -11,10 +11,12 @@
 import * as constants from '../constants.js';
 import type * as logging from '../logging.js';
 import * as contacts from '../membership/contacts.js';
+import * as configStore from '../config/configStore.js';
 import type * as metrics from '../metrics/metrics.js';
 import type * as settings from '../settings.js';
 import * as signals from '../signals.js';
-import * as fleetState from './fleetState.js';
+import * as compression from './compression.js';
+import type * as fleetState from './fleetState.js';
 import type * as peerChannels from './peerChannels.js';
 import type * as peerProbe from './peerProbe.js';
 import type * as platformWatcher from './platformWatcher.js';
@@ -23,14 +25,25 @@
 type SyncStream = grpc.ClientDuplexStream<distribution.ChildMessage, distribution.ParentMessage>;
 type ParentMessage = NonNullable<distribution.ParentMessage['message']>;
 
-/** Time in which a region relay that lost the root watches the platform before it tries again. */
-const DIRECT_WATCH_MS = 5_000;
+/** Parents tried in a row before this node looks again at who is there. */
+const MAX_PARENTS_TRIED = 3;
+/** Older knowledge of the platform than this makes a node look for one that has later knowledge. */
+const STALE_CONTACT_MS = 3_000;
+/** A node with this much later knowledge of the platform is a better parent. */
+const FRESHER_BY_MS = 1_500;
 /** How often a settled node looks whether a better parent has appeared. */
 const REVIEW_INTERVAL_MS = 1_000;
 const WELCOME_TIMEOUT_MS = 1_500;
 /** A full configuration is asked for after a delta that could not be applied. */
 const FULL_VERSION = 0;
 
+/** Thrown when a parent asks this node to come back later. */
+class AskedToWait extends Error {
+  constructor(readonly retryAfterMs: number) {
+    super('the parent admits no more joins now');
+  }
+}
+
 interface Session {
   parent: distribution.Member;
   stream: SyncStream;
@@ -73,11 +86,11 @@
       const attachment = this.known.attachment();
       this.currentRole = attachment.role;
       if (attachment.role === 'root') {
-        await this.watchPlatform(signal, Number.POSITIVE_INFINITY);
+        await this.watchPlatform(signal);
       } else if (await this.attachToFirst(attachment, signal)) {
         delays.reset();
       } else if (attachment.role === 'regionRelay') {
-        await this.watchPlatform(signal, DIRECT_WATCH_MS);
+        await this.watchPlatform(signal);
       } else {
         await backoff.sleep(delays.nextMs(), signal);
       }
@@ -89,12 +102,17 @@
     attachment: contacts.Attachment,
     signal: AbortSignal,
   ): Promise<boolean> {
-    for (const parent of attachment.parents) {
+    for (const parent of attachment.parents.slice(0, MAX_PARENTS_TRIED)) {
       if (signal.aborted) return false;
       try {
         await this.attach(parent, attachment.role, signal);
         return true;
       } catch (err) {
+        if (err instanceof AskedToWait) {
+          // Moving on would carry the storm to the other nodes and give the tree a second top.
+          await backoff.sleep(err.retryAfterMs * (0.5 + Math.random()), signal);
+          return true;
+        }
         const failure = failures.of(err);
         this.log.debug({ parent: parent.node, failure }, 'Parent not available.');
         this.known.suspect(parent.node);
@@ -103,7 +121,7 @@
     return false;
   }
 
-  private async watchPlatform(signal: AbortSignal, forMs: number): Promise<void> {
+  private async watchPlatform(signal: AbortSignal): Promise<void> {
     const stop = new AbortController();
     const combined = AbortSignal.any([signal, stop.signal]);
     this.state.local.setParent('');
@@ -113,9 +131,14 @@
     const startMs = this.time.monotonicMs();
     const unsubscribe = this.publishFleetProgress();
     while (!combined.aborted) {
-      await backoff.sleep(Math.min(REVIEW_INTERVAL_MS, forMs), combined);
-      const expired = this.time.monotonicMs() - startMs >= forMs;
-      if (expired || (await this.hasBetterParent(null))) stop.abort();
+      await backoff.sleep(REVIEW_INTERVAL_MS, combined);
+      const settled = this.time.monotonicMs() - startMs > STALE_CONTACT_MS;
+      if (await this.hasBetterParent(null)) stop.abort();
+      else if (settled && (await this.othersReachPlatform())) {
+        this.log.warn('The platform is lost here but not at other nodes.');
+        this.known.demoteSelf();
+        stop.abort();
+      }
     }
     unsubscribe();
     await watching;
@@ -138,21 +161,71 @@
     const { role, parents } = this.known.attachment();
     const [best] = parents;
     if (role !== this.currentRole && (role === 'root' || role === 'regionRelay')) return true;
-    if (best === undefined || best.node === current) return false;
-    if (await this.probe.answers(best)) return true;
+    if (best === undefined) return false;
+    if (best.node === current) return this.hasFresherParent(current, parents);
+    const reply = await this.probe.ask(best);
+    // A node that lost the platform is no better parent, however it ranks.
+    const lost = reply === null || this.ageOf(reply) - this.ownAgeMs() > STALE_CONTACT_MS;
+    if (!lost) return true;
     this.known.suspect(best.node);
     return false;
   }
 
+  /**
+   * Looks for later knowledge of the platform when that of the parent has grown old: at the next
+   * parents, and at the platform itself when only the parent is ranked above this node.
+   */
+  private async hasFresherParent(
+    current: string,
+    parents: readonly distribution.Member[],
+  ): Promise<boolean> {
+    if (this.ownAgeMs() < STALE_CONTACT_MS) return false;
+    const fresher = await this.findFresher(parents.filter(({ node }) => node !== current));
+    const first = this.known.firstAbove();
+    const leads = fresher === null && first !== undefined && (await this.reachesPlatform());
+    if (fresher === null && !leads) return false;
+    this.log.warn({ parent: current }, 'The parent lost the platform.');
+    this.known.suspect(current);
+    if (leads) this.known.suspect(first.node);
+    return true;
+  }
+
+  private async othersReachPlatform(): Promise<boolean> {
+    if (this.ownAgeMs() < STALE_CONTACT_MS) return false;
+    return (await this.findFresher(this.known.others())) !== null;
+  }
+
+  private async findFresher(
+    candidates: readonly distribution.Member[],
+  ): Promise<distribution.Member | null> {
+    const tried = candidates.slice(0, MAX_PARENTS_TRIED);
+    const replies = await Promise.all(tried.map((member) => this.probe.ask(member)));
+    const index = replies.findIndex(
+      (reply) => reply !== null && this.ageOf(reply) + FRESHER_BY_MS < this.ownAgeMs(),
+    );
+    return tried[index] ?? null;
+  }
+
+  private async reachesPlatform(): Promise<boolean> {
+    if (this.cfg.region !== this.cfg.homeRegion) return false;
+    return this.watcher.reaches(AbortSignal.timeout(WELCOME_TIMEOUT_MS));
+  }
+
+  private ownAgeMs(): number {
+    return this.state.link.ageMs ?? Number.POSITIVE_INFINITY;
+  }
+
+  private ageOf(reply: distribution.FloorReply): number {
+    return reply.platformAgeMs < 0 ? Number.POSITIVE_INFINITY : reply.platformAgeMs;
+  }
+
   /** Holds a stream to one parent; returns when the session ended after a good start. */
   private async attach(
     parent: distribution.Member,
     role: contacts.Role,
     signal: AbortSignal,
   ): Promise<void> {
-    const address =
-      parent.region === this.cfg.region ? parent.peerAddress : parent.externalPeerAddress;
-    const stream = this.channels.get(address).distribution.sync();
+    const stream = this.channels.get(this.probe.addressOf(parent)).distribution.sync();
     const ended = new AbortController();
     const session: Session = { parent, stream, ended };
     const stop = () => ended.abort();
@@ -167,6 +240,7 @@
       signal.removeEventListener('abort', stop);
       stream.cancel();
       this.parentNode = null;
+      this.state.link.setParentPath([]);
     }
   }
 
@@ -183,13 +257,17 @@
       failureDomain: this.cfg.failureDomain,
       role: { root: 0, leaf: 0, domainRelay: 1, regionRelay: 2 }[role],
       configVersion: this.askFull ? FULL_VERSION : config.version,
-      manifestDigest: config.current.manifest.digest(),
+      manifestDigest: configStore.digestOf(config.current.manifest),
       rollouts: rollouts.all.map(({ name, revision }) => ({ rollout: name, revision })),
       placements: placements.all.map(({ name, revision }) => ({ service: name, epoch: revision })),
+      sentMs: this.time.monotonicMs(),
     };
     session.stream.write({ message: { $case: 'hello', value: hello } });
     const answer = await streams.nextMessage(messages, WELCOME_TIMEOUT_MS, session.parent.node);
     const { message } = answer;
+    if (message?.$case === 'redirect' && message.value.retryAfterMs > 0) {
+      throw new AskedToWait(message.value.retryAfterMs);
+    }
     if (message?.$case !== 'welcome') {
       const detail =
         message?.$case === 'redirect' ? message.value.reason : 'no welcome was answered';
@@ -210,15 +288,18 @@
     messages: AsyncIterator<distribution.ParentMessage>,
   ): Promise<void> {
     const { ended } = session;
-    const tasks = [this.write(session), this.review(session)];
+    const writing = this.write(session);
+    const reviewing = this.review(session);
     try {
       while (!ended.signal.aborted) {
         const message = await streams.nextMessage(
           messages,
           constants.PARENT_SILENCE_MS,
           session.parent.node,
+          ended.signal,
         );
-        if (message.message !== undefined) this.take(session, message.message);
+        const plain = compression.unpackParent(message, session.parent.node);
+        if (plain.message !== undefined) this.take(session, plain.message);
       }
     } catch (err) {
       if (!ended.signal.aborted) {
@@ -228,7 +309,8 @@
       }
     } finally {
       ended.abort();
-      await Promise.all(tasks);
+      session.stream.cancel();
+      await Promise.all([writing, reviewing]);
     }
   }
 
@@ -264,10 +346,13 @@
         progress.setFleet(message.value);
         break;
       case 'heartbeat':
-        this.refuseLoop(session, message.value.path);
-        link.setParentPath(message.value.path);
-        if (message.value.platformAgeMs >= 0) {
-          link.confirm(message.value.platformVersion, message.value.platformAgeMs);
+        if (message.value.path.length > 0) {
+          this.refuseLoop(session, message.value.path);
+          link.setParentPath(message.value.path);
+        }
+        if (message.value.contactOffsetMs !== undefined) {
+          const contactAtMs = message.value.echoMs + message.value.contactOffsetMs;
+          link.confirm(message.value.platformVersion, contactAtMs);
         }
         break;
       default:
@@ -294,7 +379,8 @@
     try {
       if (this.state.config.applyDelta(delta, session.parent.node)) {
         this.meters.increment('godwittrack_config_applied_total');
-        this.log.info({ version: delta.toVersion }, 'Configuration applied.');
+        const digest = delta.manifestDigest;
+        this.log.info({ version: delta.toVersion, digest }, 'Configuration applied.');
       }
     } catch (err) {
       const failure = failures.of(err);
@@ -317,33 +403,41 @@
   /** Sends what changed, at the pace that the parent takes it; bursts are coalesced. */
   private async write(session: Session): Promise<void> {
     const { stream, ended, parent } = session;
-    const wakeup = new signals.Wakeup();
-    const unsubscribe = fleetState.subscribeAll(this.state, () => wakeup.notify());
-    const stop = () => wakeup.notify();
+    const across = parent.region !== this.cfg.region;
+    const pacer = new streams.Pacer(this.state, across);
+    const stop = () => pacer.wake();
     ended.signal.addEventListener('abort', stop, { once: true });
-    const position = { members: 0, evidence: 0, progress: '' };
-    let heartbeatAtMs = 0;
+    const position = { members: 0, evidence: 0, vetoes: 0, progress: '' };
+    let heartbeatAtMs = Number.NEGATIVE_INFINITY;
     while (!ended.signal.aborted && stream.writable) {
-      for (const message of this.pendingMessages(parent, position)) {
-        await streams.send(stream, { message }, ended.signal);
+      const gathered = pacer.takeGathered();
+      for (const message of this.pendingMessages(parent, position, gathered)) {
+        const sent = across ? compression.packChild({ message }) : { message };
+        await streams.send(stream, sent, ended.signal);
       }
-      if (this.time.monotonicMs() - heartbeatAtMs >= constants.HEARTBEAT_INTERVAL_MS) {
-        heartbeatAtMs = this.time.monotonicMs();
-        const value = { configVersion: this.state.config.version };
+      const nowMs = this.time.monotonicMs();
+      if (nowMs - heartbeatAtMs >= constants.HEARTBEAT_INTERVAL_MS) {
+        heartbeatAtMs = nowMs;
+        const value = { sentMs: nowMs };
         await streams.send(stream, { message: { $case: 'heartbeat', value } }, ended.signal);
       }
-      await wakeup.wait(constants.HEARTBEAT_INTERVAL_MS);
+      await pacer.wait(heartbeatAtMs + constants.HEARTBEAT_INTERVAL_MS - nowMs);
     }
-    unsubscribe();
+    pacer.close();
     ended.signal.removeEventListener('abort', stop);
   }
 
   private pendingMessages(
     parent: distribution.Member,
-    position: { members: number; evidence: number; progress: string },
+    position: { members: number; evidence: number; vetoes: number; progress: string },
+    gathered: boolean,
   ): NonNullable<distribution.ChildMessage['message']>[] {
     const { members, evidence, progress } = this.state;
     const messages: NonNullable<distribution.ChildMessage['message']>[] = [];
+    const vetoes = evidence.vetoesSince(position.vetoes, parent.node);
+    position.vetoes = evidence.currentSequence;
+    if (vetoes.length > 0) messages.push({ $case: 'vetoes', value: { vetoes } });
+    if (!gathered) return messages;
     const across = parent.region !== this.cfg.region;
     if (across) members.refreshSummary(this.time.nowMs());
     const changes = members.changesSince(position.members, parent.node);
@@ -357,9 +451,7 @@
       messages.push({ $case: 'announce', value: announce });
     }
     const samples = evidence.samplesSince(position.evidence, parent.node);
-    const vetoes = evidence.vetoesSince(position.evidence, parent.node);
     position.evidence = evidence.currentSequence;
-    if (vetoes.length > 0) messages.push({ $case: 'vetoes', value: { vetoes } });
     if (samples.length > 0) messages.push({ $case: 'evidence', value: { samples } });
     const known = across ? members.size : progress.childrenKnown();
     const value = { counts: progress.subtree(), known };
@@ -374,13 +466,23 @@
   /** Ends the session when a parent of better rank answers. */
   private async review(session: Session): Promise<void> {
     const { ended, parent } = session;
+    const { members } = this.state;
+    const wakeup = new signals.Wakeup();
+    const wake = () => wakeup.notify();
+    ended.signal.addEventListener('abort', wake, { once: true });
+    // A parent that is being stopped is left at once, before it closes its streams.
+    const unsubscribe = members.changed.subscribe(() => {
+      if (members.get(parent.node)?.draining === true) wake();
+    });
     while (!ended.signal.aborted) {
-      await backoff.sleep(REVIEW_INTERVAL_MS * (0.5 + Math.random()), ended.signal);
+      await wakeup.wait(REVIEW_INTERVAL_MS * (0.5 + Math.random()));
       if (!ended.signal.aborted && (await this.hasBetterParent(parent.node))) {
-        this.log.info({ parent: parent.node }, 'A parent of better rank answers.');
+        this.log.info({ parent: parent.node }, 'A better parent answers.');
         ended.abort();
         session.stream.cancel();
       }
     }
+    unsubscribe();
+    ended.signal.removeEventListener('abort', wake);
   }
 }
--- a/packages/node/src/distribution/peerChannels.ts
+++ b/packages/node/src/distribution/peerChannels.ts
@@ -13,8 +13,13 @@
   // Settings name peers by IP number, so no service configuration is looked up.
   'grpc.service_config_disable_resolution': 1,
   'grpc.enable_retries': 0,
+  // A host that was replaced without closing its connections is noticed while a call is open.
+  'grpc.keepalive_time_ms': 10_000,
+  'grpc.keepalive_timeout_ms': 10_000,
 };
 
+const CHANNEL_IDLE_MS = 120_000;
+
 /** Clients of one peer. */
 export interface PeerClients {
   distribution: distribution.DistributionClient;
@@ -24,6 +29,7 @@
 }
 
 interface HeldChannel {
+  usedAtMs: number;
   channel: grpc.Channel;
   clients: PeerClients;
 }
@@ -33,7 +39,11 @@
 
   get(address: string): PeerClients {
     const held = this.channels.get(address);
-    if (held !== undefined) return held.clients;
+    if (held !== undefined) {
+      held.usedAtMs = performance.now();
+      return held.clients;
+    }
+    this.closeIdle();
     const credentials = grpc.credentials.createInsecure();
     const channel = new grpc.Channel(address, credentials, CHANNEL_OPTIONS);
     const options = { channelOverride: channel };
@@ -43,20 +53,27 @@
       requests: new requests.RequestsClient(address, credentials, options),
       records: new records.RecordsClient(address, credentials, options),
     };
-    this.channels.set(address, { channel, clients });
+    this.channels.set(address, { channel, clients, usedAtMs: performance.now() });
     return clients;
   }
 
-  /** Closes channels to addresses that are no longer in use. */
-  retain(addresses: ReadonlySet<string>): void {
-    for (const [address, held] of this.channels) {
-      if (addresses.has(address)) continue;
-      held.channel.close();
+  get size(): number {
+    return this.channels.size;
+  }
+
+  /** Closes channels without a connection that nobody asked for lately, as to replaced hosts. */
+  closeIdle(idleMs = CHANNEL_IDLE_MS): void {
+    const nowMs = performance.now();
+    for (const [address, { channel, usedAtMs }] of this.channels) {
+      const connected = channel.getConnectivityState(false) === grpc.connectivityState.READY;
+      if (connected || nowMs - usedAtMs < idleMs) continue;
+      channel.close();
       this.channels.delete(address);
     }
   }
 
   close(): void {
-    this.retain(new Set());
+    for (const { channel } of this.channels.values()) channel.close();
+    this.channels.clear();
   }
 }
--- a/packages/node/src/distribution/peerProbe.ts
+++ b/packages/node/src/distribution/peerProbe.ts
@@ -14,20 +14,27 @@
     private readonly channels: peerChannels.PeerChannels,
   ) {}
 
-  async answers(member: distribution.Member): Promise<boolean> {
-    const address =
-      member.region === this.cfg.region ? member.peerAddress : member.externalPeerAddress;
+  addressOf(member: distribution.Member): string {
+    return member.region === this.cfg.region ? member.peerAddress : member.externalPeerAddress;
+  }
+
+  /** Answer without members; null when the node is silent or another one has its address. */
+  async ask(member: distribution.Member): Promise<distribution.FloorReply | null> {
     try {
-      const reply = await this.floor(address);
-      return reply.node === member.node;
+      const reply = await this.floor(this.addressOf(member), false);
+      return reply.node === member.node ? reply : null;
     } catch {
-      return false;
+      return null;
     }
   }
 
+  async answers(member: distribution.Member): Promise<boolean> {
+    return (await this.ask(member)) !== null;
+  }
+
   /** @throws peerUnavailable */
-  async floor(address: string): Promise<distribution.FloorReply> {
-    const request = { node: this.cfg.node, region: this.cfg.region };
+  async floor(address: string, members = true): Promise<distribution.FloorReply> {
+    const request = { node: this.cfg.node, region: this.cfg.region, members };
     const options = { deadline: Date.now() + PROBE_TIMEOUT_MS };
     const { peers } = this.channels.get(address);
     return new Promise((resolve, reject) => {
--- a/packages/node/src/distribution/peerServer.ts
+++ b/packages/node/src/distribution/peerServer.ts
@@ -7,6 +7,7 @@
 import type * as forwardServer from '../requests/forwardServer.js';
 import type * as settings from '../settings.js';
 import type * as childServer from './childServer.js';
+import type * as ticketForwarder from './ticketForwarder.js';
 
 const SERVER_OPTIONS: grpc.ServerOptions = {
   'grpc.max_receive_message_length': constants.MAX_PEER_MESSAGE_BYTES,
@@ -21,6 +22,7 @@
     private readonly cfg: settings.ResolvedSettings,
     children: childServer.ChildServer,
     forwards: forwardServer.ForwardServer,
+    files: ticketForwarder.TicketFileServer,
   ) {
     this.server.addService(distribution.DistributionService, {
       sync: (call) => {
@@ -28,7 +30,10 @@
       },
     } satisfies distribution.DistributionServer);
     this.server.addService(distribution.PeersService, {
-      floor: (_call, callback) => callback(null, children.floor()),
+      floor: (call, callback) => callback(null, children.floor(call.request.members)),
+      file: (call, callback) => {
+        void files.serve(call.request).then((reply) => callback(null, reply));
+      },
     } satisfies distribution.PeersServer);
     this.server.addService(requests.RequestsService, {
       forward: (call) => {
--- a/packages/node/src/distribution/platformLink.ts
+++ b/packages/node/src/distribution/platformLink.ts
@@ -1,19 +1,20 @@
 /**
  * What this node knows of the platform: over its own watch, or over the heartbeats of its parent.
- * The age says how old that knowledge is; the path says through which nodes it came.
+ * Times of contact are never later than the contact itself, however long a message was under way,
+ * so that a restarted node can tell whether a contact came after its own start.
  */
 
 import type { clock } from '@godwittrack/core';
 import * as signals from '../signals.js';
 
 export class PlatformLink {
-  private contactAtMs: number | null = null;
+  private contactMs: number | null = null;
 
   private version = 0;
 
   private parentPath: readonly string[] = [];
 
-  /** Raised with each confirmed contact. */
+  /** Raised with each later contact and with each other path. */
   readonly contacted = new signals.ChangeSignal();
 
   constructor(
@@ -21,9 +22,14 @@
     private readonly time: clock.Clock,
   ) {}
 
+  /** Monotonic time of the last confirmed contact; null when there was none. */
+  get contactAtMs(): number | null {
+    return this.contactMs;
+  }
+
   /** Milliseconds since the last confirmed contact; null when there was none. */
   get ageMs(): number | null {
-    return this.contactAtMs === null ? null : this.time.monotonicMs() - this.contactAtMs;
+    return this.contactMs === null ? null : this.time.monotonicMs() - this.contactMs;
   }
 
   /** Highest configuration version that the platform was seen to hold. */
@@ -36,16 +42,17 @@
     return [this.node, ...this.parentPath];
   }
 
-  /** Notes a contact that happened `ageMs` ago; older news than what is known changes nothing. */
-  confirm(platformVersion: number, ageMs = 0): void {
+  /** Notes a contact at a monotonic time; an earlier one than what is known changes nothing. */
+  confirm(platformVersion: number, atMs: number): void {
     this.version = Math.max(this.version, platformVersion);
-    const atMs = this.time.monotonicMs() - ageMs;
-    if (this.contactAtMs !== null && atMs <= this.contactAtMs) return;
-    this.contactAtMs = atMs;
+    if (this.contactMs !== null && atMs <= this.contactMs) return;
+    this.contactMs = atMs;
     this.contacted.notify();
   }
 
   setParentPath(path: readonly string[]): void {
+    if (path.join('\u0000') === this.parentPath.join('\u0000')) return;
     this.parentPath = path;
+    this.contacted.notify();
   }
 }
--- a/packages/node/src/distribution/platformWatcher.ts
+++ b/packages/node/src/distribution/platformWatcher.ts
@@ -3,10 +3,12 @@
  * which runs only while this node is the root relay, or a region relay that has lost the root.
  */
 
-import { backoff, failures, ids, manifest, resources } from '@godwittrack/core';
+import { backoff, failures, manifest } from '@godwittrack/core';
+import type { clock, ids, resources } from '@godwittrack/core';
 import type { objectStore } from '@godwittrack/platform';
 import type { distribution } from '@godwittrack/protocol';
-import type * as configStore from '../config/configStore.js';
+import * as configStore from '../config/configStore.js';
+import * as heldManifests from '../config/heldManifest.js';
 import type * as logging from '../logging.js';
 import type * as contacts from '../membership/contacts.js';
 import * as roster from '../membership/roster.js';
@@ -15,7 +17,6 @@
 
 const WATCHED_KINDS: readonly objectStore.ObjectKind[] = [
   'manifest',
-  'body',
   'rollout',
   'roster',
   'placement',
@@ -33,8 +34,22 @@
     private readonly known: contacts.Contacts,
     private readonly link: platformLink.PlatformLink,
     private readonly log: logging.Logger,
+    private readonly time: clock.Clock,
   ) {}
 
+  /** Manifest as last read or accepted, for the next acceptance at this node; null when unknown. */
+  readonly heldManifest = new heldManifests.HeldManifestCache();
+
+  /** Whether the platform answers now, with one read. */
+  async reaches(signal: AbortSignal): Promise<boolean> {
+    try {
+      await this.store.get('lease', 'controller', signal);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
   /** Runs until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     this.log.info('Watching the platform.');
@@ -57,13 +72,15 @@
         }
       }
     }
+    this.heldManifest.clear();
     this.log.info('Stopped watching the platform.');
   }
 
   /** Reads everything; returns the store version from which to watch. */
   private async listAll(signal: AbortSignal): Promise<number> {
+    const askedAtMs = this.time.monotonicMs();
     const listed = await this.store.list('manifest', signal);
-    await this.takeManifest(listed.items[0]?.value, new Map(), signal);
+    await this.takeManifest(listed.items[0], askedAtMs, signal);
     const others = await Promise.all([
       this.store.list('rollout', signal),
       this.store.list('placement', signal),
@@ -74,30 +91,34 @@
   }
 
   private async watchOnce(since: number, signal: AbortSignal): Promise<number> {
+    const askedAtMs = this.time.monotonicMs();
     const batch = await this.store.watch(WATCHED_KINDS, since, WATCH_WAIT_MS, signal);
-    const bodies = new Map<ids.ContentHash, resources.RawSpec>();
-    let latest: unknown;
+    let latest: objectStore.ObjectEvent | undefined;
     for (const event of batch.events) {
       if (event.type === 'delete') this.dropDocument(event);
-      else if (event.kind === 'body') {
-        bodies.set(ids.contentHash(event.name), event.value as resources.RawSpec);
-      } else if (event.kind === 'manifest') latest = event.value;
+      else if (event.kind === 'manifest') latest = event;
       else this.takeDocument(event);
     }
-    if (latest === undefined) this.link.confirm(this.link.platformVersion);
-    else await this.takeManifest(latest, bodies, signal);
+    // An empty answer was given after the whole wait; one with events may be as old as the question.
+    const waited = batch.events.length === 0 ? WATCH_WAIT_MS : 0;
+    const contactAtMs = Math.min(askedAtMs + waited, this.time.monotonicMs());
+    if (latest === undefined) this.link.confirm(this.link.platformVersion, contactAtMs);
+    else await this.takeManifest(latest, contactAtMs, signal);
     return batch.version;
   }
 
   private async takeManifest(
-    value: unknown,
-    offered: Map<ids.ContentHash, resources.RawSpec>,
+    object: { version: number; value: unknown } | undefined,
+    contactAtMs: number,
     signal: AbortSignal,
   ): Promise<void> {
-    const next = value === undefined ? manifest.Manifest.empty() : manifest.Manifest.parse(value);
+    const next =
+      object === undefined ? manifest.Manifest.empty() : manifest.Manifest.parse(object.value);
+    const offered = new Map<ids.ContentHash, resources.RawSpec>();
     await this.readBodies(next, offered, signal);
     this.apply(next, offered);
-    this.link.confirm(next.version);
+    this.heldManifest.offer({ manifest: next, objectVersion: object?.version ?? null });
+    this.link.confirm(next.version, contactAtMs);
   }
 
   private apply(
@@ -106,7 +127,8 @@
   ): void {
     try {
       if (this.config.apply(next, bodies)) {
-        this.log.info({ version: next.version }, 'Configuration applied.');
+        const digest = configStore.digestOf(next);
+        this.log.info({ version: next.version, digest }, 'Configuration applied.');
       }
     } catch (err) {
       // The configuration in force stays; a later version may be good again.
--- a/packages/node/src/membership/memberTable.ts
+++ b/packages/node/src/membership/memberTable.ts
@@ -137,6 +137,7 @@
 
   /** What changed after `sequence`, without what was learnt from `receiver` itself. */
   changesSince(sequence: number, receiver: Origin): MemberChanges {
+    if (sequence === this.sequence) return { members: [], removals: [], regions: [], sequence };
     const wanted = (entry: { sequence: number; origin: Origin }) =>
       entry.sequence > sequence && entry.origin !== receiver;
     return {
--- a/packages/node/src/wiring.ts
+++ b/packages/node/src/wiring.ts
@@ -20,6 +20,7 @@
 import * as peerProbe from './distribution/peerProbe.js';
 import * as peerServer from './distribution/peerServer.js';
 import * as platformLink from './distribution/platformLink.js';
+import * as ticketForwarder from './distribution/ticketForwarder.js';
 import * as platformWatcher from './distribution/platformWatcher.js';
 import * as progress from './distribution/progress.js';
 import * as logging from './logging.js';
@@ -156,6 +157,7 @@
       known(),
       link,
       log,
+      time(),
     );
   });
   bindOnce(
@@ -261,6 +263,14 @@
         container.get(parts.auditTrail),
         loggerOf(container, 'config'),
         container.get(parts.clock),
+        container.get<platformWatcher.PlatformWatcher>(parts.watcher).heldManifest,
+        new ticketForwarder.PeerTicketForwarder(
+          cfg,
+          state().link,
+          container.get(parts.contacts),
+          container.get(parts.channels),
+          container.get(parts.probe),
+        ),
       ),
   );
   bindOnce(
@@ -290,6 +300,7 @@
         cfg,
         container.get(parts.childServer),
         container.get(parts.forwardServer),
+        new ticketForwarder.TicketFileServer(container.get(parts.ticketService)),
       ),
   );
   bindOnce(
