--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -1,6 +1,10 @@
 /** All experiments, in the order of the help text. */
 
 import type * as experiment from '../experiment.js';
+import * as convergence from './convergence.js';
 import * as requests from './requests.js';
 
-export const EXPERIMENTS: readonly experiment.Experiment[] = [new requests.RequestsExperiment()];
+export const EXPERIMENTS: readonly experiment.Experiment[] = [
+  new convergence.ConvergenceExperiment(),
+  new requests.RequestsExperiment(),
+];
--- a/packages/node/src/distribution/peerServer.ts
+++ b/packages/node/src/distribution/peerServer.ts
@@ -8,6 +8,7 @@
 import * as peerPort from '../requests/peerPort.js';
 import * as settings from '../settings.js';
 import type * as childServer from './childServer.js';
+import type * as ticketForwarder from './ticketForwarder.js';
 
 const SERVER_OPTIONS: grpc.ServerOptions = {
   'grpc.max_receive_message_length': constants.MAX_PEER_MESSAGE_BYTES,
@@ -23,6 +24,7 @@
     private readonly cfg: settings.ResolvedSettings,
     children: childServer.ChildServer,
     forwards: forwardServer.ForwardServer,
+    files: ticketForwarder.TicketFileServer,
   ) {
     this.server.addService(distribution.DistributionService, {
       sync: (call) => {
@@ -30,7 +32,10 @@
       },
     } satisfies distribution.DistributionServer);
     this.server.addService(distribution.PeersService, {
-      floor: (_call, callback) => callback(null, children.floor()),
+      floor: (call, callback) => callback(null, children.floor(call.request.members)),
+      file: (call, callback) => {
+        void files.serve(call.request).then((reply) => callback(null, reply));
+      },
     } satisfies distribution.PeersServer);
     const injector = this.server.createConnectionInjector(grpc.ServerCredentials.createInsecure());
     this.port = new peerPort.PeerPort({
