--- a/packages/node/src/requests/__tests__/callerServer.test.ts
+++ b/packages/node/src/requests/__tests__/callerServer.test.ts
@@ -2,7 +2,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
-import { describe, it } from 'node:test';
+import { afterEach, describe, it } from 'node:test';
 import { failures } from '@godwittrack/core';
 import * as exchange from '../exchange.js';
 import * as fixtures from './requestFixtures.js';
@@ -16,6 +16,8 @@
 }
 
 describe('requests through a node', () => {
+  afterEach(fixtures.closeAll);
+
   it('give back their slots however they end', async () => {
     // Guards against slots that leak with HEAD, 204 and 304 answers and callers that leave.
     const stack = await fixtures.createStack((req, res) => {
@@ -36,7 +38,6 @@
     await settled(stack);
     assert.deepEqual([stack.gate.inFlight, stack.callers.inFlight], [0, 0]);
     assert.equal((await fixtures.call(stack.port, '/safe')).body.toString(), 'hello');
-    stack.close();
   });
 
   it('give back their slots when the caller does not read its answer', async () => {
@@ -51,7 +52,6 @@
     await settled(stack);
     assert.deepEqual([stack.gate.inFlight, stack.callers.inFlight], [0, 0]);
     caller.destroy();
-    stack.close();
   });
 
   it('send a body with its framing, so that the upstream reads one request', async () => {
@@ -71,7 +71,6 @@
       await fixtures.raw(stack.port, `${head}Connection: close\r\n\r\n${chunked}`);
     }
     assert.deepEqual(seen, ['GET /safe', 'DELETE /safe', 'OPTIONS /safe']);
-    stack.close();
   });
 
   it('are refused when they are malformed, and only their connection is closed', async () => {
@@ -99,7 +98,6 @@
     assert.match(await fixtures.raw(stack.port, long), /^HTTP\/1.1 431 /);
     assert.equal(runs, 0);
     assert.equal((await fixtures.call(stack.port, '/safe')).status, 200);
-    stack.close();
   });
 
   it('are refused with 413 when the upload passes the limit midway', async () => {
@@ -114,7 +112,6 @@
     assert.equal(reply.headers['x-godwittrack-outcome'], 'unknown');
     await settled(stack);
     assert.equal(stack.gate.inFlight, 0);
-    stack.close();
   });
 
   it('never carry the word of an upstream as that of the node', async () => {
@@ -124,7 +121,6 @@
     });
     const reply = await fixtures.call(stack.port, '/safe');
     assert.equal(reply.headers['x-godwittrack-outcome'], undefined);
-    stack.close();
   });
 
   it('end at their deadline with an answer that says what is known', async () => {
@@ -134,7 +130,6 @@
     assert.equal(reply.headers['x-godwittrack-outcome'], 'unknown');
     assert.equal(reply.headers['x-request-id'], 'mine');
     assert.ok(Number(reply.headers['retry-after']) >= 1);
-    stack.close();
   });
 
   it('say notRun only for what no attempt can have run', async () => {
@@ -157,7 +152,6 @@
     assert.equal(reply.headers['x-godwittrack-outcome'], 'unknown');
     const plain = await fixtures.call(stack.port, '/safe');
     assert.equal(plain.headers['x-godwittrack-outcome'], 'notRun');
-    stack.close();
   });
 
   it('run once where the route says so, and need a key', async () => {
@@ -176,7 +170,6 @@
     assert.equal(runs, 1);
     const lost = await fixtures.call(stack.port, '/none', { method: 'POST', headers });
     assert.equal(lost.headers['x-godwittrack-outcome'], 'unknown');
-    stack.close();
   });
 
   it('stop at the hop limit, also with a count that is no number', async () => {
@@ -187,7 +180,6 @@
       fixtures.call(stack.port, '/safe', { headers: { 'x-godwittrack-hops': hops } });
     assert.equal((await withHops('3')).body.toString(), '4');
     for (const hops of ['8', '-5', 'many', '1e1']) assert.equal((await withHops(hops)).status, 508);
-    stack.close();
   });
 
   it('are not given to an upstream that began to drain while they waited', async () => {
@@ -212,6 +204,5 @@
     assert.equal(refused.status, 503);
     assert.equal(refused.headers['x-godwittrack-outcome'], 'notRun');
     assert.equal(runs, 1);
-    stack.close();
   });
 });
--- a/packages/node/src/requests/__tests__/forwarding.test.ts
+++ b/packages/node/src/requests/__tests__/forwarding.test.ts
@@ -111,10 +111,14 @@
 
   it('uses a connection again after a whole answer', async () => {
     // Guards against closing the connection between the last frame and the end of the message.
-    local.handle = () => Promise.resolve(answer(exchange.bodyOf(Buffer.alloc(100))));
+    local.handle = async (_head, body) => {
+      await readAll(body.chunks);
+      return answer(each([Buffer.alloc(100), Buffer.alloc(100)]));
+    };
     const earlier = accepted;
     for (let n = 0; n < 20; n++) {
-      const got = await peer.forward(HEAD, exchange.wholeBody(), new AbortController().signal);
+      const body = { whole: null, chunks: each([Buffer.alloc(10)]) };
+      const got = await peer.forward(HEAD, body, new AbortController().signal);
       await readAll(got.body);
       await exchange.discard(got.body);
       await timers.setImmediate();
--- a/packages/node/src/requests/__tests__/requestFixtures.ts
+++ b/packages/node/src/requests/__tests__/requestFixtures.ts
@@ -82,7 +82,14 @@
   local: localMember.LocalMember;
   callers: callerServer.CallerServer;
   servers: balancer.Balancer;
-  close: () => void;
+}
+
+const open = new Set<() => void>();
+
+/** Closes every stack, so that a failed test does not keep its process alive. */
+export function closeAll(): void {
+  open.forEach((close) => close());
+  open.clear();
 }
 
 /** Node `n1` with one upstream that `handler` plays. */
@@ -133,7 +140,8 @@
     upstream.close();
     upstream.closeAllConnections();
   };
-  return { port, gate, local, callers, servers, close };
+  open.add(close);
+  return { port, gate, local, callers, servers };
 }
 
 export interface Reply {
--- a/packages/node/src/requests/attemptTime.ts
+++ b/packages/node/src/requests/attemptTime.ts
@@ -17,7 +17,7 @@
 export class AttemptTimes {
   private readonly estimates = new Map<string, Estimate>();
 
-  /** Notes the time from dispatch to the head of the answer. */
+  /** Notes the time from dispatch to the head of the answer, or to the end of a slow attempt. */
   observe(route: string, ms: number): void {
     const held = this.estimates.get(route);
     if (held === undefined) {
@@ -28,16 +28,11 @@
     held.meanMs += (ms - held.meanMs) * MEAN_WEIGHT;
   }
 
-  /** Attempts that ran out of time raise the estimate, so that a service grown slow is followed. */
-  observeTimeout(route: string, ms: number): void {
-    this.observe(route, ms);
-  }
-
+  /** Time after which the attempt is moved to another server; it may pass the deadline. */
   limitMs(route: string, remainingMs: number): number {
     const held = this.estimates.get(route);
     const half = remainingMs / 2;
-    if (held === undefined) return half;
-    const expected = held.meanMs + DEVIATIONS * held.deviationMs;
-    return Math.min(half, Math.max(MIN_ATTEMPT_MS, expected));
+    const expected = held === undefined ? half : held.meanMs + DEVIATIONS * held.deviationMs;
+    return Math.max(MIN_ATTEMPT_MS, Math.min(half, expected));
   }
 }
--- a/packages/node/src/requests/dispatcher.ts
+++ b/packages/node/src/requests/dispatcher.ts
@@ -56,6 +56,9 @@
   body: exchange.RequestBody;
   remainingMs: number;
   signal: AbortSignal;
+  /** Servers that had the request, this one included. */
+  tried: ReadonlySet<string>;
+  isLast: boolean;
 }
 
 export class Dispatcher {
@@ -128,9 +131,11 @@
       const chosen = this.choose(route, tried) ?? this.chooseAgain(route, latest);
       const body = request.body();
       if (chosen === null || body === null || remainingMs <= 0 || !begin()) break;
+      tried.add(chosen.node);
+      const isLast = attempt === MAX_ATTEMPTS - 1;
       try {
-        const answer = await this.attempt({ request, chosen, body, remainingMs, signal });
-        tried.add(chosen.node);
+        const of = { request, chosen, body, remainingMs, signal, tried, isLast };
+        const answer = await this.attempt(of);
         if (!this.isShedElsewhere(request, answer, tried)) return answer;
         await exchange.discard(answer.body);
       } catch (err) {
@@ -140,7 +145,6 @@
         // A later refusal must not hide that an earlier attempt may have run.
         const hides = request.mayHaveRun && refusals.provesNotStarted(failed.failure);
         if (last === null || !hides) last = failed;
-        tried.add(chosen.node);
         if (signal.aborted || !this.mayRetry(route, failed.failure)) throw last;
       }
       this.meters.increment('godwittrack_retries_total', { service: route.service });
@@ -179,7 +183,10 @@
     const own = new AbortController();
     const cancel = () => own.abort(signal.reason);
     const expire = () => {
-      this.times.observeTimeout(route.name, attemptMs);
+      this.times.observe(route.name, attemptMs);
+      // Where nobody else can take the request, its own server keeps it until the deadline.
+      const elsewhere = request.wholeBody !== null && this.choose(route, of.tried) !== null;
+      if (!elsewhere || of.isLast || !this.takeRetry(route)) return;
       const operation = `attempt at ${chosen.node}`;
       own.abort(failures.raise({ type: 'timeout', operation, timeoutMs: Math.round(attemptMs) }));
     };
@@ -231,6 +238,8 @@
   private mayRetry(route: configuration.Route, failure: failures.Failure): boolean {
     // A planned stop is not a sign of overload, and each server stops once: not budgeted.
     if (failure.type === 'draining') return true;
+    // Its retry was taken from the budget when the attempt was given up.
+    if (failure.type === 'timeout') return true;
     const repeatable =
       route.semantics !== 'once' &&
       failure.type !== 'cancelled' &&
