--- a/packages/bench/src/experiments/convergence.ts
+++ b/packages/bench/src/experiments/convergence.ts
@@ -5,11 +5,9 @@
 
 import * as url from 'node:url';
 import * as timers from 'node:timers/promises';
-import { harness } from '@godwittrack/playground';
+import { fleet, harness } from '@godwittrack/playground';
 import * as experiment from '../experiment.js';
-import * as applications from '../fleet/applications.js';
-import * as changes from '../fleet/changes.js';
-import * as counters from '../fleet/counters.js';
+import * as counters from '../counters.js';
 
 const NAIVE_MAIN = url.fileURLToPath(new URL('../naiveNode.js', import.meta.url));
 const SETTLE_MS = 3_000;
@@ -46,12 +44,12 @@
 
 interface Bench {
   deployment: harness.deployment.Deployment;
-  source: changes.ChangeSource;
+  source: fleet.changes.ChangeSource;
   random: () => number;
 }
 
 /** Files a ticket at a random node; moves on to another one while nodes do not answer. */
-async function fileAnywhere(bench: Bench): Promise<applications.Change> {
+async function fileAnywhere(bench: Bench): Promise<fleet.applications.Change> {
   const { deployment, source, random } = bench;
   const ticket = source.next();
   const filedAtMs = Date.now();
@@ -74,8 +72,8 @@
   await harness.wait.waitFor(
     `version ${version} on all nodes`,
     () => {
-      const histories = applications.readHistories(deployment.servers, source);
-      return Number.isFinite(applications.convergenceMs(last, histories));
+      const histories = fleet.applications.readHistories(deployment.servers, source);
+      return Number.isFinite(fleet.applications.convergenceMs(last, histories));
     },
     CONVERGENCE_LIMIT_MS,
   );
@@ -85,8 +83,8 @@
   bench: Bench,
   count: number,
   spacingMs: number,
-): Promise<applications.Change[]> {
-  const filed: applications.Change[] = [];
+): Promise<fleet.applications.Change[]> {
+  const filed: fleet.applications.Change[] = [];
   for (let i = 0; i < count; i++) {
     filed.push(await fileAnywhere(bench));
     await timers.setTimeout(spacingMs * (0.5 + bench.random()));
@@ -108,8 +106,9 @@
   const idleS = (from.atMs - idleFrom.atMs) / 1_000;
   const filed = await fileMany(bench, count, SPACING_MS);
   const to = await counters.readCounters(deployment);
-  const histories = applications.readHistories(deployment.servers, source);
-  const timeOf = (change: applications.Change) => applications.convergenceMs(change, histories);
+  const histories = fleet.applications.readHistories(deployment.servers, source);
+  const timeOf = (change: fleet.applications.Change) =>
+    fleet.applications.convergenceMs(change, histories);
   const home = filed.filter(({ region }) => region === deployment.homeRegion);
   const away = filed.filter(({ region }) => region !== deployment.homeRegion);
   return {
@@ -129,7 +128,7 @@
 /** One fault after the other on single nodes, until `signal` aborts. */
 async function injectFaults(
   bench: Bench,
-  absences: applications.Absence[],
+  absences: fleet.applications.Absence[],
   signal: AbortSignal,
 ): Promise<void> {
   const { deployment, random } = bench;
@@ -161,16 +160,16 @@
 }
 
 async function measureFaults(bench: Bench, count: number) {
-  const absences: applications.Absence[] = [];
+  const absences: fleet.applications.Absence[] = [];
   const stop = new AbortController();
   const injecting = injectFaults(bench, absences, stop.signal);
   const filed = await fileMany(bench, count, FAULT_SPACING_MS);
   stop.abort();
   await injecting;
   await waitApplied(bench, filed[filed.length - 1]?.version ?? 0);
-  const histories = applications.readHistories(bench.deployment.servers, bench.source);
+  const histories = fleet.applications.readHistories(bench.deployment.servers, bench.source);
   return {
-    timesMs: filed.map((change) => applications.convergenceMs(change, histories, absences)),
+    timesMs: filed.map((change) => fleet.applications.convergenceMs(change, histories, absences)),
     faults: absences.length,
     regressions: sum(histories.map((history) => history.regressions)),
     partialApplies: sum(histories.map((history) => history.partialApplies)),
@@ -208,7 +207,7 @@
           upstreams: upstreams && nodeMain === undefined,
         });
         try {
-          const source = new changes.ChangeSource(services);
+          const source = new fleet.changes.ChangeSource(services);
           const bench = { deployment, source, random: createRandom(options.seed) };
           options.report(`${layout.name} ${nodeMain === undefined ? 'tree' : 'naive'}`);
           const measured = await measureQuiet(bench, count);
@@ -244,15 +243,15 @@
   const homeMs = own.flatMap((part) => part.homeMs);
   const awayMs = own.flatMap((part) => part.awayMs);
   return {
-    p50Ms: applications.percentile(times(own), 0.5),
-    p99Ms: applications.percentile(times(own), 0.99),
+    p50Ms: fleet.applications.percentile(times(own), 0.5),
+    p99Ms: fleet.applications.percentile(times(own), 0.99),
     maxMs: Math.max(...times(own)),
-    filedAtHomeP99Ms: applications.percentile(homeMs, 0.99),
-    filedAcrossLinkP99Ms: applications.percentile(awayMs, 0.99),
-    naiveP50Ms: applications.percentile(times(naive), 0.5),
-    naiveP99Ms: applications.percentile(times(naive), 0.99),
-    faultsP50Ms: applications.percentile(times(faults), 0.5),
-    faultsP99Ms: applications.percentile(times(faults), 0.99),
+    filedAtHomeP99Ms: fleet.applications.percentile(homeMs, 0.99),
+    filedAcrossLinkP99Ms: fleet.applications.percentile(awayMs, 0.99),
+    naiveP50Ms: fleet.applications.percentile(times(naive), 0.5),
+    naiveP99Ms: fleet.applications.percentile(times(naive), 0.99),
+    faultsP50Ms: fleet.applications.percentile(times(faults), 0.5),
+    faultsP99Ms: fleet.applications.percentile(times(faults), 0.99),
     linkBytesPerChange: perChange(own, net),
     naiveLinkBytesPerChange: perChange(naive, net),
     linkBytesPerChangeWithIdle: perChange(own, (part) => part.linkBytes),
--- a/packages/node/src/distribution/childServer.ts
+++ b/packages/node/src/distribution/childServer.ts
@@ -306,7 +306,7 @@
     if (!gathered) return messages;
     const across = hello.region !== this.cfg.region;
     if (across) members.refreshSummary(this.time.nowMs());
-    const changes = members.changesSince(position.members, hello.node);
+    const changes = members.changesSince(position.members, hello.node, across);
     position.members = changes.sequence;
     const value = {
       members: across ? [] : changes.members,
--- a/packages/node/src/distribution/parentTask.ts
+++ b/packages/node/src/distribution/parentTask.ts
@@ -440,7 +440,7 @@
     if (!gathered) return messages;
     const across = parent.region !== this.cfg.region;
     if (across) members.refreshSummary(this.time.nowMs());
-    const changes = members.changesSince(position.members, parent.node);
+    const changes = members.changesSince(position.members, parent.node, across);
     position.members = changes.sequence;
     const announce = {
       members: across ? [] : changes.members,
--- a/packages/node/src/membership/memberTable.ts
+++ b/packages/node/src/membership/memberTable.ts
@@ -76,8 +76,11 @@
     return this.members.size;
   }
 
+  /** Summaries of the other regions; the members themselves tell about the own one. */
   get regions(): distribution.RegionSummary[] {
-    return [...this.summaries.values()].map((entry) => entry.summary);
+    return [...this.summaries.values()]
+      .map((entry) => entry.summary)
+      .filter(({ region }) => region !== this.region);
   }
 
   get(node: string): distribution.Member | undefined {
@@ -135,8 +138,11 @@
     return true;
   }
 
-  /** What changed after `sequence`, without what was learnt from `receiver` itself. */
-  changesSince(sequence: number, receiver: Origin): MemberChanges {
+  /**
+   * What changed after `sequence`, without what was learnt from `receiver` itself. The summary of
+   * the own region goes only across: one that a former relay still holds would be out of date.
+   */
+  changesSince(sequence: number, receiver: Origin, across = false): MemberChanges {
     if (sequence === this.sequence) return { members: [], removals: [], regions: [], sequence };
     const wanted = (entry: { sequence: number; origin: Origin }) =>
       entry.sequence > sequence && entry.origin !== receiver;
@@ -145,7 +151,10 @@
       removals: [...this.removals]
         .filter(([, entry]) => wanted(entry))
         .map(([node, entry]) => ({ node, incarnation: entry.incarnation })),
-      regions: [...this.summaries.values()].filter(wanted).map((entry) => entry.summary),
+      regions: [...this.summaries.values()]
+        .filter(wanted)
+        .map((entry) => entry.summary)
+        .filter(({ region }) => across || region !== this.region),
       sequence: this.sequence,
     };
   }
--- a/playground/src/faults/cells/index.ts
+++ b/playground/src/faults/cells/index.ts
@@ -1,5 +1,7 @@
 /** All cells of the fault matrix. */
 
 import type * as cell from '../cell.js';
+import * as distribution from './distribution.js';
+import * as membership from './membership.js';
 
-export const CELLS: readonly cell.Cell[] = [];
+export const CELLS: readonly cell.Cell[] = [...distribution.CELLS, ...membership.CELLS];
--- a/packages/bench/src/fleet/applications.ts
+++ b/playground/src/fleet/applications.ts
@@ -1,6 +1,6 @@
 /** Reads from the nodes' log records when each node applied which configuration. */
 
-import type { harness } from '@godwittrack/playground';
+import type * as deployments from '../harness/deployment.js';
 import type * as changes from './changes.js';
 
 export interface Application {
@@ -32,7 +32,7 @@
   partialApplies: number;
 }
 
-function readHistory(server: harness.deployment.Server, source: changes.ChangeSource): NodeHistory {
+function readHistory(server: deployments.Server, source: changes.ChangeSource): NodeHistory {
   const history: NodeHistory = {
     node: server.name,
     applications: [],
@@ -59,7 +59,7 @@
 }
 
 export function readHistories(
-  servers: readonly harness.deployment.Server[],
+  servers: readonly deployments.Server[],
   source: changes.ChangeSource,
 ): NodeHistory[] {
   return servers.map((server) => readHistory(server, source));
--- a/packages/bench/src/fleet/changes.ts
+++ b/playground/src/fleet/changes.ts
@@ -1,7 +1,7 @@
 /** Tickets of the experiments, and a model of the manifest that they must lead to. */
 
 import { manifest, ticket as tickets } from '@godwittrack/core';
-import type { harness } from '@godwittrack/playground';
+import type * as clients from '../harness/clients.js';
 
 const ROUTES_PER_SERVICE = 10;
 
@@ -16,7 +16,7 @@
   constructor(private readonly services: readonly string[]) {}
 
   /** First ticket: all services with their routes. */
-  first(): harness.clients.TicketDocument {
+  first(): clients.TicketDocument {
     const resources = this.services.flatMap((service) => [
       { kind: 'service', name: service, spec: { queueLength: 24 } },
       ...[...Array(ROUTES_PER_SERVICE).keys()].map((n) => this.route(service, n, 1_000)),
@@ -24,7 +24,7 @@
     return this.document(resources);
   }
 
-  next(): harness.clients.TicketDocument {
+  next(): clients.TicketDocument {
     const n = this.number;
     const service = this.services[n % this.services.length] ?? '';
     return this.document([
@@ -44,9 +44,7 @@
     return { kind: 'route', name: `${service}-${n}`, spec };
   }
 
-  private document(
-    resources: harness.clients.TicketDocument['resources'],
-  ): harness.clients.TicketDocument {
+  private document(resources: clients.TicketDocument['resources']): clients.TicketDocument {
     this.number += 1;
     const document = { ticket: this.number, author: 'bench', reason: 'measurement', resources };
     this.model = this.model.accept(tickets.Ticket.parse(document), 0).manifest;
