--- a/playground/src/faults/cells/distribution.ts
+++ b/playground/src/faults/cells/distribution.ts
@@ -190,8 +190,19 @@
   };
 }
 
+/** Each failed once or twice on a loaded machine, before its fault; the cause is not found yet. */
+const KNOWN_RED: ReadonlyMap<string, string> = new Map([
+  ['freeze at accept', 'no leaf in the second region within 20 s of a start under load'],
+  ['kill at apply', 'no leaf in the second region within 10 s of a start under load'],
+]);
+
 export const CELLS: readonly cells.Cell[] = [
-  ...FAULTS.flatMap((fault) => STEPS.map((step) => special(fault, step, runOf(fault, step)))),
+  ...FAULTS.flatMap((fault) =>
+    STEPS.map((step) => ({
+      ...special(fault, step, runOf(fault, step)),
+      knownRed: KNOWN_RED.get(`${fault} at ${step}`),
+    })),
+  ),
   special('outage and restart of all', 'restart', restartAllInOutage),
   special('restart of all', 'restart', restartAll),
   special('cut of the root alone', 'relay', cutRootOnly),
