--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -3,8 +3,10 @@
 import type * as experiment from '../experiment.js';
 import * as convergence from './convergence.js';
 import * as requests from './requests.js';
+import * as scale from './scale.js';
 
 export const EXPERIMENTS: readonly experiment.Experiment[] = [
   new convergence.ConvergenceExperiment(),
   new requests.RequestsExperiment(),
+  new scale.ScaleExperiment(),
 ];
--- a/playground/src/faults/cells/index.ts
+++ b/playground/src/faults/cells/index.ts
@@ -1,6 +1,12 @@
 /** All cells of the fault matrix. */
 
 import type * as cell from '../cell.js';
+import * as distribution from './distribution.js';
+import * as membership from './membership.js';
 import * as requests from './requests.js';
 
-export const CELLS: readonly cell.Cell[] = [...requests.CELLS];
+export const CELLS: readonly cell.Cell[] = [
+  ...distribution.CELLS,
+  ...membership.CELLS,
+  ...requests.CELLS,
+];
