fix(node): a holder out of sight keeps its place until it is known to be lost

Cause: the root planned from the members in sight at that second. A new root with an empty member table, a fourth server of a version in another region (summaries name three), a node that left and joined again within seconds and a stopped announcement all counted as lost members; losses in several domains make every key wait for retention and lease (70 min). Once the last once route of a service was removed its placement went stale, so the route's return met lost holders only. Ruled out: removing members on the root's own view after a pause only; hidden members of a remote region never come into view. Change: planning moves to placementPlanner.ts. A holder out of sight for 15 s is asked for a sign of life (a claim of epoch 0, never granted), and in another region a silent one leaves only while another holder of that region answers. A node seen to serve something else leaves without a question. Placements are kept up without once routes. A root that has not read the placement writes no second one over it. Addresses come from the placement of the holder's own service.

--- a/packages/node/src/records/__tests__/recordFixtures.ts
+++ b/packages/node/src/records/__tests__/recordFixtures.ts
@@ -10,7 +10,7 @@
 export const DEADLINE_MS = 2_000;
 export const LEASE_MS = 30_000;
 
-const LAYOUT = ['r1/a', 'r1/b', 'r2/a', 'r2/b', 'r1/a'];
+const LAYOUT = ['r1/a', 'r1/b', 'r2/a', 'r2/b', 'r1/a', 'r1/b', 'r2/b'];
 
 export function member(i: number, incarnation = 1): placements.LiveMember {
   const [region, domain] = LAYOUT[i]!.split('/') as [string, string];
--- a/packages/node/src/records/__tests__/recordStore.test.ts
+++ b/packages/node/src/records/__tests__/recordStore.test.ts
@@ -98,6 +98,17 @@
       assert.equal(reply.answer?.body.toString(), 'two');
     });
 
+    it('takes a copy of claims that it holds already when it is full, else it never recovers', () => {
+      stores[0] = testing.createStore(0, 1, clock, { maxEntries: 1 });
+      at(0).adopt(first);
+      at(0).claim(claimRequest('a'));
+      at(1).claim(claimRequest('a'));
+      waitForOldGrants();
+      assert.equal(copy(1, 0), true);
+      at(1).claim(claimRequest('b', 'k2'));
+      assert.equal(copy(1, 0), false);
+    });
+
     it('grants nothing without a recent confirmation of its placement', () => {
       clock.advance(testing.LEASE_MS + 1);
       assert.equal(at(0).claim(claimRequest('a')).result, R.CLAIM_RESULT_RECOVERING);
--- a/packages/node/src/records/grpcRecordPeers.ts
+++ b/packages/node/src/records/grpcRecordPeers.ts
@@ -6,8 +6,8 @@
 import * as peers from './recordPeers.js';
 import type * as recordStore from './recordStore.js';
 
-/** Gives the shared client of a node, or null when its address is unknown. */
-export type ClientCache = (node: string) => records.RecordsClient | null;
+/** Gives the shared client of a holder, or null when its address is unknown. */
+export type ClientCache = (holder: placements.Member) => records.RecordsClient | null;
 
 type Unary<Req, Res> = (
   req: Req,
@@ -87,7 +87,7 @@
   }
 
   private client(member: placements.Member): records.RecordsClient {
-    const client = this.clientOf(member.node);
+    const client = this.clientOf(member);
     if (client !== null) return client;
     const detail = 'The address is unknown.';
     throw failures.raise({ type: 'peerUnavailable', peer: member.node, detail });
--- a/packages/node/src/records/placementController.ts
+++ b/packages/node/src/records/placementController.ts
@@ -25,6 +25,18 @@
     this.minFirstMembers = options.minFirstMembers ?? placements.MIN_FIRST_MEMBERS;
   }
 
+  /** Writes the first placement unless one is stored; a stored one is returned as it is. */
+  async first(
+    service: ids.ServiceName,
+    live: readonly placements.LiveMember[],
+    signal?: AbortSignal,
+  ): Promise<placements.Placement | null> {
+    const stored = await this.store.get('placement', service, signal);
+    // A node that has not read the placement yet knows too little to plan the next one.
+    if (stored !== null) return placements.Placement.parse(stored.value);
+    return this.reconcile(service, live, signal);
+  }
+
   /**
    * Plans from the stored placement and writes at most one epoch. Returns the placement now in
    * force, or null before the first one.
--- a/packages/node/src/records/recordsRuntime.ts
+++ b/packages/node/src/records/recordsRuntime.ts
@@ -6,7 +6,7 @@
 import { backoff, failures, ids, placement as placements } from '@godwittrack/core';
 import type { clock, configuration } from '@godwittrack/core';
 import type { objectStore } from '@godwittrack/platform';
-import type { distribution } from '@godwittrack/protocol';
+import { records } from '@godwittrack/protocol';
 import type * as fleetState from '../distribution/fleetState.js';
 import type * as parentTask from '../distribution/parentTask.js';
 import type * as peerChannels from '../distribution/peerChannels.js';
@@ -15,15 +15,15 @@
 import * as signals from '../signals.js';
 import * as grpcRecordPeers from './grpcRecordPeers.js';
 import * as keyGuard from './keyGuard.js';
-import * as placementController from './placementController.js';
+import * as placementPlanner from './placementPlanner.js';
 import * as recordStore from './recordStore.js';
 import * as recovery from './recovery.js';
 
 const PLAN_INTERVAL_MS = 1_000;
 /** Time that a claim under an old epoch waits for the placement that a holder named. */
 const REFRESH_WAIT_MS = 300;
-/** Time after which a service with fewer members than usual gets its first placement. */
-const SMALL_GROUP_WAIT_MS = 10_000;
+/** Time for a holder that is out of sight to show that it lives. */
+const PROBE_TIMEOUT_MS = 1_000;
 /** A holder stops granting when its placement was not confirmed for this long. */
 const PLACEMENT_LEASE_MS = 3_600_000;
 const DEFAULT_RETENTION_MS = 600_000;
@@ -37,14 +37,10 @@
 
   private readonly recovery: recovery.Recovery;
 
-  private readonly planner: placementController.PlacementController;
-
-  private readonly smallPlanner: placementController.PlacementController;
+  private readonly planner: placementPlanner.PlacementPlanner;
 
   private readonly known = new Map<string, placements.Placement>();
 
-  private readonly firstSeenMs = new Map<string, number>();
-
   private readonly placed = new signals.ChangeSignal();
 
   constructor(
@@ -58,18 +54,18 @@
   ) {
     const life = ids.incarnation(state.local.startedAtMs);
     const retentionMs = (service: string) => this.retentionOf(service);
-    const waitMs = (service: string) => this.retentionOf(service) + PLACEMENT_LEASE_MS;
     this.store = new recordStore.RecordStore(cfg.node, life, time, {
       retentionMs,
       placementLeaseMs: PLACEMENT_LEASE_MS,
     });
-    this.peers = new grpcRecordPeers.GrpcRecordPeers(this.store, (node) => this.clientOf(node));
+    this.peers = new grpcRecordPeers.GrpcRecordPeers(this.store, (holder) => this.clientOf(holder));
     this.guard = new keyGuard.KeyGuard(cfg.node, life, this, this.peers, time);
     this.recovery = new recovery.Recovery(this.store, this.peers, () => this.known.keys());
-    this.planner = new placementController.PlacementController(objects, time, { waitMs });
-    this.smallPlanner = new placementController.PlacementController(objects, time, {
-      waitMs,
-      minFirstMembers: 1,
+    this.planner = new placementPlanner.PlacementPlanner(state.members, objects, time, log, {
+      onceServices: () => this.onceServices(),
+      known: this.known,
+      waitMs: (service) => this.retentionOf(service) + PLACEMENT_LEASE_MS,
+      answers: (holder) => this.answers(holder),
     });
     state.placements.changed.subscribe(() => this.takePlacements());
     state.link.contacted.subscribe(() => this.confirm());
@@ -103,14 +99,10 @@
   }
 
   /** Client of a holder: by its member record if there is one, else by the placement. */
-  private clientOf(node: string) {
-    const { region } = this.cfg;
-    const holder = [...this.known.values()]
-      .flatMap((placement) => placement.members)
-      .find((member) => member.node === node);
-    const near = (this.state.members.get(node)?.region ?? holder?.region) === region;
-    const source = this.state.members.get(node) ?? holder;
-    const address = near ? source?.peerAddress : source?.externalPeerAddress;
+  private clientOf(holder: placements.Member) {
+    const seen = this.state.members.get(holder.node);
+    const { peerAddress, externalPeerAddress, region } = seen ?? holder;
+    const address = region === this.cfg.region ? peerAddress : externalPeerAddress;
     return address === undefined || address === '' ? null : this.channels.get(address).records;
   }
 
@@ -140,33 +132,20 @@
   private async plan(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await backoff.sleep(PLAN_INTERVAL_MS, signal);
-      if (this.parents.role !== 'root') continue;
-      for (const service of this.onceServices()) {
-        try {
-          await this.planService(service, signal);
-        } catch (err) {
-          this.log.debug({ service, failure: failures.of(err) }, 'Placement not written.');
-        }
-      }
+      if (signal.aborted) return;
+      if (this.parents.role === 'root') await this.planner.round(signal);
+      else this.planner.reset();
     }
   }
 
-  private async planService(service: ids.ServiceName, signal: AbortSignal): Promise<void> {
-    const live = this.liveMembers(service);
-    const held = this.current(service);
-    const nowMs = this.time.nowMs();
-    const waitMs = this.retentionOf(service) + PLACEMENT_LEASE_MS;
-    if (held !== null && held.next(live, nowMs, waitMs) === null) return;
-    if (live.length > 0 && !this.firstSeenMs.has(service)) {
-      this.firstSeenMs.set(service, this.time.monotonicMs());
-    }
-    const sinceMs = this.firstSeenMs.get(service) ?? Number.POSITIVE_INFINITY;
-    const waited = this.time.monotonicMs() - sinceMs >= SMALL_GROUP_WAIT_MS;
-    const planner = waited ? this.smallPlanner : this.planner;
-    const placement = await planner.reconcile(service, live, signal);
-    if (placement !== null && placement.epoch > (held?.epoch ?? 0)) {
-      const members = placement.members.length;
-      this.log.info({ service, epoch: placement.epoch, members }, 'Placement written.');
+  /** A claim of epoch 0 is never granted; any answer shows that the holder's process lives. */
+  private async answers(holder: placements.Member): Promise<boolean> {
+    const probe = records.ClaimRequest.fromPartial({});
+    try {
+      await this.peers.claim(holder, probe, PROBE_TIMEOUT_MS);
+      return true;
+    } catch {
+      return false;
     }
   }
 
@@ -176,23 +155,4 @@
     const once = routes.filter((route: configuration.Route) => route.semantics === 'once');
     return new Set(once.map((route) => route.service));
   }
-
-  private liveMembers(service: ids.ServiceName): placements.LiveMember[] {
-    const { members } = this.state;
-    const far = members.regions
-      .filter(({ region }) => region !== members.region)
-      .flatMap(({ versions }) => versions.flatMap(({ entries }) => entries));
-    const unique = new Map<string, distribution.Member>();
-    [...far, ...members.all].forEach((member) => unique.set(member.node, member));
-    return [...unique.values()]
-      .filter((member) => member.upstream?.service === service && !member.draining && member.ready)
-      .map((member) => ({
-        node: ids.nodeId(member.node),
-        incarnation: ids.incarnation(member.startedAtMs),
-        region: ids.regionName(member.region),
-        failureDomain: ids.domainName(member.failureDomain),
-        peerAddress: member.peerAddress,
-        externalPeerAddress: member.externalPeerAddress,
-      }));
-  }
 }
