fix(node): a heartbeat vouches only for what was sent before it

Cause: the contact was read after the pending messages were sent, and the watcher confirmed its contact before it had read the placements. A child could then renew the lease of a placement that had been replaced, or take a floor above what its parent had sent. Found by reading; ruled out: a loss of order in the stream itself.

--- a/packages/node/src/distribution/childServer.ts
+++ b/packages/node/src/distribution/childServer.ts
@@ -41,6 +41,12 @@
   ended: AbortController;
 }
 
+/** What a heartbeat says of the platform. */
+interface Contact {
+  atMs: number | null;
+  platformVersion: number;
+}
+
 /** What was sent to one child so far. */
 interface Position {
   configVersion: number;
@@ -262,6 +268,8 @@
     let heartbeatAtMs = Number.NEGATIVE_INFINITY;
     let vouched = false;
     while (!ended.signal.aborted) {
+      // Taken before the pending messages: a heartbeat vouches only for what was sent before it.
+      const contact = this.contact();
       const gathered = pacer.takeGathered();
       for (const message of this.pendingMessages(hello, position, gathered)) {
         const sent = across ? compression.packParent({ message }) : { message };
@@ -271,12 +279,12 @@
       const { link } = this.state;
       // The first contact after the join is passed on at once, because a starting child waits for
       // it before it serves; so is another path, because a loop has to be seen soon.
-      const fresh: boolean = !vouched && (link.contactAtMs ?? 0) > session.joinedAtMs;
+      const fresh: boolean = !vouched && (contact.atMs ?? 0) > session.joinedAtMs;
       const moved = link.path.join(' ') !== position.path;
       if (fresh || moved || nowMs - heartbeatAtMs >= constants.HEARTBEAT_INTERVAL_MS) {
         heartbeatAtMs = nowMs;
         vouched ||= fresh;
-        const message = this.heartbeat(session, position);
+        const message = this.heartbeat(session, position, contact);
         await streams.send(call, { message }, ended.signal);
       }
       await pacer.wait(heartbeatAtMs + constants.HEARTBEAT_INTERVAL_MS - nowMs);
@@ -352,8 +360,13 @@
     return messages;
   }
 
-  private heartbeat(session: Session, position: Position): ParentMessage {
-    const { contactAtMs, path, platformVersion } = this.state.link;
+  private contact(): Contact {
+    const { contactAtMs: atMs, platformVersion } = this.state.link;
+    return { atMs, platformVersion };
+  }
+
+  private heartbeat(session: Session, position: Position, contact: Contact): ParentMessage {
+    const { path } = this.state.link;
     const { sentMs, arrivedAtMs } = session.echo;
     const text = path.join(' ');
     const moved = text !== position.path;
@@ -362,8 +375,8 @@
       $case: 'heartbeat',
       value: {
         echoMs: sentMs,
-        contactOffsetMs: contactAtMs === null ? undefined : contactAtMs - arrivedAtMs,
-        platformVersion,
+        contactOffsetMs: contact.atMs === null ? undefined : contact.atMs - arrivedAtMs,
+        platformVersion: contact.platformVersion,
         path: moved ? path : [],
       },
     };
--- a/packages/node/src/distribution/platformWatcher.ts
+++ b/packages/node/src/distribution/platformWatcher.ts
@@ -80,13 +80,14 @@
   private async listAll(signal: AbortSignal): Promise<number> {
     const askedAtMs = this.time.monotonicMs();
     const listed = await this.store.list('manifest', signal);
-    await this.takeManifest(listed.items[0], askedAtMs, signal);
     const others = await Promise.all([
       this.store.list('rollout', signal),
       this.store.list('placement', signal),
       this.store.list('roster', signal),
     ]);
     others.flatMap((list) => list.items).forEach((item) => this.takeDocument(item));
+    // The contact is confirmed last: it renews the leases of the placements that are held.
+    await this.takeManifest(listed.items[0], askedAtMs, signal);
     return listed.version;
   }
 
