perf(node): smaller young generation

Cause: an idle node of 4 held 118 to 120 MB, near the limit of 128 MB; 69 to 71 MB of it was anonymous memory, most of that the heap's young generation. The effect on latency under load is not measured yet.

--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-semi-space-size=2
 /** `godwittrack-node --config FILE [--check]` */
 
 import * as util from 'node:util';
--- a/playground/src/harness/deployment.ts
+++ b/playground/src/harness/deployment.ts
@@ -68,6 +68,8 @@
   upstreamControl: string;
 }
 
+/** As in the first line of the node's program; a smaller young generation saves about 14 MB. */
+const NODE_FLAGS = ['--max-semi-space-size=2'];
 const ADDRESS_COUNT = 6;
 const DEFAULT_SLOTS = 12;
 const DEFAULT_PARALLEL_STARTS = 8;
@@ -290,7 +292,7 @@
         ? undefined
         : this.group.add({
             name: plan.name,
-            args: [...nodeArgs, nodeMain, '--config', this.writeSettings(plan, addresses, seeds)],
+            args: [...NODE_FLAGS, ...nodeArgs, nodeMain, '--config', this.writeSettings(plan, addresses, seeds)],
             isReady: () => admin.ready(),
             readyTimeoutMs,
           });
