fix(node): false take-backs at high rates, and faster verdicts

Cause: the run rule of the local guard accepted a fixed chance for each run, although hundreds of runs begin per second, estimated the stable failure rate from the few stable requests of the run, and took one stray error of a second server as proof against a bad host. The rule now judges the split of the failures without the worst server, and the runs and the entry nodes share one accepted chance.

Time: requests needed dominate, not hops. What helped: restart weights that begin anew with each share and ignore intervals without target requests, more bets, a smaller limit for the comparison without one server, alpha 0.3 % (0.4 % for careful), and a canary of 5 % for careful. Reports started by an error of the target were ruled out: intervals that end with such an error are biased against it.

The guard test with 5 failures uses three servers instead of two: with two, three failures of a bad host and two strays were enough, which is the fault.

--- a/packages/node/src/rollouts/__tests__/shareView.test.ts
+++ b/packages/node/src/rollouts/__tests__/shareView.test.ts
@@ -128,6 +128,7 @@
       nowMs: () => 0,
       onVeto: (veto) => vetoes.push(veto),
       readyServers: () => readyServers,
+      entryNodes: () => 1,
     });
     guard.watch([{ rollout: 's.1', stable: 'v1', target: 'v2', balance: 'even' }]);
     const send = (version: string, outcome: 'ok' | 'error' | 'refused', server = 'a') =>
@@ -146,7 +147,7 @@
   it('vetoes a failing version within a few requests while stable succeeds', () => {
     const { vetoes, send } = makeGuard();
     for (let at = 0; at < 5; at++) {
-      send('v2', 'error', `server-${at % 2}`);
+      send('v2', 'error', `server-${at % 3}`);
       for (let stable = 0; stable < 19; stable++) send('v1', 'ok');
     }
     assert.equal(vetoes.length, 1);
--- a/packages/node/src/rollouts/decisionExperiment.ts
+++ b/packages/node/src/rollouts/decisionExperiment.ts
@@ -33,6 +33,8 @@
   /** Largest share of a bad version before it was proved, as planned by the controller. */
   maxBadSharePct: number;
   p99FaultToZeroShareMs: number;
+  /** Requests of the target in that time, which low traffic stretches. */
+  p99RequestsToZeroShare: number;
   callersHurtPerBadVersion: number;
 }
 
@@ -46,6 +48,9 @@
   hurt: number;
   /** Longest time from the first such caller to zero share; 0 when there was none. */
   maxFaultToZeroMs: number;
+  maxRequestsToZero: number;
+  /** Reasons of false take-backs. */
+  reasons: string[];
 }
 
 export interface ExperimentResult extends Quality, Prefixed<Quality> {
@@ -78,8 +83,8 @@
 const NODES = 4;
 const SERVERS = 4;
 const ROUTES = ['browse', 'proof', 'search', 'order'];
-const STEP_MS = 100;
-const REPORT_MS = 500;
+const STEP_MS = 50;
+const REPORT_MS = 250;
 const DEADLINE_MS = 180_000;
 /** The default of a plan. A fault that begins after the soak period is outside of a rollout. */
 const SOAK_MS = 60_000;
@@ -108,6 +113,9 @@
   maxUnprovedSharePct: number;
   hurt: number;
   faultToZeroMs: number | null;
+  /** Requests of the target from the first harmed caller to zero share. */
+  requestsToZero: number;
+  reason: string;
 }
 
 /** Behaviour of one simulated version. */
@@ -195,6 +203,7 @@
       nowMs: () => time.nowMs(),
       onVeto: (veto) => guarded && this.vetoes.merge([veto]),
       readyServers: () => SERVERS,
+      entryNodes: () => NODES,
     });
     this.view = new shareViews.ShareView(
       this.vetoes,
@@ -292,6 +301,8 @@
     maxUnprovedSharePct: 0,
     hurt: 0,
     faultToZeroMs: null,
+    requestsToZero: 0,
+    reason: '',
   };
   let firstHurtMs: number | null = null;
   for (; time.nowMs() < DEADLINE_MS + SOAK_MS + 20_000; time.advance(STEP_MS)) {
@@ -310,6 +321,7 @@
         run.hurt += 1;
         firstHurtMs ??= nowMs;
       }
+      if (isTarget && firstHurtMs !== null && run.faultToZeroMs === null) run.requestsToZero += 1;
       const finished: recorder.FinishedRequest = {
         rollout: id,
         version: isTarget ? 'v2' : 'v1',
@@ -326,11 +338,12 @@
     for (const node of nodes) vetoes.merge(node.vetoes.all());
     for (const node of nodes) node.vetoes.merge(vetoes.all());
     if (nowMs % REPORT_MS === 0) {
+      const sharePct = (document as rollouts.Rollout | null)?.data.sharePct ?? 0;
       for (const node of nodes) {
         const samples = node.recorder.samples();
         merged.merge(samples);
         node.own.merge(samples);
-        if (!naive) node.guard.evaluate(id, node.own.totals(id));
+        if (!naive) node.guard.evaluate(id, node.own.totals(id), sharePct);
       }
       await controller.tick();
       for (const node of nodes) {
@@ -354,6 +367,7 @@
   }
   run.takenBack = (document as rollouts.Rollout | null)?.data.phase === 'takenBack';
   if (run.takenBack) run.onTime = false;
+  run.reason = (document as rollouts.Rollout | null)?.data.reason ?? '';
   return run;
 }
 
@@ -396,7 +410,8 @@
     .map(({ faultToZeroMs }) => faultToZeroMs ?? Infinity)
     .filter((_, at) => (bad[at]?.hurt ?? 0) > 0)
     .sort((a, b) => a - b);
-  const p99 = times[Math.min(times.length - 1, Math.floor(times.length * 0.99))] ?? 0;
+  const requests = bad.map(({ requestsToZero }) => requestsToZero).sort((a, b) => a - b);
+  const p99 = percentile99(times);
   return {
     goodOnTimePct: percent(good, (run) => run.onTime),
     badTakenBackPct: percent(bad, (run) => run.takenBack),
@@ -404,12 +419,18 @@
     maxBadSharePct: Math.max(0, ...bad.map((run) => run.maxUnprovedSharePct)),
     // -1 stands for a share that never came to zero.
     p99FaultToZeroShareMs: Number.isFinite(p99) ? p99 : -1,
+    p99RequestsToZeroShare: percentile99(requests),
     callersHurtPerBadVersion: round(
       bad.reduce((total, { hurt }) => total + hurt, 0) / Math.max(1, bad.length),
     ),
   };
 }
 
+/** Of sorted values; 0 when there are none. */
+function percentile99(sorted: readonly number[]): number {
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * 0.99))] ?? 0;
+}
+
 function byKind(runs: readonly Run[]): ExperimentResult['byKind'] {
   const result: ExperimentResult['byKind'] = {};
   for (const run of runs) {
@@ -419,12 +440,17 @@
       onTime: 0,
       hurt: 0,
       maxFaultToZeroMs: 0,
+      maxRequestsToZero: 0,
+      reasons: [],
     };
     sums.versions += 1;
     sums.takenBack += Number(run.takenBack);
     sums.onTime += Number(run.onTime);
     sums.hurt += run.hurt;
     sums.maxFaultToZeroMs = Math.max(sums.maxFaultToZeroMs, run.faultToZeroMs ?? 0);
+    sums.maxRequestsToZero = Math.max(sums.maxRequestsToZero, run.requestsToZero);
+    const isGood = (GOOD_KINDS as readonly Kind[]).includes(run.kind);
+    if (run.takenBack && isGood) sums.reasons.push(run.reason);
     result[run.kind] = sums;
   }
   return result;
--- a/packages/node/src/rollouts/localGuard.ts
+++ b/packages/node/src/rollouts/localGuard.ts
@@ -1,7 +1,7 @@
 /**
  * Lets a node stop using a version on its own evidence, without controller or platform. Two rules
- * veto: a run of failures of the target that is too unlikely at the failure rate that the stable
- * version showed during the run, and the sequential test over the node's own counters.
+ * veto: a run of failures of the target that is too unlikely beside the stable version's answers of
+ * the same time, and the sequential test over the node's own counters.
  */
 
 import type { rollout as rollouts } from '@godwittrack/core';
@@ -24,14 +24,16 @@
   onVeto: (veto: distribution.Veto) => void;
   /** Ready servers of a version; with more than one, a run on one server is left to ejection. */
   readyServers: (rollout: string, version: string) => number;
+  /** Nodes that judge on their own evidence and share the accepted chance of a false veto. */
+  entryNodes: () => number;
 }
 
-/** Largest chance of a run under the stable version's failure rate that is still accepted. */
-const RUN_CHANCE: Readonly<Record<rollouts.Balance, number>> = {
-  timely: 1e-7,
-  even: 1e-6,
-  careful: 1e-5,
-};
+/**
+ * Chance that the runs of all entry nodes together veto a version that is no worse. Each run that
+ * begins spends a part of it: hundreds of runs begin per second at a high rate of shared failures,
+ * so a fixed chance per run adds up to false take-backs.
+ */
+const RUN_ALPHA = 0.001;
 const MIN_RUN = 4;
 /** A shorter run without stable traffic makes the node compare before it decides. */
 const SUSPECT_RUN = 3;
@@ -40,13 +42,16 @@
 
 interface Run {
   failures: number;
-  servers: Set<string>;
+  byServer: Map<string, number>;
+  /** Largest chance of this run that is taken as a fault of the target. */
+  accepted: number;
   stableOk: number;
   stableErrors: number;
 }
 
 interface Watched extends GuardedRollout {
   runs: Map<string, Run>;
+  runsStarted: number;
   test: sequentialTest.SequentialTest;
   suspectUntilMs: number;
   vetoed: boolean;
@@ -67,9 +72,10 @@
     for (const id of this.watched.keys()) if (!wanted.has(id)) this.watched.delete(id);
     for (const one of running) {
       if (this.watched.has(one.rollout)) continue;
-      const test = new sequentialTest.BettingTest(one);
-      const runs = new Map<string, Run>();
-      this.watched.set(one.rollout, { ...one, runs, test, suspectUntilMs: 0, vetoed: false });
+      const alpha = sequentialTest.alphaOf(one.balance) / Math.max(1, this.options.entryNodes());
+      const test = new sequentialTest.BettingTest({ ...one, alpha });
+      const state = { runs: new Map<string, Run>(), runsStarted: 0, suspectUntilMs: 0 };
+      this.watched.set(one.rollout, { ...one, ...state, test, vetoed: false });
     }
   }
 
@@ -97,35 +103,44 @@
   }
 
   /** Judges the node's own cumulative counters; call it every interval. */
-  evaluate(rollout: string, totals: evidence.RolloutTotals): void {
+  evaluate(rollout: string, totals: evidence.RolloutTotals, sharePct?: number): void {
     const watched = this.watched.get(rollout);
     if (watched === undefined || watched.vetoed) return;
-    const verdict = watched.test.observe(totals);
+    const verdict = watched.test.observe(totals, sharePct);
     if (verdict.decision === 'bad') this.veto(watched, verdict.route, verdict.reason);
     else if (verdict.suspect) this.suspect(watched);
   }
 
   private addFailure(watched: Watched, req: recorder.FinishedRequest, held: Run | undefined): void {
-    const run = held ?? { failures: 0, servers: new Set(), stableOk: 0, stableErrors: 0 };
     if (held === undefined && watched.runs.size >= MAX_ROUTES) return;
+    const run = held ?? this.startRun(watched);
     watched.runs.set(req.route, run);
     run.failures += 1;
-    if (run.servers.size < 2) run.servers.add(req.server);
-    const oneHost =
-      run.servers.size < 2 && this.options.readyServers(watched.rollout, watched.target) > 1;
-    if (oneHost) return;
-    // The rule of succession keeps the rate above zero while few stable requests were seen.
-    const stable = run.stableOk + run.stableErrors;
-    const rate = (run.stableErrors + 1) / (stable + 2);
-    const unlikely = rate ** run.failures < RUN_CHANCE[watched.balance];
-    if (run.failures >= MIN_RUN && unlikely && run.stableOk > run.stableErrors) {
-      const reason = `${run.failures} failures in a row on route ${req.route}, ${run.stableOk} of ${stable} stable requests succeeded meanwhile`;
+    run.byServer.set(req.server, (run.byServer.get(req.server) ?? 0) + 1);
+    const { stableOk, stableErrors } = run;
+    const severalServers = this.options.readyServers(watched.rollout, watched.target) > 1;
+    // One bad host fails often enough that stray errors of other servers fall into its runs.
+    const leftOut = severalServers ? Math.max(...run.byServer.values()) : 0;
+    const judged = run.failures - leftOut;
+    if (judged === 0) return;
+    const chance = chanceOfRun(judged, stableOk, stableErrors);
+    if (run.failures >= MIN_RUN && chance < run.accepted && stableOk > stableErrors) {
+      const stable = stableOk + stableErrors;
+      const reason = `${run.failures} failures in a row on route ${req.route}, ${stableOk} of ${stable} stable requests succeeded meanwhile`;
       this.veto(watched, req.route, reason);
     } else if (run.failures >= SUSPECT_RUN) {
       this.suspect(watched);
     }
   }
 
+  private startRun(watched: Watched): Run {
+    const target = watched;
+    const weight = sequentialTest.restartWeight(target.runsStarted);
+    target.runsStarted += 1;
+    const accepted = (RUN_ALPHA * weight) / Math.max(1, this.options.entryNodes());
+    return { failures: 0, byServer: new Map(), accepted, stableOk: 0, stableErrors: 0 };
+  }
+
   private suspect(watched: Watched): void {
     const target = watched;
     target.suspectUntilMs = this.options.nowMs() + SUSPECT_TIME_MS;
@@ -139,3 +154,16 @@
     onVeto({ rollout, version, route, node, reason, atMs: nowMs() });
   }
 }
+
+/**
+ * Chance that the target's requests after the first of a run all fail, when the failures are split
+ * between the versions at random. It depends on the split only, not on a rate that a few stable
+ * requests would have to tell.
+ */
+function chanceOfRun(failures: number, stableOk: number, stableErrors: number): number {
+  let chance = 1;
+  for (let at = 1; at < failures; at++) {
+    chance *= (failures + stableErrors - at) / (failures + stableErrors + stableOk - at);
+  }
+  return chance;
+}
--- a/packages/node/src/rollouts/rolloutController.ts
+++ b/packages/node/src/rollouts/rolloutController.ts
@@ -69,7 +69,7 @@
   createTest?: (document: rollouts.Rollout) => sequentialTest.SequentialTest;
   /** Default: `stepPlanner.planStep`. */
   planStep?: (inputs: stepPlanner.StepInputs) => stepPlanner.StepPlan;
-  /** Time between two rounds. Default 500 ms. */
+  /** Time between two rounds. Default 250 ms. */
   intervalMs?: number;
 }
 
@@ -84,7 +84,7 @@
   summary: string;
 }
 
-export const CONTROL_INTERVAL_MS = 500;
+export const CONTROL_INTERVAL_MS = 250;
 /** Rollouts of one service kept in the platform, for operators to look back at. */
 const KEPT_PER_SERVICE = 5;
 /** A running rollout's evidence summary is stored at most this often when nothing else changes. */
@@ -213,10 +213,10 @@
     const { inputs, onVeto, node, clock: time } = this.options;
     for (const held of this.running()) {
       const state = held;
-      const { id, target } = held.document.data;
+      const { id, target, sharePct } = held.document.data;
       const wasBad = held.verdict?.decision === 'bad';
       if (wasBad) continue;
-      const verdict = held.test.observe(inputs.evidence(id));
+      const verdict = held.test.observe(inputs.evidence(id), sharePct);
       state.verdict = verdict;
       if (verdict.decision !== 'bad') continue;
       const { route, reason } = verdict;
--- a/packages/node/src/rollouts/rolloutRuntime.ts
+++ b/packages/node/src/rollouts/rolloutRuntime.ts
@@ -67,6 +67,7 @@
       nowMs: () => time.nowMs(),
       onVeto: (veto) => this.addVeto(veto),
       readyServers: (rollout, version) => this.readyServers(rollout, version),
+      entryNodes: () => this.entryNodes(),
     });
     this.shares = new shareView.ShareView(this.vetoes, (id) => this.guard.isSuspect(id));
     this.controller = new rolloutController.RolloutController({
@@ -130,7 +131,8 @@
       this.ownEvidence.merge(samples);
       samples.forEach((sample) => this.state.evidence.addSample(sample, ''));
       for (const document of this.running()) {
-        this.guard.evaluate(document.id, this.ownEvidence.totals(document.id));
+        const { id, sharePct } = document.data;
+        this.guard.evaluate(id, this.ownEvidence.totals(id), sharePct);
       }
     }
   }
@@ -195,6 +197,14 @@
     ).length;
   }
 
+  /** Nodes of this region, and those of other regions as far as their summaries name servers. */
+  private entryNodes(): number {
+    const { members } = this.state;
+    const far = members.regions.filter((summary) => summary.region !== members.region);
+    const servers = far.flatMap(({ versions }) => versions.map((version) => version.servers));
+    return members.all.length + servers.reduce((total, count) => total + count, 0);
+  }
+
   /** Servers of this region by name, and those of other regions as their summaries count them. */
   private upstreams(): rolloutController.UpstreamMember[] {
     const { members } = this.state;
--- a/packages/node/src/rollouts/sequentialTest.ts
+++ b/packages/node/src/rollouts/sequentialTest.ts
@@ -25,8 +25,11 @@
 }
 
 export abstract class SequentialTest {
-  /** Takes the cumulative totals of the rollout; call it once per interval. */
-  abstract observe(totals: evidence.RolloutTotals): Verdict;
+  /**
+   * Takes the cumulative totals of the rollout; call it once per interval, whose end must not depend
+   * on the outcomes. `sharePct` is the planned share, because faults often begin with a new one.
+   */
+  abstract observe(totals: evidence.RolloutTotals, sharePct?: number): Verdict;
 }
 
 export interface BettingTestOptions {
@@ -45,38 +48,43 @@
 }
 
 const BALANCES: Readonly<Record<rollouts.Balance, BalanceSettings>> = {
-  timely: { alpha: 0.001, proof: 10, margin: 0.05 },
-  even: { alpha: 0.002, proof: 20, margin: 0.05 },
+  timely: { alpha: 0.003, proof: 10, margin: 0.05 },
+  even: { alpha: 0.003, proof: 20, margin: 0.05 },
   careful: { alpha: 0.004, proof: 50, margin: 0.04 },
 };
 
 /** Odds of failing, target over stable, that are still taken as equal. */
 const ERROR_ODDS_TOLERATED = 1.5;
 const SLOW_ODDS_TOLERATED = 2;
-const ODDS_BETS = [4, 15, 100];
+const ODDS_BETS = [4, 15, 60, 400];
 /** Rates below which a version is not bad, whatever the stable version does. */
 const ERROR_RATE_TOLERATED = 0.01;
 const SLOW_RATE_TOLERATED = 0.15;
-const ERROR_RATE_BETS = [0.05, 0.25, 0.8];
-const SLOW_RATE_BETS = [0.3, 0.55, 0.9];
+const ERROR_RATE_BETS = [0.05, 0.12, 0.35, 0.85];
+const SLOW_RATE_BETS = [0.3, 0.55, 0.75, 0.95];
 /** A request is slow above 1.3^2 = 1.7 times the stable version's 90th percentile. */
 const SLOW_QUANTILE = 0.9;
 const SLOW_EXTRA_BUCKETS = 2;
 /** Stable answers needed before the quantile is used. */
 const MIN_REFERENCE = 30;
 /** Weight kept per interval by the stable version's latency histogram. */
-const REFERENCE_DECAY = 0.995;
+const REFERENCE_DECAY = 0.9975;
 const MIN_STABLE_RATE = 0.005;
 /** Weight kept per interval by the stable version's failure rate that the proof compares with. */
-const PROOF_DECAY = 0.9;
+const PROOF_DECAY = 0.95;
 /** Part of the target's errors above which one server is taken as a bad host in the proof. */
 const ONE_HOST_PART = 0.6;
 const SLOW_PROOF_MARGIN = 0.25;
+/**
+ * Log wealth that the comparison without one server may miss: a good version with a bad host is
+ * itself rare, so a larger chance of taking back such a one is accepted.
+ */
+const BAD_HOST_LENIENCE = Math.log(4);
 /** Servers left out one by one; further servers share the places by hash. */
 const MAX_SERVER_GROUPS = 24;
 /** Sum of 1/(n ln^2 n) from 2, rounded up: the weights of all restarts sum to less than 1. */
 const RESTART_WEIGHT_SUM = 2.2;
-const SUSPECT_INTERVALS = 10;
+const SUSPECT_INTERVALS = 20;
 const SUSPECT_ERRORS = 3;
 const SUSPECT_ERROR_RATE = 0.03;
 const SUSPECT_SLOW_RATE = 0.4;
@@ -100,7 +108,7 @@
 class Process {
   private wealth: number[];
 
-  constructor(wealth: number[] = [0, 0, 0]) {
+  constructor(wealth: number[] = [0, 0, 0, 0]) {
     this.wealth = wealth;
   }
 
@@ -122,6 +130,36 @@
   }
 }
 
+/**
+ * Weights of the restarts: half of them fall with the number of intervals, and half begin anew with
+ * each share, so that a fault that a larger share brings out is not judged by the small weights of
+ * a long rollout. All of them sum to less than 1.
+ */
+class RestartWeights {
+  private intervals = 0;
+
+  private shares = 0;
+
+  private intervalsAtShare = 0;
+
+  private sharePct = 0;
+
+  setShare(sharePct: number): void {
+    if (sharePct === this.sharePct) return;
+    this.sharePct = sharePct;
+    if (this.intervalsAtShare > 0) this.shares += 1;
+    this.intervalsAtShare = 0;
+  }
+
+  next(): number {
+    const overall = restartWeight(this.intervals);
+    const atShare = restartWeight(this.shares) * restartWeight(this.intervalsAtShare);
+    this.intervals += 1;
+    this.intervalsAtShare += 1;
+    return (overall + atShare) / 2;
+  }
+}
+
 /** Evidence of one kind (errors, or slowness) with one group of servers left out. */
 class Pair {
   private readonly versus: Process;
@@ -181,7 +219,7 @@
 
   get log(): number {
     const [all = -Infinity, ...without] = [...this.byLeftOut.values()].map((pair) => pair.log);
-    return without.length > 1 ? Math.min(all, ...without) : all;
+    return without.length > 1 ? Math.min(all, Math.min(...without) + BAD_HOST_LENIENCE) : all;
   }
 }
 
@@ -246,7 +284,7 @@
 
   private readonly whole = { errors: new Scope([]), slow: new Scope([]) };
 
-  private intervals = 0;
+  private readonly restarts = new RestartWeights();
 
   private started = false;
 
@@ -267,7 +305,8 @@
     this.settings = BALANCES[options.balance];
   }
 
-  override observe(totals: evidence.RolloutTotals): Verdict {
+  override observe(totals: evidence.RolloutTotals, sharePct = 0): Verdict {
+    this.restarts.setShare(sharePct);
     const intervals = [...totals].map(([route, versions]) => this.difference(route, versions));
     // Totals found at the start mix periods with different shares; comparing them as one interval
     // would mistake a shared fault for a fault of the target.
@@ -327,8 +366,9 @@
 
   private bet(intervals: Interval[]): void {
     if (intervals.length === 0) return;
-    const weight = weightOf(this.intervals);
-    this.intervals += 1;
+    // Intervals without requests of the target tell nothing and use up no weight.
+    const judged = intervals.some(({ target }) => target.ok + target.errors > 0);
+    const weight = judged ? this.restarts.next() : 0;
     const servers = new Set(intervals.flatMap(({ servers: seen }) => [...seen.keys()]));
     for (const [kind, rates] of [
       ['errors', ERROR_RATES],
@@ -505,7 +545,7 @@
       errors: now.errors - this.held.errors,
     });
     this.held = now;
-    if (this.window.length > 60) this.window.shift();
+    if (this.window.length > 120) this.window.shift();
     const requests = sum(this.window.map((one) => one.requests));
     const errors = sum(this.window.map((one) => one.errors));
     const bad = requests >= this.minRequests && errors > this.maxErrorRate * requests;
@@ -524,7 +564,13 @@
   return target.ok + target.errors + stable.ok + stable.errors > 0;
 }
 
-function weightOf(interval: number): number {
+/** Accepted chance of taking back a version that is not worse. */
+export function alphaOf(balance: rollouts.Balance): number {
+  return BALANCES[balance].alpha;
+}
+
+/** Weights of the restarts, or of the runs, numbered from 0; they sum to less than 1. */
+export function restartWeight(interval: number): number {
   const index = interval + 2;
   return 1 / (RESTART_WEIGHT_SUM * index * Math.log(index) ** 2);
 }
--- a/packages/node/src/rollouts/stepPlanner.ts
+++ b/packages/node/src/rollouts/stepPlanner.ts
@@ -56,7 +56,7 @@
     waiveFresh: true,
   },
   careful: {
-    canaryPct: 3,
+    canaryPct: 5,
     steps: [8, 15, 30, 50, 75, 100],
     freshRequests: 40,
     timePart: 0.7,
