fix: one defined outcome for late vetoes

A veto that reached nodes after the controller had recorded done left them with the stable version only, which may have no servers any more. They now use the stable version while it has ready servers, else the target. A veto of a rollout that was continued twice was lost, because only the direct predecessor counted; a rollout now keeps the ids of all of them (inherits). Ruled out: reopening a rollout that is done, as final states are final.

--- a/packages/core/src/rollout.ts
+++ b/packages/core/src/rollout.ts
@@ -36,6 +36,8 @@
 export const MAX_UNPROVED_SHARE_PCT = 5;
 /** Entries of history kept; the oldest after the first is dropped. */
 export const MAX_HISTORY = 64;
+/** Rollouts whose vetoes a continued rollout still takes; the oldest are dropped. */
+const MAX_INHERITED = 16;
 export const CANCELLED = 'cancelled';
 
 const share = z.number().min(0).max(100);
@@ -83,6 +85,8 @@
   expectedEndMs: z.number().nullable(),
   /** Rollout whose share this one took over; its vetoes count here too. */
   continues: z.string().nullable(),
+  /** Every rollout that led to this one, `continues` first; a late veto of any of them counts here. */
+  inherits: z.array(z.string()).max(MAX_INHERITED).default([]),
   /** Ticket of the plan that ended this rollout; null unless `superseded`. */
   supersededBy: z.number().nullable(),
   history: z.array(historySchema).max(MAX_HISTORY),
@@ -146,6 +150,7 @@
       changedMs: nowMs,
       expectedEndMs: null,
       continues: null,
+      inherits: [],
       supersededBy: null,
       history: [{ atMs: nowMs, phase: 'planned', sharePct: 0, reason, epoch }],
     });
@@ -172,6 +177,7 @@
       phase,
       sharePct,
       continues: previous.id,
+      inherits: [previous.id, ...previous.data.inherits].slice(0, MAX_INHERITED),
       routeShares: previous.data.routeShares,
       evidence: previous.data.evidence,
       reason,
@@ -206,6 +212,11 @@
     return supersededBy === null || supersededBy === plan.ticket;
   }
 
+  /** Rollouts whose vetoes end this one: itself and those that it continues. */
+  get vetoableBy(): readonly string[] {
+    return [this.data.id, ...this.data.inherits];
+  }
+
   shareOf(route: string): number {
     return this.data.routeShares[route] ?? this.data.sharePct;
   }
--- a/packages/node/src/rollouts/__tests__/controller.test.ts
+++ b/packages/node/src/rollouts/__tests__/controller.test.ts
@@ -307,6 +307,115 @@
   });
 });
 
+describe('late vetoes', () => {
+  async function soaking() {
+    const harness = new Harness();
+    harness.plan(1);
+    const controller = harness.start();
+    await harness.runUntil('soaking', controller);
+    return { harness, controller };
+  }
+
+  it('in the soak period end the rollout, once', async () => {
+    const { harness, controller } = await soaking();
+    harness.veto(1);
+    await harness.run(10_000, controller);
+    assert.equal((await harness.stored())?.data.phase, 'takenBack');
+    const ends = harness.audits.filter(({ outcome }) => ['takenBack', 'done'].includes(outcome));
+    assert.equal(ends.length, 1);
+  });
+
+  it('after done change nothing that was recorded', async () => {
+    const { harness, controller } = await soaking();
+    await harness.runUntil('done', controller);
+    const before = await harness.stored();
+    harness.veto(1);
+    await harness.run(10_000, controller, harness.start());
+    assert.deepEqual((await harness.stored())?.data, before?.data);
+  });
+
+  it('of an earlier rollout end the one that continues it, over more than one ticket', async () => {
+    const { harness, controller } = await soaking();
+    for (const ticket of [2, 3]) {
+      harness.plan(ticket);
+      await harness.run(500, controller);
+    }
+    assert.deepEqual((await harness.stored(3))?.data.inherits, ['fontworks.2', 'fontworks.1']);
+    harness.veto(1);
+    await harness.run(1_000, controller);
+    assert.equal((await harness.stored(3))?.data.phase, 'takenBack');
+    assert.equal((await harness.stored(1))?.data.phase, 'superseded');
+  });
+
+  it('of a rollout that a plan with other versions replaced do not touch the new one', async () => {
+    const { harness, controller } = await soaking();
+    harness.plan(2, { stable: 'v0' });
+    await harness.run(500, controller);
+    harness.veto(1);
+    await harness.runUntil('done', controller, 2);
+    assert.equal((await harness.stored(1))?.data.phase, 'superseded');
+  });
+
+  it('of a cancelled rollout change nothing; a new ticket for the version starts at canary', async () => {
+    const { harness, controller } = await soaking();
+    harness.plan(2, { target: undefined, deadline: undefined });
+    await harness.run(500, controller);
+    harness.veto(1);
+    await harness.run(1_000, controller);
+    assert.equal((await harness.stored(1))?.data.phase, 'superseded');
+    harness.plan(3);
+    await harness.run(1_000, controller);
+    const { phase, sharePct } = (await harness.stored(3))?.data ?? {};
+    assert.ok(phase === 'planned' || phase === 'canary', phase);
+    assert.ok((sharePct ?? 100) <= rollouts.MAX_UNPROVED_SHARE_PCT);
+  });
+});
+
+describe('conflicting tickets raced by operators', () => {
+  it('ends with exactly one running rollout, of the last ticket, for every order of tickets', async () => {
+    const changes: Partial<configuration.VersionPlan>[] = [
+      { target: 'v3' },
+      {},
+      { target: undefined, deadline: undefined },
+      { stable: 'v0' },
+    ];
+    for (const first of changes) {
+      for (const second of changes) {
+        const harness = new Harness();
+        harness.plan(1);
+        const both = [harness.start(), harness.start()];
+        await harness.run(3_000, ...both);
+        // The second ticket is accepted while the controller is between two writes.
+        harness.plan(2, first);
+        const race = Promise.all(both.map((one) => one.tick()));
+        harness.plan(3, second);
+        await race;
+        await harness.run(2_000, ...both);
+        const stored = await Promise.all([1, 2, 3].map((ticket) => harness.stored(ticket)));
+        const running = stored.filter((one) => one !== null && !one.isFinal);
+        const expected = second.target === undefined && 'target' in second ? [] : [3];
+        assert.deepEqual(
+          running.map((one) => one?.data.ticket),
+          expected,
+        );
+        const ends = harness.audits.filter(({ outcome }) => outcome === 'superseded');
+        assert.equal(new Set(ends.map(({ ticket }) => ticket)).size, ends.length);
+      }
+    }
+  });
+
+  it('a deadline that has passed still proves the version first', async () => {
+    const harness = new Harness();
+    harness.plan(1);
+    harness.decision = 'undecided';
+    const controller = harness.start();
+    await harness.runUntil('canary', controller);
+    harness.plan(2, { deadline: new Date(harness.time.nowMs() - 1_000).toISOString() });
+    await harness.run(5_000, controller);
+    assert.equal((await harness.stored(2))?.data.sharePct, 5);
+  });
+});
+
 describe('controller lease', () => {
   it('rises above the rollouts when the lease object is lost, instead of being fenced for ever', async () => {
     const harness = new Harness();
--- a/packages/node/src/rollouts/__tests__/shareView.test.ts
+++ b/packages/node/src/rollouts/__tests__/shareView.test.ts
@@ -120,6 +120,33 @@
   });
 });
 
+describe('late vetoes', () => {
+  it('of a rollout that is done prefer stable, but do not leave the service without a server', () => {
+    const vetoes = new vetoSets.VetoSet();
+    const view = new shareViews.ShareView(vetoes);
+    view.setConfiguration(plansOf(makePlan(1)));
+    documents(1).forEach((document) => view.apply(document));
+    vetoes.merge([makeVeto(1)]);
+    const choose = (ready: string[]) =>
+      view.chooseVersion(service, 'proof', 0.5, (one) => ready.includes(one))?.version;
+    assert.deepEqual([choose(['v1', 'v2']), choose(['v2'])], ['v1', 'v2']);
+  });
+
+  it('of any rollout that led to a continued one stop it on the node', () => {
+    const vetoes = new vetoSets.VetoSet();
+    const view = new shareViews.ShareView(vetoes);
+    let held = documents(1)[2];
+    assert.ok(held);
+    for (const ticket of [2, 3]) held = rollouts.Rollout.continue(makePlan(ticket), held, 1, 0);
+    view.apply(held);
+    view.setConfiguration(plansOf(makePlan(3)));
+    assert.equal(view.shareOf(service, 'proof')?.targetPct, 40);
+    vetoes.merge([makeVeto(1)]);
+    view.setConfiguration(plansOf(makePlan(3)));
+    assert.equal(view.shareOf(service, 'proof')?.targetPct, 0);
+  });
+});
+
 describe('local guard', () => {
   function makeGuard(readyServers = 3) {
     const vetoes: distribution.Veto[] = [];
--- a/packages/node/src/rollouts/rolloutController.ts
+++ b/packages/node/src/rollouts/rolloutController.ts
@@ -250,9 +250,7 @@
       await this.takeBack(held, held.verdict.reason, held.verdict.summary);
       return;
     }
-    const { id, continues } = held.document.data;
-    const { vetoes } = this.options.inputs;
-    const [veto] = [...vetoes(id), ...(continues === null ? [] : vetoes(continues))];
+    const [veto] = held.document.vetoableBy.flatMap((id) => this.options.inputs.vetoes(id));
     if (veto === undefined) return;
     await this.takeBack(held, `${veto.node} stopped using ${veto.version}: ${veto.reason}`);
   }
@@ -278,9 +276,9 @@
       .filter(({ data }) => data.service === plan.service && data.ticket < plan.ticket)
       .sort((a, b) => b.data.ticket - a.data.ticket)[0];
     const nowMs = time.nowMs();
-    const vetoed = earlier !== undefined && this.options.inputs.vetoes(earlier.id).length > 0;
+    const vetoed = earlier?.vetoableBy.some((one) => this.options.inputs.vetoes(one).length > 0);
     const document =
-      earlier === undefined || vetoed
+      earlier === undefined || vetoed === true
         ? rollouts.Rollout.create(plan, lease.epoch, nowMs)
         : rollouts.Rollout.continue(plan, earlier, lease.epoch, nowMs);
     try {
--- a/packages/node/src/rollouts/shareView.ts
+++ b/packages/node/src/rollouts/shareView.ts
@@ -16,6 +16,11 @@
   targetPct: number;
   /** The target is proved, so that it may take over when the stable version has no server. */
   targetProved: boolean;
+  /**
+   * A veto came too late for the controller, which had recorded `done`. The stable version may have
+   * no servers any more; the target then serves rather than nothing.
+   */
+  targetAsLastResort: boolean;
 }
 
 export interface Choice {
@@ -77,14 +82,19 @@
       target: null,
       targetPct: 0,
       targetProved: false,
+      targetAsLastResort: false,
     };
     if (plan.target === undefined) return onlyStable;
     const document = this.documentOf(plan);
-    const related = [id, document?.id ?? id, document?.data.continues ?? id];
-    if (document === undefined || related.some((one) => this.vetoes.has(one))) {
-      return { ...onlyStable, rollout: id };
-    }
+    const related = [id, ...(document?.vetoableBy ?? [])];
+    const vetoed = related.some((one) => this.vetoes.has(one));
+    if (document === undefined) return { ...onlyStable, rollout: id };
     const { phase } = document.data;
+    if (vetoed) {
+      const { target } = plan;
+      const lateVeto = { ...onlyStable, rollout: id, target, targetAsLastResort: true };
+      return phase === 'done' ? lateVeto : { ...onlyStable, rollout: id };
+    }
     if (phase === 'takenBack') return { ...onlyStable, rollout: id };
     const share = phase === 'done' ? 100 : document.shareOf(route);
     const capped = this.isSuspect(id) ? Math.min(share, SUSPECT_SHARE_PCT) : share;
@@ -95,6 +105,7 @@
       targetPct: capped,
       targetProved:
         PROVED_PHASES.includes(phase) || document.data.sharePct > rollouts.MAX_UNPROVED_SHARE_PCT,
+      targetAsLastResort: false,
     };
   }
 
@@ -116,7 +127,7 @@
     const wantsTarget = random * 100 < targetPct;
     const wanted = wantsTarget ? target : stable;
     if (hasReady(wanted)) return { version: wanted, rollout, fallback: false };
-    const mayUseTarget = share.targetProved && targetPct > 0;
+    const mayUseTarget = (share.targetProved && targetPct > 0) || share.targetAsLastResort;
     const other = wantsTarget ? stable : target;
     const allowed = wantsTarget || mayUseTarget;
     if (allowed && hasReady(other)) return { version: other, rollout, fallback: true };
@@ -129,7 +140,7 @@
     const plan = this.plans.get(ids.serviceName(rollout.slice(0, dot)));
     if (plan === undefined || plan.ticket <= Number(rollout.slice(dot + 1))) return false;
     const document = this.documentOf(plan);
-    return document?.id !== rollout && document?.data.continues !== rollout;
+    return document?.vetoableBy.includes(rollout) !== true;
   }
 
   private documentOf(plan: configuration.VersionPlan): rollouts.Rollout | undefined {
