fix: a version filed again after a cancellation starts at canary

A plan for the versions of a rollout that is done went on at 100 %, also when a plan without target had sent all traffic back in between. The rollout that is done now records the first plan that followed it.

--- a/packages/core/src/rollout.ts
+++ b/packages/core/src/rollout.ts
@@ -87,7 +87,7 @@
   continues: z.string().nullable(),
   /** Every rollout that led to this one, `continues` first; a late veto of any of them counts here. */
   inherits: z.array(z.string()).max(MAX_INHERITED).default([]),
-  /** Ticket of the plan that ended this rollout; null unless `superseded`. */
+  /** Ticket of the plan that ended this rollout, or the first one after it was `done`. */
   supersededBy: z.number().nullable(),
   history: z.array(historySchema).max(MAX_HISTORY),
 });
@@ -264,6 +264,16 @@
     });
   }
 
+  /**
+   * Records the first plan after a rollout that is done. Without it, a plan for the same versions
+   * that follows a cancellation would go on at 100 % instead of starting at the canary share.
+   */
+  replaceDone(ticket: number, epoch: number): Rollout {
+    const { data } = this;
+    if (data.phase !== 'done' || data.supersededBy !== null || epoch < data.epoch) return this;
+    return new Rollout({ ...data, epoch, supersededBy: ticket, revision: data.revision + 1 });
+  }
+
   /** Phase and share before a `superseded` end; null when there is nothing to go on from. */
   private lastRunningState(): { phase: Phase; sharePct: number } | null {
     const { phase, history } = this.data;
--- a/packages/node/src/rollouts/__tests__/controller.test.ts
+++ b/packages/node/src/rollouts/__tests__/controller.test.ts
@@ -404,6 +404,24 @@
     }
   });
 
+  it('after done, another deadline keeps 100 %, but after a cancellation it starts at canary', async () => {
+    for (const [cancelled, sharePct] of [
+      [false, 100],
+      [true, 5],
+    ] as const) {
+      const harness = new Harness();
+      harness.plan(1);
+      const controller = harness.start();
+      await harness.runUntil('done', controller);
+      if (cancelled) harness.plan(2, { target: undefined, deadline: undefined });
+      await harness.run(1_000, controller);
+      harness.plan(3);
+      await harness.run(1_000, controller);
+      assert.equal((await harness.stored(3))?.data.sharePct, sharePct);
+      assert.equal((await harness.stored(1))?.data.phase, 'done');
+    }
+  });
+
   it('a deadline that has passed still proves the version first', async () => {
     const harness = new Harness();
     harness.plan(1);
--- a/packages/node/src/rollouts/rolloutController.ts
+++ b/packages/node/src/rollouts/rolloutController.ts
@@ -236,11 +236,24 @@
         await this.supersede(held, null);
       }
     }
+    await this.closeDone(plans);
     for (const plan of plans.values()) if (plan.target !== undefined) await this.createFor(plan);
     for (const held of this.running()) await this.advance(held);
     await this.forgetOld();
   }
 
+  /** Records on rollouts that are done which plan came next; see `Rollout.replaceDone`. */
+  private async closeDone(plans: configuration.Configuration['plans']): Promise<void> {
+    for (const held of this.held.values()) {
+      const { phase, service, ticket, supersededBy } = held.document.data;
+      const plan = plans.get(ids.serviceName(service));
+      const isNext = plan !== undefined && plan.ticket > ticket && supersededBy === null;
+      if (phase === 'done' && isNext) {
+        await this.store(held, (document, epoch) => document.replaceDone(plan.ticket, epoch));
+      }
+    }
+  }
+
   private running(): Held[] {
     return [...this.held.values()].filter(({ document }) => !document.isFinal);
   }
@@ -326,12 +339,20 @@
   }
 
   /** Returns true when the move was stored. */
-  private async write(held: Held, move: Omit<rollouts.Move, 'epoch'>): Promise<boolean> {
-    const { store, lease, clock: time } = this.options;
+  private write(held: Held, move: Omit<rollouts.Move, 'epoch'>): Promise<boolean> {
+    const nowMs = this.options.clock.nowMs();
+    return this.store(held, (document, epoch) => document.move({ ...move, epoch }, nowMs));
+  }
+
+  private async store(
+    held: Held,
+    change: (document: rollouts.Rollout, epoch: number) => rollouts.Rollout,
+  ): Promise<boolean> {
+    const { store, lease } = this.options;
     if (!lease.isHeld) return false;
     const { document, objectVersion } = held;
     try {
-      const next = document.move({ ...move, epoch: lease.epoch }, time.nowMs());
+      const next = change(document, lease.epoch);
       const precondition = { type: 'version' as const, version: objectVersion };
       const version = await store.put('rollout', document.id, next.data, precondition);
       this.adopt(next, version);
