feat: rollouts bench, fault cells, and audit entries of lost answers

Found by the cell of a bad route with a platform that loses answers: when the answer to the write of a verdict was lost, the document was found again but its audit entry was never written. The entry now follows the first time that the stored state is seen, whether by the answer or by loading.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,4 +1,5 @@
 /** Parts of the node that other packages use. */
 
+export * as rollouts from './rollouts/index.js';
 export * as settings from './settings.js';
 export * as wiring from './wiring.js';
--- a/packages/node/src/rollouts/__tests__/controller.test.ts
+++ b/packages/node/src/rollouts/__tests__/controller.test.ts
@@ -212,6 +212,20 @@
     );
   });
 
+  it('keeps the audit entry of a verdict whose write lost its answer, and only one', async () => {
+    const harness = new Harness();
+    harness.plan(1);
+    const controller = harness.start();
+    await harness.runUntil('canary', controller);
+    harness.store.faults = (operation) => (operation === 'put' ? 'answerLost' : null);
+    harness.decision = 'bad';
+    await harness.run(1_000, controller);
+    harness.store.faults = () => null;
+    await harness.run(10_000, controller);
+    const ends = harness.audits.filter(({ outcome }) => outcome === 'takenBack');
+    assert.equal(ends.length, 1);
+  });
+
   it('holds the share in an outage and says so, while a bad verdict still becomes a veto', async () => {
     const harness = new Harness();
     harness.plan(1);
--- a/packages/node/src/rollouts/rolloutController.ts
+++ b/packages/node/src/rollouts/rolloutController.ts
@@ -99,6 +99,8 @@
   /** Latest reason, stored with the next write. */
   note: string;
   writtenMs: number;
+  /** State whose write has no answer yet; its answer may be lost. */
+  unconfirmed: rollouts.Rollout | null;
 }
 
 export class RolloutController {
@@ -205,8 +207,14 @@
       requestsAtStep,
       note: reason,
       writtenMs,
+      unconfirmed: null,
     });
     onDocument(document);
+    // A write with a lost answer is found again here; its audit entry must not be lost with it.
+    const { unconfirmed } = known ?? {};
+    if (unconfirmed?.data.phase !== known?.document.data.phase && isSame(unconfirmed, document)) {
+      this.audit(document, document.data.phase);
+    }
   }
 
   private judge(): void {
@@ -350,13 +358,14 @@
   ): Promise<boolean> {
     const { store, lease } = this.options;
     if (!lease.isHeld) return false;
+    const state = held;
     const { document, objectVersion } = held;
     try {
       const next = change(document, lease.epoch);
       const precondition = { type: 'version' as const, version: objectVersion };
+      state.unconfirmed = next;
       const version = await store.put('rollout', document.id, next.data, precondition);
       this.adopt(next, version);
-      if (next.data.phase !== document.data.phase) this.audit(next, next.data.phase);
       return true;
     } catch (err) {
       if (failures.is(err, 'rolloutFenced')) lease.drop(err.failure.heldEpoch);
@@ -430,6 +439,12 @@
   return `${data.phase} at ${data.sharePct} %: ${note}`;
 }
 
+/** A controller writes each revision once in its epoch. */
+function isSame(written: rollouts.Rollout | null | undefined, found: rollouts.Rollout): boolean {
+  const { epoch, revision } = found.data;
+  return written?.data.revision === revision && written.data.epoch === epoch;
+}
+
 function isPlatformFailure(err: unknown): boolean {
   return (
     failures.is(err, 'platformUnavailable') ||
--- a/playground/src/faults/cells/index.ts
+++ b/playground/src/faults/cells/index.ts
@@ -1,5 +1,6 @@
 /** All cells of the fault matrix. */
 
 import type * as cell from '../cell.js';
+import * as rollouts from './rollouts.js';
 
-export const CELLS: readonly cell.Cell[] = [];
+export const CELLS: readonly cell.Cell[] = [...rollouts.CELLS];
--- /dev/null
+++ b/playground/src/faults/cells/rollouts.ts
@@ -0,0 +1,171 @@
+/** Faults of the system's own at the stages of a rollout, for good and bad versions. */
+
+import * as assert from 'node:assert/strict';
+import * as timers from 'node:timers/promises';
+import * as harness from '../../harness/index.js';
+import type * as cell from '../cell.js';
+import * as scenarios from '../rolloutScenario.js';
+
+type Stage = 'canary' | 'stepping' | 'soaking';
+
+/** Injects a fault and returns the function that ends it. */
+type Inject = (deployment: harness.deployment.Deployment) => Promise<() => Promise<void>>;
+
+const STAGES: readonly Stage[] = ['canary', 'stepping', 'soaking'];
+const KINDS: readonly scenarios.Kind[] = ['good', ...scenarios.BAD_KINDS];
+const SERVICE = 'fontworks';
+const PLAN: scenarios.Plan = { balance: 'timely', deadlineMs: 15_000, soakMs: 5_000 };
+const REQUESTS_PER_SECOND = 150;
+/** Longer than the controller's lease. */
+const FAULT_MS = 8_000;
+const END_TIMEOUT_MS = 60_000;
+const MAX_UNPROVED_SHARE_PCT = 5;
+
+/** The root relay is the last node of every path to the platform. */
+async function findController(deployment: harness.deployment.Deployment) {
+  const [server] = deployment.servers;
+  assert.ok(server);
+  return deployment.server((await server.admin.status()).path.at(-1) ?? server.name);
+}
+
+const FAULTS: Readonly<Record<string, Inject>> = {
+  'controller killed': async (deployment) => {
+    const server = await findController(deployment);
+    await server.node?.kill();
+    return async () => server.node?.start();
+  },
+  'controller frozen past its lease': async (deployment) => {
+    const { node } = await findController(deployment);
+    node?.freeze();
+    return () => Promise.resolve(node?.thaw());
+  },
+  'platform down': async ({ platformControl }) => {
+    await platformControl.change({ outage: true });
+    return () => platformControl.change({ outage: false });
+  },
+  'platform slow and losing answers': async ({ platformControl }) => {
+    const loseAnswers = { probability: 0.5 };
+    await platformControl.change({ delayMs: 200, delayJitterMs: 300, loseAnswers });
+    return () => platformControl.change({ delayMs: 0, delayJitterMs: 0, loseAnswers: null });
+  },
+  'regions cut from each other': async (deployment) => {
+    await deployment.cutLink(true);
+    return () => deployment.cutLink(false);
+  },
+  'herd restart of all nodes': async ({ servers }) => {
+    await Promise.all(servers.map(({ node }) => node?.kill()));
+    await Promise.all(servers.map(({ node }) => node?.start()));
+    return () => Promise.resolve();
+  },
+};
+
+/** Checks that no node serves an older configuration version than one it has held. */
+async function watchVersions(deployment: harness.deployment.Deployment, signal: AbortSignal) {
+  const highest = new Map<string, number>();
+  while (!signal.aborted) {
+    for (const { name, admin } of deployment.servers) {
+      // A restarted node holds no configuration until it is ready.
+      if (!(await admin.ready())) continue;
+      const status = await admin.status().catch(() => null);
+      if (status === null) continue;
+      const { configVersion } = status;
+      assert.ok(configVersion >= (highest.get(name) ?? 0), `${name} went back to ${configVersion}`);
+      highest.set(name, configVersion);
+    }
+    await timers.setTimeout(200);
+  }
+}
+
+/** Runs one version into one fault; rejects when an invariant does not hold. */
+export async function runRolloutFault(
+  kind: scenarios.Kind,
+  fault: string,
+  stage: Stage,
+  { seed, report }: cell.CellContext,
+): Promise<void> {
+  const inject = FAULTS[fault];
+  assert.ok(inject, fault);
+  const layout = {
+    ...harness.layouts.FRASERLINE,
+    services: [{ name: SERVICE, servers: 4, slots: 12 }],
+  };
+  const options = { layout, service: SERVICE, seed, requestsPerSecond: REQUESTS_PER_SECOND };
+  const scenario = await scenarios.RolloutScenario.create(options);
+  const { deployment } = scenario;
+  const traffic = scenario.startTraffic();
+  const ended = new AbortController();
+  const versions = watchVersions(deployment, ended.signal);
+  versions.catch(() => undefined);
+  try {
+    const id = await scenario.begin(PLAN);
+    await scenario.waitFor(id, [stage], END_TIMEOUT_MS);
+    if (scenarios.isBad(kind)) await scenario.breakTarget(kind);
+    const heal = await inject(deployment);
+    await timers.setTimeout(FAULT_MS);
+    const during = await scenario.rollout(id);
+    report(`${stage}: ${during?.summary}`);
+    await heal();
+    const end = scenarios.isBad(kind) ? 'takenBack' : 'done';
+    const last = await scenario.waitFor(id, ['takenBack', 'done', 'superseded'], END_TIMEOUT_MS);
+    report(`ended: ${last.summary}`);
+    assert.equal(last.phase, end, last.summary);
+    const unproved = last.history.filter(({ phase }) => ['planned', 'canary'].includes(phase));
+    assert.ok(unproved.every(({ sharePct }) => sharePct <= MAX_UNPROVED_SHARE_PCT));
+    if (scenarios.isBad(kind)) {
+      await harness.wait.waitFor('no answers of the target', () => traffic.isWithoutTarget(1_000));
+    }
+    await checkRecords(scenario, last);
+    ended.abort();
+    await versions;
+  } finally {
+    ended.abort();
+    await traffic.stop();
+    await scenario.close();
+  }
+}
+
+/** The verdict is recorded once, and every node agrees on the end and the configuration. */
+async function checkRecords(
+  { deployment }: scenarios.RolloutScenario,
+  last: scenarios.RolloutView,
+): Promise<void> {
+  const [server] = deployment.servers;
+  assert.ok(server);
+  const ends = (await server.admin.audit()).filter(
+    ({ ticket, action, outcome }) =>
+      ticket === last.ticket && action === 'rollout' && ['takenBack', 'done'].includes(outcome),
+  );
+  assert.deepEqual(
+    ends.map(({ outcome }) => outcome),
+    [last.phase],
+  );
+  await harness.wait.waitFor('all nodes hold the same configuration and end', async () => {
+    const held = [...(await deployment.configVersions()).values()];
+    const phases = await Promise.all(
+      deployment.servers.map(async ({ admin }) => {
+        const documents = (await admin.rollouts().catch(() => [])) as unknown;
+        return (documents as scenarios.RolloutView[]).find(({ id }) => id === last.id)?.phase;
+      }),
+    );
+    return new Set(held).size === 1 && phases.every((phase) => phase === last.phase);
+  });
+}
+
+/** Cells that were seen to hold; the others of the table are open. */
+const PROVED: ReadonlySet<string> = new Set<string>([]);
+
+export const CELLS: readonly cell.Cell[] = KINDS.flatMap((kind) =>
+  Object.keys(FAULTS).flatMap((fault) =>
+    STAGES.map((stage) => {
+      const proved = PROVED.has(`${kind}, ${fault}, ${stage}`);
+      const run = (context: cell.CellContext) => runRolloutFault(kind, fault, stage, context);
+      return {
+        area: 'rollouts' as const,
+        fault,
+        step: `${stage} of a version that ${kind === 'good' ? 'is good' : `is bad: ${kind}`}`,
+        invariants: [4, 10],
+        ...(proved ? { run } : {}),
+      };
+    }),
+  ),
+);
