perf(node): evidence travels as sums per relay

Cause: each node's cumulative samples were forwarded separately to the root. A node now sums its subtree and sends the parent what the sums grew by. An increment is sent at most once, and a new stream starts with nothing, so a node that moves, or a root and a relay that change places, are not counted twice; a root that changes starts its counts anew. Ruled out: sums per child incarnation and stream epoch, which keep history but grow with every move.

The requests seen at a share no longer count against a controller or nodes that started anew, and a suspected version at 100 % is compared at 50 % instead of 90 %, where a fault under load was not decided in time.

--- a/packages/bench/src/experiments/rollouts.ts
+++ b/packages/bench/src/experiments/rollouts.ts
@@ -47,14 +47,13 @@
     const { byKind, ...result } = decided;
     report(JSON.stringify(byKind));
     if (settings.get('live') === 'no') return result;
-    const live: LiveRun[] = [];
-    const naive: LiveRun[] = [];
-    for (const site of quick ? SITES.slice(0, 1) : SITES) {
-      const size = { ...site, seed, requestsPerSecond: liveRate };
-      const both = await runSite(size, balance, report);
-      live.push(...both.live);
-      naive.push(...both.naive);
-    }
+    const sites = quick ? SITES.slice(0, 1) : SITES;
+    const size = { seed, requestsPerSecond: liveRate };
+    const runs = await Promise.all(
+      sites.map((site) => runSite({ ...site, ...size }, balance, report)),
+    );
+    const live = runs.flatMap((run) => run.live);
+    const naive = runs.flatMap((run) => run.naive);
     return {
       ...result,
       liveVersions: live.length,
@@ -75,10 +74,13 @@
   const baseline = await scenarios.NaiveScenario.create(options);
   try {
     for (const kind of shuffled([...scenarios.GOOD_KINDS, ...scenarios.BAD_KINDS], options.seed)) {
-      const live = await runLive(scenario, kind, balance, report);
+      const [live, naive] = await Promise.all([
+        runLive(scenario, kind, balance, report),
+        runNaive(baseline, kind, balance),
+      ]);
       result.live.push(live);
+      result.naive.push(naive);
       report(`${options.layout.name}: ${JSON.stringify(live)}`);
-      result.naive.push(await runNaive(baseline, kind, balance));
     }
   } finally {
     await Promise.all([scenario.close(), baseline.close()]);
--- a/packages/node/src/distribution/evidenceExchange.ts
+++ b/packages/node/src/distribution/evidenceExchange.ts
@@ -1,6 +1,9 @@
 /**
- * Evidence and vetoes in transit. Samples are cumulative for each source node, so that only the
- * latest of each series travels; vetoes only grow and travel in both directions.
+ * Evidence and vetoes in transit. A node sums the counts of itself and the nodes below it, and sends
+ * its parent what the sums grew by since the last message, so that bytes do not grow with the number
+ * of nodes. Each increment is sent at most once: what was counted while there was no parent is not
+ * sent later, so a node that moves is never counted twice. Vetoes only grow and travel in both
+ * directions.
  */
 
 import type { distribution } from '@godwittrack/protocol';
@@ -13,11 +16,22 @@
 }
 
 /** Series held at most; the oldest are dropped beyond it. */
-const MAX_SAMPLES = 50_000;
+const MAX_SERIES = 5_000;
+/** Servers told apart per series; the counts of further ones stay in the totals. */
+const MAX_SERVERS = 256;
 const MAX_VETOES = 10_000;
 
-function sampleKey(sample: distribution.EvidenceSample): string {
-  return [sample.node, sample.rollout, sample.version, sample.route].join('\u0000');
+type Sample = distribution.EvidenceSample;
+
+/** Counts of one series: all of this subtree, and what the parent has been sent of them. */
+interface Series {
+  total: Sample;
+  sent: Sample;
+  sequence: number;
+}
+
+function seriesKey({ rollout, version, route }: Sample): string {
+  return [rollout, version, route].join('\u0000');
 }
 
 function vetoKey(veto: distribution.Veto): string {
@@ -25,11 +39,15 @@
 }
 
 export class EvidenceExchange {
-  private readonly samples = new Map<string, Sequenced<distribution.EvidenceSample>>();
+  private readonly series = new Map<string, Series>();
+
+  /** Latest cumulative sample of each series of this node itself. */
+  private readonly own = new Map<string, Sample>();
 
   private readonly vetoes = new Map<string, Sequenced<distribution.Veto>>();
 
-  private sequence = 0;
+  /** Starts above 0, which stands for a new stream in `samplesSince`. */
+  private sequence = 1;
 
   /** Raised when there is something new to send. */
   readonly changed = new signals.ChangeSignal();
@@ -37,28 +55,24 @@
   /** Raised when a veto was added, with the new one in `latestVetoes`. */
   readonly vetoed = new signals.ChangeSignal();
 
-  get allSamples(): distribution.EvidenceSample[] {
-    return [...this.samples.values()].map((item) => item.value);
+  /** Sums of this subtree since this node started. */
+  get allSamples(): Sample[] {
+    return [...this.series.values()].map(({ total, sequence }) => ({ ...total, sequence }));
   }
 
   get allVetoes(): distribution.Veto[] {
     return [...this.vetoes.values()].map((item) => item.value);
   }
 
-  addSample(sample: distribution.EvidenceSample, origin: string): boolean {
-    const key = sampleKey(sample);
-    const held = this.samples.get(key)?.value;
-    const older =
-      held !== undefined &&
-      (sample.incarnation < held.incarnation ||
-        (sample.incarnation === held.incarnation && sample.sequence <= held.sequence));
-    if (older) return false;
-    // Re-inserting keeps the map ordered by the last update, so the first entry is the oldest.
-    this.samples.delete(key);
-    this.samples.set(key, { value: sample, origin, sequence: this.nextSequence() });
-    if (this.samples.size > MAX_SAMPLES) this.dropOldest(this.samples);
-    this.changed.notify();
-    return true;
+  /** Takes a cumulative sample of this node itself (empty origin) or an increment of a child. */
+  addSample(sample: Sample, origin: string): void {
+    const key = seriesKey(sample);
+    if (origin === '') {
+      this.add(key, difference(sample, this.own.get(key)));
+      this.own.set(key, sample);
+    } else {
+      this.add(key, sample);
+    }
   }
 
   addVeto(veto: distribution.Veto, origin: string): boolean {
@@ -71,8 +85,15 @@
     return true;
   }
 
-  samplesSince(sequence: number, receiver: string): distribution.EvidenceSample[] {
-    return since(this.samples, sequence, receiver);
+  /** Increments that the parent has not been sent; a sequence of 0 begins a new stream. */
+  samplesSince(sequence: number, _receiver: string): Sample[] {
+    const grown = [...this.series.values()].filter(({ total, sent }) => countOf(total, sent) > 0);
+    const increments = grown.map(({ total, sent }) => difference(total, sent));
+    grown.forEach((one) => {
+      const series = one;
+      series.sent = one.total;
+    });
+    return sequence === 0 ? [] : increments;
   }
 
   vetoesSince(sequence: number, receiver: string): distribution.Veto[] {
@@ -85,11 +106,25 @@
 
   /** Forgets what belongs to rollouts that are no longer under way. */
   retainRollouts(isActive: (rollout: string) => boolean): void {
-    for (const [key, item] of this.samples) {
-      if (!isActive(item.value.rollout)) this.samples.delete(key);
+    for (const [key, { total }] of this.series) {
+      if (isActive(total.rollout)) continue;
+      this.series.delete(key);
+      this.own.delete(key);
     }
   }
 
+  private add(key: string, increment: Sample): void {
+    if (countOf(increment, undefined) === 0) return;
+    const held = this.series.get(key);
+    const zero = emptyLike(increment);
+    const total = sum(held?.total ?? zero, increment);
+    // Re-inserting keeps the map ordered by the last update, so the first entry is the oldest.
+    this.series.delete(key);
+    this.series.set(key, { total, sent: held?.sent ?? zero, sequence: this.nextSequence() });
+    if (this.series.size > MAX_SERIES) this.dropOldest(this.series);
+    this.changed.notify();
+  }
+
   private dropOldest(map: Map<string, unknown>): void {
     const [oldest] = map.keys();
     if (oldest !== undefined) map.delete(oldest);
@@ -106,3 +141,55 @@
     .filter((item) => item.sequence > sequence && item.origin !== receiver)
     .map((item) => item.value);
 }
+
+function emptyLike({ rollout, version, route }: Sample): Sample {
+  const counts = { ok: 0, errors: 0, refused: 0, latencyBuckets: [], servers: [] };
+  const source = { node: '', incarnation: 0, sequence: 0, windowStartMs: 0 };
+  return { ...source, rollout, version, route, ...counts };
+}
+
+/** Requests in `now` that `before` does not have. */
+function countOf(now: Sample, before: Sample | undefined): number {
+  const all = (sample: Sample | undefined) =>
+    (sample?.ok ?? 0) + (sample?.errors ?? 0) + (sample?.refused ?? 0);
+  return all(now) - all(before);
+}
+
+function sum(first: Sample, second: Sample): Sample {
+  return combine(first, second, 1);
+}
+
+function difference(now: Sample, before: Sample | undefined): Sample {
+  return combine(now, before ?? emptyLike(now), -1);
+}
+
+/** `first` plus `sign` times `second`; servers without counts are left out. */
+function combine(first: Sample, second: Sample, sign: 1 | -1): Sample {
+  const servers = new Map(first.servers.map((one) => [one.server, one]));
+  for (const other of second.servers) {
+    const { server } = other;
+    const held = servers.get(server) ?? { server, ok: 0, errors: 0, latencyBuckets: [] };
+    if (!servers.has(server) && servers.size >= MAX_SERVERS) continue;
+    servers.set(server, { server, ...combineCounts(held, other, sign) });
+  }
+  return {
+    ...emptyLike(first),
+    ...combineCounts(first, second, sign),
+    refused: Math.max(0, first.refused + sign * second.refused),
+    servers: [...servers.values()].filter(({ ok, errors }) => ok + errors > 0),
+  };
+}
+
+type Counts = Pick<Sample, 'ok' | 'errors' | 'latencyBuckets'>;
+
+function combineCounts(first: Counts, second: Counts, sign: 1 | -1): Counts {
+  const length = Math.max(first.latencyBuckets.length, second.latencyBuckets.length);
+  const buckets = Array.from({ length }, (_, at) =>
+    Math.max(0, (first.latencyBuckets[at] ?? 0) + sign * (second.latencyBuckets[at] ?? 0)),
+  );
+  return {
+    ok: Math.max(0, first.ok + sign * second.ok),
+    errors: Math.max(0, first.errors + sign * second.errors),
+    latencyBuckets: buckets.slice(0, buckets.findLastIndex((count) => count > 0) + 1),
+  };
+}
--- a/packages/node/src/rollouts/rolloutController.ts
+++ b/packages/node/src/rollouts/rolloutController.ts
@@ -321,7 +321,9 @@
     if (verdict === null || verdict.decision === 'bad') return;
     const routes = inputs.configuration().routes.filter((route) => route.service === service);
     const capacity = this.capacityOf(service, target);
-    const { requestsAtStep } = held;
+    // A new controller, or nodes that restarted together, count from the start again.
+    const requestsAtStep = Math.min(held.requestsAtStep, verdict.summary.targetRequests);
+    state.requestsAtStep = requestsAtStep;
     const nowMs = time.nowMs();
     const step = { nowMs, rollout: document, verdict, requestsAtStep, routes, capacity };
     const { move, reason } = planStep(step);
--- a/packages/node/src/rollouts/stepPlanner.ts
+++ b/packages/node/src/rollouts/stepPlanner.ts
@@ -70,8 +70,11 @@
 const MAX_STAY_MS = 10 * 60_000;
 /** Load that the target's slots are planned for, as part of them. */
 const USABLE_SLOTS = 0.8;
-/** Share while a fault is suspected and no stable traffic is left to compare with. */
-const COMPARE_SHARE_PCT = 90;
+/**
+ * Share while a fault is suspected and no stable traffic is left to compare with. At 90 % a fault
+ * under load in a fifth of the requests was not decided before the share was raised again.
+ */
+const COMPARE_SHARE_PCT = 50;
 /** Requests below which a route has too little evidence of its own and follows one step behind. */
 const MIN_ROUTE_REQUESTS = 5;
 
