--- a/playground/src/faults/cells/rollouts.ts
+++ b/playground/src/faults/cells/rollouts.ts
@@ -152,7 +152,7 @@
 }
 
 /** Cells that were seen to hold; the others of the table are open. */
-const PROVED: ReadonlySet<string> = new Set<string>([]);
+export const PROVED: ReadonlySet<string> = new Set<string>([]);
 
 export const CELLS: readonly cell.Cell[] = KINDS.flatMap((kind) =>
   Object.keys(FAULTS).flatMap((fault) =>
