--- a/playground/src/faults/cells/rollouts.ts
+++ b/playground/src/faults/cells/rollouts.ts
@@ -153,6 +153,9 @@
 
 /** Cells that were seen to hold; the others of the table are open. */
 export const PROVED: ReadonlySet<string> = new Set<string>([
+  'good, platform down, soaking',
+  'failsAtOnce, herd restart of all nodes, canary',
+  'failsAtOnce, controller frozen past its lease, stepping',
   'failsAtOnce, controller killed, stepping',
   'failsAtOnce, platform down, soaking',
   'failsLater, controller killed, canary',
