--- a/packages/cli/src/__tests__/cli.test.ts
+++ b/packages/cli/src/__tests__/cli.test.ts
@@ -337,7 +337,12 @@
         { upstreams: [upstream] },
         /^fontworks +v1 +n1 +okanagan +ok-a +12 +yes +no$/m,
       ],
-      [['node', 'list'], 'GET /v1/nodes', { nodes: [node] }, /^n1 +okanagan +ok-a +n2 +yes +no +5$/m],
+      [
+        ['node', 'list'],
+        'GET /v1/nodes',
+        { nodes: [node] },
+        /^n1 +okanagan +ok-a +n2 +yes +no +5$/m,
+      ],
       [
         ['audit', '--limit', '5', '--service', 'a'],
         'GET /v1/audit?limit=5&service=a',
--- a/packages/node/src/rollouts/rolloutController.ts
+++ b/packages/node/src/rollouts/rolloutController.ts
@@ -69,7 +69,7 @@
   createTest?: (document: rollouts.Rollout) => sequentialTest.SequentialTest;
   /** Default: `stepPlanner.planStep`. */
   planStep?: (inputs: stepPlanner.StepInputs) => stepPlanner.StepPlan;
-  /** Time between two rounds. Default 500 ms. */
+  /** Time between two rounds. Default 250 ms. */
   intervalMs?: number;
 }
 
@@ -84,7 +84,7 @@
   summary: string;
 }
 
-export const CONTROL_INTERVAL_MS = 500;
+export const CONTROL_INTERVAL_MS = 250;
 /** Rollouts of one service kept in the platform, for operators to look back at. */
 const KEPT_PER_SERVICE = 5;
 /** A running rollout's evidence summary is stored at most this often when nothing else changes. */
@@ -99,6 +99,8 @@
   /** Latest reason, stored with the next write. */
   note: string;
   writtenMs: number;
+  /** State whose write has no answer yet; its answer may be lost. */
+  unconfirmed: rollouts.Rollout | null;
 }
 
 export class RolloutController {
@@ -205,18 +207,24 @@
       requestsAtStep,
       note: reason,
       writtenMs,
+      unconfirmed: null,
     });
     onDocument(document);
+    // A write with a lost answer is found again here; its audit entry must not be lost with it.
+    const { unconfirmed } = known ?? {};
+    if (unconfirmed?.data.phase !== known?.document.data.phase && isSame(unconfirmed, document)) {
+      this.audit(document, document.data.phase);
+    }
   }
 
   private judge(): void {
     const { inputs, onVeto, node, clock: time } = this.options;
     for (const held of this.running()) {
       const state = held;
-      const { id, target } = held.document.data;
+      const { id, target, sharePct } = held.document.data;
       const wasBad = held.verdict?.decision === 'bad';
       if (wasBad) continue;
-      const verdict = held.test.observe(inputs.evidence(id));
+      const verdict = held.test.observe(inputs.evidence(id), sharePct);
       state.verdict = verdict;
       if (verdict.decision !== 'bad') continue;
       const { route, reason } = verdict;
@@ -236,11 +244,24 @@
         await this.supersede(held, null);
       }
     }
+    await this.closeDone(plans);
     for (const plan of plans.values()) if (plan.target !== undefined) await this.createFor(plan);
     for (const held of this.running()) await this.advance(held);
     await this.forgetOld();
   }
 
+  /** Records on rollouts that are done which plan came next; see `Rollout.replaceDone`. */
+  private async closeDone(plans: configuration.Configuration['plans']): Promise<void> {
+    for (const held of this.held.values()) {
+      const { phase, service, ticket, supersededBy } = held.document.data;
+      const plan = plans.get(ids.serviceName(service));
+      const isNext = plan !== undefined && plan.ticket > ticket && supersededBy === null;
+      if (phase === 'done' && isNext) {
+        await this.store(held, (document, epoch) => document.replaceDone(plan.ticket, epoch));
+      }
+    }
+  }
+
   private running(): Held[] {
     return [...this.held.values()].filter(({ document }) => !document.isFinal);
   }
@@ -250,9 +271,7 @@
       await this.takeBack(held, held.verdict.reason, held.verdict.summary);
       return;
     }
-    const { id, continues } = held.document.data;
-    const { vetoes } = this.options.inputs;
-    const [veto] = [...vetoes(id), ...(continues === null ? [] : vetoes(continues))];
+    const [veto] = held.document.vetoableBy.flatMap((id) => this.options.inputs.vetoes(id));
     if (veto === undefined) return;
     await this.takeBack(held, `${veto.node} stopped using ${veto.version}: ${veto.reason}`);
   }
@@ -278,9 +297,9 @@
       .filter(({ data }) => data.service === plan.service && data.ticket < plan.ticket)
       .sort((a, b) => b.data.ticket - a.data.ticket)[0];
     const nowMs = time.nowMs();
-    const vetoed = earlier !== undefined && this.options.inputs.vetoes(earlier.id).length > 0;
+    const vetoed = earlier?.vetoableBy.some((one) => this.options.inputs.vetoes(one).length > 0);
     const document =
-      earlier === undefined || vetoed
+      earlier === undefined || vetoed === true
         ? rollouts.Rollout.create(plan, lease.epoch, nowMs)
         : rollouts.Rollout.continue(plan, earlier, lease.epoch, nowMs);
     try {
@@ -302,7 +321,9 @@
     if (verdict === null || verdict.decision === 'bad') return;
     const routes = inputs.configuration().routes.filter((route) => route.service === service);
     const capacity = this.capacityOf(service, target);
-    const { requestsAtStep } = held;
+    // A new controller, or nodes that restarted together, count from the start again.
+    const requestsAtStep = Math.min(held.requestsAtStep, verdict.summary.targetRequests);
+    state.requestsAtStep = requestsAtStep;
     const nowMs = time.nowMs();
     const step = { nowMs, rollout: document, verdict, requestsAtStep, routes, capacity };
     const { move, reason } = planStep(step);
@@ -328,16 +349,25 @@
   }
 
   /** Returns true when the move was stored. */
-  private async write(held: Held, move: Omit<rollouts.Move, 'epoch'>): Promise<boolean> {
-    const { store, lease, clock: time } = this.options;
+  private write(held: Held, move: Omit<rollouts.Move, 'epoch'>): Promise<boolean> {
+    const nowMs = this.options.clock.nowMs();
+    return this.store(held, (document, epoch) => document.move({ ...move, epoch }, nowMs));
+  }
+
+  private async store(
+    held: Held,
+    change: (document: rollouts.Rollout, epoch: number) => rollouts.Rollout,
+  ): Promise<boolean> {
+    const { store, lease } = this.options;
     if (!lease.isHeld) return false;
+    const state = held;
     const { document, objectVersion } = held;
     try {
-      const next = document.move({ ...move, epoch: lease.epoch }, time.nowMs());
+      const next = change(document, lease.epoch);
       const precondition = { type: 'version' as const, version: objectVersion };
+      state.unconfirmed = next;
       const version = await store.put('rollout', document.id, next.data, precondition);
       this.adopt(next, version);
-      if (next.data.phase !== document.data.phase) this.audit(next, next.data.phase);
       return true;
     } catch (err) {
       if (failures.is(err, 'rolloutFenced')) lease.drop(err.failure.heldEpoch);
@@ -411,6 +441,12 @@
   return `${data.phase} at ${data.sharePct} %: ${note}`;
 }
 
+/** A controller writes each revision once in its epoch. */
+function isSame(written: rollouts.Rollout | null | undefined, found: rollouts.Rollout): boolean {
+  const { epoch, revision } = found.data;
+  return written?.data.revision === revision && written.data.epoch === epoch;
+}
+
 function isPlatformFailure(err: unknown): boolean {
   return (
     failures.is(err, 'platformUnavailable') ||
--- a/playground/src/harness/deployment.ts
+++ b/playground/src/harness/deployment.ts
@@ -292,7 +292,13 @@
         ? undefined
         : this.group.add({
             name: plan.name,
-            args: [...NODE_FLAGS, ...nodeArgs, nodeMain, '--config', this.writeSettings(plan, addresses, seeds)],
+            args: [
+              ...NODE_FLAGS,
+              ...nodeArgs,
+              nodeMain,
+              '--config',
+              this.writeSettings(plan, addresses, seeds),
+            ],
             isReady: () => admin.ready(),
             readyTimeoutMs,
           });
