fix(rollouts): a cancellation that no controller saw is not skipped

Cause: a rollout was continued by any later plan with the same versions. A cancellation and the next plan that were both accepted between two rounds of the controller let a version restart at the share reached, up to 100 %. Ruled out: recording the next plan on a rollout that is done, which covers only plans that a controller sees. Change: the manifest entry names the ticket that the resource held before; only a plan that follows directly continues a rollout. The record on finished rollouts is removed, because the entry covers its case. Proof: the test of re-filing after a cancellation has the unseen cancellation as a third case; it failed with the former rule and passes now.

--- a/packages/core/src/__tests__/rollout.test.ts
+++ b/packages/core/src/__tests__/rollout.test.ts
@@ -13,6 +13,7 @@
   return {
     service: ids.serviceName('fontworks'),
     ticket: ids.ticketNumber(ticket),
+    replaces: null,
     stable: 'v1',
     target: 'v2',
     deadline: '2026-01-01T00:00:00Z',
@@ -105,13 +106,14 @@
 
   describe('continue', () => {
     const stepping = advance(created, ['canary', 5], ['stepping', 35]);
+    const replaces = ids.ticketNumber(created.data.ticket);
 
     it('goes on from the share reached when only the deadline changes', () => {
       const ended = stepping.move(
         { epoch: 1, phase: 'superseded', reason: 'x', supersededBy: 4 },
         2,
       );
-      const next = rollouts.Rollout.continue(makePlan(4), ended, 1, 3);
+      const next = rollouts.Rollout.continue(makePlan(4, { replaces }), ended, 1, 3);
       assert.deepEqual([next.data.phase, next.data.sharePct], ['stepping', 35]);
       assert.equal(next.data.continues, created.id);
     });
@@ -123,9 +125,9 @@
         2,
       );
       const starts = [
-        rollouts.Rollout.continue(makePlan(5), back, 1, 3),
-        rollouts.Rollout.continue(makePlan(5), cancelled, 1, 3),
-        rollouts.Rollout.continue(makePlan(5, { target: 'v3' }), stepping, 1, 3),
+        rollouts.Rollout.continue(makePlan(5, { replaces }), back, 1, 3),
+        rollouts.Rollout.continue(makePlan(5, { replaces: ids.ticketNumber(4) }), cancelled, 1, 3),
+        rollouts.Rollout.continue(makePlan(5, { replaces, target: 'v3' }), stepping, 1, 3),
       ];
       for (const { data } of starts) {
         assert.deepEqual([data.phase, data.sharePct, data.continues], ['planned', 0, null]);
--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -23,6 +23,8 @@
   service: ids.ServiceName;
   /** Ticket that set the plan; with the service it identifies the rollout. */
   ticket: ids.TicketNumber;
+  /** Ticket of the plan before; null for the first plan of the service. */
+  replaces: ids.TicketNumber | null;
 }
 
 /** Returns the body of a hash, or undefined when it is not at hand. */
@@ -75,7 +77,8 @@
       if (spec.kind === 'service') services.set(service, { ...spec.value, name: service });
       if (spec.kind === 'route') routes.push(toRoute(entry.name, spec.value));
       if (spec.kind === 'versionPlan') {
-        plans.set(service, { ...spec.value, service, ticket: entry.ticket });
+        const { ticket, replaces } = entry;
+        plans.set(service, { ...spec.value, service, ticket, replaces });
       }
     }
     found.push(...checkLimits(manifest), ...checkReferences(services, routes, plans));
--- a/packages/core/src/manifest.ts
+++ b/packages/core/src/manifest.ts
@@ -18,6 +18,7 @@
   name: z.string(),
   ticket: z.number().int().positive(),
   hash: z.string().nullable(),
+  replaces: z.number().int().positive().nullable().default(null),
 });
 
 const recentSchema = z.object({
@@ -46,6 +47,8 @@
   ticket: ids.TicketNumber;
   /** Null for a deleted resource (tombstone). */
   hash: ids.ContentHash | null;
+  /** Ticket that the resource held before; null when it is new. */
+  replaces: ids.TicketNumber | null;
 }
 
 export interface AcceptedTicket {
@@ -157,6 +160,7 @@
       name: change.name,
       ticket: ticket.number,
       hash: change.hash,
+      replaces: this.entry(change.kind, change.name)?.ticket ?? null,
     }));
     const accepted: AcceptedTicket = {
       ticket: ticket.number,
--- a/packages/core/src/rollout.ts
+++ b/packages/core/src/rollout.ts
@@ -204,12 +204,15 @@
     return FINAL_PHASES.includes(this.data.phase);
   }
 
-  /** True when the plan has the same versions, so that its rollout goes on from this one. */
+  /**
+   * True when the plan follows directly on this rollout's and has the same versions, so that its
+   * rollout goes on from this one. A plan in between may have cancelled the move, also one that no
+   * controller saw.
+   */
   continuesIn(plan: configuration.VersionPlan): boolean {
-    const { service, stable, target, phase, supersededBy, ticket } = this.data;
+    const { service, stable, target, phase, ticket } = this.data;
     if (plan.service !== service || plan.stable !== stable || plan.target !== target) return false;
-    if (phase === 'takenBack' || plan.ticket <= ticket) return false;
-    return supersededBy === null || supersededBy === plan.ticket;
+    return phase !== 'takenBack' && plan.replaces === ticket;
   }
 
   /** Rollouts whose vetoes end this one: itself and those that it continues. */
@@ -264,16 +267,6 @@
     });
   }
 
-  /**
-   * Records the first plan after a rollout that is done. Without it, a plan for the same versions
-   * that follows a cancellation would go on at 100 % instead of starting at the canary share.
-   */
-  replaceDone(ticket: number, epoch: number): Rollout {
-    const { data } = this;
-    if (data.phase !== 'done' || data.supersededBy !== null || epoch < data.epoch) return this;
-    return new Rollout({ ...data, epoch, supersededBy: ticket, revision: data.revision + 1 });
-  }
-
   /** Phase and share before a `superseded` end; null when there is nothing to go on from. */
   private lastRunningState(): { phase: Phase; sharePct: number } | null {
     const { phase, history } = this.data;
--- a/packages/node/src/config/configStore.ts
+++ b/packages/node/src/config/configStore.ts
@@ -91,7 +91,11 @@
     return {
       fromVersion: from.version,
       toVersion: target.version,
-      entries: changed.map((entry) => ({ ...entry, hash: entry.hash ?? '' })),
+      entries: changed.map((entry) => ({
+        ...entry,
+        hash: entry.hash ?? '',
+        replaces: entry.replaces ?? 0,
+      })),
       bodies: [...needed]
         .filter((key) => !known.has(key))
         .map((key) => ({ hash: key, json: hash.canonicalJson(this.bodies.get(key)) })),
@@ -143,6 +147,7 @@
     name: entry.name,
     ticket: ids.ticketNumber(entry.ticket),
     hash: entry.hash === '' ? null : ids.contentHash(entry.hash),
+    replaces: entry.replaces === 0 ? null : ids.ticketNumber(entry.replaces),
   };
 }
 
--- a/packages/node/src/rollouts/__tests__/controller.test.ts
+++ b/packages/node/src/rollouts/__tests__/controller.test.ts
@@ -56,7 +56,9 @@
   plan(ticket: number, change: Partial<configuration.VersionPlan> = {}): void {
     const deadline = new Date(this.time.nowMs() + DEADLINE_MS).toISOString();
     const number = ids.ticketNumber(ticket);
-    const base = { service, ticket: number, stable: 'v1', target: 'v2', deadline, soak: 3_000 };
+    const replaces = this.plans.get(service)?.ticket ?? null;
+    const versions = { stable: 'v1', target: 'v2' };
+    const base = { service, ticket: number, replaces, ...versions, deadline, soak: 3_000 };
     this.plans = new Map([[service, { ...base, balance: 'even', ...change }]]);
   }
 
@@ -419,16 +421,18 @@
   });
 
   it('after done, another deadline keeps 100 %, but after a cancellation it starts at canary', async () => {
-    for (const [cancelled, sharePct] of [
-      [false, 100],
-      [true, 5],
+    // A cancellation and the next plan may both be accepted between two rounds of the controller.
+    for (const [cancelled, seen, sharePct] of [
+      [false, true, 100],
+      [true, true, 5],
+      [true, false, 5],
     ] as const) {
       const harness = new Harness();
       harness.plan(1);
       const controller = harness.start();
       await harness.runUntil('done', controller);
       if (cancelled) harness.plan(2, { target: undefined, deadline: undefined });
-      await harness.run(1_000, controller);
+      if (seen) await harness.run(1_000, controller);
       harness.plan(3);
       await harness.run(1_000, controller);
       assert.equal((await harness.stored(3))?.data.sharePct, sharePct);
--- a/packages/node/src/rollouts/__tests__/shareView.test.ts
+++ b/packages/node/src/rollouts/__tests__/shareView.test.ts
@@ -13,7 +13,9 @@
 function makePlan(ticket: number, target: string | undefined = 'v2'): configuration.VersionPlan {
   const deadline = '2026-01-01T00:00:00Z';
   const number = ids.ticketNumber(ticket);
-  return { service, ticket: number, stable: 'v1', target, deadline, soak: 0, balance: 'even' };
+  const replaces = ticket > 1 ? ids.ticketNumber(ticket - 1) : null;
+  const versions = { stable: 'v1', target };
+  return { service, ticket: number, replaces, ...versions, deadline, soak: 0, balance: 'even' };
 }
 
 function plansOf(plan: configuration.VersionPlan) {
--- a/packages/node/src/rollouts/decisionExperiment.ts
+++ b/packages/node/src/rollouts/decisionExperiment.ts
@@ -253,6 +253,7 @@
   const plan: configuration.VersionPlan = {
     service: SERVICE,
     ticket: ids.ticketNumber(1),
+    replaces: null,
     stable: 'v1',
     target: 'v2',
     deadline: new Date(DEADLINE_MS).toISOString(),
--- a/packages/node/src/rollouts/rolloutController.ts
+++ b/packages/node/src/rollouts/rolloutController.ts
@@ -244,24 +244,11 @@
         await this.supersede(held, null);
       }
     }
-    await this.closeDone(plans);
     for (const plan of plans.values()) if (plan.target !== undefined) await this.createFor(plan);
     for (const held of this.running()) await this.advance(held);
     await this.forgetOld();
   }
 
-  /** Records on rollouts that are done which plan came next; see `Rollout.replaceDone`. */
-  private async closeDone(plans: configuration.Configuration['plans']): Promise<void> {
-    for (const held of this.held.values()) {
-      const { phase, service, ticket, supersededBy } = held.document.data;
-      const plan = plans.get(ids.serviceName(service));
-      const isNext = plan !== undefined && plan.ticket > ticket && supersededBy === null;
-      if (phase === 'done' && isNext) {
-        await this.store(held, (document, epoch) => document.replaceDone(plan.ticket, epoch));
-      }
-    }
-  }
-
   private running(): Held[] {
     return [...this.held.values()].filter(({ document }) => !document.isFinal);
   }
