fix(node): a keyed request never meets a stale connection, and a drain leaves none

Cause: a pooled connection may have been closed by the other side, which shows only after the request was sent, so a once request ended as unknown. Two more faults were found while tests were written. The forward server never listens itself, and Node 20 then keeps no list of its connections: closeIdleConnections and closeAllConnections did nothing, so close() left peers' connections open. The caller server decided on Connection: close when a request arrived, so a request that ran when the drain began kept its connection, to be closed under the next request.

Ruled out: checking the pooled socket before use (a FIN under way is not seen), and proving afterwards that nothing ran (a reset does not tell whether the request was read).

Change: requests with an Idempotency-Key get a new connection to the peer and to the upstream; at most a quarter of an upstream's connections are kept idle. The forward server keeps its own set of connections, closes them in close() and leaves idle ones open during the drain, so that what arrives on them is refused as draining. The caller server decides when the answer is at hand. UnrecordedOnceGuard is now a test fixture.

No measurement of the cost of the new connections was made.

Conclusion: a once request whose connection cannot be opened is refused as notRun or tried elsewhere. What breaks after the connection opened stays unknown.

--- a/packages/node/src/requests/__tests__/callerServer.test.ts
+++ b/packages/node/src/requests/__tests__/callerServer.test.ts
@@ -205,4 +205,35 @@
     assert.equal(refused.headers['x-godwittrack-outcome'], 'notRun');
     assert.equal(runs, 1);
   });
+
+  it('leave no idle connection behind when the node drains, and are answered whole', async () => {
+    // Guards against a kept connection that is closed under its next request.
+    let finish = () => {};
+    const stack = await fixtures.createStack((req, res) => {
+      if (req.url?.includes('slow')) {
+        finish = () => res.end('ended');
+      } else res.end('ok');
+    });
+    const agent = new http.Agent({ keepAlive: true });
+    const idle = () => Object.values(agent.freeSockets).flat().length;
+    const call = (path: string) => fixtures.call(stack.port, path, { agent });
+    try {
+      await call('/safe');
+      await timers.setTimeout(20);
+      assert.equal(idle(), 1, 'the connection is kept before the drain');
+      const slow = call('/safe?slow');
+      await timers.setTimeout(50);
+      stack.local.setDraining();
+      const late = await call('/safe');
+      assert.equal(late.headers.connection, 'close');
+      stack.callers.stopAccepting();
+      finish();
+      assert.equal((await slow).body.toString(), 'ended');
+      await timers.setTimeout(20);
+      assert.equal(idle(), 0);
+      assert.equal(stack.callers.inFlight, 0);
+    } finally {
+      agent.destroy();
+    }
+  });
 });
--- a/packages/node/src/requests/__tests__/forwarding.test.ts
+++ b/packages/node/src/requests/__tests__/forwarding.test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
-import { after, before, describe, it } from 'node:test';
+import { after, afterEach, before, beforeEach, describe, it } from 'node:test';
 import * as fc from 'fast-check';
 import { failures } from '@godwittrack/core';
 import type { requests } from '@godwittrack/protocol';
@@ -11,20 +11,7 @@
 import * as peerPort from '../peerPort.js';
 import * as fixtures from './requestFixtures.js';
 
-const HEAD: requests.RequestHead = {
-  requestId: 'r1',
-  method: 'POST',
-  path: '/x',
-  headers: [],
-  service: fixtures.SERVICE,
-  version: '',
-  route: 'x',
-  timeoutMs: 5_000,
-  hops: 1,
-  priority: 5,
-  callingService: '',
-  configVersion: 1,
-};
+const { HEAD } = fixtures;
 
 type Handler = (
   head: requests.RequestHead,
@@ -193,4 +180,48 @@
     finish();
     assert.equal((await readAll((await running).body)).toString(), 'done');
   });
+
+  describe('to a node that stops', () => {
+    let leaving: forwardServer.ForwardServer;
+    let listener: peerPort.PeerPort;
+    let destination: peerDestination.PeerDestination;
+    const { signal } = new AbortController();
+
+    beforeEach(async () => {
+      local.handle = () => Promise.resolve(answer(exchange.bodyOf(Buffer.from('done'))));
+      leaving = new forwardServer.ForwardServer('n5', local, fixtures.SILENT);
+      listener = new peerPort.PeerPort({
+        grpc: (socket) => socket.destroy(),
+        forward: (socket) => leaving.accept(socket),
+      });
+      const at = await fixtures.freePort();
+      await listener.listen('127.0.0.1', at);
+      destination = new peerDestination.PeerDestination('n5', `127.0.0.1:${at}`, connections);
+      await readAll((await destination.forward(HEAD, exchange.wholeBody(), signal)).body);
+      await timers.setTimeout(20);
+    });
+
+    afterEach(() => {
+      listener.close();
+      leaving.close();
+    });
+
+    it('is refused as draining on a kept connection too, so that its fate is known', async () => {
+      // Guards against idle connections that the drain closes under a request on its way.
+      const pending = destination.forward(HEAD, exchange.wholeBody(), signal);
+      leaving.drain();
+      await assert.rejects(pending, /draining/);
+    });
+
+    it('is known not to have run when it is keyed and the node has ended', async () => {
+      // Guards against a kept connection to a process that is gone.
+      listener.close();
+      leaving.close();
+      const head = { ...HEAD, headers: [{ name: 'idempotency-key', value: 'k1' }] };
+      const pending = destination.forward(head, exchange.wholeBody(), signal);
+      await assert.rejects(pending, /started=false/);
+      const kept = destination.forward(HEAD, exchange.wholeBody(), signal);
+      await assert.rejects(kept, /upstreamFailed/, 'the kept connection was not closed');
+    });
+  });
 });
--- a/packages/node/src/requests/__tests__/requestFixtures.ts
+++ b/packages/node/src/requests/__tests__/requestFixtures.ts
@@ -4,7 +4,8 @@
 import * as net from 'node:net';
 import { once } from 'node:events';
 import { clock, resources } from '@godwittrack/core';
-import type { configuration, ids } from '@godwittrack/core';
+import type { configuration, failures, ids } from '@godwittrack/core';
+import type { distribution, requests } from '@godwittrack/protocol';
 import type * as configStore from '../../config/configStore.js';
 import type * as logging from '../../logging.js';
 import * as localMember from '../../membership/localMember.js';
@@ -26,8 +27,23 @@
 
 export const SERVICE = 'back';
 
+export const HEAD: requests.RequestHead = {
+  requestId: 'r1',
+  method: 'POST',
+  path: '/x',
+  headers: [],
+  service: SERVICE,
+  version: '',
+  route: 'x',
+  timeoutMs: 5_000,
+  hops: 1,
+  priority: 5,
+  callingService: '',
+  configVersion: 1,
+};
+
 /** The fixture has no version plans. */
-class AnyVersion extends versionChooser.VersionChooser {
+export class AnyVersion extends versionChooser.VersionChooser {
   override choose(): null {
     return null;
   }
@@ -39,6 +55,30 @@
 
 const noop = () => undefined;
 
+class UnrecordedClaim extends onceGuard.OnceClaim {
+  override beginDispatch(): boolean {
+    return true;
+  }
+
+  override complete(): void {
+    // Nothing is recorded.
+  }
+
+  override release(): failures.Failure {
+    return { type: 'notRun', detail: 'The request was not dispatched.', retryAfterMs: 1_000 };
+  }
+}
+
+/**
+ * Grants every key without a record: a request is still dispatched at most once for each time that
+ * the caller sends it, but a repeat by the caller is not recognised.
+ */
+export class UnrecordedOnceGuard extends onceGuard.OnceGuard {
+  override async claim(): Promise<onceGuard.OnceOutcome> {
+    return { type: 'granted', claim: new UnrecordedClaim() };
+  }
+}
+
 export const SILENT = {
   info: noop,
   debug: noop,
@@ -78,6 +118,30 @@
   } as unknown as settings.ResolvedSettings;
 }
 
+/** Ready member with an upstream of two slots. */
+export function member(node: string, region = 'r', failureDomain = 'd'): distribution.Member {
+  const upstream = { service: SERVICE, version: 'v1', slots: 2, healthy: true, draining: false };
+  const address = { peerAddress: `${node}:1`, externalPeerAddress: `${node}:2` };
+  const base = { node, region, failureDomain, incarnation: 1, ready: true, draining: false };
+  return { ...base, ...address, upstream: { ...upstream, coldStart: false } } as never;
+}
+
+/** Table of members of region `r`, and of those of region `s`. */
+export function createTable(
+  near: () => distribution.Member[],
+  far: () => distribution.Member[] = () => [],
+): memberTable.MemberTable {
+  return {
+    changed: new signals.ChangeSignal(),
+    get all() {
+      return near();
+    },
+    get regions() {
+      return [{ region: 's', versions: [{ entries: far() }] }];
+    },
+  } as unknown as memberTable.MemberTable;
+}
+
 export async function freePort(): Promise<number> {
   const server = net.createServer().listen(0, '127.0.0.1');
   await once(server, 'listening');
@@ -93,6 +157,7 @@
   local: localMember.LocalMember;
   callers: callerServer.CallerServer;
   servers: balancer.Balancer;
+  upstream: http.Server;
 }
 
 const open = new Set<() => void>();
@@ -138,7 +203,7 @@
     servers,
     new AnyVersion(),
     () => destination,
-    new onceGuard.UnrecordedOnceGuard(),
+    new UnrecordedOnceGuard(),
     new retryBudget.RetryBudget(time),
     meters,
   );
@@ -152,7 +217,7 @@
     upstream.closeAllConnections();
   };
   open.add(close);
-  return { port, gate, local, callers, servers };
+  return { port, gate, local, callers, servers, upstream };
 }
 
 export interface Reply {
--- /dev/null
+++ b/packages/node/src/requests/__tests__/upstreamClient.test.ts
@@ -0,0 +1,128 @@
+import * as assert from 'node:assert/strict';
+import { once } from 'node:events';
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import type { requests } from '@godwittrack/protocol';
+import * as exchange from '../exchange.js';
+import * as upstreamClient from '../upstreamClient.js';
+import * as fixtures from './requestFixtures.js';
+
+const HOST = { name: 'Host', value: 'back' };
+const KEYED = [HOST, { name: 'Idempotency-Key', value: 'k1' }];
+const { signal } = new AbortController();
+
+async function readAll(body: exchange.Body): Promise<string> {
+  const chunks: Uint8Array[] = [];
+  for await (const chunk of body) chunks.push(chunk);
+  return Buffer.concat(chunks).toString();
+}
+
+async function* inPieces(...pieces: string[]): exchange.Body {
+  for (const piece of pieces) yield Buffer.from(piece);
+}
+
+describe('client of the upstream', () => {
+  let server: http.Server;
+  let client: upstreamClient.NodeHttpUpstreamClient;
+  let connections: net.Socket[];
+  let seen: { line: string; encoding: string; length: string; body: string }[];
+  let respond: (res: http.ServerResponse) => void;
+
+  beforeEach(async () => {
+    connections = [];
+    seen = [];
+    respond = (res) => res.end('ok');
+    server = http.createServer((req, res) => {
+      const chunks: Buffer[] = [];
+      req.on('data', (chunk: Buffer) => chunks.push(chunk));
+      req.on('end', () => {
+        const encoding = req.headers['transfer-encoding'] ?? '';
+        const length = req.headers['content-length'] ?? '';
+        const body = Buffer.concat(chunks).toString();
+        seen.push({ line: `${req.method} ${req.url}`, encoding, length, body });
+        respond(res);
+      });
+    });
+    server.on('connection', (socket: net.Socket) => connections.push(socket));
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    client = new upstreamClient.NodeHttpUpstreamClient();
+  });
+
+  afterEach(() => {
+    client.close();
+    server.close();
+    server.closeAllConnections();
+  });
+
+  function send(
+    overrides: Partial<requests.RequestHead> = {},
+    body: exchange.RequestBody = exchange.wholeBody(),
+    onEnd: () => void = () => undefined,
+  ): Promise<exchange.Answer> {
+    const { port } = server.address() as net.AddressInfo;
+    const target = { service: 'back', address: `127.0.0.1:${port}`, connections: 8 };
+    const head = { ...fixtures.HEAD, headers: [HOST], ...overrides };
+    return client.send(target, head, body, signal, onEnd);
+  }
+
+  it('opens a new connection for a keyed request, so that no stale one makes it unknown', async () => {
+    await readAll((await send()).body);
+    await readAll((await send()).body);
+    assert.equal(connections.length, 1, 'requests without a key share connections');
+    // Like an upstream that ends: the FIN is on its way when the request is sent.
+    connections[0]?.destroy();
+    const answer = await send({ headers: KEYED });
+    assert.equal(await readAll(answer.body), 'ok');
+    assert.equal(seen.length, 3);
+    assert.equal(connections.length, 2);
+  });
+
+  it('knows that a keyed request did not run when the upstream has ended meanwhile', async () => {
+    await readAll((await send()).body);
+    const { port } = server.address() as net.AddressInfo;
+    const address = `127.0.0.1:${port}`;
+    server.close();
+    server.closeAllConnections();
+    const target = { service: 'back', address, connections: 8 };
+    const head = { ...fixtures.HEAD, headers: KEYED };
+    const sent = client.send(target, head, exchange.wholeBody(), signal, () => undefined);
+    await assert.rejects(sent, /started=false/);
+  });
+
+  it('frames a streamed body of any method, so that it is not read as another request', async () => {
+    // Node writes a GET or DELETE body without framing headers as bare bytes.
+    const inner = 'POST /order HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n';
+    for (const method of ['GET', 'DELETE', 'HEAD', 'OPTIONS', 'POST']) {
+      const streamed = { whole: null, chunks: inPieces(inner, 'tail') };
+      await readAll((await send({ method, path: `/${method}` }, streamed)).body);
+      const declared = [HOST, { name: 'Content-Length', value: String(inner.length) }];
+      const known = { whole: null, chunks: inPieces(inner) };
+      await readAll((await send({ method, path: '/known', headers: declared }, known)).body);
+      assert.deepEqual(seen.splice(0), [
+        { line: `${method} /${method}`, encoding: 'chunked', length: '', body: `${inner}tail` },
+        { line: `${method} /known`, encoding: '', length: String(inner.length), body: inner },
+      ]);
+    }
+  });
+
+  it('reports the end of the upstream only with the end of its answer', async () => {
+    // Guards against a slot that is given back while the upstream still works on the answer.
+    let finish = () => {};
+    respond = (res) => {
+      res.write('begun ');
+      finish = () => res.end('ended');
+    };
+    let ends = 0;
+    const answer = await send({}, exchange.wholeBody(), () => {
+      ends += 1;
+    });
+    const chunks = answer.body[Symbol.asyncIterator]();
+    assert.equal(Buffer.from((await chunks.next()).value as Uint8Array).toString(), 'begun ');
+    assert.equal(ends, 0);
+    finish();
+    while (!(await chunks.next()).done);
+    assert.equal(ends, 1);
+  });
+});
--- a/packages/node/src/requests/callerServer.ts
+++ b/packages/node/src/requests/callerServer.ts
@@ -77,8 +77,6 @@
       if (res.writableFinished) return;
       gone.abort(failures.raise({ type: 'cancelled', detail: 'the caller left' }));
     });
-    // A connection that is open when the listener stops would be closed under its next request.
-    if (this.local.isDraining) res.shouldKeepAlive = false;
     const given = headerOf(req, 'x-request-id');
     const requestId = given === '' ? crypto.randomUUID() : given;
     const state: RequestState = { request: null };
@@ -91,6 +89,7 @@
       outcome = failure.type;
       if (failure.type === 'internal') this.log.error({ err, requestId }, 'Request failed.');
       else this.log.debug({ failure, requestId }, 'Request failed.');
+      this.keepUntilDrain(res);
       httpFailures.send(res, failure, requestId, mayHaveRun(state, req, failure));
     } finally {
       // What is not handed to the system yet would be lost if the process ended now.
@@ -102,6 +101,14 @@
     }
   }
 
+  /**
+   * A connection that is open when the listener stops would be closed under its next request. Called
+   * when the answer is at hand: the drain may have begun while the request ran.
+   */
+  private keepUntilDrain(res: http.ServerResponse): void {
+    if (this.local.isDraining) res.shouldKeepAlive = false;
+  }
+
   private async answer(
     req: http.IncomingMessage,
     res: http.ServerResponse,
@@ -133,6 +140,7 @@
       };
       const answer = await this.dispatch.dispatch(state.request, gone.signal);
       try {
+        this.keepUntilDrain(res);
         await relay(res, answer, requestId, gone.signal);
       } finally {
         await exchange.discard(answer.body);
--- a/packages/node/src/requests/forwardServer.ts
+++ b/packages/node/src/requests/forwardServer.ts
@@ -22,6 +22,9 @@
 
   private draining = false;
 
+  /** A server that never listens keeps no list of connections, so it cannot close them itself. */
+  private readonly sockets = new Set<Socket>();
+
   private readonly server: http.Server;
 
   constructor(
@@ -41,17 +44,21 @@
 
   /** Takes a connection of a peer. */
   accept(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.on('close', () => this.sockets.delete(socket));
     this.server.emit('connection', socket);
   }
 
-  /** Refuses what arrives from now on as `draining`; what runs is finished. */
+  /**
+   * Refuses what arrives from now on as `draining`; what runs is finished. Idle connections stay
+   * open: closed under a request on its way, they would leave its fate unknown.
+   */
   drain(): void {
     this.draining = true;
-    this.server.closeIdleConnections();
   }
 
   close(): void {
-    this.server.closeAllConnections();
+    this.sockets.forEach((socket) => socket.destroy());
   }
 
   private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
@@ -59,7 +66,6 @@
     res.on('close', () => {
       if (!res.writableFinished) cancelled.abort();
     });
-    if (this.draining) res.shouldKeepAlive = false;
     const peer = req.socket.remoteAddress ?? '';
     const incoming = new incomingBody.IncomingBody(req, (detail) =>
       failures.raise({ type: 'cancelled', detail: `the peer left: ${detail}` }),
@@ -71,6 +77,7 @@
     } catch (err) {
       const failure = failures.of(err);
       this.log.debug({ failure }, 'Forwarded request failed.');
+      if (this.draining) res.shouldKeepAlive = false;
       const frame = frames.encodeResponse({ refusal: refusals.encode(failure) });
       if (!res.headersSent) res.writeHead(200, { 'Content-Length': frame.length });
       res.end(frame);
@@ -115,6 +122,7 @@
         ? exchange.wholeBody(first.chunk)
         : { whole: null, chunks: readChunks(first, reader, peer, received) };
       const answer = await this.local.forward(head, body, cancelled.signal);
+      if (this.draining) res.shouldKeepAlive = false;
       await sendAnswer(res, answer, cancelled.signal);
     } finally {
       clearTimeout(timer);
--- a/packages/node/src/requests/httpExchange.ts
+++ b/packages/node/src/requests/httpExchange.ts
@@ -2,12 +2,46 @@
 
 import * as http from 'node:http';
 import { failures } from '@godwittrack/core';
+import type { requests } from '@godwittrack/protocol';
 import * as exchange from './exchange.js';
 import * as outgoing from './outgoing.js';
 
 /** Several times the round trip between regions; a host that is gone does not answer at all. */
 const CONNECT_TIMEOUT_MS = 500;
 
+/**
+ * Connections of one client. A request with an idempotency key gets a new connection: a pooled one
+ * may have been closed by the other side, which shows only after the request was sent, and nobody
+ * can then tell whether it ran. A new connection that fails to open proves that it did not.
+ */
+export class Agents {
+  private readonly pooled: http.Agent;
+
+  private readonly fresh: http.Agent;
+
+  constructor(options: http.AgentOptions) {
+    this.pooled = new http.Agent({ ...options, keepAlive: true });
+    this.fresh = new http.Agent({ ...options, keepAlive: false });
+  }
+
+  agentFor(headers: readonly requests.Header[]): http.Agent {
+    const isKeyed = exchange.headerValue(headers, 'idempotency-key') !== undefined;
+    return isKeyed ? this.fresh : this.pooled;
+  }
+
+  /** Limits the connections in use, and those of them that are kept when idle. */
+  resize(inUse: number, idle: number): void {
+    this.pooled.maxSockets = inUse;
+    this.pooled.maxFreeSockets = idle;
+    this.fresh.maxSockets = inUse;
+  }
+
+  close(): void {
+    this.pooled.destroy();
+    this.fresh.destroy();
+  }
+}
+
 export interface Exchange {
   options: http.RequestOptions;
   service: string;
--- a/packages/node/src/requests/onceGuard.ts
+++ b/packages/node/src/requests/onceGuard.ts
@@ -45,27 +45,3 @@
   /** @throws keyInProgress, keyReused, answerNotKept, outcomeUnknown, notRun */
   abstract claim(request: OnceRequest): Promise<OnceOutcome>;
 }
-
-class UnrecordedClaim extends OnceClaim {
-  override beginDispatch(): boolean {
-    return true;
-  }
-
-  override complete(): void {
-    // Nothing is recorded.
-  }
-
-  override release(): failures.Failure {
-    return { type: 'notRun', detail: 'The request was not dispatched.', retryAfterMs: 1_000 };
-  }
-}
-
-/**
- * Grants every key without a record: a request is still dispatched at most once for each time that
- * the caller sends it, but a repeat by the caller is not recognised.
- */
-export class UnrecordedOnceGuard extends OnceGuard {
-  override async claim(): Promise<OnceOutcome> {
-    return { type: 'granted', claim: new UnrecordedClaim() };
-  }
-}
--- a/packages/node/src/requests/peerDestination.ts
+++ b/packages/node/src/requests/peerDestination.ts
@@ -3,7 +3,6 @@
  * peer address. See docs/requestClient.md for the comparison with gRPC streams.
  */
 
-import * as http from 'node:http';
 import { failures } from '@godwittrack/core';
 import { requests } from '@godwittrack/protocol';
 import * as exchange from './exchange.js';
@@ -21,15 +20,14 @@
 
 /** Connections to the forward servers of all peers. */
 export class PeerConnections {
-  readonly agent = new http.Agent({
-    keepAlive: true,
+  readonly agents = new httpExchange.Agents({
     timeout: IDLE_CONNECTION_MS,
     maxSockets: MAX_CONNECTIONS,
     maxFreeSockets: MAX_CONNECTIONS,
   });
 
   close(): void {
-    this.agent.destroy();
+    this.agents.close();
   }
 }
 
@@ -107,7 +105,7 @@
         method: 'POST',
         path: frames.FORWARD_PATH,
         headers: whole === null ? {} : { 'Content-Length': whole.length },
-        agent: this.connections.agent,
+        agent: this.connections.agents.agentFor(head.headers),
       },
       service,
       whole,
--- a/packages/node/src/requests/upstreamClient.ts
+++ b/packages/node/src/requests/upstreamClient.ts
@@ -1,6 +1,5 @@
 /** HTTP client to the local upstream, with pooled keep-alive connections. */
 
-import * as http from 'node:http';
 import { failures } from '@godwittrack/core';
 import type { requests } from '@godwittrack/protocol';
 import * as exchange from './exchange.js';
@@ -35,6 +34,11 @@
 
 /** Share of the upstream's connections that this node may use, as a divisor. */
 export const CONNECTION_DIVISOR = 2;
+/**
+ * Idle connections come on top of the new ones of keyed requests; together they stay under the
+ * upstream's limit.
+ */
+const IDLE_CONNECTION_DIVISOR = 4;
 /** Below Node's own keep-alive time of 5 s, so that this side closes an idle connection first. */
 const IDLE_CONNECTION_MS = 4_000;
 const METHODS_WITH_BODY: ReadonlySet<string> = new Set(['POST', 'PUT', 'PATCH']);
@@ -43,7 +47,7 @@
 
 /** Client on `node:http`: leaner per call than an HTTP library, see docs/requestClient.md. */
 export class NodeHttpUpstreamClient extends UpstreamClient {
-  private readonly agent = new http.Agent({ keepAlive: true, timeout: IDLE_CONNECTION_MS });
+  private readonly agents = new httpExchange.Agents({ timeout: IDLE_CONNECTION_MS });
 
   private agentSockets = 0;
 
@@ -64,7 +68,7 @@
         method: head.method,
         path: head.path,
         headers: exchange.flattenHeaders(framedHeaders(head, body)),
-        agent: this.agent,
+        agent: this.agents.agentFor(head.headers),
       },
       service: target.service,
       whole: body.whole,
@@ -85,15 +89,15 @@
   }
 
   override close(): void {
-    this.agent.destroy();
+    this.agents.close();
   }
 
   private resize(connections: number): void {
     const wanted = Math.max(1, Math.floor(connections / CONNECTION_DIVISOR));
     if (wanted === this.agentSockets) return;
     this.agentSockets = wanted;
-    this.agent.maxSockets = wanted;
-    this.agent.maxFreeSockets = wanted;
+    const idle = Math.max(1, Math.floor(connections / IDLE_CONNECTION_DIVISOR));
+    this.agents.resize(wanted, idle);
   }
 }
 
