fix(node): the answer of a once request waits for its record

Cause: the caller had the answer before two holders had its record; an entry node that died in between left the key in progress, so that a repeat got 409 and then unknown. Ruled out: connections (pooled or fresh), the holders' store. Change: an answer small enough to be kept is read whole and recorded at a majority of the holders, for at most 250 ms, before any of it goes out.

--- a/packages/node/src/records/keyGuard.ts
+++ b/packages/node/src/records/keyGuard.ts
@@ -80,6 +80,11 @@
     return this.guard.complete(this.attempt, answer);
   }
 
+  /** Records the answer; resolves as soon as a majority of the holders stored it, or all failed. */
+  recordAtQuorum(answer: records.RecordedAnswer): Promise<void> {
+    return this.guard.completeAtQuorum(this.attempt, answer);
+  }
+
   /**
    * Gives the key back and returns the failure to answer with: `notRun`, or `outcomeUnknown` when
    * the records may have lapsed meanwhile. Only for a request that cannot have started: never
@@ -174,21 +179,41 @@
 
   /** @internal Records at the holders of the claim and, after a change, the present ones. */
   async complete(attempt: Attempt, answer: records.RecordedAnswer): Promise<number> {
+    const stored = await Promise.all(this.recordEverywhere(attempt, answer));
+    return stored.filter(Boolean).length;
+  }
+
+  /** @internal */
+  completeAtQuorum(attempt: Attempt, answer: records.RecordedAnswer): Promise<void> {
+    const needed = rules.quorum(attempt.holders.length);
+    const pending = this.recordEverywhere(attempt, answer);
+    return new Promise((resolve) => {
+      let stored = 0;
+      let open = pending.length;
+      const take = (isStored: boolean) => {
+        open -= 1;
+        stored += isStored ? 1 : 0;
+        if (stored >= needed || open === 0) resolve();
+      };
+      pending.forEach((one) => {
+        void one.then(take);
+      });
+    });
+  }
+
+  private recordEverywhere(attempt: Attempt, answer: records.RecordedAnswer): Promise<boolean>[] {
     const kept = answer.bodyKept && answer.body.length <= MAX_RECORDED_BODY_BYTES;
     const recorded = kept ? answer : { ...answer, body: Buffer.alloc(0), bodyKept: false };
     const { service, key, epoch, claim, fingerprint } = attempt;
     const req = { service, key, epoch, claim, fingerprint, answer: recorded };
     const present = this.source.current(service)?.holders(key) ?? [];
     const targets = new Map([...attempt.holders, ...present].map((m) => [m.node as string, m]));
-    const stored = await Promise.all(
-      [...targets.values()].map((member) =>
-        this.settle(async () => {
-          const reply = await this.holders.complete(member, req, this.settleTimeoutMs);
-          return reply.stored;
-        }),
-      ),
+    return [...targets.values()].map((member) =>
+      this.settle(async () => {
+        const reply = await this.holders.complete(member, req, this.settleTimeoutMs);
+        return reply.stored;
+      }),
     );
-    return stored.filter(Boolean).length;
   }
 
   /** @internal */
--- a/packages/node/src/records/recordedOnceGuard.ts
+++ b/packages/node/src/records/recordedOnceGuard.ts
@@ -1,10 +1,13 @@
 /** Connects `once` routes with the records of idempotency keys. */
 
+import { backoff } from '@godwittrack/core';
 import type { failures } from '@godwittrack/core';
 import type { records } from '@godwittrack/protocol';
 import * as onceGuard from '../requests/onceGuard.js';
 import type * as keyGuard from './keyGuard.js';
 
+const RECORD_WAIT_MS = 250;
+
 class RecordedClaim extends onceGuard.OnceClaim {
   constructor(private readonly claim: keyGuard.KeyClaim) {
     super();
@@ -14,11 +17,17 @@
     return this.claim.beginDispatch();
   }
 
-  override complete(answer: onceGuard.KeptAnswer): void {
+  override async complete(answer: onceGuard.KeptAnswer): Promise<void> {
     const { status, headers, body } = answer;
     const bytes = Buffer.from(body ?? new Uint8Array(0));
-    // The holders are told while the answer is on its way to the caller, who does not wait.
-    void this.claim.complete({ status, headers, body: bytes, bodyKept: body !== null });
+    const stored = this.claim.recordAtQuorum({
+      status,
+      headers,
+      body: bytes,
+      bodyKept: body !== null,
+    });
+    // The answer is true whether recorded or not, so slow holders delay it by this much at most.
+    await Promise.race([stored, backoff.sleep(RECORD_WAIT_MS)]);
   }
 
   override release(refused: boolean): failures.Failure {
--- a/packages/node/src/requests/__tests__/requestFixtures.ts
+++ b/packages/node/src/requests/__tests__/requestFixtures.ts
@@ -60,7 +60,7 @@
     return true;
   }
 
-  override complete(): void {
+  override async complete(): Promise<void> {
     // Nothing is recorded.
   }
 
--- a/packages/node/src/requests/dispatcher.ts
+++ b/packages/node/src/requests/dispatcher.ts
@@ -15,8 +15,8 @@
 import type * as balancer from './balancer.js';
 import * as exchange from './exchange.js';
 import type * as onceGuard from './onceGuard.js';
+import * as recordedBody from './recordedBody.js';
 import * as refusals from './refusals.js';
-import * as replayBody from './replayBody.js';
 import type * as retryBudget from './retryBudget.js';
 import type * as versionChooser from './versionChooser.js';
 
@@ -117,7 +117,8 @@
         dispatched = claim.beginDispatch();
         return dispatched;
       });
-      return { ...answer, body: recordAnswer(answer, claim), replayed: false };
+      const body = new recordedBody.RecordedBody(answer.head, answer.body, claim);
+      return { ...answer, body, replayed: false };
     } catch (err) {
       if (request.mayHaveRun) throw err;
       const given = claim.release(dispatched);
@@ -300,30 +301,3 @@
   else hash.update(exchange.headerValue(head.headers, 'content-length') ?? 'chunked');
   return hash.digest('hex');
 }
-
-/** Passes the answer on and records it once it is whole; a broken one leaves the outcome unknown. */
-function recordAnswer(answer: exchange.Answer, claim: onceGuard.OnceClaim): exchange.Body {
-  const { status, headers } = answer.head;
-  const inner = answer.body[Symbol.asyncIterator]();
-  const kept: Uint8Array[] = [];
-  let keptBytes = 0;
-  const iterator: AsyncIterableIterator<Uint8Array> = {
-    [Symbol.asyncIterator]: () => iterator,
-    async next() {
-      const result = await inner.next();
-      if (result.done) {
-        const fits = keptBytes <= replayBody.REPLAY_LIMIT_BYTES;
-        claim.complete({ status, headers, body: fits ? Buffer.concat(kept) : null });
-        return result;
-      }
-      keptBytes += result.value.length;
-      if (keptBytes <= replayBody.REPLAY_LIMIT_BYTES) kept.push(result.value);
-      return result;
-    },
-    async return() {
-      await inner.return?.();
-      return { done: true, value: undefined };
-    },
-  };
-  return iterator;
-}
--- a/packages/node/src/requests/onceGuard.ts
+++ b/packages/node/src/requests/onceGuard.ts
@@ -25,8 +25,8 @@
   /** Called in the turn of each dispatch; false when the grant is too old to be used. */
   abstract beginDispatch(): boolean;
 
-  /** Records the answer without delaying it. */
-  abstract complete(answer: KeptAnswer): void;
+  /** Records the answer; resolves once the record survives the loss of one node, or after a bound. */
+  abstract complete(answer: KeptAnswer): Promise<void>;
 
   /**
    * Gives the key back; only for a request that cannot have started.
