--- a/packages/node/src/config/ticketService.ts
+++ b/packages/node/src/config/ticketService.ts
@@ -49,9 +49,8 @@
   /**
    * Returns null when there is no such node, when it is this one, or when it does not answer; the
    * ticket may have been accepted in the last case. Failures of the other node are thrown.
-   * @param hops nodes that have passed the ticket on so far
    */
-  abstract forward(ticket: tickets.Ticket, hops: number): Promise<FiledTicket | null>;
+  abstract forward(ticket: tickets.Ticket): Promise<FiledTicket | null>;
 }
 
 export class TicketService {
@@ -86,18 +85,17 @@
 
   /**
    * Files a ticket at the platform's watcher, or from here when that node cannot.
-   * @param hops nodes that have passed the ticket on so far
    * @throws as `fileHere`
    */
-  async file(ticket: tickets.Ticket, hops = 0): Promise<FiledTicket> {
+  async file(ticket: tickets.Ticket): Promise<FiledTicket> {
     try {
-      const filed = await this.forwarder?.forward(ticket, hops);
+      const filed = await this.forwarder?.forward(ticket);
       if (filed !== undefined && filed !== null) return filed;
     } catch (err) {
-      // The platform may answer here although it is lost there. Only the first node tries that.
-      const lost =
-        failures.is(err, 'platformUnavailable') || failures.is(err, 'platformOutcomeUnknown');
-      if (hops > 0 || !lost) throw err;
+      // The platform may answer here although it is lost there.
+      if (!failures.is(err, 'platformUnavailable') && !failures.is(err, 'platformOutcomeUnknown')) {
+        throw err;
+      }
     }
     return this.fileHere(ticket);
   }
--- a/packages/node/src/distribution/ticketForwarder.ts
+++ b/packages/node/src/distribution/ticketForwarder.ts
@@ -1,8 +1,6 @@
 /**
- * Carries a filed ticket up the tree to the node that watches the platform. That node knows the
- * manifest, so an acceptance there costs one read less, meets no other writer and crosses the link
- * only once. Each node asks its parent, whose connection is open already: a new connection across
- * the link would cost two more delays of the link.
+ * Carries a filed ticket to the node that watches the platform. That node knows the manifest, so an
+ * acceptance there costs one read less, meets no other writer and crosses the link only once.
  */
 
 import * as grpc from '@grpc/grpc-js';
@@ -16,8 +14,6 @@
 import type * as platformLink from './platformLink.js';
 
 const FILE_TIMEOUT_MS = 2_000;
-/** The tree is four levels deep; more hops mean that the paths have changed meanwhile. */
-const MAX_FILE_HOPS = 6;
 
 export class PeerTicketForwarder extends ticketService.TicketForwarder {
   constructor(
@@ -30,18 +26,16 @@
     super();
   }
 
-  override async forward(
-    ticket: tickets.Ticket,
-    hops: number,
-  ): Promise<ticketService.FiledTicket | null> {
-    const [, parent] = this.link.path;
-    if (parent === undefined || hops >= MAX_FILE_HOPS) return null;
+  override async forward(ticket: tickets.Ticket): Promise<ticketService.FiledTicket | null> {
+    const { path } = this.link;
+    const watcher = path[path.length - 1];
+    if (watcher === undefined || watcher === this.cfg.node) return null;
     const regions = new Set([this.cfg.homeRegion, this.cfg.region]);
     const member = [...regions]
       .flatMap((region) => this.known.known(region))
-      .find(({ node }) => node === parent);
+      .find(({ node }) => node === watcher);
     if (member === undefined) return null;
-    const reply = await this.ask(this.probe.addressOf(member), ticket, hops);
+    const reply = await this.ask(this.probe.addressOf(member), ticket);
     if (reply?.result === undefined) return null;
     if (reply.result.$case === 'failure') {
       throw failures.raise(JSON.parse(reply.result.value) as failures.Failure);
@@ -51,13 +45,9 @@
   }
 
   /** Null when the other node does not answer. */
-  private ask(
-    address: string,
-    ticket: tickets.Ticket,
-    hops: number,
-  ): Promise<distribution.FileReply | null> {
+  private ask(address: string, ticket: tickets.Ticket): Promise<distribution.FileReply | null> {
     const { peers } = this.channels.get(address);
-    const request = { ticket: JSON.stringify(ticket), hops: hops + 1 };
+    const request = { ticket: JSON.stringify(ticket) };
     const options = { deadline: Date.now() + FILE_TIMEOUT_MS };
     return new Promise((resolve) => {
       const done = (err: grpc.ServiceError | null, reply: distribution.FileReply) =>
@@ -74,7 +64,7 @@
   async serve(request: distribution.FileRequest): Promise<distribution.FileReply> {
     try {
       const ticket = tickets.Ticket.parse(JSON.parse(request.ticket));
-      const { version, repeated, atMs } = await this.service.file(ticket, request.hops);
+      const { version, repeated, atMs } = await this.service.fileHere(ticket);
       return {
         result: { $case: 'filed', value: { version, repeatedTicket: repeated, atMs } },
       };
