--- a/packages/node/src/rollouts/rolloutController.ts
+++ b/packages/node/src/rollouts/rolloutController.ts
@@ -126,7 +126,7 @@
         await this.tick();
       } catch (err) {
         const failure = failures.describe(failures.of(err));
-        this.options.logger.warn({ failure }, 'rollouts: round failed');
+        this.options.logger.warn({ failure }, 'Round failed.');
       }
       await backoff.sleep(this.options.intervalMs ?? CONTROL_INTERVAL_MS, signal);
     }
@@ -182,12 +182,12 @@
         this.adopt(rollouts.Rollout.parse(item.value), item.version);
       } catch (err) {
         const failure = failures.describe(failures.of(err));
-        logger.warn({ rollout: item.name, failure }, 'rollouts: stored rollout is unreadable');
+        logger.warn({ rollout: item.name, failure }, 'Stored rollout is unreadable.');
       }
     }
     this.loadedEpoch = epoch;
     this.mustReload = false;
-    logger.info({ epoch, rollouts: items.length, atMs: time.nowMs() }, 'rollouts: lease held');
+    logger.info({ epoch, rollouts: items.length, atMs: time.nowMs() }, 'Controller lease held.');
   }
 
   private adopt(document: rollouts.Rollout, objectVersion: number): void {
@@ -377,7 +377,7 @@
     const actor = `controller ${node}`;
     const action = 'rollout';
     audit.record({ atMs: time.nowMs(), actor, action, ticket, resources, outcome, detail: reason });
-    logger.info({ rollout: document.id, outcome, sharePct, reason }, 'rollouts: rollout changed');
+    logger.info({ rollout: document.id, outcome, sharePct, reason }, 'Rollout changed.');
   }
 
   /** Keeps the newest rollouts of each service and deletes the objects of older final ones. */
