--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -55,6 +55,8 @@
 const counts = { passed: 0, failed: 0 };
 let result = null;
 let pending = '';
+// Stays on over chunks, so that the details of a failure are printed whole.
+let show = process.env.VERBOSE !== undefined;
 
 /** Counts single tests. The result of a `describe` block is marked as a suite and left out. */
 function readLine(line) {
@@ -74,7 +76,6 @@
 tap.stdout.on('data', (chunk) => {
   const lines = (pending + chunk).split('\n');
   pending = lines.pop();
-  let show = process.env.VERBOSE !== undefined;
   for (const line of lines) {
     readLine(line);
     if (/^\s*(not )?ok /.test(line))
