--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -25,6 +25,8 @@
 export type RolloutId = Branded<string, 'RolloutId'>;
 export type RequestId = Branded<string, 'RequestId'>;
 export type IdempotencyKey = Branded<string, 'IdempotencyKey'>;
+/** Identity of one start of an upstream, given by the upstream itself. */
+export type InstanceId = Branded<string, 'InstanceId'>;
 /** Distinguishes two lives of the same node; the higher one is the later. */
 export type Incarnation = Branded<number, 'Incarnation'>;
 
@@ -39,6 +41,7 @@
 export const contentHash = (value: string) => value as ContentHash;
 export const requestId = (value: string) => value as RequestId;
 export const idempotencyKey = (value: string) => value as IdempotencyKey;
+export const instanceId = (value: string) => value as InstanceId;
 export const incarnation = (value: number) => value as Incarnation;
 
 /** Version held by a node that has no configuration yet. */
--- /dev/null
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -0,0 +1,227 @@
+/** Serves callers over HTTP/1.1: reads whole requests, dispatches them and writes whole answers. */
+
+import * as http from 'node:http';
+import { ids } from '@godwittrack/core';
+import type * as configHolder from '../config/configHolder.js';
+import type * as observability from '../observability/decisionLog.js';
+import type * as dispatcher from '../routing/dispatcher.js';
+import * as exchange from '../routing/exchange.js';
+import type * as headerCodec from '../upstream/headerCodec.js';
+import * as upstreamPool from '../upstream/upstreamPool.js';
+
+/** Callers may reuse a connection up to the configured idle time; the server waits a little longer. */
+const IDLE_SLACK_MS = 2_000;
+const DEFAULT_IDLE_MS = 20_000;
+/** Accepted by the parser; the configured limit is checked afterwards. */
+const MAX_HEADER_BYTES = 256 * 1024;
+/** Wait that is named while no configuration is known. */
+const NO_CONFIG_RETRY_MS = 250;
+
+export interface CallerServerOptions {
+  config: configHolder.ConfigHolder;
+  dispatcher: dispatcher.Dispatcher;
+  codec: headerCodec.HeaderCodec;
+  log: observability.DecisionLog;
+  nowMs: () => number;
+}
+
+interface OwnAnswer {
+  status: number;
+  message: string;
+  retryAfterMs?: number;
+}
+
+export class CallerServer {
+  private readonly server: http.Server;
+
+  private draining = false;
+
+  private inFlight = 0;
+
+  private nextId = 1;
+
+  constructor(private readonly options: CallerServerOptions) {
+    this.server = http.createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true });
+    this.server.keepAliveTimeout = DEFAULT_IDLE_MS;
+    this.server.on('request', (req, res) => void this.serve(req, res));
+    this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+      this.options.log.warn('callers', 'a connection was ended', { code: err.code });
+      if (socket.writable && err.code === 'HPE_HEADER_OVERFLOW') {
+        socket.end('HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+      } else if (socket.writable && err.code !== 'ECONNRESET') {
+        socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+      } else {
+        socket.destroy();
+      }
+    });
+    options.config.onChange(({ cfg }) => {
+      this.server.keepAliveTimeout = cfg.limits.idleTimeoutMs + IDLE_SLACK_MS;
+      this.server.headersTimeout = cfg.limits.headerTimeoutMs + IDLE_SLACK_MS;
+    });
+  }
+
+  listen(address: string): Promise<void> {
+    const { host, port } = upstreamPool.splitAddress(address);
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({ host, port, backlog: 1_024 }, () => resolve());
+    });
+  }
+
+  get inFlightCount(): number {
+    return this.inFlight;
+  }
+
+  /** From now on each answer closes its connection. */
+  drain(): void {
+    this.draining = true;
+  }
+
+  /** Takes no new connections and ends idle ones. */
+  closeIdle(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    this.inFlight += 1;
+    const arrivedMs = this.options.nowMs();
+    const controller = new AbortController();
+    res.on('close', () => {
+      if (!res.writableFinished) controller.abort();
+    });
+    try {
+      const outcome = await this.answer(req, arrivedMs, controller.signal);
+      if (!controller.signal.aborted) this.write(req, res, outcome);
+    } catch (err) {
+      this.options.log.warn('callers', 'a request failed unexpectedly', { err: String(err) });
+      if (!res.headersSent) this.writeOwn(req, res, { status: 502, message: 'internal failure' });
+    } finally {
+      this.inFlight -= 1;
+    }
+  }
+
+  private async answer(
+    req: http.IncomingMessage,
+    arrivedMs: number,
+    signal: AbortSignal,
+  ): Promise<exchange.Outcome | OwnAnswer> {
+    const held = this.options.config.current;
+    if (held === null) {
+      req.resume();
+      return { status: 503, message: 'no configuration yet', retryAfterMs: NO_CONFIG_RETRY_MS };
+    }
+    const { limits } = held.cfg;
+    if (headerBytes(req) > limits.maxHeaderBytes) return { status: 431, message: 'headers too large' };
+    const body = await readBody(req, limits.maxBodyBytes);
+    if (body === null) return { status: 413, message: 'body too large' };
+    if (!req.complete) return exchange.lost('the request ended early');
+    const route = held.routes.find(req.headers.host ?? '', req.url ?? '/');
+    if (route === null) return { status: 404, message: 'no route' };
+    const caller = this.options.codec.readCaller(req.headers);
+    const limitMs = Math.min(route.timeoutMs, caller.deadlineMs ?? Infinity);
+    this.nextId += 1;
+    const callerRequest: dispatcher.CallerRequest = {
+      requestId: caller.requestId ?? ids.requestId(`none-${this.nextId}`),
+      method: req.method ?? 'GET',
+      target: req.url ?? '/',
+      headers: this.options.codec.forwardable(req.rawHeaders),
+      body,
+      route,
+      nested: req.socket.remoteAddress === req.socket.localAddress,
+      arrivedMs,
+      deadlineAtMs: arrivedMs + limitMs,
+    };
+    return this.withinTime(callerRequest, limitMs, signal);
+  }
+
+  /** Answers at the end of the route's timeout whatever becomes of the request. */
+  private async withinTime(
+    req: dispatcher.CallerRequest,
+    limitMs: number,
+    signal: AbortSignal,
+  ): Promise<exchange.Outcome | OwnAnswer> {
+    const attempt = new AbortController();
+    const stop = () => attempt.abort();
+    signal.addEventListener('abort', stop, { once: true });
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<OwnAnswer>((resolve) => {
+      timer = setTimeout(() => resolve({ status: 504, message: 'timeout' }), limitMs);
+    });
+    const outcome = await Promise.race([this.options.dispatcher.dispatch(req, attempt.signal), timeout]);
+    clearTimeout(timer);
+    if (!('type' in outcome)) {
+      attempt.abort();
+      this.options.log.decision('callers', req.requestId, 'a request ran into its timeout', {
+        route: req.route.name,
+        limitMs,
+      });
+    }
+    return outcome;
+  }
+
+  private write(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    outcome: exchange.Outcome | OwnAnswer,
+  ): void {
+    if (!('type' in outcome)) {
+      this.writeOwn(req, res, outcome);
+    } else if (outcome.type === 'answer') {
+      const { status, headers, body } = outcome;
+      this.prepare(req, res);
+      res.sendDate = false;
+      res.writeHead(status, [...headers, 'Content-Length', String(body.length), ...this.closing()]);
+      res.end(body);
+    } else if (outcome.type === 'refused') {
+      const { reason, retryAfterMs } = outcome;
+      this.writeOwn(req, res, { status: 503, message: `not run: ${reason}`, retryAfterMs });
+    } else {
+      this.writeOwn(req, res, { status: 502, message: outcome.detail });
+    }
+  }
+
+  private writeOwn(req: http.IncomingMessage, res: http.ServerResponse, own: OwnAnswer): void {
+    const { status, message, retryAfterMs } = own;
+    this.prepare(req, res);
+    const headers = ['Content-Type', 'text/plain', 'Content-Length', String(Buffer.byteLength(message))];
+    if (retryAfterMs !== undefined) headers.push('Retry-After', (retryAfterMs / 1_000).toFixed(3));
+    res.writeHead(status, [...headers, ...this.closing()]);
+    res.end(message);
+  }
+
+  private prepare(req: http.IncomingMessage, res: http.ServerResponse): void {
+    // The rest of a body that was not read would be taken for the next request.
+    if (!req.complete) res.shouldKeepAlive = false;
+  }
+
+  private closing(): string[] {
+    return this.draining ? ['Connection', 'close'] : [];
+  }
+}
+
+function headerBytes(req: http.IncomingMessage): number {
+  let bytes = (req.url ?? '').length;
+  for (const part of req.rawHeaders) bytes += part.length + 2;
+  return bytes;
+}
+
+/** @returns null if the body is larger than `limitBytes` */
+async function readBody(req: http.IncomingMessage, limitBytes: number): Promise<Buffer | null> {
+  if (Number(req.headers['content-length'] ?? 0) > limitBytes) return null;
+  if (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined) {
+    return Buffer.alloc(0);
+  }
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    req.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      bytes += chunk.length;
+      if (bytes > limitBytes) resolve(null);
+    });
+    req.on('end', () => resolve(Buffer.concat(chunks)));
+    req.on('close', () => resolve(Buffer.concat(chunks)));
+    req.on('error', () => resolve(Buffer.concat(chunks)));
+  });
+}
--- /dev/null
+++ b/packages/mesh/src/config/fleetStore.ts
@@ -0,0 +1,51 @@
+/** What the mesh needs from the store that outlives all nodes. Filled by a platform's adapter. */
+
+import type * as configuration from './configuration.js';
+import type * as members from '../membership/members.js';
+import type * as phases from '../rollouts/phases.js';
+
+/** Place in the store's history up to which something was read. */
+export type Cursor = number;
+
+export interface Reading<T> {
+  cursor: Cursor;
+  /** Null if the store holds none, or none that can be read. */
+  value: T | null;
+}
+
+/**
+ * Calls fail with `platformUnavailable`, `platformOverloaded` or `watchExpired`. What cannot be
+ * decoded is logged by the adapter and left out.
+ */
+export abstract class FleetStore {
+  abstract readConfiguration(signal: AbortSignal): Promise<Reading<configuration.Configuration>>;
+
+  /** Waits for a change after `cursor`, at most `waitMs`; the value is null if there was none. */
+  abstract watchConfiguration(
+    cursor: Cursor,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Reading<configuration.Configuration>>;
+
+  abstract readRollouts(signal: AbortSignal): Promise<Reading<phases.RolloutRecord[]>>;
+
+  abstract watchRollouts(
+    cursor: Cursor,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Reading<phases.RolloutRecord[]>>;
+
+  /**
+   * Records how a rollout stands, if the store still holds the same order.
+   * @returns false if another writer was faster; read again then
+   */
+  abstract recordRollout(record: phases.RolloutRecord, outcome: RecordedPhase): Promise<boolean>;
+
+  abstract registerNode(address: members.NodeAddress): Promise<void>;
+
+  abstract listNodes(): Promise<members.NodeAddress[]>;
+
+  abstract unregisterNode(address: members.NodeAddress): Promise<void>;
+}
+
+export type RecordedPhase = NonNullable<phases.RolloutRecord['recorded']>;
--- /dev/null
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -0,0 +1,175 @@
+/**
+ * Keeps a node up to date with the store. Only the first-ranked node of each failure domain waits on
+ * the store; the others hear from it, and take over when they do not hear from it any more. So the
+ * calls to the store do not grow with the number of nodes.
+ */
+
+import { backoff, failures, type ids, rendezvous } from '@godwittrack/core';
+import type * as members from '../membership/members.js';
+import type * as observability from '../observability/decisionLog.js';
+import type * as rolloutBoard from '../rollouts/rolloutBoard.js';
+import type * as configHolder from './configHolder.js';
+import type * as fleetStore from './fleetStore.js';
+
+/** How often a watching node tells the nodes of its failure domain that it watches. */
+export const BEACON_INTERVAL_MS = 400;
+/** Silence of the watching node after which the next one watches as well. */
+const TAKE_OVER_AFTER_MS = 1_000;
+/** Longest wait of one call; it bounds how long a silent connection goes unnoticed. */
+const CONFIG_WAIT_MS = 4_000;
+const ROLLOUTS_WAIT_MS = 8_000;
+const RETRY_INITIAL_MS = 100;
+const RETRY_MAX_MS = 1_000;
+/** Time in which a call of the watch must have been answered for the store to count as in contact. */
+const CONTACT_LIMIT_MS = CONFIG_WAIT_MS + 2_000;
+
+/** One thing that is watched: read once, then watched from there. */
+export abstract class Subject {
+  abstract readonly name: string;
+
+  /** Reads, or waits for a change after `cursor`, and takes what came. */
+  abstract advance(cursor: fleetStore.Cursor | null, signal: AbortSignal): Promise<fleetStore.Cursor>;
+}
+
+export class ConfigurationSubject extends Subject {
+  readonly name = 'configuration';
+
+  constructor(
+    private readonly store: fleetStore.FleetStore,
+    private readonly config: configHolder.ConfigHolder,
+  ) {
+    super();
+  }
+
+  async advance(cursor: fleetStore.Cursor | null, signal: AbortSignal): Promise<fleetStore.Cursor> {
+    const reading =
+      cursor === null
+        ? await this.store.readConfiguration(signal)
+        : await this.store.watchConfiguration(cursor, CONFIG_WAIT_MS, signal);
+    if (reading.value !== null) this.config.offer(reading.value, 'store');
+    return reading.cursor;
+  }
+}
+
+export class RolloutsSubject extends Subject {
+  readonly name = 'rollouts';
+
+  constructor(
+    private readonly store: fleetStore.FleetStore,
+    private readonly board: rolloutBoard.RolloutBoard,
+  ) {
+    super();
+  }
+
+  async advance(cursor: fleetStore.Cursor | null, signal: AbortSignal): Promise<fleetStore.Cursor> {
+    const reading =
+      cursor === null
+        ? await this.store.readRollouts(signal)
+        : await this.store.watchRollouts(cursor, ROLLOUTS_WAIT_MS, signal);
+    for (const record of reading.value ?? []) this.board.learn(record);
+    return reading.cursor;
+  }
+}
+
+export interface StoreWatcherOptions {
+  table: members.MemberTable;
+  reachable: () => members.Member[];
+  log: observability.DecisionLog;
+  nowMs: () => number;
+}
+
+export class StoreWatcher {
+  private readonly loops: AbortController[] = [];
+
+  private watching = false;
+
+  private readonly heardAt = new Map<ids.NodeId, number>();
+
+  private contactAtMs = -Infinity;
+
+  constructor(
+    private readonly subjects: readonly Subject[],
+    private readonly options: StoreWatcherOptions,
+  ) {}
+
+  get isWatching(): boolean {
+    return this.watching;
+  }
+
+  /** Whether this node watches and its watch is answered. */
+  get inContact(): boolean {
+    return this.watching && this.options.nowMs() - this.contactAtMs < CONTACT_LIMIT_MS;
+  }
+
+  /** Another node says that it watches and is in contact with the store. */
+  hearBeacon(node: ids.NodeId): void {
+    this.heardAt.set(node, this.options.nowMs());
+  }
+
+  /** Decides whether this node watches; called often. */
+  review(): void {
+    const wanted = !this.hasWatcherAhead();
+    if (wanted === this.watching) return;
+    this.watching = wanted;
+    this.options.log.belief('store', wanted ? 'this node watches the store' : 'another node watches', {
+      domain: this.options.table.self.domain,
+    });
+    if (wanted) this.start();
+    else this.stop();
+  }
+
+  stop(): void {
+    for (const loop of this.loops.splice(0)) loop.abort();
+    this.watching = false;
+  }
+
+  /** A node of the same failure domain that ranks ahead and was heard of lately. */
+  private hasWatcherAhead(): boolean {
+    const { table, reachable } = this.options;
+    const now = this.options.nowMs();
+    const peers = reachable().filter(({ domain }) => domain === table.self.domain);
+    const ranked = rendezvous.rank(table.self.domain, peers, ({ node }) => node);
+    for (const { node } of ranked) {
+      if (node === table.self.node) return false;
+      if (now - (this.heardAt.get(node) ?? -Infinity) < TAKE_OVER_AFTER_MS) return true;
+    }
+    return false;
+  }
+
+  private start(): void {
+    for (const subject of this.subjects) {
+      const controller = new AbortController();
+      this.loops.push(controller);
+      void this.follow(subject, controller.signal);
+    }
+  }
+
+  private async follow(subject: Subject, signal: AbortSignal): Promise<void> {
+    const delays = new backoff.Backoff({ initialMs: RETRY_INITIAL_MS, maxMs: RETRY_MAX_MS });
+    let cursor: fleetStore.Cursor | null = null;
+    let lost = false;
+    while (!signal.aborted) {
+      try {
+        cursor = await subject.advance(cursor, signal);
+        if (signal.aborted) return;
+        this.contactAtMs = this.options.nowMs();
+        delays.reset();
+        if (lost) this.options.log.belief('store', 'the store answers again', { subject: subject.name });
+        lost = false;
+      } catch (err) {
+        if (signal.aborted) return;
+        const failure = failures.of(err);
+        if (failure.type === 'watchExpired') cursor = null;
+        if (!lost) this.options.log.belief('store', 'the store was lost', { subject: subject.name, failure });
+        lost = true;
+        await backoff.sleep(delays.nextMs(), signal);
+      }
+    }
+  }
+}
+
+/** First-ranked node of a failure domain among the nodes that can be reached. */
+export function watcherOf(domain: ids.DomainName, reachable: readonly members.Member[]): ids.NodeId | null {
+  const peers = reachable.filter((member) => member.domain === domain);
+  return rendezvous.rank(domain, peers, ({ node }) => node)[0]?.node ?? null;
+}
--- /dev/null
+++ b/packages/mesh/src/index.ts
@@ -0,0 +1,13 @@
+/** The mesh: every node routes, admits, discovers and moves versions; no node is set apart. */
+
+export * as agent from './process/agent.js';
+export * as configuration from './config/configuration.js';
+export * as decisionLog from './observability/decisionLog.js';
+export * as fleetStore from './config/fleetStore.js';
+export * as headerCodec from './upstream/headerCodec.js';
+export * as localUpstream from './membership/localUpstream.js';
+export * as members from './membership/members.js';
+export * as phases from './rollouts/phases.js';
+export * as exchange from './routing/exchange.js';
+export * as upstreamPool from './upstream/upstreamPool.js';
+export * as wiring from './process/wiring.js';
--- /dev/null
+++ b/packages/mesh/src/membership/localUpstream.ts
@@ -0,0 +1,129 @@
+/** The upstream beside this node: which incarnation of it lives, and whether it takes work. */
+
+import type { ids } from '@godwittrack/core';
+import type * as members from './members.js';
+
+/** What an upstream says of itself, several times a minute. */
+export interface Announcement {
+  instance: ids.InstanceId;
+  service: ids.ServiceName;
+  /** `ip:port`. */
+  address: string;
+  version: ids.VersionName;
+  slots: number;
+  leaving: boolean;
+  /** Time for which it stays slow after its start. */
+  coldRemainingMs: number;
+  /** Rises with each announcement of one incarnation. */
+  sequence: number;
+  /** Unix milliseconds of its start; null where the upstream does not say. */
+  bornMs: number | null;
+}
+
+export type AnnouncementOutcome =
+  | 'accepted'
+  | 'otherAddress'
+  | 'lateSequence'
+  | 'olderIncarnation'
+  | 'alreadyLeft';
+
+interface Incarnation {
+  announcement: Announcement;
+  left: boolean;
+}
+
+/** Incarnations that have left are remembered so that late announcements do not revive them. */
+const MAX_REMEMBERED = 32;
+
+export class LocalUpstream {
+  private current: Incarnation | null = null;
+
+  private readonly left = new Map<ids.InstanceId, number | null>();
+
+  private down = false;
+
+  private readonly listeners: ((state: members.UpstreamState | null) => void)[] = [];
+
+  constructor(private readonly address: string) {}
+
+  onChange(listener: (state: members.UpstreamState | null) => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Null until the first announcement after the node's start. */
+  get state(): members.UpstreamState | null {
+    if (this.current === null) return null;
+    const { instance, service, version, slots, leaving } = this.current.announcement;
+    const accepting = !leaving && !this.current.left && !this.down;
+    return { instance, service, version, slots, accepting };
+  }
+
+  get announcement(): Announcement | null {
+    return this.current?.announcement ?? null;
+  }
+
+  announce(next: Announcement): AnnouncementOutcome {
+    if (next.address !== this.address) return 'otherAddress';
+    const outcome = this.judge(next);
+    if (outcome !== 'accepted') return outcome;
+    const held = this.current?.announcement;
+    const same = held?.instance === next.instance && held.bornMs === next.bornMs;
+    // A server that leaves does not come back under the same incarnation.
+    const leaving = next.leaving || (same && held.leaving);
+    if (!same) this.down = false;
+    this.replace({ announcement: { ...next, leaving }, left: false });
+    return 'accepted';
+  }
+
+  private judge(next: Announcement): AnnouncementOutcome {
+    if (this.left.has(next.instance) && !isNewer(next.bornMs, this.left.get(next.instance)!)) {
+      return 'alreadyLeft';
+    }
+    const held = this.current?.announcement;
+    if (held === undefined) return 'accepted';
+    if (held.instance === next.instance && held.bornMs === next.bornMs) {
+      return next.sequence > held.sequence ? 'accepted' : 'lateSequence';
+    }
+    if (held.bornMs !== null && next.bornMs !== null && next.bornMs < held.bornMs) {
+      return 'olderIncarnation';
+    }
+    return 'accepted';
+  }
+
+  /** The upstream has said that it is gone. Binds this node at once. */
+  leave(instance: ids.InstanceId, bornMs: number | null): AnnouncementOutcome {
+    const held = this.current?.announcement;
+    if (held?.instance === instance && bornMs !== null && isNewer(held.bornMs, bornMs)) {
+      return 'olderIncarnation';
+    }
+    this.remember(instance, held?.instance === instance ? held.bornMs : bornMs);
+    if (held?.instance === instance) this.replace({ announcement: held, left: true });
+    return 'accepted';
+  }
+
+  /** Set while connections to the upstream fail; the next incarnation starts fresh. */
+  setDown(down: boolean): void {
+    if (this.down === down) return;
+    this.down = down;
+    this.notify();
+  }
+
+  private remember(instance: ids.InstanceId, bornMs: number | null): void {
+    this.left.set(instance, bornMs);
+    if (this.left.size > MAX_REMEMBERED) this.left.delete(this.left.keys().next().value!);
+  }
+
+  private replace(next: Incarnation): void {
+    const before = JSON.stringify(this.state);
+    this.current = next;
+    if (JSON.stringify(this.state) !== before) this.notify();
+  }
+
+  private notify(): void {
+    for (const listener of this.listeners) listener(this.state);
+  }
+}
+
+function isNewer(bornMs: number | null, thanMs: number | null): boolean {
+  return bornMs !== null && thanMs !== null && bornMs > thanMs;
+}
--- /dev/null
+++ b/packages/mesh/src/peers/frames.ts
@@ -0,0 +1,217 @@
+/**
+ * Messages between nodes: MessagePack arrays that begin with a type code, each after its length in
+ * four bytes, big endian. Fields travel by position, since traffic between failure domains is billed
+ * by volume.
+ */
+
+import * as msgpack from '@msgpack/msgpack';
+import { failures } from '@godwittrack/core';
+import type * as configuration from '../config/configuration.js';
+import type * as members from '../membership/members.js';
+import type * as phases from '../rollouts/phases.js';
+import type * as evidence from '../rollouts/evidence.js';
+import type * as exchange from '../routing/exchange.js';
+
+export const MAX_FRAME_BYTES = 80 * 1024 * 1024;
+const LENGTH_BYTES = 4;
+
+/** What a node tells when it connects. */
+export interface Hello {
+  type: 'hello';
+  from: members.NodeAddress;
+  upstream: members.UpstreamState | null;
+  configVersion: number;
+  rollouts: phases.RolloutState[];
+}
+
+export interface RequestFrame {
+  type: 'request';
+  id: number;
+  req: exchange.ForwardedRequest;
+}
+
+export type Frame =
+  | Hello
+  | RequestFrame
+  | { type: 'upstream'; upstream: members.UpstreamState | null }
+  | { type: 'leaving' }
+  | { type: 'cancel'; id: number }
+  | { type: 'outcome'; id: number; delivery: exchange.Delivery }
+  | { type: 'ping' }
+  | { type: 'pong' }
+  | { type: 'configDelta'; delta: configuration.ConfigurationDelta }
+  | { type: 'configWhole'; cfg: configuration.Configuration }
+  | { type: 'configWanted'; heldVersion: number }
+  | { type: 'beacon'; configVersion: number }
+  | { type: 'rollouts'; states: phases.RolloutState[] }
+  | { type: 'evidence'; report: evidence.EvidenceReport };
+
+const TYPES: readonly Frame['type'][] = [
+  'hello',
+  'request',
+  'upstream',
+  'leaving',
+  'cancel',
+  'outcome',
+  'ping',
+  'pong',
+  'configDelta',
+  'configWhole',
+  'configWanted',
+  'beacon',
+  'rollouts',
+  'evidence',
+];
+
+export function encode(frame: Frame): Buffer {
+  const message = msgpack.encode(pack(frame), { ignoreUndefined: true });
+  const framed = Buffer.allocUnsafe(LENGTH_BYTES + message.length);
+  framed.writeUInt32BE(message.length, 0);
+  framed.set(message, LENGTH_BYTES);
+  return framed;
+}
+
+function pack(frame: Frame): unknown[] {
+  const code = TYPES.indexOf(frame.type);
+  switch (frame.type) {
+    case 'request':
+      return [code, frame.id, ...packRequest(frame.req)];
+    case 'outcome':
+      return [code, frame.id, ...packDelivery(frame.delivery)];
+    default: {
+      const { type, ...fields } = frame;
+      return [code, fields];
+    }
+  }
+}
+
+/** @throws protocolViolation */
+function decode(message: Uint8Array, peer: string): Frame {
+  try {
+    const [code, first, ...rest] = msgpack.decode(message) as [number, unknown, ...unknown[]];
+    const type = TYPES[code];
+    if (type === 'request') return { type, id: first as number, req: unpackRequest(rest) };
+    if (type === 'outcome') return { type, id: first as number, delivery: unpackDelivery(rest) };
+    if (type === undefined) throw new Error(`type code ${code}`);
+    return { type, ...(first as object) } as Frame;
+  } catch (err) {
+    throw failures.raise({ type: 'protocolViolation', peer, detail: String(err) });
+  }
+}
+
+function packRequest(req: exchange.ForwardedRequest): unknown[] {
+  return [
+    req.requestId,
+    req.method,
+    req.target,
+    req.headers,
+    req.body.length === 0 ? null : req.body,
+    req.route,
+    req.semantics === 'repeatable' ? 1 : 0,
+    req.priority,
+    req.nested ? 1 : 0,
+    req.callerService,
+    req.instance,
+    Math.round(req.targetLeftMs),
+    Math.round(req.deadlineLeftMs),
+    Math.round(req.estimateMs),
+  ];
+}
+
+function unpackRequest(fields: unknown[]): exchange.ForwardedRequest {
+  const [requestId, method, target, headers, body, route, repeatable, priority, nested] = fields;
+  const [callerService, instance, targetLeftMs, deadlineLeftMs, estimateMs] = fields.slice(9);
+  return {
+    requestId,
+    method,
+    target,
+    headers,
+    body: toBuffer(body),
+    route,
+    semantics: repeatable === 1 ? 'repeatable' : 'once',
+    priority,
+    nested: nested === 1,
+    callerService,
+    instance,
+    targetLeftMs,
+    deadlineLeftMs,
+    estimateMs,
+  } as exchange.ForwardedRequest;
+}
+
+const ANSWER = 0;
+const REFUSED = 1;
+const LOST = 2;
+
+function packDelivery({ outcome, report }: exchange.Delivery): unknown[] {
+  const load = report?.load ?? null;
+  switch (outcome.type) {
+    case 'answer': {
+      const { status, headers, body, serviceMs } = outcome;
+      const answer = [status, headers, body.length === 0 ? null : body, Math.round(serviceMs)];
+      return [ANSWER, load, ...answer];
+    }
+    case 'refused': {
+      const { reason, retryAfterMs, reachedUpstream } = outcome;
+      return [REFUSED, load, reason, Math.round(retryAfterMs), reachedUpstream];
+    }
+    default:
+      return [LOST, load, outcome.detail];
+  }
+}
+
+function unpackDelivery([kind, load, ...rest]: unknown[]): exchange.Delivery {
+  const report = load === null ? null : { load: load as number };
+  if (kind === ANSWER) {
+    const [status, headers, body, serviceMs] = rest;
+    const answer = { type: 'answer', status, headers, body: toBuffer(body), serviceMs };
+    return { outcome: answer as exchange.Answer, report };
+  }
+  if (kind === REFUSED) {
+    const [reason, retryAfterMs, reachedUpstream] = rest as [string, number, boolean];
+    return { outcome: { type: 'refused', reason, retryAfterMs, reachedUpstream }, report };
+  }
+  return { outcome: { type: 'lost', detail: String(rest[0]) }, report };
+}
+
+function toBuffer(bytes: unknown): Buffer {
+  if (!(bytes instanceof Uint8Array)) return Buffer.alloc(0);
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+}
+
+/** Cuts a stream of bytes into frames. */
+export class FrameSplitter {
+  private chunks: Buffer[] = [];
+
+  private heldBytes = 0;
+
+  /** Bytes that must be held before the next frame can be cut. */
+  private neededBytes = LENGTH_BYTES;
+
+  constructor(private readonly peer: string) {}
+
+  /** @throws protocolViolation */
+  push(chunk: Buffer): Frame[] {
+    this.chunks.push(chunk);
+    this.heldBytes += chunk.length;
+    if (this.heldBytes < this.neededBytes) return [];
+    let held = this.chunks.length === 1 ? chunk : Buffer.concat(this.chunks);
+    const frames: Frame[] = [];
+    this.neededBytes = LENGTH_BYTES;
+    while (held.length >= LENGTH_BYTES) {
+      const length = held.readUInt32BE(0);
+      if (length > MAX_FRAME_BYTES) {
+        const detail = `a frame of ${length} bytes`;
+        throw failures.raise({ type: 'protocolViolation', peer: this.peer, detail });
+      }
+      this.neededBytes = LENGTH_BYTES + length;
+      if (held.length < this.neededBytes) break;
+      frames.push(decode(held.subarray(LENGTH_BYTES, this.neededBytes), this.peer));
+      held = held.subarray(this.neededBytes);
+      this.neededBytes = LENGTH_BYTES;
+    }
+    this.chunks = held.length === 0 ? [] : [held];
+    this.heldBytes = held.length;
+    return frames;
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -0,0 +1,105 @@
+/** Takes connections of other nodes: serves their requests here and hears what they state. */
+
+import * as net from 'node:net';
+import type * as exchange from '../routing/exchange.js';
+import * as frames from './frames.js';
+
+export interface PeerSession {
+  /** Known after the other node's hello. */
+  hello: frames.Hello | null;
+  tell(frame: frames.Frame): void;
+}
+
+export interface PeerServerOptions {
+  destination: exchange.Destination;
+  onFrame: (session: PeerSession, frame: frames.Frame) => void;
+  onClose: (session: PeerSession) => void;
+  onViolation: (detail: string) => void;
+}
+
+class Session implements PeerSession {
+  hello: frames.Hello | null = null;
+
+  readonly running = new Map<number, AbortController>();
+
+  constructor(readonly socket: net.Socket) {}
+
+  tell(frame: frames.Frame): void {
+    if (!this.socket.destroyed) this.socket.write(frames.encode(frame));
+  }
+}
+
+export class PeerServer {
+  private readonly server: net.Server;
+
+  private readonly sessions = new Set<Session>();
+
+  constructor(private readonly options: PeerServerOptions) {
+    this.server = net.createServer({ noDelay: true }, (socket) => this.accept(socket));
+  }
+
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({ host, port }, () => resolve());
+    });
+  }
+
+  /** Requests of other nodes under way here. */
+  get runningCount(): number {
+    let count = 0;
+    for (const session of this.sessions) count += session.running.size;
+    return count;
+  }
+
+  close(): void {
+    this.server.close();
+    for (const session of this.sessions) session.socket.destroy();
+  }
+
+  private accept(socket: net.Socket): void {
+    const session = new Session(socket);
+    this.sessions.add(session);
+    const splitter = new frames.FrameSplitter(`${socket.remoteAddress}`);
+    socket.on('data', (chunk) => {
+      try {
+        for (const frame of splitter.push(chunk as Buffer)) this.take(session, frame);
+      } catch (err) {
+        this.options.onViolation(String(err));
+        socket.destroy();
+      }
+    });
+    // The close that follows an error ends the session.
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => {
+      this.sessions.delete(session);
+      for (const controller of session.running.values()) controller.abort();
+      this.options.onClose(session);
+    });
+  }
+
+  private take(session: Session, frame: frames.Frame): void {
+    switch (frame.type) {
+      case 'request':
+        void this.serve(session, frame);
+        break;
+      case 'cancel':
+        session.running.get(frame.id)?.abort();
+        break;
+      case 'ping':
+        session.tell({ type: 'pong' });
+        break;
+      default:
+        if (frame.type === 'hello') session.hello = frame;
+        this.options.onFrame(session, frame);
+    }
+  }
+
+  private async serve(session: Session, { id, req }: frames.RequestFrame): Promise<void> {
+    const controller = new AbortController();
+    session.running.set(id, controller);
+    const delivery = await this.options.destination.send(req, controller.signal);
+    session.running.delete(id);
+    session.tell({ type: 'outcome', id, delivery });
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/process/agent.ts
@@ -0,0 +1,190 @@
+/** One node of the mesh: starts its parts, keeps them going, and stops without cutting requests. */
+
+import { backoff, failures } from '@godwittrack/core';
+import type * as callerServer from '../callers/callerServer.js';
+import type * as configHolder from '../config/configHolder.js';
+import type * as fleetStore from '../config/fleetStore.js';
+import * as storeWatcher from '../config/storeWatcher.js';
+import type * as localUpstream from '../membership/localUpstream.js';
+import type * as members from '../membership/members.js';
+import type * as observability from '../observability/decisionLog.js';
+import type * as peerNetwork from '../peers/peerNetwork.js';
+import type * as peerServer from '../peers/peerServer.js';
+import type * as evidence from '../rollouts/evidence.js';
+import type * as rolloutBoard from '../rollouts/rolloutBoard.js';
+import type * as rolloutController from '../rollouts/rolloutController.js';
+import * as upstreamPool from '../upstream/upstreamPool.js';
+
+const REVIEW_INTERVAL_MS = 200;
+const EVIDENCE_INTERVAL_MS = 300;
+const REGISTER_RETRY_INITIAL_MS = 100;
+const REGISTER_RETRY_MAX_MS = 1_500;
+/** Time after a stop was asked for in which callers are sent elsewhere: two readiness checks. */
+const LEAVE_AFTER_MS = 2_300;
+/** Part of the grace time after which the process ends whatever is under way. */
+const STOP_BY_SHARE = 0.93;
+const STOP_POLL_MS = 50;
+
+export interface AgentSettings {
+  /** Address for callers on this host. */
+  callerAddress: string;
+  graceMs: number;
+}
+
+export interface AgentParts {
+  settings: AgentSettings;
+  self: members.Member;
+  config: configHolder.ConfigHolder;
+  board: rolloutBoard.RolloutBoard;
+  upstream: localUpstream.LocalUpstream;
+  evidence: evidence.EvidenceRecorder;
+  network: peerNetwork.PeerNetwork;
+  peers: peerServer.PeerServer;
+  callers: callerServer.CallerServer;
+  watcher: storeWatcher.StoreWatcher;
+  controller: rolloutController.RolloutController;
+  store: fleetStore.FleetStore;
+  onEvidence: (report: evidence.EvidenceReport) => void;
+  log: observability.DecisionLog;
+  nowMs: () => number;
+}
+
+export class Agent {
+  private stopping = false;
+
+  private readonly timers: NodeJS.Timeout[] = [];
+
+  private readonly abort = new AbortController();
+
+  constructor(private readonly parts: AgentParts) {}
+
+  /** Whether callers should send new work here. */
+  get ready(): boolean {
+    return !this.stopping && this.parts.config.current !== null;
+  }
+
+  async start(): Promise<void> {
+    const { settings, self, peers, callers, watcher, controller, network } = this.parts;
+    this.connectParts();
+    const { host, port } = upstreamPool.splitAddress(self.address);
+    await Promise.all([peers.listen(host, port), callers.listen(settings.callerAddress)]);
+    watcher.review();
+    void this.join();
+    this.every(REVIEW_INTERVAL_MS, () => {
+      watcher.review();
+      controller.tick();
+      network.forgetLost();
+    });
+    this.every(storeWatcher.BEACON_INTERVAL_MS, () => this.sendBeacon());
+    this.every(EVIDENCE_INTERVAL_MS, () => this.sendEvidence());
+  }
+
+  /** Serves on while callers are sent elsewhere, then ends when nothing is under way. */
+  async stop(): Promise<void> {
+    if (this.stopping) return;
+    this.stopping = true;
+    const { log, network, callers, settings, nowMs, peers, self, store } = this.parts;
+    const askedMs = nowMs();
+    log.belief('agent', 'stop was asked for', { inFlight: callers.inFlightCount });
+    network.broadcast({ type: 'leaving' });
+    this.parts.watcher.stop();
+    if (self.upstream === null || !self.upstream.accepting) {
+      store.unregisterNode(self).catch((err: unknown) => {
+        log.belief('agent', 'the node could not be unregistered', { failure: failures.of(err) });
+      });
+    }
+    await backoff.sleep(LEAVE_AFTER_MS);
+    callers.drain();
+    const stopByMs = askedMs + settings.graceMs * STOP_BY_SHARE;
+    while (nowMs() < stopByMs && (callers.inFlightCount > 0 || peers.runningCount > 0)) {
+      await backoff.sleep(STOP_POLL_MS);
+    }
+    callers.closeIdle();
+    this.abort.abort();
+    for (const timer of this.timers) clearInterval(timer);
+    network.stop();
+    peers.close();
+    log.belief('agent', 'stopped', { afterMs: Math.round(nowMs() - askedMs), inFlight: callers.inFlightCount });
+  }
+
+  private connectParts(): void {
+    const { upstream, network, config, board, evidence: recorder, self, log } = this.parts;
+    upstream.onChange((state) => {
+      self.upstream = state;
+      log.belief('upstream', 'the upstream has a new state', { ...state });
+      network.broadcast({ type: 'upstream', upstream: state });
+      recorder.reset();
+    });
+    config.onChange(({ cfg }, previous, source) => {
+      log.belief('config', 'a configuration is in force', { version: cfg.version, source });
+      if (this.parts.watcher.isWatching) {
+        network.announceConfiguration(cfg, previous, (member) => this.hearsFromHere(member));
+      }
+    });
+    board.onChange((state, source) => {
+      if (state.phase === 'held') recorder.reset();
+      if (source === 'peer') return;
+      const everyone = source === 'self';
+      network.broadcast({ type: 'rollouts', states: [state] }, (member) => everyone || this.hearsFromHere(member));
+    });
+    recorder.onVeto((state, reason) => {
+      board.advance(state.service, state.version, 'rolledBack', reason);
+    });
+  }
+
+  /** Nodes that this node passes news from the store to: its domain, and one node of each other. */
+  private hearsFromHere(member: members.Member): boolean {
+    const { self, network } = this.parts;
+    if (member.domain === self.domain) return true;
+    return storeWatcher.watcherOf(member.domain, network.reachable()) === member.node;
+  }
+
+  private sendBeacon(): void {
+    const { watcher, network, config, self } = this.parts;
+    if (!watcher.inContact) return;
+    const beacon = { type: 'beacon', configVersion: config.version } as const;
+    network.broadcast(beacon, ({ domain }) => domain === self.domain);
+  }
+
+  /** Tells the node in charge of a running rollout what this node's upstream answered. */
+  private sendEvidence(): void {
+    const { self, board, controller, network, evidence: recorder } = this.parts;
+    const { upstream } = self;
+    if (upstream === null) return;
+    const newest = board.newest(upstream.service);
+    if (newest === null || newest.state.phase === 'completed' || newest.state.phase === 'rolledBack') return;
+    const { service, version, instance } = upstream;
+    const report = { node: self.node, service, version, instance, routes: recorder.snapshot() };
+    const leader = controller.leader(service);
+    if (leader === self.node) this.parts.onEvidence(report);
+    else network.link(leader)?.tell({ type: 'evidence', report });
+  }
+
+  /** Makes this node known and learns of the others; tried until it works. */
+  private async join(): Promise<void> {
+    const { self, store, network, log } = this.parts;
+    const { signal } = this.abort;
+    const delays = new backoff.Backoff({
+      initialMs: REGISTER_RETRY_INITIAL_MS,
+      maxMs: REGISTER_RETRY_MAX_MS,
+    });
+    let failed = false;
+    while (!signal.aborted) {
+      try {
+        await store.registerNode(self);
+        const nodes = await store.listNodes();
+        for (const address of nodes) network.introduce(address);
+        log.belief('agent', 'joined the fleet', { known: nodes.length });
+        return;
+      } catch (err) {
+        if (!failed) log.belief('agent', 'cannot join the fleet yet', { failure: failures.of(err) });
+        failed = true;
+        await backoff.sleep(delays.nextMs(), signal);
+      }
+    }
+  }
+
+  private every(ms: number, act: () => void): void {
+    this.timers.push(setInterval(act, ms));
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/routing/balancer.ts
@@ -0,0 +1,90 @@
+/** Chooses the node that serves a request: near ones while they have room, then farther ones. */
+
+import type { ids } from '@godwittrack/core';
+import type * as members from '../membership/members.js';
+
+export interface Candidate {
+  node: ids.NodeId;
+  distance: members.Distance;
+  slots: number;
+  /** Requests that this node has under way there, and those of others as last reported. */
+  load: number;
+  /** Observed time at the upstream over the fleet's usual; 1 where unknown. */
+  slowness: number;
+  /** Share of recent requests there that failed, 0 to 1. */
+  failureShare: number;
+}
+
+export interface Demand {
+  /** Usual time of such a request at an upstream. */
+  serviceMs: number;
+  /** Time left until the answer stops being worth its full value. */
+  targetLeftMs: number;
+  /** Time left until the caller gives up. */
+  deadlineLeftMs: number;
+}
+
+/**
+ * Cost of each distance in milliseconds of waiting that it is worth to stay nearer. Traffic between
+ * failure domains is billed by volume, so a request waits for near room within its target latency.
+ */
+const DISTANCE_COST_MS: Record<members.Distance, number> = {
+  host: 0,
+  domain: 1,
+  region: 60,
+  remote: 140,
+};
+/** Time on the way and back. */
+const TRAVEL_MS: Record<members.Distance, number> = { host: 0, domain: 1, region: 4, remote: 28 };
+/** Upstreams slow down when nearly full; the cost of the last slot over the first. */
+const FULL_SLOWDOWN = 0.3;
+const FAILURE_COST_MS = 1_000;
+/** Two scores closer than this are as good as equal and are decided by chance. */
+const TIE_MS = 4;
+
+export interface Choice {
+  candidate: Candidate;
+  /** Expected time until the answer. */
+  expectedMs: number;
+}
+
+export class Balancer {
+  /** @param random in [0, 1) */
+  constructor(private readonly random: () => number) {}
+
+  /** @returns null where no candidate can answer before the caller gives up */
+  choose(candidates: readonly Candidate[], demand: Demand): Choice | null {
+    let best: Choice | null = null;
+    let bestScore = Infinity;
+    for (const candidate of candidates) {
+      const expectedMs = expectedTime(candidate, demand);
+      if (expectedMs <= demand.deadlineLeftMs) {
+        const score = this.score(candidate, expectedMs, demand) + this.random() * TIE_MS;
+        if (score < bestScore) {
+          best = { candidate, expectedMs };
+          bestScore = score;
+        }
+      }
+    }
+    return best;
+  }
+
+  private score(candidate: Candidate, expectedMs: number, demand: Demand): number {
+    const lateMs = Math.max(0, expectedMs - demand.targetLeftMs);
+    return (
+      expectedMs +
+      DISTANCE_COST_MS[candidate.distance] +
+      candidate.failureShare * FAILURE_COST_MS +
+      lateMs * 4
+    );
+  }
+}
+
+/** Time until the answer: travel, waiting for a slot, and the work at the upstream's own pace. */
+export function expectedTime(candidate: Candidate, demand: Demand): number {
+  const workMs = demand.serviceMs * candidate.slowness;
+  const filled = Math.min(1, candidate.load / Math.max(1, candidate.slots));
+  const ahead = Math.max(0, candidate.load + 1 - candidate.slots);
+  const waitMs = (ahead * workMs) / Math.max(1, candidate.slots);
+  return TRAVEL_MS[candidate.distance] + waitMs + workMs * (1 + FULL_SLOWDOWN * filled * filled);
+}
--- /dev/null
+++ b/packages/mesh/src/upstream/upstreamConnection.ts
@@ -0,0 +1,204 @@
+/**
+ * One connection to the upstream, one request at a time. Answers are matched to requests by the id
+ * that the upstream echoes: an answer to another request is skipped, and bytes that belong to no
+ * request end the connection.
+ */
+
+import * as net from 'node:net';
+import * as httpParser from 'http-parser-js';
+import type * as exchange from '../routing/exchange.js';
+import * as headerCodec from './headerCodec.js';
+
+const { HTTPParser } = httpParser;
+
+/** Longest time to establish a connection to an upstream on the same host. */
+const CONNECT_TIMEOUT_MS = 1_000;
+/** Part of the announced keep-alive time for which an idle connection is used again. */
+const KEEP_ALIVE_PART = 0.7;
+const DEFAULT_KEEP_ALIVE_MS = 4_000;
+/** Answers larger than this are given up, since they are held whole before they are passed on. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+export interface RawAnswer {
+  status: number;
+  /** All headers as received. */
+  headers: exchange.FlatHeaders;
+  body: Buffer;
+}
+
+export type RawOutcome =
+  | { type: 'answer'; answer: RawAnswer }
+  /** Nothing was written, so the request has not run. */
+  | { type: 'unsent'; detail: string }
+  | { type: 'broken'; detail: string; answerBegan: boolean };
+
+interface Pending {
+  requestId: string;
+  settle: (outcome: RawOutcome) => void;
+}
+
+interface Incoming {
+  status: number;
+  headers: exchange.FlatHeaders;
+  chunks: Buffer[];
+  bytes: number;
+  belongs: boolean;
+}
+
+export class UpstreamConnection {
+  private readonly socket: net.Socket;
+
+  private readonly parser: httpParser.HTTPParserJS;
+
+  private pending: Pending | null = null;
+
+  private incoming: Incoming | null = null;
+
+  private connected = false;
+
+  private closed = false;
+
+  private keepAliveMs = DEFAULT_KEEP_ALIVE_MS;
+
+  private idleSinceMs = 0;
+
+  private detail = 'connection closed';
+
+  used = false;
+
+  constructor(
+    host: string,
+    port: number,
+    private readonly codec: headerCodec.HeaderCodec,
+    private readonly onIdleClose: (connection: UpstreamConnection) => void,
+  ) {
+    this.socket = net.connect({ host, port, noDelay: true });
+    this.socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
+      if (!this.connected) this.fail('connect timeout');
+    });
+    this.socket.on('connect', () => {
+      this.connected = true;
+      this.socket.setTimeout(0);
+    });
+    this.socket.on('error', (err) => this.fail(err.message));
+    this.socket.on('end', () => this.finish());
+    this.socket.on('close', () => this.fail('connection closed'));
+    this.parser = this.createParser();
+    this.socket.on('data', (chunk) => this.read(chunk as Buffer));
+  }
+
+  get reusable(): boolean {
+    return (
+      !this.closed &&
+      this.pending === null &&
+      performance.now() - this.idleSinceMs < this.keepAliveMs * KEEP_ALIVE_PART
+    );
+  }
+
+  get idleMs(): number {
+    return performance.now() - this.idleSinceMs;
+  }
+
+  send(requestId: string, bytes: Buffer): Promise<RawOutcome> {
+    return new Promise((settle) => {
+      if (this.closed) {
+        settle({ type: 'unsent', detail: this.detail });
+        return;
+      }
+      this.pending = { requestId, settle };
+      this.used = true;
+      this.socket.write(bytes);
+    });
+  }
+
+  destroy(detail: string): void {
+    this.fail(detail);
+  }
+
+  private createParser(): httpParser.HTTPParserJS {
+    const parser = new HTTPParser(HTTPParser.RESPONSE);
+    parser[HTTPParser.kOnHeadersComplete] = (info) => {
+      this.begin(info.statusCode, info.headers);
+    };
+    parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
+      this.collect(chunk.subarray(offset, offset + length));
+    };
+    parser[HTTPParser.kOnMessageComplete] = () => this.complete();
+    return parser;
+  }
+
+  private read(chunk: Buffer): void {
+    if (this.closed) return;
+    if (this.pending === null) {
+      this.fail('bytes without a request');
+      return;
+    }
+    const result = this.parser.execute(chunk);
+    if (result instanceof Error) this.fail(`unreadable answer: ${result.message}`);
+  }
+
+  private begin(status: number, headers: exchange.FlatHeaders): void {
+    if (status < 200) return;
+    const { requestId } = this.codec.readAnswer(headers);
+    const belongs = this.pending !== null && (requestId ?? this.pending.requestId) === this.pending.requestId;
+    this.incoming = { status, headers, chunks: [], bytes: 0, belongs };
+  }
+
+  private collect(chunk: Buffer): void {
+    if (this.incoming === null) return;
+    this.incoming.bytes += chunk.length;
+    if (this.incoming.bytes > MAX_ANSWER_BYTES) {
+      this.fail('answer too large');
+      return;
+    }
+    // The parser hands out views of the chunk that it was given, which nobody else changes.
+    if (this.incoming.belongs) this.incoming.chunks.push(chunk);
+  }
+
+  private complete(): void {
+    const { incoming, pending } = this;
+    this.incoming = null;
+    if (incoming === null || !incoming.belongs || pending === null) {
+      if (incoming !== null && pending === null) this.fail('an answer without a request');
+      return;
+    }
+    this.pending = null;
+    this.idleSinceMs = performance.now();
+    const { status, headers, chunks } = incoming;
+    this.noteKeepAlive(headers);
+    const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+    pending.settle({ type: 'answer', answer: { status, headers, body } });
+  }
+
+  private noteKeepAlive(headers: exchange.FlatHeaders): void {
+    if (/\bclose\b/i.test(headerCodec.valueOf(headers, 'connection') ?? '')) {
+      this.fail('the upstream closes');
+      return;
+    }
+    const seconds = /timeout=(\d+)/.exec(headerCodec.valueOf(headers, 'keep-alive') ?? '')?.[1];
+    if (seconds !== undefined) this.keepAliveMs = Number(seconds) * 1_000;
+  }
+
+  /** The upstream has ended its side; an answer without length is complete now. */
+  private finish(): void {
+    if (this.closed) return;
+    const result = this.parser.finish();
+    if (result instanceof Error) this.fail('answer cut short');
+    else this.fail('connection ended');
+  }
+
+  private fail(detail: string): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.detail = detail;
+    this.socket.destroy();
+    const { pending } = this;
+    this.pending = null;
+    if (pending !== null) {
+      const unsent = !this.connected;
+      if (unsent) pending.settle({ type: 'unsent', detail });
+      else pending.settle({ type: 'broken', detail, answerBegan: this.incoming !== null });
+    }
+    this.onIdleClose(this);
+  }
+}
