--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -16,6 +16,8 @@
 const MAX_HEADER_BYTES = 256 * 1024;
 /** Wait that is named while no configuration is known. */
 const NO_CONFIG_RETRY_MS = 250;
+/** Wait that is named while the process is about to end. */
+const STOPPING_RETRY_MS = 50;
 
 export interface CallerServerOptions {
   config: configHolder.ConfigHolder;
@@ -36,6 +38,8 @@
 
   private draining = false;
 
+  private refusing = false;
+
   private inFlight = 0;
 
   private nextId = 1;
@@ -77,6 +81,11 @@
     this.draining = true;
   }
 
+  /** Refuses further requests; those under way go on. */
+  refuseNew(): void {
+    this.refusing = true;
+  }
+
   /** Takes no new connections and ends idle ones. */
   closeIdle(): void {
     this.server.close();
@@ -106,6 +115,10 @@
     arrivedMs: number,
     signal: AbortSignal,
   ): Promise<exchange.Outcome | OwnAnswer> {
+    if (this.refusing) {
+      req.resume();
+      return { status: 503, message: 'this node stops', retryAfterMs: STOPPING_RETRY_MS };
+    }
     const held = this.options.config.current;
     if (held === null) {
       req.resume();
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -34,7 +34,6 @@
   | Hello
   | RequestFrame
   | { type: 'upstream'; upstream: members.UpstreamState | null }
-  | { type: 'leaving' }
   | { type: 'cancel'; id: number }
   | { type: 'outcome'; id: number; delivery: exchange.Delivery }
   | { type: 'ping' }
@@ -50,7 +49,6 @@
   'hello',
   'request',
   'upstream',
-  'leaving',
   'cancel',
   'outcome',
   'ping',
--- a/packages/mesh/src/peers/peerLink.ts
+++ b/packages/mesh/src/peers/peerLink.ts
@@ -55,9 +55,6 @@
     maxMs: RECONNECT_MAX_MS,
   });
 
-  /** The node is about to stop and takes no further requests. */
-  leaving = false;
-
   /** Time of the last loss, for members that never come back. */
   downSinceMs: number;
 
@@ -71,10 +68,6 @@
     return this.options.node;
   }
 
-  get usable(): boolean {
-    return this.up && !this.leaving;
-  }
-
   get connected(): boolean {
     return this.up;
   }
@@ -133,7 +126,6 @@
     socket.on('connect', () => {
       socket.setTimeout(0);
       this.up = true;
-      this.leaving = false;
       this.backoff.reset();
       socket.write(frames.encode(this.options.hello()));
       this.options.onUp(this);
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -112,11 +112,6 @@
       case 'upstream':
         table.setUpstream(from, frame.upstream);
         break;
-      case 'leaving': {
-        const link = this.links.get(from);
-        if (link !== undefined) link.leaving = true;
-        break;
-      }
       case 'configDelta':
         this.takeDelta(session, frame.delta);
         break;
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -1,9 +1,12 @@
 /** Takes connections of other nodes: serves their requests here and hears what they state. */
 
 import * as net from 'node:net';
-import type * as exchange from '../routing/exchange.js';
+import * as exchange from '../routing/exchange.js';
 import * as frames from './frames.js';
 
+/** Wait that is named to callers of a node that stops. */
+const STOPPING_RETRY_MS = 50;
+
 export interface PeerSession {
   /** Known after the other node's hello. */
   hello: frames.Hello | null;
@@ -34,6 +37,8 @@
 
   private readonly sessions = new Set<Session>();
 
+  private refusing = false;
+
   constructor(private readonly options: PeerServerOptions) {
     this.server = net.createServer({ noDelay: true }, (socket) => this.accept(socket));
   }
@@ -52,6 +57,11 @@
     return count;
   }
 
+  /** Answers further requests of other nodes with a refusal; those under way go on. */
+  refuseNew(): void {
+    this.refusing = true;
+  }
+
   close(): void {
     this.server.close();
     for (const session of this.sessions) session.socket.destroy();
@@ -96,6 +106,11 @@
   }
 
   private async serve(session: Session, { id, req }: frames.RequestFrame): Promise<void> {
+    if (this.refusing) {
+      const outcome = exchange.refused('nodeStopping', STOPPING_RETRY_MS);
+      session.tell({ type: 'outcome', id, delivery: { outcome, report: null } });
+      return;
+    }
     const controller = new AbortController();
     session.running.set(id, controller);
     const delivery = await this.options.destination.send(req, controller.signal);
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -21,8 +21,12 @@
 const REGISTER_RETRY_MAX_MS = 1_500;
 /** Time after a stop was asked for in which callers are sent elsewhere: two readiness checks. */
 const LEAVE_AFTER_MS = 2_300;
+/** Time after which other nodes are told to send no more requests to the upstream beside this one. */
+const WITHDRAW_AFTER_MS = 1_200;
+/** Part of the grace time after which new requests are refused, so that those taken can end. */
+const REFUSE_AFTER_SHARE = 0.66;
 /** Part of the grace time after which the process ends whatever is under way. */
-const STOP_BY_SHARE = 0.93;
+const STOP_BY_SHARE = 0.95;
 const STOP_POLL_MS = 50;
 
 export interface AgentSettings {
@@ -52,6 +56,9 @@
 export class Agent {
   private stopping = false;
 
+  /** Other nodes have been told to send no more requests here. */
+  private withdrawn = false;
+
   private readonly timers: NodeJS.Timeout[] = [];
 
   private readonly abort = new AbortController();
@@ -86,17 +93,22 @@
     const { log, network, callers, settings, nowMs, peers, self, store } = this.parts;
     const askedMs = nowMs();
     log.belief('agent', 'stop was asked for', { inFlight: callers.inFlightCount });
-    network.broadcast({ type: 'leaving' });
     this.parts.watcher.stop();
     if (self.upstream === null || !self.upstream.accepting) {
       store.unregisterNode(self).catch((err: unknown) => {
         log.belief('agent', 'the node could not be unregistered', { failure: failures.of(err) });
       });
     }
-    await backoff.sleep(LEAVE_AFTER_MS);
+    await backoff.sleep(WITHDRAW_AFTER_MS);
+    this.withdrawn = true;
+    this.stateUpstream(self.upstream);
+    await backoff.sleep(LEAVE_AFTER_MS - WITHDRAW_AFTER_MS);
+    peers.refuseNew();
     callers.drain();
+    const refuseAtMs = askedMs + settings.graceMs * REFUSE_AFTER_SHARE;
     const stopByMs = askedMs + settings.graceMs * STOP_BY_SHARE;
     while (nowMs() < stopByMs && (callers.inFlightCount > 0 || peers.runningCount > 0)) {
+      if (nowMs() > refuseAtMs) callers.refuseNew();
       await backoff.sleep(STOP_POLL_MS);
     }
     callers.closeIdle();
@@ -108,11 +120,10 @@
   }
 
   private connectParts(): void {
-    const { upstream, network, config, board, evidence: recorder, self, log } = this.parts;
+    const { upstream, network, config, board, evidence: recorder, log } = this.parts;
     upstream.onChange((state) => {
-      self.upstream = state;
       log.belief('upstream', 'the upstream has a new state', { ...state });
-      network.broadcast({ type: 'upstream', upstream: state });
+      this.stateUpstream(state);
       recorder.reset();
     });
     config.onChange(({ cfg }, previous, source) => {
@@ -132,6 +143,13 @@
     });
   }
 
+  /** States the upstream to all nodes; a node about to stop offers it to nobody else. */
+  private stateUpstream(state: members.UpstreamState | null): void {
+    const { self, network } = this.parts;
+    self.upstream = state === null ? null : { ...state, accepting: state.accepting && !this.withdrawn };
+    network.broadcast({ type: 'upstream', upstream: self.upstream });
+  }
+
   /** Nodes that this node passes news from the store to: its domain, and one node of each other. */
   private hearsFromHere(member: members.Member): boolean {
     const { self, network } = this.parts;
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -113,7 +113,7 @@
     local,
     destinationOf: (node) => {
       const link = network.link(node);
-      return link?.usable ? link : null;
+      return link?.connected ? link : null;
     },
     rollouts: board,
     balancer: new balancer.Balancer(nextRandom),
--- a/packages/mesh/src/upstream/upstreamConnection.ts
+++ b/packages/mesh/src/upstream/upstreamConnection.ts
@@ -19,6 +19,9 @@
 /** Answers larger than this are given up, since they are held whole before they are passed on. */
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 
+/** Empty line that servers ignore ahead of a request (RFC 9112, 2.2). */
+const END_PROBE = '\r\n';
+
 export interface RawAnswer {
   status: number;
   /** All headers as received. */
@@ -72,7 +75,7 @@
     private readonly codec: headerCodec.HeaderCodec,
     private readonly onIdleClose: (connection: UpstreamConnection) => void,
   ) {
-    this.socket = net.connect({ host, port, noDelay: true });
+    this.socket = net.connect({ host, port, noDelay: true, allowHalfOpen: true });
     this.socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
       if (!this.connected) this.fail('connect timeout');
     });
@@ -179,12 +182,22 @@
     if (seconds !== undefined) this.keepAliveMs = Number(seconds) * 1_000;
   }
 
-  /** The upstream has ended its side; an answer without length is complete now. */
+  /**
+   * The upstream has ended its side. An answer without length is complete if the connection was
+   * closed and not reset. A reset behind the last bytes shows only on the next write.
+   */
   private finish(): void {
     if (this.closed) return;
-    const result = this.parser.finish();
-    if (result instanceof Error) this.fail('answer cut short');
-    else this.fail('connection ended');
+    if (this.incoming === null || !this.incoming.belongs) {
+      this.fail('connection ended');
+      return;
+    }
+    this.socket.write(END_PROBE, (err) => {
+      if (this.closed) return;
+      if (err) this.fail(`answer cut short: ${err.message}`);
+      else if (this.parser.finish() instanceof Error) this.fail('answer cut short');
+      else this.fail('connection ended');
+    });
   }
 
   private fail(detail: string): void {
