--- /dev/null
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -0,0 +1,97 @@
+/** Values for the tests of the mesh. */
+
+import { ids } from '@godwittrack/core';
+import * as pino from 'pino';
+import type * as configuration from '../config/configuration.js';
+import type * as localUpstream from '../membership/localUpstream.js';
+import type * as members from '../membership/members.js';
+import * as decisionLog from '../observability/decisionLog.js';
+import type * as balancer from '../routing/balancer.js';
+
+export const UPSTREAM_ADDRESS = '127.0.0.1:9000';
+
+export function route(name: string, more: Partial<configuration.Route> = {}): configuration.Route {
+  return {
+    name: ids.routeName(name),
+    host: 'host.example',
+    pathPrefix: `/${name}/`,
+    semantics: 'repeatable',
+    timeoutMs: 1_000,
+    targetLatencyMs: 300,
+    maxUpstreams: 2,
+    priority: 2,
+    destinations: [{ service: ids.serviceName('shop'), weight: 1 }],
+    ...more,
+  };
+}
+
+export function configurationOf(
+  version: number,
+  routes: configuration.Route[],
+): configuration.Configuration {
+  const shop = ids.serviceName('shop');
+  return {
+    version: ids.configVersion(version),
+    routes: Object.fromEntries(routes.map((one) => [one.name, one])),
+    services: { shop: { name: shop, healthPath: '/health', maxConnections: 100 } },
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+export function candidate(
+  node: string,
+  more: Partial<balancer.Candidate> = {},
+): balancer.Candidate {
+  const usual = { distance: 'domain', slots: 10, load: 0, slowness: 1, failureShare: 0 } as const;
+  return { node: ids.nodeId(node), ...usual, ...more };
+}
+
+export function member(
+  node: string,
+  upstream: Partial<members.UpstreamState> | null = {},
+  domain = 'd1',
+): members.Member {
+  return {
+    node: ids.nodeId(node),
+    address: '127.0.0.1:7000',
+    domain: ids.domainName(domain),
+    region: ids.regionName('r1'),
+    upstream:
+      upstream === null
+        ? null
+        : {
+            instance: ids.instanceId(`i-${node}`),
+            service: ids.serviceName('shop'),
+            version: ids.versionName('v1'),
+            slots: 10,
+            accepting: true,
+            ...upstream,
+          },
+  };
+}
+
+export function announcement(
+  more: Partial<localUpstream.Announcement> = {},
+): localUpstream.Announcement {
+  return {
+    instance: ids.instanceId('i-1'),
+    service: ids.serviceName('shop'),
+    address: UPSTREAM_ADDRESS,
+    version: ids.versionName('v1'),
+    slots: 10,
+    leaving: false,
+    coldRemainingMs: 0,
+    sequence: 1,
+    bornMs: 1_000,
+    ...more,
+  };
+}
+
+export function silentLog(): decisionLog.DecisionLog {
+  return new decisionLog.DecisionLog(pino.pino({ level: 'silent' }), () => performance.now());
+}
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -45,13 +45,21 @@
   private nextId = 1;
 
   constructor(private readonly options: CallerServerOptions) {
-    this.server = http.createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true });
+    this.server = http.createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      requestTimeout: 0,
+      noDelay: true,
+    });
     this.server.keepAliveTimeout = DEFAULT_IDLE_MS;
-    this.server.on('request', (req, res) => void this.serve(req, res));
+    this.server.on('request', (req, res) => {
+      void this.serve(req, res);
+    });
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
       this.options.log.warn('callers', 'a connection was ended', { code: err.code });
       if (socket.writable && err.code === 'HPE_HEADER_OVERFLOW') {
-        socket.end('HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+        socket.end(
+          'HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n',
+        );
       } else if (socket.writable && err.code !== 'ECONNRESET') {
         socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
       } else {
@@ -125,7 +133,8 @@
       return { status: 503, message: 'no configuration yet', retryAfterMs: NO_CONFIG_RETRY_MS };
     }
     const { limits } = held.cfg;
-    if (headerBytes(req) > limits.maxHeaderBytes) return { status: 431, message: 'headers too large' };
+    if (headerBytes(req) > limits.maxHeaderBytes)
+      return { status: 431, message: 'headers too large' };
     const body = await readBody(req, limits.maxBodyBytes);
     if (body === null) return { status: 413, message: 'body too large' };
     if (!req.complete) return exchange.lost('the request ended early');
@@ -161,7 +170,10 @@
     const timeout = new Promise<OwnAnswer>((resolve) => {
       timer = setTimeout(() => resolve({ status: 504, message: 'timeout' }), limitMs);
     });
-    const outcome = await Promise.race([this.options.dispatcher.dispatch(req, attempt.signal), timeout]);
+    const outcome = await Promise.race([
+      this.options.dispatcher.dispatch(req, attempt.signal),
+      timeout,
+    ]);
     clearTimeout(timer);
     if (!('type' in outcome)) {
       attempt.abort();
@@ -197,7 +209,12 @@
   private writeOwn(req: http.IncomingMessage, res: http.ServerResponse, own: OwnAnswer): void {
     const { status, message, retryAfterMs } = own;
     this.prepare(req, res);
-    const headers = ['Content-Type', 'text/plain', 'Content-Length', String(Buffer.byteLength(message))];
+    const headers = [
+      'Content-Type',
+      'text/plain',
+      'Content-Length',
+      String(Buffer.byteLength(message)),
+    ];
     if (retryAfterMs !== undefined) headers.push('Retry-After', (retryAfterMs / 1_000).toFixed(3));
     res.writeHead(status, [...headers, ...this.closing()]);
     res.end(message);
@@ -222,7 +239,10 @@
 /** @returns null if the body is larger than `limitBytes` */
 async function readBody(req: http.IncomingMessage, limitBytes: number): Promise<Buffer | null> {
   if (Number(req.headers['content-length'] ?? 0) > limitBytes) return null;
-  if (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined) {
+  if (
+    req.headers['content-length'] === undefined &&
+    req.headers['transfer-encoding'] === undefined
+  ) {
     return Buffer.alloc(0);
   }
   return new Promise((resolve) => {
--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -28,7 +28,10 @@
   abstract readonly name: string;
 
   /** Reads, or waits for a change after `cursor`, and takes what came. */
-  abstract advance(cursor: fleetStore.Cursor | null, signal: AbortSignal): Promise<fleetStore.Cursor>;
+  abstract advance(
+    cursor: fleetStore.Cursor | null,
+    signal: AbortSignal,
+  ): Promise<fleetStore.Cursor>;
 }
 
 export class ConfigurationSubject extends Subject {
@@ -111,9 +114,13 @@
     const wanted = !this.hasWatcherAhead();
     if (wanted === this.watching) return;
     this.watching = wanted;
-    this.options.log.belief('store', wanted ? 'this node watches the store' : 'another node watches', {
-      domain: this.options.table.self.domain,
-    });
+    this.options.log.belief(
+      'store',
+      wanted ? 'this node watches the store' : 'another node watches',
+      {
+        domain: this.options.table.self.domain,
+      },
+    );
     if (wanted) this.start();
     else this.stop();
   }
@@ -154,13 +161,18 @@
         if (signal.aborted) return;
         this.contactAtMs = this.options.nowMs();
         delays.reset();
-        if (lost) this.options.log.belief('store', 'the store answers again', { subject: subject.name });
+        if (lost)
+          this.options.log.belief('store', 'the store answers again', { subject: subject.name });
         lost = false;
       } catch (err) {
         if (signal.aborted) return;
         const failure = failures.of(err);
         if (failure.type === 'watchExpired') cursor = null;
-        if (!lost) this.options.log.belief('store', 'the store was lost', { subject: subject.name, failure });
+        if (!lost)
+          this.options.log.belief('store', 'the store was lost', {
+            subject: subject.name,
+            failure,
+          });
         lost = true;
         await backoff.sleep(delays.nextMs(), signal);
       }
@@ -169,7 +181,10 @@
 }
 
 /** First-ranked node of a failure domain among the nodes that can be reached. */
-export function watcherOf(domain: ids.DomainName, reachable: readonly members.Member[]): ids.NodeId | null {
+export function watcherOf(
+  domain: ids.DomainName,
+  reachable: readonly members.Member[],
+): ids.NodeId | null {
   const peers = reachable.filter((member) => member.domain === domain);
   return rendezvous.rank(domain, peers, ({ node }) => node)[0]?.node ?? null;
 }
--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -104,7 +104,11 @@
     while (this.running.size < this.slots && this.waiting.length > 0) {
       const next = this.waiting.shift()!;
       if (nowMs + next.estimateMs > next.deadlineAtMs) {
-        turn.refused.push({ entrant: next, reason: 'noTimeLeft', retryAfterMs: MIN_RETRY_AFTER_MS });
+        turn.refused.push({
+          entrant: next,
+          reason: 'noTimeLeft',
+          retryAfterMs: MIN_RETRY_AFTER_MS,
+        });
       } else {
         this.running.add(next);
         turn.started.push(next);
--- /dev/null
+++ b/packages/mesh/src/membership/__tests__/localUpstream.test.ts
@@ -0,0 +1,88 @@
+import * as assert from 'node:assert/strict';
+import { beforeEach, describe, it } from 'node:test';
+import { ids } from '@godwittrack/core';
+import * as fc from 'fast-check';
+import * as fixtures from '../../__tests__/fixtures.js';
+import * as localUpstream from '../localUpstream.js';
+
+describe('LocalUpstream', () => {
+  let upstream: localUpstream.LocalUpstream;
+
+  beforeEach(() => {
+    upstream = new localUpstream.LocalUpstream(fixtures.UPSTREAM_ADDRESS);
+  });
+
+  const accepting = () => upstream.state?.accepting ?? null;
+
+  it('takes work after the first announcement', () => {
+    assert.equal(accepting(), null);
+    assert.equal(upstream.announce(fixtures.announcement()), 'accepted');
+    assert.equal(accepting(), true);
+  });
+
+  it('ignores an announcement for another address', () => {
+    const other = fixtures.announcement({ address: '127.0.0.1:9001' });
+    assert.equal(upstream.announce(other), 'otherAddress');
+    assert.equal(upstream.state, null);
+  });
+
+  it('takes no work after it said that it leaves, though an earlier announcement comes late', () => {
+    upstream.announce(fixtures.announcement({ sequence: 5, leaving: true }));
+    assert.equal(upstream.announce(fixtures.announcement({ sequence: 4 })), 'lateSequence');
+    assert.equal(upstream.announce(fixtures.announcement({ sequence: 6 })), 'accepted');
+    assert.equal(upstream.state?.accepting, false);
+  });
+
+  it('takes no work after it is gone, though an announcement comes late', () => {
+    upstream.announce(fixtures.announcement());
+    upstream.leave(ids.instanceId('i-1'), null);
+    assert.equal(upstream.announce(fixtures.announcement({ sequence: 9 })), 'alreadyLeft');
+    assert.equal(upstream.state?.accepting, false);
+  });
+
+  it('takes the next incarnation, and then no announcement of the one before', () => {
+    upstream.announce(fixtures.announcement());
+    const next = fixtures.announcement({ instance: ids.instanceId('i-2'), bornMs: 2_000 });
+    assert.equal(upstream.announce(next), 'accepted');
+    assert.equal(upstream.announce(fixtures.announcement({ sequence: 99 })), 'olderIncarnation');
+    assert.equal(upstream.state?.instance, 'i-2');
+  });
+
+  it('takes a restart under the same id as a new incarnation, with its counts anew', () => {
+    upstream.announce(fixtures.announcement({ sequence: 50, leaving: true }));
+    assert.equal(upstream.announce(fixtures.announcement({ bornMs: 2_000 })), 'accepted');
+    assert.equal(upstream.state?.accepting, true);
+  });
+
+  it('ignores a late leave of an earlier start under the same id', () => {
+    upstream.announce(fixtures.announcement({ bornMs: 2_000 }));
+    assert.equal(upstream.leave(ids.instanceId('i-1'), 1_000), 'olderIncarnation');
+    assert.equal(upstream.state?.accepting, true);
+  });
+
+  it('never takes work again for an incarnation that left, in any order of messages', () => {
+    const message = fc.record({
+      bornMs: fc.integer({ min: 1, max: 3 }),
+      sequence: fc.integer({ min: 1, max: 6 }),
+      kind: fc.constantFrom('ready', 'leaving', 'gone'),
+    });
+    fc.assert(
+      fc.property(fc.array(message, { maxLength: 40 }), (messages) => {
+        const subject = new localUpstream.LocalUpstream(fixtures.UPSTREAM_ADDRESS);
+        let newest = 0;
+        const left = new Set<number>();
+        for (const { bornMs, sequence, kind } of messages) {
+          if (kind === 'gone') {
+            if (subject.leave(ids.instanceId('i-1'), bornMs) === 'accepted') left.add(bornMs);
+          } else {
+            const next = { bornMs, sequence, leaving: kind === 'leaving' };
+            const outcome = subject.announce(fixtures.announcement(next));
+            if (outcome === 'accepted') newest = bornMs;
+            if (outcome === 'accepted' && next.leaving) left.add(bornMs);
+          }
+          assert.ok(subject.state?.accepting !== true || !left.has(newest));
+        }
+      }),
+    );
+  });
+});
--- a/packages/mesh/src/membership/localUpstream.ts
+++ b/packages/mesh/src/membership/localUpstream.ts
@@ -21,11 +21,7 @@
 }
 
 export type AnnouncementOutcome =
-  | 'accepted'
-  | 'otherAddress'
-  | 'lateSequence'
-  | 'olderIncarnation'
-  | 'alreadyLeft';
+  'accepted' | 'otherAddress' | 'lateSequence' | 'olderIncarnation' | 'alreadyLeft';
 
 interface Incarnation {
   announcement: Announcement;
@@ -96,7 +92,8 @@
     if (held?.instance === instance && bornMs !== null && isNewer(held.bornMs, bornMs)) {
       return 'olderIncarnation';
     }
-    this.remember(instance, held?.instance === instance ? held.bornMs : bornMs);
+    if (held?.instance === instance) this.remember(instance, held.bornMs);
+    this.remember(instance, bornMs);
     if (held?.instance === instance) this.replace({ announcement: held, left: true });
     return 'accepted';
   }
@@ -109,7 +106,8 @@
   }
 
   private remember(instance: ids.InstanceId, bornMs: number | null): void {
-    this.left.set(instance, bornMs);
+    const known = this.left.get(instance);
+    if (known === undefined || isNewer(bornMs, known)) this.left.set(instance, bornMs);
     if (this.left.size > MAX_REMEMBERED) this.left.delete(this.left.keys().next().value!);
   }
 
--- /dev/null
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -0,0 +1,94 @@
+import * as assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { failures, ids } from '@godwittrack/core';
+import * as fc from 'fast-check';
+import * as fixtures from '../../__tests__/fixtures.js';
+import * as frames from '../frames.js';
+
+const REQUEST: frames.Frame = {
+  type: 'request',
+  id: 7,
+  req: {
+    requestId: ids.requestId('q'),
+    method: 'POST',
+    target: '/a/?b=c',
+    headers: ['Host', 'host.example'],
+    body: Buffer.from([0, 255, 13, 10]),
+    route: ids.routeName('r'),
+    semantics: 'once',
+    priority: 1,
+    nested: true,
+    callerService: ids.serviceName('s'),
+    instance: ids.instanceId('i'),
+    targetLeftMs: 100,
+    deadlineLeftMs: 400,
+    estimateMs: 30,
+  },
+};
+
+const FRAMES: frames.Frame[] = [
+  REQUEST,
+  { type: 'ping' },
+  { type: 'cancel', id: 7 },
+  { type: 'configWhole', cfg: fixtures.configurationOf(3, [fixtures.route('r')]) },
+  {
+    type: 'outcome',
+    id: 7,
+    delivery: {
+      outcome: {
+        type: 'answer',
+        status: 200,
+        headers: ['A', 'b'],
+        body: Buffer.from('x'),
+        serviceMs: 4,
+      },
+      report: { load: 3 },
+    },
+  },
+  {
+    type: 'outcome',
+    id: 8,
+    delivery: {
+      outcome: { type: 'refused', reason: 'queueTooLong', retryAfterMs: 50, reachedUpstream: true },
+      report: null,
+    },
+  },
+  {
+    type: 'outcome',
+    id: 9,
+    delivery: { outcome: { type: 'lost', detail: 'reset' }, report: null },
+  },
+];
+
+describe('frames', () => {
+  it('come out as they went in, however the bytes are cut', () => {
+    const bytes = Buffer.concat(FRAMES.map(frames.encode));
+    fc.assert(
+      fc.property(fc.array(fc.integer({ min: 1, max: 60 }), { minLength: 1 }), (sizes) => {
+        const splitter = new frames.FrameSplitter('peer');
+        const read: frames.Frame[] = [];
+        for (let at = 0, i = 0; at < bytes.length; i += 1) {
+          const size = sizes[i % sizes.length]!;
+          read.push(...splitter.push(bytes.subarray(at, at + size)));
+          at += size;
+        }
+        assert.deepEqual(read, FRAMES);
+      }),
+    );
+  });
+
+  it('of unknown bytes end with a typed failure and nothing else', () => {
+    fc.assert(
+      fc.property(fc.uint8Array({ maxLength: 200 }), (noise) => {
+        const framed = Buffer.alloc(4 + noise.length);
+        framed.writeUInt32BE(noise.length);
+        framed.set(noise, 4);
+        try {
+          new frames.FrameSplitter('peer').push(framed);
+        } catch (err) {
+          assert.ok(failures.is(err, 'protocolViolation'));
+        }
+      }),
+    );
+  });
+});
--- a/packages/mesh/src/peers/peerLink.ts
+++ b/packages/mesh/src/peers/peerLink.ts
@@ -117,7 +117,13 @@
 
   private connect(): void {
     const { host, port } = upstreamPool.splitAddress(this.options.address);
-    const socket = net.connect({ host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: 2_000 });
+    const socket = net.connect({
+      host,
+      port,
+      noDelay: true,
+      keepAlive: true,
+      keepAliveInitialDelay: 2_000,
+    });
     const splitter = new frames.FrameSplitter(this.options.address);
     this.socket = socket;
     socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
@@ -133,7 +139,7 @@
     socket.on('data', (chunk) => {
       this.heardAtMs = performance.now();
       try {
-        for (const frame of splitter.push(chunk as Buffer)) this.take(frame);
+        for (const frame of splitter.push(chunk)) this.take(frame);
       } catch (err) {
         this.lose(String(err), socket);
       }
@@ -187,7 +193,10 @@
     const silentMs = now - this.heardAtMs;
     if (silentMs > SILENCE_LIMIT_MS) {
       this.lose('no sign of life');
-    } else if (silentMs > SILENCE_BEFORE_PING_MS && now - this.pingedAtMs > SILENCE_BEFORE_PING_MS) {
+    } else if (
+      silentMs > SILENCE_BEFORE_PING_MS &&
+      now - this.pingedAtMs > SILENCE_BEFORE_PING_MS
+    ) {
       this.pingedAtMs = now;
       this.tell({ type: 'ping' });
     }
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -142,7 +142,10 @@
     return { type: 'configWanted', heldVersion: this.options.config.version };
   }
 
-  private takeDelta(session: peerServer.PeerSession, delta: configuration.ConfigurationDelta): void {
+  private takeDelta(
+    session: peerServer.PeerSession,
+    delta: configuration.ConfigurationDelta,
+  ): void {
     const { config } = this.options;
     if (delta.version <= config.version) return;
     const held = config.current?.cfg;
@@ -172,7 +175,8 @@
       }),
       onFrame: (link, frame) => this.answer(link, frame),
       onUp: (link) => log.belief('members', 'a node is reached', { node: link.node }),
-      onDown: (link, detail) => log.belief('members', 'a node is lost', { node: link.node, detail }),
+      onDown: (link, detail) =>
+        log.belief('members', 'a node is lost', { node: link.node, detail }),
     });
   }
 
@@ -181,7 +185,8 @@
     const { config, log } = this.options;
     const cfg = config.current?.cfg;
     if (frame.type === 'configWanted') {
-      if (cfg !== undefined && cfg.version > frame.heldVersion) link.tell({ type: 'configWhole', cfg });
+      if (cfg !== undefined && cfg.version > frame.heldVersion)
+        link.tell({ type: 'configWhole', cfg });
     } else {
       const failure: failures.Failure = {
         type: 'protocolViolation',
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -73,7 +73,7 @@
     const splitter = new frames.FrameSplitter(`${socket.remoteAddress}`);
     socket.on('data', (chunk) => {
       try {
-        for (const frame of splitter.push(chunk as Buffer)) this.take(session, frame);
+        for (const frame of splitter.push(chunk)) this.take(session, frame);
       } catch (err) {
         this.options.onViolation(String(err));
         socket.destroy();
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -116,7 +116,10 @@
     for (const timer of this.timers) clearInterval(timer);
     network.stop();
     peers.close();
-    log.belief('agent', 'stopped', { afterMs: Math.round(nowMs() - askedMs), inFlight: callers.inFlightCount });
+    log.belief('agent', 'stopped', {
+      afterMs: Math.round(nowMs() - askedMs),
+      inFlight: callers.inFlightCount,
+    });
   }
 
   private connectParts(): void {
@@ -136,7 +139,10 @@
       if (state.phase === 'held') recorder.reset();
       if (source === 'peer') return;
       const everyone = source === 'self';
-      network.broadcast({ type: 'rollouts', states: [state] }, (member) => everyone || this.hearsFromHere(member));
+      network.broadcast(
+        { type: 'rollouts', states: [state] },
+        (member) => everyone || this.hearsFromHere(member),
+      );
     });
     recorder.onVeto((state, reason) => {
       board.advance(state.service, state.version, 'rolledBack', reason);
@@ -146,7 +152,8 @@
   /** States the upstream to all nodes; a node about to stop offers it to nobody else. */
   private stateUpstream(state: members.UpstreamState | null): void {
     const { self, network } = this.parts;
-    self.upstream = state === null ? null : { ...state, accepting: state.accepting && !this.withdrawn };
+    self.upstream =
+      state === null ? null : { ...state, accepting: state.accepting && !this.withdrawn };
     network.broadcast({ type: 'upstream', upstream: self.upstream });
   }
 
@@ -170,7 +177,12 @@
     const { upstream } = self;
     if (upstream === null) return;
     const newest = board.newest(upstream.service);
-    if (newest === null || newest.state.phase === 'completed' || newest.state.phase === 'rolledBack') return;
+    if (
+      newest === null ||
+      newest.state.phase === 'completed' ||
+      newest.state.phase === 'rolledBack'
+    )
+      return;
     const { service, version, instance } = upstream;
     const report = { node: self.node, service, version, instance, routes: recorder.snapshot() };
     const leader = controller.leader(service);
@@ -195,7 +207,8 @@
         log.belief('agent', 'joined the fleet', { known: nodes.length });
         return;
       } catch (err) {
-        if (!failed) log.belief('agent', 'cannot join the fleet yet', { failure: failures.of(err) });
+        if (!failed)
+          log.belief('agent', 'cannot join the fleet yet', { failure: failures.of(err) });
         failed = true;
         await backoff.sleep(delays.nextMs(), signal);
       }
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -55,15 +55,23 @@
   reload(settings: MeshSettings): void;
 }
 
+/** Log lines that wait for a slow reader; further ones are dropped. */
+const MAX_LOG_BYTES = 1024 * 1024;
+
 export function createLog(name: string): decisionLog.DecisionLog {
-  const destination = pino.destination({ fd: 1, sync: false, minLength: 0, maxLength: MAX_LOG_BYTES });
-  const logger = pino.pino({ base: { node: name }, timestamp: pino.stdTimeFunctions.epochTime }, destination);
+  const destination = pino.destination({
+    fd: 1,
+    sync: false,
+    minLength: 0,
+    maxLength: MAX_LOG_BYTES,
+  });
+  const logger = pino.pino(
+    { base: { node: name }, timestamp: pino.stdTimeFunctions.epochTime },
+    destination,
+  );
   return new decisionLog.DecisionLog(logger, () => performance.now());
 }
 
-/** Log lines that wait for a slow reader; further ones are dropped. */
-const MAX_LOG_BYTES = 1024 * 1024;
-
 export function createMesh(
   initial: MeshSettings,
   platform: MeshPlatform,
@@ -78,7 +86,9 @@
   const config = new configHolder.ConfigHolder(nowMs);
   const board = new rolloutBoard.RolloutBoard(log, nowMs);
   const judge = new versionJudge.VersionJudge();
-  const recorder = new evidence.EvidenceRecorder((service, version) => board.isOnTrial(service, version));
+  const recorder = new evidence.EvidenceRecorder((service, version) =>
+    board.isOnTrial(service, version),
+  );
   const upstream = new localUpstream.LocalUpstream(settings.upstreamAddress);
   const local = new localDestination.LocalDestination({
     upstream,
@@ -142,7 +152,13 @@
       onClose: () => undefined,
       onViolation: (detail) => log.warn('peers', 'a connection was ended', { detail }),
     }),
-    callers: new callerServer.CallerServer({ config, dispatcher: dispatch, codec: platform.codec, log, nowMs }),
+    callers: new callerServer.CallerServer({
+      config,
+      dispatcher: dispatch,
+      codec: platform.codec,
+      log,
+      nowMs,
+    }),
     watcher,
     controller: new rolloutController.RolloutController({
       table,
--- a/packages/mesh/src/rollouts/evidence.ts
+++ b/packages/mesh/src/rollouts/evidence.ts
@@ -46,7 +46,8 @@
   }
 
   record(state: members.UpstreamState, route: string, failed: boolean, ms: number): void {
-    const seen = (this.routes[route] ??= { requests: 0, failures: 0, totalMs: 0 });
+    const seen = this.routes[route] ?? { requests: 0, failures: 0, totalMs: 0 };
+    this.routes[route] = seen;
     seen.requests += 1;
     if (failed) seen.failures += 1;
     else seen.totalMs += ms;
--- a/packages/mesh/src/rollouts/rolloutBoard.ts
+++ b/packages/mesh/src/rollouts/rolloutBoard.ts
@@ -57,7 +57,8 @@
 
   /** An order, or its recorded phase, as the store has it. */
   learn(record: phases.RolloutRecord): void {
-    const phase = record.recorded === null || record.recorded === 'running' ? 'held' : record.recorded;
+    const phase =
+      record.recorded === null || record.recorded === 'running' ? 'held' : record.recorded;
     const { service, target, durationMs } = record;
     this.take({ service, target, durationMs, phase, reason: null }, 'store', true);
   }
--- a/packages/mesh/src/rollouts/rolloutController.ts
+++ b/packages/mesh/src/rollouts/rolloutController.ts
@@ -21,6 +21,8 @@
 /** Answers of the target without which no share is raised before `WAIT_FOR_UPSTREAMS_UNTIL`. */
 const MIN_CANARY_ANSWERS = 20;
 const RECORD_RETRY_MS = 400;
+/** Longest time that one attempt to record may read from the store. */
+const RECORD_TIMEOUT_MS = 2_000;
 
 export interface RolloutControllerOptions {
   table: members.MemberTable;
@@ -168,7 +170,9 @@
   ): Promise<boolean> {
     const { store, board, log } = this.options;
     const { value } = await store.readRollouts(AbortSignal.timeout(RECORD_TIMEOUT_MS));
-    const record = value?.find(({ service, target }) => service === state.service && target === state.target);
+    const record = value?.find(
+      ({ service, target }) => service === state.service && target === state.target,
+    );
     if (record === undefined) return true;
     board.learn(record);
     const final = record.recorded === 'completed' || record.recorded === 'rolledBack';
@@ -180,10 +184,8 @@
       outcome,
       reason: state.reason,
     });
-    if (taken && outcome === 'completed') board.advance(state.service, state.target, 'completed', null);
+    if (taken && outcome === 'completed')
+      board.advance(state.service, state.target, 'completed', null);
     return taken;
   }
 }
-
-/** Longest time that one attempt to record may read from the store. */
-const RECORD_TIMEOUT_MS = 2_000;
--- /dev/null
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -0,0 +1,153 @@
+import * as assert from 'node:assert/strict';
+import { beforeEach, describe, it } from 'node:test';
+import { ids } from '@godwittrack/core';
+import * as fixtures from '../../__tests__/fixtures.js';
+import * as retryBudget from '../../limits/retryBudget.js';
+import * as members from '../../membership/members.js';
+import * as rolloutBoard from '../../rollouts/rolloutBoard.js';
+import * as balancer from '../balancer.js';
+import * as dispatcher from '../dispatcher.js';
+import * as exchange from '../exchange.js';
+import * as observations from '../observations.js';
+import * as splitChooser from '../splitChooser.js';
+
+const OK: exchange.Answer = {
+  type: 'answer',
+  status: 200,
+  headers: [],
+  body: Buffer.from('ok'),
+  serviceMs: 10,
+};
+
+/** Answers with the given outcomes in turn, then with success. */
+class ScriptedDestination extends exchange.Destination {
+  readonly received: exchange.ForwardedRequest[] = [];
+
+  constructor(private readonly script: exchange.Outcome[]) {
+    super();
+  }
+
+  send(req: exchange.ForwardedRequest): Promise<exchange.Delivery> {
+    this.received.push(req);
+    return Promise.resolve({ outcome: this.script.shift() ?? OK, report: { load: 0 } });
+  }
+}
+
+describe('Dispatcher', () => {
+  let first: ScriptedDestination;
+  let second: ScriptedDestination;
+  let budget: retryBudget.RetryBudget;
+
+  /** Two nodes; the one beside the first upstream is this node, and is asked first. */
+  function build(scripts: [exchange.Outcome[], exchange.Outcome[]]): dispatcher.Dispatcher {
+    first = new ScriptedDestination(scripts[0]);
+    second = new ScriptedDestination(scripts[1]);
+    const table = new members.MemberTable(fixtures.member('a'));
+    const other = fixtures.member('b');
+    table.introduce(other);
+    table.setUpstream(other.node, other.upstream);
+    const log = fixtures.silentLog();
+    return new dispatcher.Dispatcher({
+      table,
+      local: first,
+      destinationOf: () => second,
+      rollouts: new rolloutBoard.RolloutBoard(log, () => 0),
+      balancer: new balancer.Balancer(() => 0),
+      split: new splitChooser.SplitChooser(),
+      observations: new observations.Observations(() => 0),
+      budget,
+      log,
+      callerService: () => ids.serviceName('shop'),
+      random: () => 0.5,
+      nowMs: () => 0,
+    });
+  }
+
+  function send(
+    scripts: [exchange.Outcome[], exchange.Outcome[]],
+    semantics: 'repeatable' | 'once',
+    maxUpstreams = 2,
+  ): Promise<exchange.Outcome> {
+    const req = {
+      requestId: ids.requestId('q'),
+      method: 'GET',
+      target: '/r/',
+      headers: [],
+      body: Buffer.alloc(0),
+      route: fixtures.route('r', { semantics, maxUpstreams }),
+      nested: false,
+      arrivedMs: 0,
+      deadlineAtMs: 1_000,
+    };
+    return build(scripts).dispatch(req, new AbortController().signal);
+  }
+
+  beforeEach(() => {
+    budget = new retryBudget.RetryBudget({ ratio: 0.2, extra: 100 }, () => 1);
+    for (let i = 0; i < 100; i += 1) budget.earn(ids.serviceName('shop'));
+  });
+
+  describe('requests that may run once', () => {
+    it('are never sent again after they may have run', async () => {
+      const outcome = await send([[exchange.lost('reset')], []], 'once');
+      assert.equal(outcome.type, 'lost');
+      assert.equal(second.received.length, 0);
+    });
+
+    it('are sent elsewhere after a refusal', async () => {
+      const outcome = await send([[exchange.refused('queueTooLong', 50)], []], 'once');
+      assert.equal(outcome.type, 'answer');
+    });
+
+    it('are refused as not run only if no upstream may have begun them', async () => {
+      const no = exchange.refused('queueTooLong', 70);
+      const outcome = await send([[no], [no]], 'once');
+      assert.deepEqual(outcome, {
+        type: 'refused',
+        reason: 'queueTooLong',
+        retryAfterMs: 70,
+        reachedUpstream: false,
+      });
+      const lost = await send([[no], [exchange.lost('reset')]], 'once');
+      assert.equal(lost.type, 'lost');
+    });
+
+    it('bring back the failure that the upstream answered', async () => {
+      const failure = { ...OK, status: 500 };
+      assert.deepEqual(await send([[failure], []], 'once'), failure);
+      assert.equal(second.received.length, 0);
+    });
+  });
+
+  describe('repeatable requests', () => {
+    it('are sent elsewhere after a failure', async () => {
+      const outcome = await send([[{ ...OK, status: 500 }], []], 'repeatable');
+      assert.equal(outcome.type === 'answer' && outcome.status, 200);
+    });
+
+    it('are sent to no more upstreams than the route allows', async () => {
+      await send([[exchange.lost('reset')], []], 'repeatable', 1);
+      assert.equal(second.received.length, 0);
+    });
+
+    it('are not sent again when the budget for repeats is spent', async () => {
+      budget = new retryBudget.RetryBudget({ ratio: 0, extra: 0 }, () => 1);
+      const outcome = await send([[exchange.lost('reset')], []], 'repeatable');
+      assert.equal(outcome.type, 'lost');
+      assert.equal(second.received.length, 0);
+    });
+
+    it('need no budget after a refusal that reached no upstream', async () => {
+      budget = new retryBudget.RetryBudget({ ratio: 0, extra: 0 }, () => 1);
+      const outcome = await send([[exchange.refused('queueTooLong', 50)], []], 'repeatable');
+      assert.equal(outcome.type, 'answer');
+    });
+  });
+
+  it('names the incarnation that it chose and the time that is left', async () => {
+    await send([[], []], 'once');
+    const [req] = first.received;
+    assert.equal(req!.instance, 'i-a');
+    assert.equal(req!.deadlineLeftMs, 1_000);
+  });
+});
--- /dev/null
+++ b/packages/mesh/src/routing/__tests__/routing.test.ts
@@ -0,0 +1,126 @@
+import * as assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { ids } from '@godwittrack/core';
+import * as fc from 'fast-check';
+import * as configuration from '../../config/configuration.js';
+import * as fixtures from '../../__tests__/fixtures.js';
+import * as balancer from '../balancer.js';
+import * as routeTable from '../routeTable.js';
+import * as splitChooser from '../splitChooser.js';
+
+describe('RouteTable', () => {
+  const table = new routeTable.RouteTable(
+    fixtures.configurationOf(1, [
+      fixtures.route('all', { pathPrefix: '/' }),
+      fixtures.route('a', { pathPrefix: '/a/' }),
+      fixtures.route('ab', { pathPrefix: '/a/b/' }),
+      fixtures.route('other', { host: 'other.example', pathPrefix: '/x/' }),
+    ]),
+  );
+
+  const cases: [string, string, string | null][] = [
+    ['host.example', '/a/b/c?d=/a/', 'ab'],
+    ['HOST.example:80', '/a/b', 'a'],
+    ['host.example', '/ab/', 'all'],
+    ['host.example', '/a', 'all'],
+    ['other.example', '/', null],
+    ['other.example', '/x/', 'other'],
+    ['none.example', '/a/', null],
+  ];
+  for (const [host, target, expected] of cases) {
+    it(`finds ${expected} for ${host}${target}`, () => {
+      assert.equal(table.find(host, target)?.name ?? null, expected);
+    });
+  }
+});
+
+describe('SplitChooser', () => {
+  it('gives each destination its weight within any ten requests', () => {
+    const chooser = new splitChooser.SplitChooser();
+    const split = fixtures.route('r', {
+      destinations: [
+        { service: ids.serviceName('a'), weight: 7 },
+        { service: ids.serviceName('b'), weight: 3 },
+      ],
+    });
+    for (let round = 0; round < 5; round += 1) {
+      const chosen = Array.from({ length: 10 }, () => chooser.choose(split).service);
+      assert.equal(chosen.filter((service) => service === 'b').length, 3);
+    }
+  });
+
+  it('gives nothing to a destination of weight 0', () => {
+    const chooser = new splitChooser.SplitChooser();
+    const split = fixtures.route('r', {
+      destinations: [
+        { service: ids.serviceName('a'), weight: 0 },
+        { service: ids.serviceName('b'), weight: 1 },
+      ],
+    });
+    for (let i = 0; i < 20; i += 1) assert.equal(chooser.choose(split).service, 'b');
+  });
+});
+
+describe('configuration differences', () => {
+  it('lead from any configuration to any other', () => {
+    const routes = fc.dictionary(
+      fc.constantFrom('a', 'b', 'c', 'd'),
+      fc.integer({ min: 1, max: 3 }),
+    );
+    fc.assert(
+      fc.property(routes, routes, (before, after) => {
+        const build = (version: number, table: Record<string, number>) =>
+          fixtures.configurationOf(
+            version,
+            Object.entries(table).map(([name, ms]) => fixtures.route(name, { timeoutMs: ms })),
+          );
+        const from = build(1, before);
+        const to = build(2, after);
+        assert.deepEqual(configuration.applyDelta(from, configuration.difference(from, to)), to);
+      }),
+    );
+  });
+
+  it('are refused on another base, so that no mixture of versions comes into force', () => {
+    const delta = configuration.difference(
+      fixtures.configurationOf(1, []),
+      fixtures.configurationOf(3, []),
+    );
+    assert.throws(() => configuration.applyDelta(fixtures.configurationOf(2, []), delta));
+  });
+});
+
+describe('Balancer', () => {
+  const choose = (candidates: balancer.Candidate[], more: Partial<balancer.Demand> = {}) => {
+    const demand = { serviceMs: 100, targetLeftMs: 300, deadlineLeftMs: 1_000, ...more };
+    return new balancer.Balancer(() => 0.5).choose(candidates, demand)?.candidate.node ?? null;
+  };
+  const near = (more: Partial<balancer.Candidate> = {}) =>
+    fixtures.candidate('near', { distance: 'domain', ...more });
+  const far = (more: Partial<balancer.Candidate> = {}) =>
+    fixtures.candidate('far', { distance: 'remote', ...more });
+
+  it('stays in the own failure domain while there is room', () => {
+    assert.equal(choose([far({ load: 0 }), near({ load: 9 })]), 'near');
+  });
+
+  it('goes farther when waiting near would miss the target latency', () => {
+    assert.equal(choose([far(), near({ load: 60 })]), 'far');
+  });
+
+  it('avoids an upstream that fails, however near it is', () => {
+    assert.equal(choose([far(), near({ failureShare: 0.5 })]), 'far');
+  });
+
+  it('avoids an upstream that is several times as slow', () => {
+    assert.equal(choose([far(), near({ slowness: 6 })]), 'far');
+  });
+
+  it('still uses a failing upstream where there is no other', () => {
+    assert.equal(choose([near({ failureShare: 0.9 })]), 'near');
+  });
+
+  it('names none where no answer can come before the caller gives up', () => {
+    assert.equal(choose([near()], { deadlineLeftMs: 50 }), null);
+  });
+});
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -103,7 +103,9 @@
     return started > 0 ? exchange.lost(reason) : exchange.refused(reason, retryAfterMs);
   }
 
-  private chooseVersion(service: ids.ServiceName): { version: ids.VersionName; use: boolean } | null {
+  private chooseVersion(
+    service: ids.ServiceName,
+  ): { version: ids.VersionName; use: boolean } | null {
     const { target, share } = this.options.rollouts.split(service);
     if (target === null) return null;
     return { version: target, use: share >= 1 || this.options.random() < share };
@@ -141,7 +143,10 @@
     return this.options.table.get(choice.candidate.node)!;
   }
 
-  private usableMembers(service: ids.ServiceName, tried: ReadonlySet<ids.NodeId>): members.Member[] {
+  private usableMembers(
+    service: ids.ServiceName,
+    tried: ReadonlySet<ids.NodeId>,
+  ): members.Member[] {
     const { table, destinationOf, rollouts } = this.options;
     const usable: members.Member[] = [];
     for (const member of table.all()) {
--- /dev/null
+++ b/packages/mesh/src/upstream/__tests__/upstreamConnection.test.ts
@@ -0,0 +1,135 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import * as timers from 'node:timers/promises';
+import { ids } from '@godwittrack/core';
+import type * as exchange from '../../routing/exchange.js';
+import * as headerCodec from '../headerCodec.js';
+import * as upstreamConnection from '../upstreamConnection.js';
+
+class TestHeaders extends headerCodec.HeaderCodec {
+  readCaller(): headerCodec.CallerHeaders {
+    return { requestId: null, deadlineMs: null };
+  }
+
+  forwardable(raw: readonly string[]): exchange.FlatHeaders {
+    return [...raw];
+  }
+
+  forUpstream(): exchange.FlatHeaders {
+    return [];
+  }
+
+  readAnswer(headers: exchange.FlatHeaders): headerCodec.AnswerHeaders {
+    const id = headerCodec.valueOf(headers, 'x-id');
+    const requestId = id === null ? null : ids.requestId(id);
+    return { requestId, signed: true, notExecuted: false, instance: null };
+  }
+
+  returnable(raw: readonly string[]): exchange.FlatHeaders {
+    return [...raw];
+  }
+}
+
+const answer = (id: string, body: string) =>
+  `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+
+describe('UpstreamConnection', () => {
+  let server: net.Server;
+  let script: (socket: net.Socket, request: number) => void;
+  let connection: upstreamConnection.UpstreamConnection;
+
+  beforeEach(async () => {
+    server = net.createServer((socket) => {
+      let requests = 0;
+      // Resets are part of these tests.
+      socket.on('error', () => socket.destroy());
+      socket.on('data', () => {
+        requests += 1;
+        script(socket, requests);
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as net.AddressInfo;
+    connection = new upstreamConnection.UpstreamConnection(
+      '127.0.0.1',
+      port,
+      new TestHeaders(),
+      () => undefined,
+    );
+  });
+
+  afterEach(() => {
+    connection.destroy('end of test');
+    server.close();
+  });
+
+  const send = (id: string) => connection.send(id, Buffer.from('GET / HTTP/1.1\r\n\r\n'));
+  const bodyOf = (raw: upstreamConnection.RawOutcome) =>
+    raw.type === 'answer' ? raw.answer.body.toString() : raw.type;
+
+  it('gives back whole answers and stays reusable', async () => {
+    script = (socket, n) => socket.write(answer(String(n), `body ${n}`));
+    assert.equal(bodyOf(await send('1')), 'body 1');
+    assert.ok(connection.reusable);
+    assert.equal(bodyOf(await send('2')), 'body 2');
+  });
+
+  it('skips a second answer to an earlier request that comes where the next is expected', async () => {
+    script = (socket, n) => {
+      socket.write(n === 1 ? answer('1', 'one') : answer('1', 'again') + answer('2', 'two'));
+    };
+    assert.equal(bodyOf(await send('1')), 'one');
+    assert.equal(bodyOf(await send('2')), 'two');
+  });
+
+  it('is not used again after bytes that belong to no request', async () => {
+    script = (socket, n) => {
+      socket.write(answer(String(n), 'one'));
+      setTimeout(() => socket.write('garbage'), 10);
+    };
+    assert.equal(bodyOf(await send('1')), 'one');
+    await timers.setTimeout(50);
+    assert.equal(connection.reusable, false);
+  });
+
+  it('takes an answer that ends early as broken', async () => {
+    script = (socket) => socket.end('HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\nhalf');
+    assert.equal((await send('1')).type, 'broken');
+  });
+
+  it('takes bytes that are no answer as broken', async () => {
+    script = (socket) => socket.write('\u0000\u0001 nothing of HTTP\r\n\r\n');
+    assert.equal((await send('1')).type, 'broken');
+  });
+
+  it('takes an answer without length as whole when the connection is closed', async () => {
+    script = (socket) =>
+      socket.end('HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\nall of it');
+    assert.equal(bodyOf(await send('1')), 'all of it');
+  });
+
+  it('takes an answer without length as broken when the connection is reset', async () => {
+    script = (socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\na part');
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    };
+    assert.equal((await send('1')).type, 'broken');
+  });
+
+  it('tells apart a request that was never sent', async () => {
+    const { port } = server.address() as net.AddressInfo;
+    connection.destroy('unused');
+    server.close();
+    await timers.setTimeout(10);
+    const none = new upstreamConnection.UpstreamConnection(
+      '127.0.0.1',
+      port,
+      new TestHeaders(),
+      () => undefined,
+    );
+    assert.equal((await none.send('1', Buffer.from('x'))).type, 'unsent');
+  });
+});
--- a/packages/mesh/src/upstream/headerCodec.ts
+++ b/packages/mesh/src/upstream/headerCodec.ts
@@ -21,13 +21,18 @@
 }
 
 export abstract class HeaderCodec {
-  abstract readCaller(headers: Readonly<Record<string, string | string[] | undefined>>): CallerHeaders;
+  abstract readCaller(
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ): CallerHeaders;
 
   /** End-to-end headers of a caller, less those that the system sets. */
   abstract forwardable(raw: readonly string[]): exchange.FlatHeaders;
 
   /** Headers that the system adds towards the upstream. */
-  abstract forUpstream(req: exchange.ForwardedRequest, deadlineLeftMs: number): exchange.FlatHeaders;
+  abstract forUpstream(
+    req: exchange.ForwardedRequest,
+    deadlineLeftMs: number,
+  ): exchange.FlatHeaders;
 
   abstract readAnswer(headers: exchange.FlatHeaders): AnswerHeaders;
 
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -16,6 +16,8 @@
 const DOWN_AFTER_FAILURES = 3;
 /** Pause before a request is tried again at an upstream that counts as down. */
 const DOWN_RETRY_MS = 500;
+/** How often waiting requests are looked at while none ends. */
+const ADVANCE_INTERVAL_MS = 25;
 
 interface Entry extends admissionQueue.Entrant {
   req: exchange.ForwardedRequest;
@@ -145,7 +147,10 @@
     };
     const timer = setTimeout(() => connection.destroy('deadline'), deadlineLeftMs);
     signal.addEventListener('abort', stop, { once: true });
-    const raw = await connection.send(req.requestId, serialize(req, this.options.codec, deadlineLeftMs));
+    const raw = await connection.send(
+      req.requestId,
+      serialize(req, this.options.codec, deadlineLeftMs),
+    );
     clearTimeout(timer);
     signal.removeEventListener('abort', stop);
     pool.release(connection);
@@ -236,9 +241,6 @@
   }
 }
 
-/** How often waiting requests are looked at while none ends. */
-const ADVANCE_INTERVAL_MS = 25;
-
 function serialize(
   req: exchange.ForwardedRequest,
   codec: headerCodec.HeaderCodec,
@@ -252,4 +254,3 @@
   }
   return Buffer.concat([Buffer.from(`${lines.join('\r\n')}\r\n\r\n`, 'latin1'), req.body]);
 }
-
--- a/packages/mesh/src/upstream/upstreamConnection.ts
+++ b/packages/mesh/src/upstream/upstreamConnection.ts
@@ -87,7 +87,7 @@
     this.socket.on('end', () => this.finish());
     this.socket.on('close', () => this.fail('connection closed'));
     this.parser = this.createParser();
-    this.socket.on('data', (chunk) => this.read(chunk as Buffer));
+    this.socket.on('data', (chunk) => this.read(chunk));
   }
 
   get reusable(): boolean {
@@ -143,7 +143,8 @@
   private begin(status: number, headers: exchange.FlatHeaders): void {
     if (status < 200) return;
     const { requestId } = this.codec.readAnswer(headers);
-    const belongs = this.pending !== null && (requestId ?? this.pending.requestId) === this.pending.requestId;
+    const belongs =
+      this.pending !== null && (requestId ?? this.pending.requestId) === this.pending.requestId;
     this.incoming = { status, headers, chunks: [], bytes: 0, belongs };
   }
 
--- a/packages/mesh/src/upstream/upstreamPool.ts
+++ b/packages/mesh/src/upstream/upstreamPool.ts
@@ -23,7 +23,9 @@
   }
 
   /** Connections idle for the shortest time come first, so that the others time out. */
-  acquire(semantics: exchange.ForwardedRequest['semantics']): upstreamConnection.UpstreamConnection {
+  acquire(
+    semantics: exchange.ForwardedRequest['semantics'],
+  ): upstreamConnection.UpstreamConnection {
     while (this.idle.length > 0) {
       const connection = this.idle.pop()!;
       if (connection.reusable) {
@@ -49,10 +51,15 @@
 
   private connect(): upstreamConnection.UpstreamConnection {
     const { host, port } = splitAddress(this.address);
-    const connection = new upstreamConnection.UpstreamConnection(host, port, this.codec, (closed) => {
-      this.open.delete(closed);
-      this.idle = this.idle.filter((other) => other !== closed);
-    });
+    const connection = new upstreamConnection.UpstreamConnection(
+      host,
+      port,
+      this.codec,
+      (closed) => {
+        this.open.delete(closed);
+        this.idle = this.idle.filter((other) => other !== closed);
+      },
+    );
     this.open.add(connection);
     return connection;
   }
--- /dev/null
+++ b/playground/src/usersPlatform/__tests__/fleet.test.ts
@@ -0,0 +1,205 @@
+import * as assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import * as fleet from '../fleet.js';
+import * as objectStore from '../objectStore.js';
+
+function spec(version: number, more: object = {}): object {
+  const usual = {
+    host: 'shop.example',
+    timeout_ms: 700,
+    target_latency_ms: 300,
+    priority: 2,
+    max_attempts: 2,
+  };
+  const service = { health_path: '/health', max_connections: 130 };
+  return {
+    version,
+    routes: {
+      'r-view': { ...usual, path_prefix: '/view/', kind: 'safe', service: 'shop' },
+      'r-order': { ...usual, path_prefix: '/order/', kind: 'unsafe', service: 'shop' },
+      'r-font': { ...usual, path_prefix: '/font/', kind: 'safe', service: 'fonts' },
+      ...more,
+    },
+    services: { shop: service, fonts: service },
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 1_048_576,
+      header_timeout_ms: 3_000,
+      idle_timeout_ms: 15_000,
+    },
+  };
+}
+
+describe("a fleet on the users' platform", () => {
+  const store = new objectStore.ObjectStoreStandIn();
+  const storeAddress = store.start();
+  const hosts: fleet.Host[] = [];
+  let shop: fleet.Host;
+  let fonts: fleet.Host;
+  let other: fleet.Host;
+
+  before(async () => {
+    const address = await storeAddress;
+    store.write('config', 'main', spec(1));
+    shop = await fleet.startHost(address, { name: 'shop-1', service: 'shop' });
+    fonts = await fleet.startHost(address, { name: 'fonts-1', service: 'fonts', zone: 'z-b' });
+    other = await fleet.startHost(address, { name: 'shop-2', service: 'shop', zone: 'z-b' });
+    hosts.push(shop, fonts, other);
+    await fleet.until('each node reaches each service', async () => {
+      const answers = await Promise.all(
+        hosts.flatMap((host) => [fleet.call(host, '/view/a'), fleet.call(host, '/font/a')]),
+      );
+      return answers.every(({ status }) => status === 200);
+    });
+  });
+
+  after(async () => {
+    await Promise.all(hosts.map((host) => host.stop()));
+    store.stop();
+  });
+
+  it('serves a request at a server beside another node, unchanged and signed', async () => {
+    const answer = await fleet.call(fonts, '/order/7?x=%20y', { method: 'POST', body: 'plates' });
+    assert.equal(answer.status, 200);
+    assert.match(answer.signature ?? '', /^signed\./);
+    const received = [...shop.app.received, ...other.app.received].find(
+      ({ body }) => body === 'plates',
+    )!;
+    assert.equal(received.target, '/order/7?x=%20y');
+    assert.equal(received.callerService, 'fonts');
+    assert.ok(received.deadlineMs > 0 && received.deadlineMs <= 700);
+  });
+
+  it('answers 404 for a route that no configuration has', async () => {
+    assert.equal((await fleet.call(shop, '/none/')).status, 404);
+  });
+
+  it('puts a configuration in force on every node, with one watch for each failure domain', async () => {
+    const added = {
+      host: 'shop.example',
+      path_prefix: '/new/',
+      kind: 'safe',
+      service: 'shop',
+      timeout_ms: 700,
+    };
+    store.write('config', 'main', spec(4, { 'r-new': added }));
+    await fleet.until('the new route is served everywhere', async () => {
+      const answers = await Promise.all(hosts.map((host) => fleet.call(host, '/new/')));
+      return answers.every(({ status }) => status === 200);
+    });
+  });
+
+  it('keeps what it holds when an unreadable or older configuration is stored', async () => {
+    store.write('config', 'main', { version: 9, routes: 'none' });
+    store.write('config', 'main', spec(2));
+    store.write('config', 'main', spec(10));
+    await fleet.until('the newest configuration is in force', async () => {
+      const { status } = await fleet.call(fonts, '/new/');
+      return status === 404;
+    });
+    assert.equal((await fleet.call(fonts, '/view/')).status, 200);
+  });
+
+  it('sends no request to a server after its leaving was acknowledged', async () => {
+    assert.equal(await shop.app.announce(shop.controlAddress, 'draining'), 200);
+    const seen = shop.app.received.length;
+    const answers = await Promise.all(
+      Array.from({ length: 30 }, (_, i) => fleet.call(hosts[i % 3]!, '/view/')),
+    );
+    assert.equal(shop.app.received.length, seen);
+    assert.ok(answers.every(({ status }) => status === 200));
+    shop.app.instance = 'i-shop-1b';
+    assert.equal(await shop.app.announce(shop.controlAddress), 200);
+    await fleet.until('the next incarnation is used', async () => {
+      await fleet.call(shop, '/view/');
+      return shop.app.received.length > seen;
+    });
+  });
+
+  it('goes on serving while the store does not answer', async () => {
+    store.fault = 'reset';
+    const answers = await Promise.all(hosts.map((host) => fleet.call(host, '/view/')));
+    assert.ok(answers.every(({ status }) => status === 200));
+    store.fault = 'none';
+    store.compact();
+    store.write(
+      'config',
+      'main',
+      spec(11, {
+        'r-late': {
+          host: 'shop.example',
+          path_prefix: '/late/',
+          kind: 'safe',
+          service: 'shop',
+          timeout_ms: 700,
+        },
+      }),
+    );
+    await fleet.until('the configuration after the outage is in force', async () => {
+      const answer = await fleet.call(other, '/late/');
+      return answer.status === 200;
+    });
+  });
+
+  it('refuses an announcement that cannot be read and keeps the server', async () => {
+    const res = await fetch(`http://${shop.controlAddress}/-/instances/i-x`, {
+      method: 'PUT',
+      body: '{"state":1}',
+    });
+    assert.equal(res.status, 400);
+    assert.equal((await fleet.call(shop, '/view/')).status, 200);
+  });
+
+  it('never repeats an order whose connection broke while it ran', async () => {
+    const orders = () =>
+      [...shop.app.received, ...other.app.received].filter(({ body }) => body === 'once');
+    for (const { app } of [shop, other]) {
+      app.behaviour = (_req, res) => {
+        res.socket?.destroy();
+      };
+    }
+    const answer = await fleet.call(fonts, '/order/1', { method: 'POST', body: 'once' });
+    for (const { app } of [shop, other]) app.behaviour = null;
+    assert.equal(answer.status, 502);
+    assert.equal(orders().length, 1);
+  });
+
+  it('takes a bad version back after a few answers and records that', async () => {
+    store.write('rollouts', 'shop', { service: 'shop', target_version: 'v2', duration_s: 6 });
+    const address = await storeAddress;
+    const bad = await fleet.startHost(address, { name: 'shop-3', service: 'shop', version: 'v2' });
+    hosts.push(bad);
+    bad.app.behaviour = (_req, res) => {
+      res.writeHead(500);
+      res.end('bad');
+    };
+    await fleet.until('the version is taken back', async () => {
+      await Promise.all(Array.from({ length: 20 }, () => fleet.call(shop, '/view/')));
+      const status = store.read('rollouts', 'shop')?.status as { state?: string } | null;
+      return status?.state === 'rolled_back';
+    });
+    const seen = bad.app.received.length;
+    assert.ok(seen < 20, `${seen} requests reached the bad version`);
+    await Promise.all(hosts.map((host) => fleet.call(host, '/view/')));
+    assert.equal(bad.app.received.length, seen);
+  });
+
+  it('finishes requests under way when it is asked to stop, and is not ready from then on', async () => {
+    other.app.behaviour = async (req, res) => {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 300);
+      });
+      res.end(`slow ${req.id}`);
+    };
+    const pending = fleet.call(other, '/view/slow');
+    const stopping = other.stop();
+    assert.equal(other.mesh.agent.ready, false);
+    assert.equal((await pending).status, 200);
+    await stopping;
+    hosts.splice(hosts.indexOf(other), 1);
+    await fleet.until('the others serve without it', async () => {
+      const answer = await fleet.call(fonts, '/view/');
+      return answer.status === 200;
+    });
+  });
+});
--- /dev/null
+++ b/playground/src/usersPlatform/application.ts
@@ -0,0 +1,97 @@
+/** Stand-in of an application server of the users' platform: announces itself, answers, drains. */
+
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
+export interface ReceivedRequest {
+  id: string;
+  method: string;
+  target: string;
+  body: string;
+  callerService: string;
+  deadlineMs: number;
+  expectedInstance: string;
+}
+
+export type Behaviour = (req: ReceivedRequest, res: http.ServerResponse) => void | Promise<void>;
+
+export class ApplicationStandIn {
+  readonly received: ReceivedRequest[] = [];
+
+  behaviour: Behaviour | null = null;
+
+  private sequence = 0;
+
+  private address = '';
+
+  private readonly server = http.createServer((req, res) => {
+    void this.serve(req, res);
+  });
+
+  constructor(
+    readonly service: string,
+    public instance: string,
+    readonly version = 'v1',
+    readonly slots = 4,
+  ) {}
+
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    this.address = `127.0.0.1:${(this.server.address() as net.AddressInfo).port}`;
+    return this.address;
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** One announcement to the node on the same host. @returns its status */
+  async announce(controlAddress: string, state = 'ready'): Promise<number> {
+    this.sequence += 1;
+    const body = {
+      service: this.service,
+      address: this.address,
+      zone: 'z-a',
+      version: this.version,
+      slots: this.slots,
+      state,
+      cold_remaining_ms: 0,
+      sequence: this.sequence,
+    };
+    const res = await fetch(`http://${controlAddress}/-/instances/${this.instance}`, {
+      method: 'PUT',
+      headers: { 'Content-Type': 'application/json' },
+      body: JSON.stringify(body),
+    });
+    await res.arrayBuffer();
+    return res.status;
+  }
+
+  private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk);
+    const header = (name: string) => String(req.headers[name] ?? '');
+    const received = {
+      id: header('attempt-id'),
+      method: req.method ?? '',
+      target: req.url ?? '',
+      body: Buffer.concat(chunks).toString('utf8'),
+      callerService: header('caller-service'),
+      deadlineMs: Number(header('deadline-milliseconds')),
+      expectedInstance: header('expected-instance'),
+    };
+    res.setHeader('Attempt-Id', received.id);
+    if (received.expectedInstance !== this.instance) {
+      res.writeHead(421, { 'Instance-Id': this.instance });
+      res.end();
+      return;
+    }
+    this.received.push(received);
+    res.setHeader('Response-Signature', `signed.${received.id}`);
+    if (this.behaviour !== null) await this.behaviour(received, res);
+    else res.end(`${this.instance} ${received.target}`);
+  }
+}
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -9,7 +9,7 @@
 import * as path from 'node:path';
 import process from 'node:process';
 
-const ROOTS = ['packages', 'playground'];
+const ROOTS = ['packages', 'playground', 'platform'];
 const dist = `${path.sep}dist${path.sep}`;
 const src = `${path.sep}src${path.sep}`;
 
