--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -47,7 +47,7 @@
   node: string,
   more: Partial<balancer.Candidate> = {},
 ): balancer.Candidate {
-  const usual = { distance: 'domain', slots: 10, load: 0, slowness: 1, failureShare: 0 } as const;
+  const usual = { distance: 'domain', slots: 10, load: 0, workMs: 100, failureShare: 0 } as const;
   return { node: ids.nodeId(node), ...usual, ...more };
 }
 
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -23,6 +23,8 @@
   config: configHolder.ConfigHolder;
   dispatcher: dispatcher.Dispatcher;
   codec: headerCodec.HeaderCodec;
+  /** False until the node knows what is in force beside the configuration. */
+  isKnown: () => boolean;
   log: observability.DecisionLog;
   nowMs: () => number;
 }
@@ -127,7 +129,7 @@
       req.resume();
       return { status: 503, message: 'this node stops', retryAfterMs: STOPPING_RETRY_MS };
     }
-    const held = this.options.config.current;
+    const held = this.options.isKnown() ? this.options.config.current : null;
     if (held === null) {
       req.resume();
       return { status: 503, message: 'no configuration yet', retryAfterMs: NO_CONFIG_RETRY_MS };
--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -70,6 +70,7 @@
         ? await this.store.readRollouts(signal)
         : await this.store.watchRollouts(cursor, ROLLOUTS_WAIT_MS, signal);
     for (const record of reading.value ?? []) this.board.learn(record);
+    this.board.setKnown();
     return reading.cursor;
   }
 }
--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -42,7 +42,7 @@
         body: Buffer.from('x'),
         serviceMs: 4,
       },
-      report: { load: 3 },
+      report: { load: 3, typicalMs: 40 },
     },
   },
   {
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -22,6 +22,8 @@
   upstream: members.UpstreamState | null;
   configVersion: number;
   rollouts: phases.RolloutState[];
+  /** Whether the sender knows all rollouts. */
+  rolloutsKnown: boolean;
 }
 
 export interface RequestFrame {
@@ -142,7 +144,10 @@
 const LOST = 2;
 
 function packDelivery({ outcome, report }: exchange.Delivery): unknown[] {
-  const load = report?.load ?? null;
+  const load =
+    report === null
+      ? null
+      : [report.load, report.typicalMs === null ? -1 : Math.round(report.typicalMs)];
   switch (outcome.type) {
     case 'answer': {
       const { status, headers, body, serviceMs } = outcome;
@@ -159,7 +164,7 @@
 }
 
 function unpackDelivery([kind, load, ...rest]: unknown[]): exchange.Delivery {
-  const report = load === null ? null : { load: load as number };
+  const report = unpackReport(load as [number, number] | null);
   if (kind === ANSWER) {
     const [status, headers, body, serviceMs] = rest;
     const answer = { type: 'answer', status, headers, body: toBuffer(body), serviceMs };
@@ -172,6 +177,12 @@
   return { outcome: { type: 'lost', detail: String(rest[0]) }, report };
 }
 
+function unpackReport(packed: [number, number] | null): exchange.LoadReport | null {
+  if (packed === null) return null;
+  const [load, typicalMs] = packed;
+  return { load, typicalMs: typicalMs < 0 ? null : typicalMs };
+}
+
 function toBuffer(bytes: unknown): Buffer {
   if (!(bytes instanceof Uint8Array)) return Buffer.alloc(0);
   return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
--- a/packages/mesh/src/peers/peerLink.ts
+++ b/packages/mesh/src/peers/peerLink.ts
@@ -13,10 +13,10 @@
 const RECONNECT_INITIAL_MS = 100;
 const RECONNECT_MAX_MS = 1_000;
 /** While requests are under way, a silent node is asked for a sign of life after this time. */
-const SILENCE_BEFORE_PING_MS = 300;
+const SILENCE_BEFORE_PING_MS = 200;
 /** A node that gives no sign of life for this long is taken as lost. */
-const SILENCE_LIMIT_MS = 900;
-const WATCH_INTERVAL_MS = 150;
+const SILENCE_LIMIT_MS = 650;
+const WATCH_INTERVAL_MS = 100;
 const UNREACHABLE_RETRY_MS = 50;
 
 interface Call {
@@ -38,6 +38,9 @@
 
   private up = false;
 
+  /** The node has answered on this connection; a frozen one is connected to but does not answer. */
+  private answered = false;
+
   private stopped = false;
 
   private nextId = 1;
@@ -68,6 +71,11 @@
     return this.options.node;
   }
 
+  /** Whether requests can be sent there. */
+  get usable(): boolean {
+    return this.up && this.answered;
+  }
+
   get connected(): boolean {
     return this.up;
   }
@@ -88,7 +96,7 @@
 
   send(req: exchange.ForwardedRequest, signal: AbortSignal): Promise<exchange.Delivery> {
     return new Promise((resolve) => {
-      if (!this.up) {
+      if (!this.usable) {
         const outcome = exchange.refused('peerUnreachable', UNREACHABLE_RETRY_MS);
         resolve({ outcome, report: null });
         return;
@@ -133,11 +141,14 @@
       socket.setTimeout(0);
       this.up = true;
       this.backoff.reset();
+      this.answered = false;
       socket.write(frames.encode(this.options.hello()));
+      socket.write(frames.encode({ type: 'ping' }));
       this.options.onUp(this);
     });
     socket.on('data', (chunk) => {
       this.heardAtMs = performance.now();
+      this.answered = true;
       try {
         for (const frame of splitter.push(chunk)) this.take(frame);
       } catch (err) {
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -42,7 +42,7 @@
   reachable(): members.Member[] {
     const { table } = this.options;
     return [...table.all()].filter(
-      ({ node }) => node === table.self.node || this.links.get(node)?.connected === true,
+      ({ node }) => node === table.self.node || this.links.get(node)?.usable === true,
     );
   }
 
@@ -103,6 +103,7 @@
       this.introduce(frame.from);
       table.setUpstream(frame.from.node, frame.upstream);
       rollouts.merge(frame.rollouts, 'peer');
+      if (frame.rolloutsKnown) rollouts.setKnown();
       if (frame.configVersion > config.version) session.tell(this.want());
       return;
     }
@@ -172,6 +173,7 @@
         upstream: table.self.upstream,
         configVersion: config.version,
         rollouts: rollouts.states(),
+        rolloutsKnown: rollouts.isKnown,
       }),
       onFrame: (link, frame) => this.answer(link, frame),
       onUp: (link) => log.belief('members', 'a node is reached', { node: link.node }),
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -28,6 +28,8 @@
 /** Part of the grace time after which the process ends whatever is under way. */
 const STOP_BY_SHARE = 0.95;
 const STOP_POLL_MS = 50;
+/** Time for the last answers to leave the buffers of their connections. */
+const FLUSH_MS = 150;
 
 export interface AgentSettings {
   /** Address for callers on this host. */
@@ -67,7 +69,7 @@
 
   /** Whether callers should send new work here. */
   get ready(): boolean {
-    return !this.stopping && this.parts.config.current !== null;
+    return !this.stopping && this.parts.config.current !== null && this.parts.board.isKnown;
   }
 
   async start(): Promise<void> {
@@ -112,6 +114,7 @@
       await backoff.sleep(STOP_POLL_MS);
     }
     callers.closeIdle();
+    await backoff.sleep(FLUSH_MS);
     this.abort.abort();
     for (const timer of this.timers) clearInterval(timer);
     network.stop();
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -123,7 +123,7 @@
     local,
     destinationOf: (node) => {
       const link = network.link(node);
-      return link?.connected ? link : null;
+      return link?.usable ? link : null;
     },
     rollouts: board,
     balancer: new balancer.Balancer(nextRandom),
@@ -155,6 +155,7 @@
     callers: new callerServer.CallerServer({
       config,
       dispatcher: dispatch,
+      isKnown: () => board.isKnown,
       codec: platform.codec,
       log,
       nowMs,
--- a/packages/mesh/src/rollouts/rolloutBoard.ts
+++ b/packages/mesh/src/rollouts/rolloutBoard.ts
@@ -31,11 +31,23 @@
 
   private places = 0;
 
+  private known = false;
+
   constructor(
     private readonly log: observability.DecisionLog,
     private readonly nowMs: () => number,
   ) {}
 
+  /** Whether the store or another node has said which rollouts there are. */
+  get isKnown(): boolean {
+    return this.known;
+  }
+
+  /** Marks that all rollouts of the moment have been learned. */
+  setKnown(): void {
+    this.known = true;
+  }
+
   onChange(listener: Listener): void {
     this.listeners.push(listener);
   }
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -29,7 +29,10 @@
 
   send(req: exchange.ForwardedRequest): Promise<exchange.Delivery> {
     this.received.push(req);
-    return Promise.resolve({ outcome: this.script.shift() ?? OK, report: { load: 0 } });
+    return Promise.resolve({
+      outcome: this.script.shift() ?? OK,
+      report: { load: 0, typicalMs: null },
+    });
   }
 }
 
--- a/packages/mesh/src/routing/__tests__/routing.test.ts
+++ b/packages/mesh/src/routing/__tests__/routing.test.ts
@@ -92,7 +92,7 @@
 
 describe('Balancer', () => {
   const choose = (candidates: balancer.Candidate[], more: Partial<balancer.Demand> = {}) => {
-    const demand = { serviceMs: 100, targetLeftMs: 300, deadlineLeftMs: 1_000, ...more };
+    const demand = { answerBytes: 2_048, targetLeftMs: 300, deadlineLeftMs: 1_000, ...more };
     return new balancer.Balancer(() => 0.5).choose(candidates, demand)?.candidate.node ?? null;
   };
   const near = (more: Partial<balancer.Candidate> = {}) =>
@@ -113,7 +113,13 @@
   });
 
   it('avoids an upstream that is several times as slow', () => {
-    assert.equal(choose([far(), near({ slowness: 6 })]), 'far');
+    assert.equal(choose([far(), near({ workMs: 600 })]), 'far');
+  });
+
+  it('lets small answers travel before large ones', () => {
+    const crowded = [far(), near({ load: 20 })];
+    assert.equal(choose(crowded, { answerBytes: 200 }), 'far');
+    assert.equal(choose(crowded, { answerBytes: 8_000 }), 'near');
   });
 
   it('still uses a failing upstream where there is no other', () => {
--- a/packages/mesh/src/routing/balancer.ts
+++ b/packages/mesh/src/routing/balancer.ts
@@ -9,15 +9,15 @@
   slots: number;
   /** Requests that this node has under way there, and those of others as last reported. */
   load: number;
-  /** Observed time at the upstream over the fleet's usual; 1 where unknown. */
-  slowness: number;
+  /** Usual time of such a request at this upstream. */
+  workMs: number;
   /** Share of recent requests there that failed, 0 to 1. */
   failureShare: number;
 }
 
 export interface Demand {
-  /** Usual time of such a request at an upstream. */
-  serviceMs: number;
+  /** Usual size of the answer's body. */
+  answerBytes: number;
   /** Time left until the answer stops being worth its full value. */
   targetLeftMs: number;
   /** Time left until the caller gives up. */
@@ -25,15 +25,24 @@
 }
 
 /**
- * Cost of each distance in milliseconds of waiting that it is worth to stay nearer. Traffic between
- * failure domains is billed by volume, so a request waits for near room within its target latency.
+ * Cost of each distance in milliseconds of waiting that it is worth to stay nearer, for a small answer
+ * and for each kilobyte more. Traffic between failure domains is billed by volume, so a request waits
+ * for near room within its target latency, and small answers travel first.
  */
 const DISTANCE_COST_MS: Record<members.Distance, number> = {
   host: 0,
   domain: 1,
-  region: 60,
-  remote: 140,
+  region: 20,
+  remote: 45,
 };
+const DISTANCE_COST_MS_PER_KB: Record<members.Distance, number> = {
+  host: 0,
+  domain: 0,
+  region: 12,
+  remote: 25,
+};
+/** Larger answers cost no more, so that a far upstream still serves where none is near. */
+const MAX_COUNTED_KB = 8;
 /** Time on the way and back. */
 const TRAVEL_MS: Record<members.Distance, number> = { host: 0, domain: 1, region: 4, remote: 28 };
 /** Upstreams slow down when nearly full; the cost of the last slot over the first. */
@@ -57,7 +66,7 @@
     let best: Choice | null = null;
     let bestScore = Infinity;
     for (const candidate of candidates) {
-      const expectedMs = expectedTime(candidate, demand);
+      const expectedMs = expectedTime(candidate);
       if (expectedMs <= demand.deadlineLeftMs) {
         const score = this.score(candidate, expectedMs, demand) + this.random() * TIE_MS;
         if (score < bestScore) {
@@ -73,16 +82,21 @@
     const lateMs = Math.max(0, expectedMs - demand.targetLeftMs);
     return (
       expectedMs +
-      DISTANCE_COST_MS[candidate.distance] +
+      distanceCost(candidate.distance, demand.answerBytes) +
       candidate.failureShare * FAILURE_COST_MS +
       lateMs * 4
     );
   }
 }
 
+function distanceCost(distance: members.Distance, answerBytes: number): number {
+  const kilobytes = Math.min(MAX_COUNTED_KB, answerBytes / 1_024);
+  return DISTANCE_COST_MS[distance] + DISTANCE_COST_MS_PER_KB[distance] * kilobytes;
+}
+
 /** Time until the answer: travel, waiting for a slot, and the work at the upstream's own pace. */
-export function expectedTime(candidate: Candidate, demand: Demand): number {
-  const workMs = demand.serviceMs * candidate.slowness;
+export function expectedTime(candidate: Candidate): number {
+  const { workMs } = candidate;
   const filled = Math.min(1, candidate.load / Math.max(1, candidate.slots));
   const ahead = Math.max(0, candidate.load + 1 - candidate.slots);
   const waitMs = (ahead * workMs) / Math.max(1, candidate.slots);
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -129,11 +129,12 @@
     const { observations: seen } = this.options;
     const demand = {
       serviceMs: seen.serviceMs(req.route.name, req.route.targetLatencyMs),
+      answerBytes: seen.answerBytes(req.route.name),
       targetLeftMs: req.arrivedMs + req.route.targetLatencyMs - now,
       deadlineLeftMs: req.deadlineAtMs - now,
     };
     const choice = this.options.balancer.choose(
-      eligible.map((member) => this.candidate(member)),
+      eligible.map((member) => this.candidate(member, req.route.name, demand.serviceMs)),
       demand,
     );
     if (choice === null) {
@@ -165,7 +166,11 @@
     return usable;
   }
 
-  private candidate(member: members.Member): balancer.Candidate {
+  private candidate(
+    member: members.Member,
+    route: ids.RouteName,
+    usualMs: number,
+  ): balancer.Candidate {
     const { observations: seen, table } = this.options;
     const { node } = member;
     return {
@@ -173,7 +178,7 @@
       distance: members.distanceBetween(table.self, member),
       slots: member.upstream!.slots,
       load: (this.outstanding.get(node) ?? 0) + seen.loadOfOthers(node),
-      slowness: seen.slowness(node),
+      workMs: seen.workMs(node, route, usualMs),
       failureShare: seen.failureShare(node),
     };
   }
@@ -196,7 +201,7 @@
     const { outcome, report } = await destination.send(this.forward(req, member.upstream!), signal);
     const left = this.outstanding.get(node)! - 1;
     this.outstanding.set(node, left);
-    if (report !== null) seen.recordLoad(node, report.load - left);
+    if (report !== null) seen.recordReport(node, req.route.name, report, left);
     return this.judge(req, node, outcome, progress);
   }
 
@@ -219,7 +224,7 @@
     progress.started += 1;
     progress.sends += 1;
     if (outcome.type === 'answer' && outcome.status < 500) {
-      seen.recordService(node, req.route.name, outcome.serviceMs);
+      seen.recordAnswer(node, req.route.name, outcome.serviceMs, outcome.body.length);
       return outcome;
     }
     seen.recordFailure(node);
--- a/packages/mesh/src/routing/exchange.ts
+++ b/packages/mesh/src/routing/exchange.ts
@@ -58,6 +58,8 @@
 export interface LoadReport {
   /** Requests under way and waiting, from all nodes. */
   load: number;
+  /** Usual time of such a request at this upstream; null before the first. */
+  typicalMs: number | null;
 }
 
 export interface Delivery {
--- a/packages/mesh/src/routing/observations.ts
+++ b/packages/mesh/src/routing/observations.ts
@@ -1,6 +1,7 @@
-/** What a node has seen of upstreams: time at the upstream by route, pace and failures by node. */
+/** What a node has seen of upstreams: times and sizes by route, load and failures by node. */
 
 import type { ids } from '@godwittrack/core';
+import type * as exchange from './exchange.js';
 
 /** Weight of the newest sample in a moving average. */
 const SAMPLE_WEIGHT = 0.08;
@@ -8,8 +9,10 @@
 const FIRST_GUESS_SHARE = 0.25;
 /** Time in which half of what was seen of a failing upstream is forgotten. */
 const FAILURE_HALF_LIFE_MS = 3_000;
-const MIN_SLOWNESS = 0.3;
-const MAX_SLOWNESS = 20;
+/** Time in which half of a difference from the usual time is forgotten, so that slow ones are tried again. */
+const TYPICAL_HALF_LIFE_MS = 3_000;
+/** Time in which half of a reported load is taken as done. */
+const LOAD_HALF_LIFE_MS = 250;
 
 export class MovingAverage {
   private held: number | null = null;
@@ -23,65 +26,89 @@
   }
 }
 
+interface Reported {
+  value: number;
+  atMs: number;
+}
+
 interface NodeObservations {
-  slowness: MovingAverage;
   failures: number;
   successes: number;
   decayedAtMs: number;
-  /** Requests under way there that others sent, as last reported. */
-  loadOfOthers: number;
+  /** Requests under way there that others sent. */
+  loadOfOthers: Reported;
+  /** Usual time at the upstream by route. */
+  typicalMs: Map<ids.RouteName, Reported>;
+}
+
+interface RouteObservations {
+  serviceMs: MovingAverage;
+  answerBytes: MovingAverage;
 }
 
 export class Observations {
-  private readonly routes = new Map<string, MovingAverage>();
+  private readonly routes = new Map<ids.RouteName, RouteObservations>();
 
   private readonly nodes = new Map<ids.NodeId, NodeObservations>();
 
   constructor(private readonly nowMs: () => number) {}
 
-  serviceMs(route: string, targetLatencyMs: number): number {
-    return this.routes.get(route)?.value ?? targetLatencyMs * FIRST_GUESS_SHARE;
-  }
-
-  recordService(node: ids.NodeId, route: string, ms: number): void {
-    let average = this.routes.get(route);
-    if (average === undefined) {
-      average = new MovingAverage();
-      this.routes.set(route, average);
-    }
-    const usual = average.value;
-    average.add(ms);
-    if (usual !== null && usual > 0) this.node(node).slowness.add(clampSlowness(ms / usual));
-    this.outcome(node).successes += 1;
+  /** Usual time at an upstream, over the fleet. */
+  serviceMs(route: ids.RouteName, targetLatencyMs: number): number {
+    return this.routes.get(route)?.serviceMs.value ?? targetLatencyMs * FIRST_GUESS_SHARE;
   }
 
-  recordFailure(node: ids.NodeId): void {
-    this.outcome(node).failures += 1;
+  answerBytes(route: ids.RouteName): number {
+    return this.routes.get(route)?.answerBytes.value ?? 0;
   }
 
-  /** Notes how many requests the node reported under way, less those sent from here. */
-  recordLoad(node: ids.NodeId, loadOfOthers: number): void {
-    this.node(node).loadOfOthers = Math.max(0, loadOfOthers);
+  /** Usual time at one upstream; tends to the fleet's usual time while nothing is heard of it. */
+  workMs(node: ids.NodeId, route: ids.RouteName, usualMs: number): number {
+    const typical = this.nodes.get(node)?.typicalMs.get(route);
+    if (typical === undefined) return usualMs;
+    const kept = 0.5 ** ((this.nowMs() - typical.atMs) / TYPICAL_HALF_LIFE_MS);
+    return usualMs + (typical.value - usualMs) * kept;
   }
 
   loadOfOthers(node: ids.NodeId): number {
-    return this.nodes.get(node)?.loadOfOthers ?? 0;
-  }
-
-  slowness(node: ids.NodeId): number {
-    return this.nodes.get(node)?.slowness.value ?? 1;
+    const load = this.nodes.get(node)?.loadOfOthers;
+    if (load === undefined) return 0;
+    return load.value * 0.5 ** ((this.nowMs() - load.atMs) / LOAD_HALF_LIFE_MS);
   }
 
   failureShare(node: ids.NodeId): number {
-    const seen = this.nodes.get(node);
-    if (seen === undefined) return 0;
+    if (!this.nodes.has(node)) return 0;
     const { failures, successes } = this.outcome(node);
     // One assumed success keeps a single failure from condemning an upstream.
     return failures / (failures + successes + 1);
   }
 
-  forget(node: ids.NodeId): void {
-    this.nodes.delete(node);
+  recordAnswer(node: ids.NodeId, route: ids.RouteName, ms: number, bytes: number): void {
+    let seen = this.routes.get(route);
+    if (seen === undefined) {
+      seen = { serviceMs: new MovingAverage(), answerBytes: new MovingAverage() };
+      this.routes.set(route, seen);
+    }
+    seen.serviceMs.add(ms);
+    seen.answerBytes.add(bytes);
+    this.outcome(node).successes += 1;
+  }
+
+  recordFailure(node: ids.NodeId): void {
+    this.outcome(node).failures += 1;
+  }
+
+  /** @param mine requests from this node that are still under way there */
+  recordReport(
+    node: ids.NodeId,
+    route: ids.RouteName,
+    report: exchange.LoadReport,
+    mine: number,
+  ): void {
+    const seen = this.node(node);
+    const atMs = this.nowMs();
+    seen.loadOfOthers = { value: Math.max(0, report.load - mine), atMs };
+    if (report.typicalMs !== null) seen.typicalMs.set(route, { value: report.typicalMs, atMs });
   }
 
   private outcome(node: ids.NodeId): NodeObservations {
@@ -97,19 +124,11 @@
   private node(node: ids.NodeId): NodeObservations {
     let seen = this.nodes.get(node);
     if (seen === undefined) {
-      seen = {
-        slowness: new MovingAverage(),
-        failures: 0,
-        successes: 0,
-        decayedAtMs: this.nowMs(),
-        loadOfOthers: 0,
-      };
+      const atMs = this.nowMs();
+      const loadOfOthers = { value: 0, atMs };
+      seen = { failures: 0, successes: 0, decayedAtMs: atMs, loadOfOthers, typicalMs: new Map() };
       this.nodes.set(node, seen);
     }
     return seen;
   }
 }
-
-function clampSlowness(slowness: number): number {
-  return Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, slowness));
-}
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -70,7 +70,8 @@
   send(req: exchange.ForwardedRequest, signal: AbortSignal): Promise<exchange.Delivery> {
     return new Promise((resolve) => {
       const settle = (outcome: exchange.Outcome) => {
-        resolve({ outcome, report: { load: this.load } });
+        const typicalMs = this.serviceTimes.get(req.route)?.value ?? null;
+        resolve({ outcome, report: { load: this.load, typicalMs } });
       };
       const reason = this.whyNot(req);
       if (reason !== null) {
