refactor(mesh): requests carry no mark for nested calls

Trial: calls of servers come from the same address as callers of the host, so the mark was always set; routes that servers call have an urgent priority in the configuration.

--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -152,7 +152,6 @@
       headers: this.options.codec.forwardable(req.rawHeaders),
       body,
       route,
-      nested: req.socket.remoteAddress === req.socket.localAddress,
       arrivedMs,
       deadlineAtMs: arrivedMs + limitMs,
     };
--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -7,8 +7,6 @@
 export interface Entrant {
   /** 0 is the most urgent. */
   priority: number;
-  /** A call of a running request; its failure would waste the work of its parent. */
-  nested: boolean;
   /** Monotonic time at which the answer stops being worth its full value. */
   targetAtMs: number;
   /** Monotonic time at which its caller gives up. */
@@ -164,7 +162,6 @@
     const lateA = isLate(a, nowMs, 0);
     const lateB = isLate(b, nowMs, 0);
     if (lateA !== lateB) return lateA ? 1 : -1;
-    if (a.nested !== b.nested) return a.nested ? -1 : 1;
     return a.priority - b.priority || a.targetAtMs - b.targetAtMs;
   }
 }
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -109,7 +109,6 @@
     req.route,
     req.semantics === 'repeatable' ? 1 : 0,
     req.priority,
-    req.nested ? 1 : 0,
     req.callerService,
     req.instance,
     Math.round(req.targetLeftMs),
@@ -119,8 +118,8 @@
 }
 
 function unpackRequest(fields: unknown[]): exchange.ForwardedRequest {
-  const [requestId, method, target, headers, body, route, repeatable, priority, nested] = fields;
-  const [callerService, instance, targetLeftMs, deadlineLeftMs, estimateMs] = fields.slice(9);
+  const [requestId, method, target, headers, body, route, repeatable, priority] = fields;
+  const [callerService, instance, targetLeftMs, deadlineLeftMs, estimateMs] = fields.slice(8);
   return {
     requestId,
     method,
@@ -130,7 +129,6 @@
     route,
     semantics: repeatable === 1 ? 'repeatable' : 'once',
     priority,
-    nested: nested === 1,
     callerService,
     instance,
     targetLeftMs,
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -23,7 +23,6 @@
   headers: exchange.FlatHeaders;
   body: Buffer;
   route: configuration.Route;
-  nested: boolean;
   /** Monotonic time at which it came in. */
   arrivedMs: number;
   /** Monotonic time by which it must be answered. */
@@ -250,7 +249,7 @@
 
   private forward(req: CallerRequest, upstream: members.UpstreamState): exchange.ForwardedRequest {
     const now = this.options.nowMs();
-    const { requestId, method, target, headers, body, route, nested } = req;
+    const { requestId, method, target, headers, body, route } = req;
     return {
       requestId,
       method,
@@ -260,7 +259,6 @@
       route: route.name,
       semantics: route.semantics,
       priority: route.priority,
-      nested,
       callerService: this.options.callerService(),
       instance: upstream.instance,
       targetLeftMs: req.arrivedMs + route.targetLatencyMs - now,
--- a/packages/mesh/src/routing/exchange.ts
+++ b/packages/mesh/src/routing/exchange.ts
@@ -17,7 +17,6 @@
   route: ids.RouteName;
   semantics: configuration.Semantics;
   priority: number;
-  nested: boolean;
   /** Service of the host where the request came from. */
   callerService: ids.ServiceName;
   /** Incarnation of the upstream that must run it. */
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -105,7 +105,6 @@
       settle,
       arrivedMs: now,
       priority: req.priority,
-      nested: req.nested,
       targetAtMs: now + req.targetLeftMs,
       deadlineAtMs: now + req.deadlineLeftMs,
       estimateMs: this.serviceTimes.get(req.route)?.value ?? req.estimateMs,
