--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -17,7 +17,6 @@
     route: ids.routeName('r'),
     semantics: 'once',
     priority: 1,
-    nested: true,
     callerService: ids.serviceName('s'),
     instance: ids.instanceId('i'),
     targetLeftMs: 100,
@@ -42,7 +41,7 @@
         body: Buffer.from('x'),
         serviceMs: 4,
       },
-      report: { load: 3 },
+      report: { load: 3, typicalMs: 40 },
     },
   },
   {
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -23,7 +23,6 @@
   headers: exchange.FlatHeaders;
   body: Buffer;
   route: configuration.Route;
-  nested: boolean;
   /** Monotonic time at which it came in. */
   arrivedMs: number;
   /** Monotonic time by which it must be answered. */
@@ -129,11 +128,12 @@
     const { observations: seen } = this.options;
     const demand = {
       serviceMs: seen.serviceMs(req.route.name, req.route.targetLatencyMs),
+      answerBytes: seen.answerBytes(req.route.name),
       targetLeftMs: req.arrivedMs + req.route.targetLatencyMs - now,
       deadlineLeftMs: req.deadlineAtMs - now,
     };
     const choice = this.options.balancer.choose(
-      eligible.map((member) => this.candidate(member)),
+      eligible.map((member) => this.candidate(member, req.route.name, demand.serviceMs)),
       demand,
     );
     if (choice === null) {
@@ -165,7 +165,11 @@
     return usable;
   }
 
-  private candidate(member: members.Member): balancer.Candidate {
+  private candidate(
+    member: members.Member,
+    route: ids.RouteName,
+    usualMs: number,
+  ): balancer.Candidate {
     const { observations: seen, table } = this.options;
     const { node } = member;
     return {
@@ -173,7 +177,7 @@
       distance: members.distanceBetween(table.self, member),
       slots: member.upstream!.slots,
       load: (this.outstanding.get(node) ?? 0) + seen.loadOfOthers(node),
-      slowness: seen.slowness(node),
+      workMs: seen.workMs(node, route, usualMs),
       failureShare: seen.failureShare(node),
     };
   }
@@ -196,7 +200,7 @@
     const { outcome, report } = await destination.send(this.forward(req, member.upstream!), signal);
     const left = this.outstanding.get(node)! - 1;
     this.outstanding.set(node, left);
-    if (report !== null) seen.recordLoad(node, report.load - left);
+    if (report !== null) seen.recordReport(node, req.route.name, report, left);
     return this.judge(req, node, outcome, progress);
   }
 
@@ -219,7 +223,7 @@
     progress.started += 1;
     progress.sends += 1;
     if (outcome.type === 'answer' && outcome.status < 500) {
-      seen.recordService(node, req.route.name, outcome.serviceMs);
+      seen.recordAnswer(node, req.route.name, outcome.serviceMs, outcome.body.length);
       return outcome;
     }
     seen.recordFailure(node);
@@ -245,7 +249,7 @@
 
   private forward(req: CallerRequest, upstream: members.UpstreamState): exchange.ForwardedRequest {
     const now = this.options.nowMs();
-    const { requestId, method, target, headers, body, route, nested } = req;
+    const { requestId, method, target, headers, body, route } = req;
     return {
       requestId,
       method,
@@ -255,7 +259,6 @@
       route: route.name,
       semantics: route.semantics,
       priority: route.priority,
-      nested,
       callerService: this.options.callerService(),
       instance: upstream.instance,
       targetLeftMs: req.arrivedMs + route.targetLatencyMs - now,
--- a/packages/mesh/src/routing/exchange.ts
+++ b/packages/mesh/src/routing/exchange.ts
@@ -17,7 +17,6 @@
   route: ids.RouteName;
   semantics: configuration.Semantics;
   priority: number;
-  nested: boolean;
   /** Service of the host where the request came from. */
   callerService: ids.ServiceName;
   /** Incarnation of the upstream that must run it. */
@@ -58,6 +57,8 @@
 export interface LoadReport {
   /** Requests under way and waiting, from all nodes. */
   load: number;
+  /** Usual time of such a request at this upstream; null before the first. */
+  typicalMs: number | null;
 }
 
 export interface Delivery {
