--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -69,6 +69,8 @@
             service: ids.serviceName('shop'),
             version: ids.versionName('v1'),
             slots: 10,
+            bornMs: 1_000,
+            leaving: false,
             accepting: true,
             ...upstream,
           },
--- a/packages/mesh/src/membership/__tests__/localUpstream.test.ts
+++ b/packages/mesh/src/membership/__tests__/localUpstream.test.ts
@@ -60,6 +60,39 @@
     assert.equal(upstream.state?.accepting, true);
   });
 
+  describe('after a restart of its node', () => {
+    const remembered = fixtures.member('a', { instance: ids.instanceId('i-1') }).upstream!;
+
+    it('is used as other nodes remember it, until it announces itself', () => {
+      upstream.recall(remembered);
+      assert.equal(accepting(), true);
+      assert.equal(upstream.announce(fixtures.announcement({ sequence: 7 })), 'accepted');
+      upstream.dropUnconfirmed();
+      assert.equal(accepting(), true);
+    });
+
+    it('is not used on if it does not announce itself', () => {
+      upstream.recall(remembered);
+      upstream.dropUnconfirmed();
+      assert.equal(accepting(), null);
+    });
+
+    it('is not used if it had said that it leaves, or says so now', () => {
+      upstream.recall({ ...remembered, leaving: true });
+      assert.equal(accepting(), null);
+      upstream.recall(remembered);
+      upstream.announce(fixtures.announcement({ sequence: 1, leaving: true }));
+      assert.equal(accepting(), false);
+    });
+
+    it('gives way to its next incarnation', () => {
+      upstream.recall(remembered);
+      const next = fixtures.announcement({ instance: ids.instanceId('i-2'), bornMs: 2_000 });
+      assert.equal(upstream.announce(next), 'accepted');
+      assert.equal(upstream.state?.instance, 'i-2');
+    });
+  });
+
   it('never takes work again for an incarnation that left, in any order of messages', () => {
     const message = fc.record({
       bornMs: fc.integer({ min: 1, max: 3 }),
--- a/packages/mesh/src/membership/localUpstream.ts
+++ b/packages/mesh/src/membership/localUpstream.ts
@@ -28,6 +28,8 @@
   left: boolean;
 }
 
+/** Ahead of the first announcement of any incarnation. */
+const UNCONFIRMED_SEQUENCE = -1;
 /** Incarnations that have left are remembered so that late announcements do not revive them. */
 const MAX_REMEMBERED = 32;
 
@@ -49,9 +51,10 @@
   /** Null until the first announcement after the node's start. */
   get state(): members.UpstreamState | null {
     if (this.current === null) return null;
-    const { instance, service, version, slots, leaving } = this.current.announcement;
-    const accepting = !leaving && !this.current.left && !this.down;
-    return { instance, service, version, slots, accepting };
+    const { instance, service, version, slots, bornMs } = this.current.announcement;
+    const leaving = this.current.announcement.leaving || this.current.left;
+    const accepting = !leaving && !this.down;
+    return { instance, service, version, slots, bornMs, leaving, accepting };
   }
 
   get announcement(): Announcement | null {
@@ -86,6 +89,34 @@
     return 'accepted';
   }
 
+  /**
+   * Takes what another node remembers of the upstream from before this node was restarted. Without an
+   * announcement of the upstream itself it holds only for a short time; see `dropUnconfirmed`.
+   */
+  recall(state: members.UpstreamState): void {
+    if (this.current !== null || state.leaving || this.left.has(state.instance)) return;
+    const { instance, service, version, slots, bornMs } = state;
+    const announcement = {
+      instance,
+      service,
+      address: this.address,
+      version,
+      slots,
+      leaving: false,
+      coldRemainingMs: 0,
+      sequence: UNCONFIRMED_SEQUENCE,
+      bornMs,
+    };
+    this.replace({ announcement, left: false });
+  }
+
+  /** Forgets an upstream that was only recalled and has not announced itself since. */
+  dropUnconfirmed(): void {
+    if (this.current?.announcement.sequence !== UNCONFIRMED_SEQUENCE) return;
+    this.current = null;
+    this.notify();
+  }
+
   /** The upstream has said that it is gone. Binds this node at once. */
   leave(instance: ids.InstanceId, bornMs: number | null): AnnouncementOutcome {
     const held = this.current?.announcement;
--- a/packages/mesh/src/membership/members.ts
+++ b/packages/mesh/src/membership/members.ts
@@ -8,7 +8,11 @@
   service: ids.ServiceName;
   version: ids.VersionName;
   slots: number;
-  /** False while it leaves, is down or is unknown after a restart of its node. */
+  /** Unix milliseconds of its start; null where the upstream does not say. */
+  bornMs: number | null;
+  /** It has said that it leaves or is gone. */
+  leaving: boolean;
+  /** False while it leaves or is down, and while its node is about to stop. */
   accepting: boolean;
 }
 
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -36,6 +36,8 @@
   | Hello
   | RequestFrame
   | { type: 'upstream'; upstream: members.UpstreamState | null }
+  /** What is remembered of the upstream beside a node that has just been restarted. */
+  | { type: 'recall'; upstream: members.UpstreamState }
   | { type: 'cancel'; id: number }
   | { type: 'outcome'; id: number; delivery: exchange.Delivery }
   | { type: 'ping' }
@@ -51,6 +53,7 @@
   'hello',
   'request',
   'upstream',
+  'recall',
   'cancel',
   'outcome',
   'ping',
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -24,6 +24,8 @@
   log: observability.DecisionLog;
   onBeacon: (node: ids.NodeId) => void;
   onEvidence: (report: evidence.EvidenceReport) => void;
+  /** Another node remembers the upstream beside this one from before a restart. */
+  onRecall: (upstream: members.UpstreamState) => void;
 }
 
 export class PeerNetwork {
@@ -100,11 +102,15 @@
   hear(session: peerServer.PeerSession, frame: frames.Frame): void {
     const { table, config, rollouts, onBeacon, onEvidence } = this.options;
     if (frame.type === 'hello') {
+      const remembered = table.get(frame.from.node)?.upstream ?? null;
       this.introduce(frame.from);
       table.setUpstream(frame.from.node, frame.upstream);
       rollouts.merge(frame.rollouts, 'peer');
       if (frame.rolloutsKnown) rollouts.setKnown();
       if (frame.configVersion > config.version) session.tell(this.want());
+      if (frame.upstream === null && remembered !== null && !remembered.leaving) {
+        session.tell({ type: 'recall', upstream: remembered });
+      }
       return;
     }
     const from = session.hello?.from.node;
@@ -189,6 +195,8 @@
     if (frame.type === 'configWanted') {
       if (cfg !== undefined && cfg.version > frame.heldVersion)
         link.tell({ type: 'configWhole', cfg });
+    } else if (frame.type === 'recall') {
+      this.options.onRecall(frame.upstream);
     } else {
       const failure: failures.Failure = {
         type: 'protocolViolation',
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -20,9 +20,9 @@
 const REGISTER_RETRY_INITIAL_MS = 100;
 const REGISTER_RETRY_MAX_MS = 1_500;
 /** Time after a stop was asked for in which callers are sent elsewhere: two readiness checks. */
-const LEAVE_AFTER_MS = 2_300;
+const LEAVE_AFTER_MS = 2_250;
 /** Time after which other nodes are told to send no more requests to the upstream beside this one. */
-const WITHDRAW_AFTER_MS = 1_200;
+const WITHDRAW_AFTER_MS = 1_800;
 /** Part of the grace time after which new requests are refused, so that those taken can end. */
 const REFUSE_AFTER_SHARE = 0.66;
 /** Part of the grace time after which the process ends whatever is under way. */
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -27,6 +27,12 @@
 import * as upstreamPool from '../upstream/upstreamPool.js';
 import * as agent from './agent.js';
 
+/**
+ * Time for which an upstream is used that other nodes remember; shorter than the time after its leaving
+ * was acknowledged in which requests may still reach it, and about one interval of announcements.
+ */
+const RECALLED_FOR_MS = 1_200;
+
 export interface MeshSettings {
   self: members.NodeAddress;
   /** Service of the upstream on this host; requests from here carry it. */
@@ -109,6 +115,7 @@
     log,
     onBeacon: (node) => watcher.hearBeacon(node),
     onEvidence,
+    onRecall: (state) => recall(upstream, state),
   });
   const reachable = () => network.reachable();
   watcher = new storeWatcher.StoreWatcher(
@@ -180,3 +187,9 @@
   };
   return { agent: new agent.Agent(parts), upstream, log, reload };
 }
+
+function recall(upstream: localUpstream.LocalUpstream, state: members.UpstreamState): void {
+  if (upstream.state !== null) return;
+  upstream.recall(state);
+  setTimeout(() => upstream.dropUnconfirmed(), RECALLED_FOR_MS);
+}
