--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -26,7 +26,7 @@
 /** Part of the grace time after which new requests are refused, so that those taken can end. */
 const REFUSE_AFTER_SHARE = 0.66;
 /** Part of the grace time after which the process ends whatever is under way. */
-const STOP_BY_SHARE = 0.95;
+const STOP_BY_SHARE = 0.91;
 const STOP_POLL_MS = 50;
 /** Time for the last answers to leave the buffers of their connections. */
 const FLUSH_MS = 150;
