--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,14 @@
 
 export default [
   {
-    ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**', 'packages/protocol/src/generated/**', '.tap/**'],
+    ignores: [
+      '**/dist/**',
+      '**/node_modules/**',
+      'target/**',
+      'journal/**',
+      'packages/protocol/src/generated/**',
+      '.tap/**',
+    ],
   },
   plugins.stylistic,
   plugins.importX,
