--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -87,7 +87,6 @@
     version: ids.versionName('v1'),
     slots: 10,
     leaving: false,
-    coldRemainingMs: 0,
     sequence: 1,
     bornMs: 1_000,
     ...more,
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -7,7 +7,7 @@
 import type * as dispatcher from '../routing/dispatcher.js';
 import * as exchange from '../routing/exchange.js';
 import type * as headerCodec from '../upstream/headerCodec.js';
-import * as upstreamPool from '../upstream/upstreamPool.js';
+import * as networkAddress from '../networkAddress.js';
 
 /** Callers may reuse a connection up to the configured idle time; the server waits a little longer. */
 const IDLE_SLACK_MS = 2_000;
@@ -75,7 +75,7 @@
   }
 
   listen(address: string): Promise<void> {
-    const { host, port } = upstreamPool.splitAddress(address);
+    const { host, port } = networkAddress.split(address);
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen({ host, port, backlog: 1_024 }, () => resolve());
--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -7,8 +7,10 @@
 import { backoff, failures, type ids, rendezvous } from '@godwittrack/core';
 import type * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
+import type * as phases from '../rollouts/phases.js';
 import type * as rolloutBoard from '../rollouts/rolloutBoard.js';
 import type * as configHolder from './configHolder.js';
+import type * as configuration from './configuration.js';
 import type * as fleetStore from './fleetStore.js';
 
 /** How often a watching node tells the nodes of its failure domain that it watches. */
@@ -23,7 +25,7 @@
 /** Time in which a call of the watch must have been answered for the store to count as in contact. */
 const CONTACT_LIMIT_MS = CONFIG_WAIT_MS + 2_000;
 
-/** One thing that is watched: read once, then watched from there. */
+/** One thing that is watched. */
 export abstract class Subject {
   abstract readonly name: string;
 
@@ -34,7 +36,26 @@
   ): Promise<fleetStore.Cursor>;
 }
 
-export class ConfigurationSubject extends Subject {
+/** Read once, then watched from there. */
+abstract class ReadThenWatched<T> extends Subject {
+  async advance(cursor: fleetStore.Cursor | null, signal: AbortSignal): Promise<fleetStore.Cursor> {
+    const reading = await (cursor === null ? this.read(signal) : this.watch(cursor, signal));
+    this.take(reading.value);
+    return reading.cursor;
+  }
+
+  protected abstract read(signal: AbortSignal): Promise<fleetStore.Reading<T>>;
+
+  protected abstract watch(
+    cursor: fleetStore.Cursor,
+    signal: AbortSignal,
+  ): Promise<fleetStore.Reading<T>>;
+
+  /** Null where nothing changed, or nothing that can be read. */
+  protected abstract take(value: T | null): void;
+}
+
+export class ConfigurationSubject extends ReadThenWatched<configuration.Configuration> {
   readonly name = 'configuration';
 
   constructor(
@@ -44,17 +65,20 @@
     super();
   }
 
-  async advance(cursor: fleetStore.Cursor | null, signal: AbortSignal): Promise<fleetStore.Cursor> {
-    const reading =
-      cursor === null
-        ? await this.store.readConfiguration(signal)
-        : await this.store.watchConfiguration(cursor, CONFIG_WAIT_MS, signal);
-    if (reading.value !== null) this.config.offer(reading.value, 'store');
-    return reading.cursor;
+  protected read(signal: AbortSignal) {
+    return this.store.readConfiguration(signal);
+  }
+
+  protected watch(cursor: fleetStore.Cursor, signal: AbortSignal) {
+    return this.store.watchConfiguration(cursor, CONFIG_WAIT_MS, signal);
+  }
+
+  protected take(value: configuration.Configuration | null): void {
+    if (value !== null) this.config.offer(value, 'store');
   }
 }
 
-export class RolloutsSubject extends Subject {
+export class RolloutsSubject extends ReadThenWatched<phases.RolloutRecord[]> {
   readonly name = 'rollouts';
 
   constructor(
@@ -64,14 +88,17 @@
     super();
   }
 
-  async advance(cursor: fleetStore.Cursor | null, signal: AbortSignal): Promise<fleetStore.Cursor> {
-    const reading =
-      cursor === null
-        ? await this.store.readRollouts(signal)
-        : await this.store.watchRollouts(cursor, ROLLOUTS_WAIT_MS, signal);
-    for (const record of reading.value ?? []) this.board.learn(record);
+  protected read(signal: AbortSignal) {
+    return this.store.readRollouts(signal);
+  }
+
+  protected watch(cursor: fleetStore.Cursor, signal: AbortSignal) {
+    return this.store.watchRollouts(cursor, ROLLOUTS_WAIT_MS, signal);
+  }
+
+  protected take(value: phases.RolloutRecord[] | null): void {
+    for (const record of value ?? []) this.board.learn(record);
     this.board.setKnown();
-    return reading.cursor;
   }
 }
 
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -9,5 +9,5 @@
 export * as members from './membership/members.js';
 export * as phases from './rollouts/phases.js';
 export * as exchange from './routing/exchange.js';
-export * as upstreamPool from './upstream/upstreamPool.js';
+export * as networkAddress from './networkAddress.js';
 export * as wiring from './process/wiring.js';
--- a/packages/mesh/src/membership/localUpstream.ts
+++ b/packages/mesh/src/membership/localUpstream.ts
@@ -12,8 +12,6 @@
   version: ids.VersionName;
   slots: number;
   leaving: boolean;
-  /** Time for which it stays slow after its start. */
-  coldRemainingMs: number;
   /** Rises with each announcement of one incarnation. */
   sequence: number;
   /** Unix milliseconds of its start; null where the upstream does not say. */
@@ -57,10 +55,6 @@
     return { instance, service, version, slots, bornMs, leaving, accepting };
   }
 
-  get announcement(): Announcement | null {
-    return this.current?.announcement ?? null;
-  }
-
   announce(next: Announcement): AnnouncementOutcome {
     if (next.address !== this.address) return 'otherAddress';
     const outcome = this.judge(next);
@@ -103,7 +97,6 @@
       version,
       slots,
       leaving: false,
-      coldRemainingMs: 0,
       sequence: UNCONFIRMED_SEQUENCE,
       bornMs,
     };
--- a/packages/mesh/src/peers/peerLink.ts
+++ b/packages/mesh/src/peers/peerLink.ts
@@ -6,7 +6,7 @@
 import * as net from 'node:net';
 import { backoff, type ids } from '@godwittrack/core';
 import * as exchange from '../routing/exchange.js';
-import * as upstreamPool from '../upstream/upstreamPool.js';
+import * as networkAddress from '../networkAddress.js';
 import * as frames from './frames.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -124,7 +124,7 @@
   }
 
   private connect(): void {
-    const { host, port } = upstreamPool.splitAddress(this.options.address);
+    const { host, port } = networkAddress.split(this.options.address);
     const socket = net.connect({
       host,
       port,
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -16,7 +16,6 @@
 export interface PeerServerOptions {
   destination: exchange.Destination;
   onFrame: (session: PeerSession, frame: frames.Frame) => void;
-  onClose: (session: PeerSession) => void;
   onViolation: (detail: string) => void;
 }
 
@@ -84,7 +83,6 @@
     socket.on('close', () => {
       this.sessions.delete(session);
       for (const controller of session.running.values()) controller.abort();
-      this.options.onClose(session);
     });
   }
 
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -13,7 +13,7 @@
 import type * as evidence from '../rollouts/evidence.js';
 import type * as rolloutBoard from '../rollouts/rolloutBoard.js';
 import type * as rolloutController from '../rollouts/rolloutController.js';
-import * as upstreamPool from '../upstream/upstreamPool.js';
+import * as networkAddress from '../networkAddress.js';
 
 const REVIEW_INTERVAL_MS = 200;
 const EVIDENCE_INTERVAL_MS = 300;
@@ -75,7 +75,7 @@
   async start(): Promise<void> {
     const { settings, self, peers, callers, watcher, controller, network } = this.parts;
     this.connectParts();
-    const { host, port } = upstreamPool.splitAddress(self.address);
+    const { host, port } = networkAddress.split(self.address);
     await Promise.all([peers.listen(host, port), callers.listen(settings.callerAddress)]);
     watcher.review();
     void this.join();
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -156,7 +156,6 @@
     peers: new peerServer.PeerServer({
       destination: local,
       onFrame: (session, frame) => network.hear(session, frame),
-      onClose: () => undefined,
       onViolation: (detail) => log.warn('peers', 'a connection was ended', { detail }),
     }),
     callers: new callerServer.CallerServer({
--- a/packages/mesh/src/rollouts/versionJudge.ts
+++ b/packages/mesh/src/rollouts/versionJudge.ts
@@ -21,12 +21,6 @@
     this.reports.set(report.instance, report);
   }
 
-  reset(service: ids.ServiceName): void {
-    for (const [instance, report] of this.reports) {
-      if (report.service === service) this.reports.delete(instance);
-    }
-  }
-
   judge(service: ids.ServiceName, target: ids.VersionName): Verdict {
     const onTrial = this.sum(service, (version) => version === target);
     const stable = this.sum(service, (version) => version !== target);
--- a/packages/mesh/src/upstream/headerCodec.ts
+++ b/packages/mesh/src/upstream/headerCodec.ts
@@ -16,8 +16,6 @@
   signed: boolean;
   /** The upstream states that it has not run the request. */
   notExecuted: boolean;
-  /** Incarnation that answered, where the answer names it. */
-  instance: ids.InstanceId | null;
 }
 
 export abstract class HeaderCodec {
--- a/packages/mesh/src/upstream/upstreamPool.ts
+++ b/packages/mesh/src/upstream/upstreamPool.ts
@@ -1,6 +1,6 @@
 /** Connections to the upstream beside this node, kept for the next request. */
 
-import * as net from 'node:net';
+import * as networkAddress from '../networkAddress.js';
 import type * as exchange from '../routing/exchange.js';
 import type * as headerCodec from './headerCodec.js';
 import * as upstreamConnection from './upstreamConnection.js';
@@ -11,17 +11,11 @@
 export class UpstreamPool {
   private idle: upstreamConnection.UpstreamConnection[] = [];
 
-  private readonly open = new Set<upstreamConnection.UpstreamConnection>();
-
   constructor(
     private readonly address: string,
     private readonly codec: headerCodec.HeaderCodec,
   ) {}
 
-  get openCount(): number {
-    return this.open.size;
-  }
-
   /** Connections idle for the shortest time come first, so that the others time out. */
   acquire(
     semantics: exchange.ForwardedRequest['semantics'],
@@ -50,27 +44,9 @@
   }
 
   private connect(): upstreamConnection.UpstreamConnection {
-    const { host, port } = splitAddress(this.address);
-    const connection = new upstreamConnection.UpstreamConnection(
-      host,
-      port,
-      this.codec,
-      (closed) => {
-        this.open.delete(closed);
-        this.idle = this.idle.filter((other) => other !== closed);
-      },
-    );
-    this.open.add(connection);
-    return connection;
+    const { host, port } = networkAddress.split(this.address);
+    return new upstreamConnection.UpstreamConnection(host, port, this.codec, (closed) => {
+      this.idle = this.idle.filter((other) => other !== closed);
+    });
   }
 }
-
-export function splitAddress(address: string): { host: string; port: number } {
-  const at = address.lastIndexOf(':');
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
-}
-
-export function isAddress(text: string): boolean {
-  const { host, port } = splitAddress(text);
-  return net.isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port < 65_536;
-}
