fix(mesh): after a lost watch the state is read again

Ruled out: beacons of a node that is cut off (the others took over after 1 s of silence). Now any failure of a watch leads to a new read. The fleet test fails without the change.

--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -195,7 +195,8 @@
       } catch (err) {
         if (signal.aborted) return;
         const failure = failures.of(err);
-        if (failure.type === 'watchExpired') cursor = null;
+        // A store that dropped its history may cut a watch and then answer from the old place with nothing.
+        cursor = null;
         if (!lost)
           this.options.log.belief('store', 'the store was lost', {
             subject: subject.name,
--- a/playground/src/usersPlatform/__tests__/fleet.test.ts
+++ b/playground/src/usersPlatform/__tests__/fleet.test.ts
@@ -141,6 +141,23 @@
     });
   });
 
+  it('learns of a change that its watch never told and whose history is gone', async () => {
+    store.deaf = true;
+    const route = {
+      host: 'shop.example',
+      path_prefix: '/unheard/',
+      kind: 'safe',
+      service: 'shop',
+      timeout_ms: 700,
+    };
+    store.write('config', 'main', spec(12, { 'r-unheard': route }));
+    store.forgetAndCut();
+    await fleet.until('the configuration is in force everywhere', async () => {
+      const answers = await Promise.all(hosts.map((host) => fleet.call(host, '/unheard/')));
+      return answers.every(({ status }) => status === 200);
+    });
+  });
+
   it('refuses an announcement that cannot be read and keeps the server', async () => {
     const res = await fetch(`http://${shop.controlAddress}/-/instances/i-x`, {
       method: 'PUT',
--- a/playground/src/usersPlatform/objectStore.ts
+++ b/playground/src/usersPlatform/objectStore.ts
@@ -44,6 +44,9 @@
 export class ObjectStoreStandIn {
   fault: Fault = 'none';
 
+  /** While set, watches hear of no change. */
+  deaf = false;
+
   /** Calls by method and kind. */
   readonly calls = new Map<string, number>();
 
@@ -57,6 +60,8 @@
 
   private readonly wakers = new Set<() => void>();
 
+  private readonly watching = new Set<net.Socket>();
+
   private readonly server = http.createServer((req, res) => {
     void this.serve(req, res);
   });
@@ -89,6 +94,13 @@
     this.wake();
   }
 
+  /** Drops the history without saying so, and cuts the watches that wait. */
+  forgetAndCut(): void {
+    this.events = [];
+    this.deaf = false;
+    for (const socket of this.watching) socket.resetAndDestroy();
+  }
+
   private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk);
@@ -97,10 +109,11 @@
       req.socket.resetAndDestroy();
       return;
     }
-    const reply =
-      this.fault === 'busy'
-        ? { status: 503, body: {} }
-        : await this.answer(parse(req, Buffer.concat(chunks)));
+    const incoming = parse(req, Buffer.concat(chunks));
+    if (incoming.query.has('watch')) this.watching.add(req.socket);
+    const reply = this.fault === 'busy' ? { status: 503, body: {} } : await this.answer(incoming);
+    this.watching.delete(req.socket);
+    if (req.socket.destroyed) return;
     if (this.fault === 'loseAnswers') {
       req.socket.destroy();
       return;
@@ -152,7 +165,9 @@
     const endMs = performance.now() + Number(query.get('wait_ms') ?? 0);
     while (true) {
       if (since < this.oldestRevision) return { status: 410, body: {} };
-      const events = this.events.filter((event) => event.kind === kind && event.revision > since);
+      const events = this.deaf
+        ? []
+        : this.events.filter((event) => event.kind === kind && event.revision > since);
       const leftMs = endMs - performance.now();
       if (events.length > 0 || leftMs <= 0) {
         const changes = events.map(({ object, deleted }) => ({ object, deleted }));
