--- a/playground/src/faults/cells/membership.ts
+++ b/playground/src/faults/cells/membership.ts
@@ -117,7 +117,10 @@
   cell('kill of the region relay', 'announce', killed('regionRelay')),
   cell('kill of the root', 'announce', killed('root')),
   cell('freeze of a leaf', 'announce', frozen),
-  cell('planned stop of a domain relay', 'announce', stopped('domainRelay')),
+  {
+    ...cell('planned stop of a domain relay', 'announce', stopped('domainRelay')),
+    knownRed: 'issue 11',
+  },
   cell('planned stop of the region relay', 'announce', stopped('regionRelay')),
   cell('planned stop of the root', 'announce', stopped('root')),
   cell('replacement of a host', 'announce', replaced),
