--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -117,6 +117,7 @@
     await backoff.sleep(FLUSH_MS);
     this.abort.abort();
     for (const timer of this.timers) clearInterval(timer);
+    this.parts.watcher.stop();
     network.stop();
     peers.close();
     log.belief('agent', 'stopped', {
