refactor(mesh): fields that nothing reads go

Found on reading the change again: the arrival time of an admitted request, two marks of a connection to the upstream and one export had no reader. Behaviour is unchanged. Run: type check, linter on the touched files, tests of upstream and limits.

--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -1,6 +1,5 @@
 /** The mesh: every node routes, admits, discovers and moves versions; no node is set apart. */
 
-export * as agent from './process/agent.js';
 export * as configuration from './config/configuration.js';
 export * as decisionLog from './observability/decisionLog.js';
 export * as fleetStore from './config/fleetStore.js';
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -22,7 +22,6 @@
 interface Entry extends admissionQueue.Entrant {
   req: exchange.ForwardedRequest;
   signal: AbortSignal;
-  arrivedMs: number;
   settle: (outcome: exchange.Outcome) => void;
 }
 
@@ -103,7 +102,6 @@
       req,
       signal,
       settle,
-      arrivedMs: now,
       priority: req.priority,
       targetAtMs: now + req.targetLeftMs,
       deadlineAtMs: now + req.deadlineLeftMs,
--- a/packages/mesh/src/upstream/upstreamConnection.ts
+++ b/packages/mesh/src/upstream/upstreamConnection.ts
@@ -33,7 +33,7 @@
   | { type: 'answer'; answer: RawAnswer }
   /** Nothing was written, so the request has not run. */
   | { type: 'unsent'; detail: string }
-  | { type: 'broken'; detail: string; answerBegan: boolean };
+  | { type: 'broken'; detail: string };
 
 interface Pending {
   requestId: string;
@@ -67,8 +67,6 @@
 
   private detail = 'connection closed';
 
-  used = false;
-
   constructor(
     host: string,
     port: number,
@@ -109,7 +107,6 @@
         return;
       }
       this.pending = { requestId, settle };
-      this.used = true;
       this.socket.write(bytes);
     });
   }
@@ -211,7 +208,7 @@
     if (pending !== null) {
       const unsent = !this.connected;
       if (unsent) pending.settle({ type: 'unsent', detail });
-      else pending.settle({ type: 'broken', detail, answerBegan: this.incoming !== null });
+      else pending.settle({ type: 'broken', detail });
     }
     this.onIdleClose(this);
   }
