--- a/packages/node/src/metrics/__tests__/metrics.test.ts
+++ b/packages/core/src/__tests__/metrics.test.ts
@@ -16,6 +16,16 @@
     assert.match(meters.render(), /requests_total\{route="a\\"b\\\\c\\nd"\} 1\n/);
   });
 
+  it('states what a metric counts', () => {
+    const meters = new metrics.Metrics();
+    meters.describe({ requests_total: 'Requests by outcome.' });
+    meters.increment('requests_total');
+    assert.match(
+      meters.render(),
+      /# HELP requests_total Requests by outcome\.\n# TYPE requests_total counter\n/,
+    );
+  });
+
   it('renders quantiles, sum and count of a histogram in seconds', () => {
     const meters = new metrics.Metrics();
     for (let ms = 1; ms <= 100; ms++) meters.observeMs('request_seconds', ms);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * as hash from './hash.js';
 export * as ids from './ids.js';
 export * as manifest from './manifest.js';
+export * as metrics from './metrics.js';
 export * as placement from './placement.js';
 export * as problems from './problems.js';
 export * as rendezvous from './rendezvous.js';
--- a/packages/node/src/metrics/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -1,6 +1,6 @@
 /** Counters, gauges and latency histograms, served in the text exposition format. */
 
-import * as hdr from 'hdr-histogram-js';
+import * as perf from 'node:perf_hooks';
 
 export type Labels = Readonly<Record<string, string>>;
 
@@ -54,7 +54,14 @@
 
   private readonly gauges = new Map<string, () => number>();
 
-  private readonly histograms = new Map<string, Family<hdr.Histogram>>();
+  private readonly helpTexts = new Map<string, string>();
+
+  private readonly histograms = new Map<string, Family<perf.RecordableHistogram>>();
+
+  /** One sentence on what a metric counts, and its unit. */
+  describe(texts: Readonly<Record<string, string>>): void {
+    for (const [name, text] of Object.entries(texts)) this.helpTexts.set(name, text);
+  }
 
   increment(name: string, labels: Labels = {}, by = 1): void {
     seriesOf(this.counters, name, labels, () => 0).value += by;
@@ -71,41 +78,50 @@
 
   /** Records a duration in milliseconds. */
   observeMs(name: string, ms: number, labels: Labels = {}): void {
-    const create = () =>
-      hdr.build({ highestTrackableValue: HIGHEST_MICROS, numberOfSignificantValueDigits: 2 });
+    // The histogram of the runtime costs nothing to load; hdr-histogram-js costs 60 ms at each start.
+    const create = () => perf.createHistogram({ lowest: 1, highest: HIGHEST_MICROS, figures: 2 });
     const micros = Math.min(HIGHEST_MICROS, Math.max(1, Math.round(ms * MICROS_PER_MS)));
-    seriesOf(this.histograms, name, labels, create).value.recordValue(micros);
+    seriesOf(this.histograms, name, labels, create).value.record(micros);
   }
 
   /** Text exposition format, one family after the other. */
   render(): string {
     const lines: string[] = [];
     for (const [name, family] of this.counters) {
-      lines.push(`# TYPE ${name} counter`);
+      lines.push(...this.head(name, 'counter'));
       for (const { labels, value } of family.values()) {
         lines.push(`${name}${formatLabels(labels)} ${value}`);
       }
     }
     for (const [name, read] of this.gauges) {
-      lines.push(`# TYPE ${name} gauge`, `${name} ${read()}`);
+      lines.push(...this.head(name, 'gauge'), `${name} ${read()}`);
     }
     for (const [name, family] of this.histograms) {
-      lines.push(`# TYPE ${name} summary`);
+      lines.push(...this.head(name, 'summary'));
       for (const { labels, value } of family.values()) {
         lines.push(...renderSummary(name, labels, value));
       }
     }
     return `${lines.join('\n')}\n`;
   }
+
+  private head(name: string, type: 'counter' | 'gauge' | 'summary'): string[] {
+    const help = this.helpTexts.get(name);
+    return [...(help === undefined ? [] : [`# HELP ${name} ${help}`]), `# TYPE ${name} ${type}`];
+  }
 }
 
-function renderSummary(name: string, labels: Labels, histogram: hdr.Histogram): string[] {
+function renderSummary(
+  name: string,
+  labels: Labels,
+  histogram: perf.RecordableHistogram,
+): string[] {
   const lines = QUANTILES.map((quantile) => {
-    const seconds = histogram.getValueAtPercentile(quantile * 100) / MICROS_PER_MS / 1_000;
+    const seconds = histogram.percentile(quantile * 100) / MICROS_PER_MS / 1_000;
     return `${name}${formatLabels({ ...labels, quantile: String(quantile) })} ${seconds}`;
   });
-  const sumSeconds = (histogram.mean * histogram.totalCount) / MICROS_PER_MS / 1_000;
+  const sumSeconds = (histogram.mean * histogram.count) / MICROS_PER_MS / 1_000;
   lines.push(`${name}_sum${formatLabels(labels)} ${Number.isFinite(sumSeconds) ? sumSeconds : 0}`);
-  lines.push(`${name}_count${formatLabels(labels)} ${histogram.totalCount}`);
+  lines.push(`${name}_count${formatLabels(labels)} ${histogram.count}`);
   return lines;
 }
--- a/packages/node/src/admin/adminServer.ts
+++ b/packages/node/src/admin/adminServer.ts
@@ -3,11 +3,11 @@
 import restify from 'restify';
 import type { Next, Request, RequestHandlerType, Response, Server } from 'restify';
 import { failures, ids, ticket as tickets } from '@godwittrack/core';
+import type { metrics } from '@godwittrack/core';
 import type * as ticketService from '../config/ticketService.js';
 import * as constants from '../constants.js';
 import type * as logging from '../logging.js';
 import * as localMember from '../membership/localMember.js';
-import type * as metrics from '../metrics/metrics.js';
 import * as settings from '../settings.js';
 import type * as auditTrail from './auditTrail.js';
 import type * as statusReport from './statusReport.js';
--- a/packages/node/src/distribution/parentTask.ts
+++ b/packages/node/src/distribution/parentTask.ts
@@ -6,13 +6,12 @@
 
 import type * as grpc from '@grpc/grpc-js';
 import { backoff, failures } from '@godwittrack/core';
-import type { clock } from '@godwittrack/core';
+import type { clock, metrics } from '@godwittrack/core';
 import type { distribution } from '@godwittrack/protocol';
 import * as constants from '../constants.js';
 import type * as logging from '../logging.js';
 import * as contacts from '../membership/contacts.js';
 import * as configStore from '../config/configStore.js';
-import type * as metrics from '../metrics/metrics.js';
 import type * as settings from '../settings.js';
 import * as signals from '../signals.js';
 import * as compression from './compression.js';
--- a/packages/node/src/requests/__tests__/dispatcher.test.ts
+++ b/packages/node/src/requests/__tests__/dispatcher.test.ts
@@ -1,7 +1,6 @@
 import * as assert from 'node:assert/strict';
 import { beforeEach, describe, it } from 'node:test';
-import { clock, failures } from '@godwittrack/core';
-import * as metrics from '../../metrics/metrics.js';
+import { clock, failures, metrics } from '@godwittrack/core';
 import * as balancer from '../balancer.js';
 import * as dispatcher from '../dispatcher.js';
 import * as exchange from '../exchange.js';
--- a/packages/node/src/requests/__tests__/requestFixtures.ts
+++ b/packages/node/src/requests/__tests__/requestFixtures.ts
@@ -3,14 +3,13 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import { once } from 'node:events';
-import { clock, resources } from '@godwittrack/core';
+import { clock, metrics, resources } from '@godwittrack/core';
 import type { configuration, failures, ids } from '@godwittrack/core';
 import type { distribution, requests } from '@godwittrack/protocol';
 import type * as configStore from '../../config/configStore.js';
 import type * as logging from '../../logging.js';
 import * as localMember from '../../membership/localMember.js';
 import * as memberTable from '../../membership/memberTable.js';
-import * as metrics from '../../metrics/metrics.js';
 import type * as settings from '../../settings.js';
 import * as signals from '../../signals.js';
 import * as admission from '../admission.js';
--- a/packages/node/src/requests/dispatcher.ts
+++ b/packages/node/src/requests/dispatcher.ts
@@ -5,11 +5,10 @@
 
 import * as crypto from 'node:crypto';
 import { failures } from '@godwittrack/core';
-import type { configuration } from '@godwittrack/core';
+import type { configuration, metrics } from '@godwittrack/core';
 import type { requests } from '@godwittrack/protocol';
 import type * as configStore from '../config/configStore.js';
 import * as constants from '../constants.js';
-import type * as metrics from '../metrics/metrics.js';
 import type * as settings from '../settings.js';
 import * as attemptTime from './attemptTime.js';
 import type * as balancer from './balancer.js';
--- a/packages/node/src/requests/localDestination.ts
+++ b/packages/node/src/requests/localDestination.ts
@@ -1,11 +1,11 @@
 /** The upstream beside this node as a destination: admission, then one HTTP exchange. */
 
 import { failures } from '@godwittrack/core';
+import type { metrics } from '@godwittrack/core';
 import type { requests } from '@godwittrack/protocol';
 import type * as configStore from '../config/configStore.js';
 import * as constants from '../constants.js';
 import type * as localMember from '../membership/localMember.js';
-import type * as metrics from '../metrics/metrics.js';
 import type * as admission from './admission.js';
 import * as exchange from './exchange.js';
 import * as upstreamClient from './upstreamClient.js';
--- a/packages/node/src/rollouts/rolloutRuntime.ts
+++ b/packages/node/src/rollouts/rolloutRuntime.ts
@@ -4,14 +4,13 @@
  */
 
 import { backoff, failures, ids, rollout as rollouts } from '@godwittrack/core';
-import type { clock, configuration } from '@godwittrack/core';
+import type { clock, configuration, metrics } from '@godwittrack/core';
 import type { objectStore } from '@godwittrack/platform';
 import type { distribution } from '@godwittrack/protocol';
 import type * as auditTrail from '../admin/auditTrail.js';
 import type * as fleetState from '../distribution/fleetState.js';
 import type * as parentTask from '../distribution/parentTask.js';
 import type * as logging from '../logging.js';
-import type * as metrics from '../metrics/metrics.js';
 import * as versionChooser from '../requests/versionChooser.js';
 import * as evidenceMerge from './evidenceMerge.js';
 import * as evidenceRecorder from './evidenceRecorder.js';
--- a/packages/node/src/wiring.ts
+++ b/packages/node/src/wiring.ts
@@ -2,7 +2,7 @@
 
 import 'reflect-metadata';
 import { Container } from 'inversify';
-import { clock } from '@godwittrack/core';
+import { clock, metrics } from '@godwittrack/core';
 import { httpObjectStore } from '@godwittrack/platform';
 import type { objectStore } from '@godwittrack/platform';
 import * as adminServer from './admin/adminServer.js';
@@ -28,7 +28,6 @@
 import * as localMember from './membership/localMember.js';
 import * as memberTable from './membership/memberTable.js';
 import * as roster from './membership/roster.js';
-import * as metrics from './metrics/metrics.js';
 import * as nodeProcess from './nodeProcess.js';
 import * as admission from './requests/admission.js';
 import * as balancer from './requests/balancer.js';
