--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -6,7 +6,9 @@
 import type * as localUpstream from '../membership/localUpstream.js';
 import type * as members from '../membership/members.js';
 import * as decisionLog from '../observability/decisionLog.js';
+import * as meters from '../observability/meters.js';
 import type * as balancer from '../routing/balancer.js';
+import type * as exchange from '../routing/exchange.js';
 
 export const UPSTREAM_ADDRESS = '127.0.0.1:9000';
 
@@ -94,5 +96,27 @@
 }
 
 export function silentLog(): decisionLog.DecisionLog {
-  return new decisionLog.DecisionLog(pino.pino({ level: 'silent' }), () => performance.now());
+  const logger = pino.pino({ level: 'silent' });
+  return new decisionLog.DecisionLog(logger, () => performance.now(), meters.createMeters());
+}
+
+export function forwarded(
+  more: Partial<exchange.ForwardedRequest> = {},
+): exchange.ForwardedRequest {
+  return {
+    requestId: ids.requestId('q'),
+    method: 'GET',
+    target: '/a/?b=c',
+    headers: [],
+    body: Buffer.alloc(0),
+    route: ids.routeName('r'),
+    semantics: 'once',
+    priority: 1,
+    callerService: ids.serviceName('s'),
+    instance: ids.instanceId('i'),
+    targetLeftMs: 100,
+    deadlineLeftMs: 400,
+    estimateMs: 30,
+    ...more,
+  };
 }
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -1,13 +1,16 @@
 /** Serves callers over HTTP/1.1: reads whole requests, dispatches them and writes whole answers. */
 
 import * as http from 'node:http';
-import { ids } from '@godwittrack/core';
+import type * as net from 'node:net';
+import { ids, type metrics } from '@godwittrack/core';
 import type * as configHolder from '../config/configHolder.js';
 import type * as observability from '../observability/decisionLog.js';
+import * as meters from '../observability/meters.js';
 import type * as dispatcher from '../routing/dispatcher.js';
 import * as exchange from '../routing/exchange.js';
 import type * as headerCodec from '../upstream/headerCodec.js';
 import * as networkAddress from '../networkAddress.js';
+import * as attemptAge from './attemptAge.js';
 
 /** Callers may reuse a connection up to the configured idle time; the server waits a little longer. */
 const IDLE_SLACK_MS = 2_000;
@@ -26,6 +29,7 @@
   /** False until the node knows what is in force beside the configuration. */
   isKnown: () => boolean;
   log: observability.DecisionLog;
+  meters: metrics.Metrics;
   nowMs: () => number;
 }
 
@@ -46,6 +50,11 @@
 
   private nextId = 1;
 
+  private readonly attemptAge = new attemptAge.AttemptAge();
+
+  /** Connections on which a request was answered. */
+  private readonly answered = new WeakSet<net.Socket>();
+
   constructor(private readonly options: CallerServerOptions) {
     this.server = http.createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -71,6 +80,7 @@
     options.config.onChange(({ cfg }) => {
       this.server.keepAliveTimeout = cfg.limits.idleTimeoutMs + IDLE_SLACK_MS;
       this.server.headersTimeout = cfg.limits.headerTimeoutMs + IDLE_SLACK_MS;
+      this.attemptAge.retain((route) => cfg.routes[route] !== undefined);
     });
   }
 
@@ -144,6 +154,7 @@
     if (route === null) return { status: 404, message: 'no route' };
     const caller = this.options.codec.readCaller(req.headers);
     const limitMs = Math.min(route.timeoutMs, caller.deadlineMs ?? Infinity);
+    const ageMs = this.ageOf(req.socket, route.name, caller.deadlineMs);
     this.nextId += 1;
     const callerRequest: dispatcher.CallerRequest = {
       requestId: caller.requestId ?? ids.requestId(`none-${this.nextId}`),
@@ -153,11 +164,24 @@
       body,
       route,
       arrivedMs,
+      targetAtMs: arrivedMs + route.targetLatencyMs - ageMs,
       deadlineAtMs: arrivedMs + limitMs,
     };
     return this.withinTime(callerRequest, limitMs, signal);
   }
 
+  /** Time that the caller has spent on earlier attempts; they come on new connections. */
+  private ageOf(socket: net.Socket, route: ids.RouteName, deadlineMs: number | null): number {
+    if (deadlineMs === null) return 0;
+    if (!this.answered.has(socket)) {
+      const ageMs = this.attemptAge.ageOf(route, deadlineMs);
+      if (ageMs > 0) this.options.meters.increment(meters.RETURNING, { route });
+      return ageMs;
+    }
+    this.attemptAge.noteFirst(route, deadlineMs);
+    return 0;
+  }
+
   /** Answers at the end of the route's timeout whatever becomes of the request. */
   private async withinTime(
     req: dispatcher.CallerRequest,
@@ -183,9 +207,22 @@
         limitMs,
       });
     }
+    this.count(req, outcome);
     return outcome;
   }
 
+  private count(req: dispatcher.CallerRequest, outcome: exchange.Outcome | OwnAnswer): void {
+    const { meters: counted, nowMs } = this.options;
+    const route = req.route.name;
+    const type = 'type' in outcome ? outcome.type : 'timeout';
+    const failed = type === 'answer' && (outcome as exchange.Answer).status >= 500;
+    counted.increment(meters.REQUESTS, { route, outcome: failed ? 'failedAnswer' : type });
+    counted.observeMs(meters.REQUEST_SECONDS, nowMs() - req.arrivedMs, { route });
+    if ('type' in outcome && outcome.type === 'refused') {
+      counted.increment(meters.REFUSALS, { reason: outcome.reason });
+    }
+  }
+
   private write(
     req: http.IncomingMessage,
     res: http.ServerResponse,
@@ -224,6 +261,7 @@
   private prepare(req: http.IncomingMessage, res: http.ServerResponse): void {
     // The rest of a body that was not read would be taken for the next request.
     if (!req.complete) res.shouldKeepAlive = false;
+    this.answered.add(req.socket);
   }
 
   private closing(): string[] {
--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -74,7 +74,7 @@
   }
 
   protected take(value: configuration.Configuration | null): void {
-    if (value !== null) this.config.offer(value, 'store');
+    if (value !== null) this.config.offer(value, { origin: 'store', name: 'store' });
   }
 }
 
@@ -123,10 +123,6 @@
     private readonly options: StoreWatcherOptions,
   ) {}
 
-  get isWatching(): boolean {
-    return this.watching;
-  }
-
   /** Whether this node watches and its watch is answered. */
   get inContact(): boolean {
     return this.watching && this.options.nowMs() - this.contactAtMs < CONTACT_LIMIT_MS;
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -5,6 +5,7 @@
 export * as fleetStore from './config/fleetStore.js';
 export * as headerCodec from './upstream/headerCodec.js';
 export * as localUpstream from './membership/localUpstream.js';
+export * as meters from './observability/meters.js';
 export * as members from './membership/members.js';
 export * as phases from './rollouts/phases.js';
 export * as exchange from './routing/exchange.js';
--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -15,7 +15,10 @@
   estimateMs: number;
 }
 
-export type RefusalReason = 'noTimeLeft' | 'queueTooLong' | 'notAccepting';
+/** Reason of a refusal where a similar request, a moment later, would be refused as well. */
+export const QUEUE_TOO_LONG = 'queueTooLong';
+
+export type RefusalReason = 'noTimeLeft' | typeof QUEUE_TOO_LONG | 'notAccepting';
 
 export type Decision =
   | { type: 'run' }
@@ -74,7 +77,7 @@
     const place = this.placeOf(entrant, nowMs);
     const waitMs = this.waitAt(place, entrant.estimateMs);
     if (!this.canWait(entrant, waitMs, nowMs, this.lateCount(nowMs))) {
-      return refuse('queueTooLong', waitMs);
+      return refuse(QUEUE_TOO_LONG, waitMs);
     }
     this.waiting.splice(place, 0, entrant);
     return { type: 'wait' };
@@ -126,7 +129,7 @@
         kept.push(entrant);
       } else {
         const retryAfterMs = clampRetryAfter(waitMs);
-        turn.refused.push({ entrant, reason: 'queueTooLong', retryAfterMs });
+        turn.refused.push({ entrant, reason: QUEUE_TOO_LONG, retryAfterMs });
       }
     }
     this.waiting = kept;
--- a/packages/mesh/src/observability/decisionLog.ts
+++ b/packages/mesh/src/observability/decisionLog.ts
@@ -3,7 +3,9 @@
  * hides no other; what is left out is counted and told with the next line of the kind.
  */
 
+import type { metrics } from '@godwittrack/core';
 import type * as pino from 'pino';
+import * as meters from './meters.js';
 
 /** Lines of one kind in a second. */
 const LINES_PER_SECOND = 10;
@@ -21,6 +23,7 @@
   constructor(
     private readonly logger: pino.Logger,
     private readonly nowMs: () => number,
+    private readonly counted: metrics.Metrics,
   ) {}
 
   /** One line on what was decided for a request. */
@@ -41,6 +44,7 @@
     const allowance = this.allowance(`${component}:${message}`);
     if (allowance.tokens < 1) {
       allowance.suppressed += 1;
+      this.counted.increment(meters.LOG_LINES_DROPPED, { component });
       return;
     }
     allowance.tokens -= 1;
--- /dev/null
+++ b/packages/mesh/src/observability/meters.ts
@@ -0,0 +1,45 @@
+/** Names and meanings of a node's metrics. */
+
+import { metrics } from '@godwittrack/core';
+
+export const REQUESTS = 'godwittrack_requests_total';
+export const REQUEST_SECONDS = 'godwittrack_request_seconds';
+export const REFUSALS = 'godwittrack_refusals_total';
+export const OFFERS = 'godwittrack_offers_total';
+export const RETURNING = 'godwittrack_returning_requests_total';
+export const UPSTREAM_REQUESTS = 'godwittrack_upstream_requests_total';
+export const UPSTREAM_SECONDS = 'godwittrack_upstream_seconds';
+export const WAIT_SECONDS = 'godwittrack_wait_seconds';
+export const STORE_CALLS = 'godwittrack_store_calls_total';
+export const ROLLOUT_PHASES = 'godwittrack_rollout_phases_total';
+export const LOG_LINES_DROPPED = 'godwittrack_log_lines_dropped_total';
+export const CONFIG_VERSION = 'godwittrack_config_version';
+export const MEMBERS = 'godwittrack_members';
+export const MEMBERS_REACHED = 'godwittrack_members_reached';
+export const STORE_WATCHED = 'godwittrack_store_watched';
+export const LOCAL_LOAD = 'godwittrack_upstream_load';
+
+const HELP: Record<string, string> = {
+  [REQUESTS]: 'Requests of callers on this host, by route and by how they ended.',
+  [REQUEST_SECONDS]: 'Time from a request of a caller on this host to its answer, by route.',
+  [REFUSALS]: 'Requests of callers on this host that were refused without being run, by reason.',
+  [OFFERS]: 'Requests offered to an upstream, by distance and by outcome.',
+  [RETURNING]: 'Requests that were taken as repeated by their caller after a refusal, by route.',
+  [UPSTREAM_REQUESTS]: 'Requests for the upstream on this host, by outcome.',
+  [UPSTREAM_SECONDS]: 'Time of requests at the upstream on this host, by route.',
+  [WAIT_SECONDS]: 'Time that requests waited here for the upstream on this host, by route.',
+  [STORE_CALLS]: "Calls to the platform's store, by purpose and by status.",
+  [ROLLOUT_PHASES]: 'Phases of rollouts that came into force here.',
+  [LOG_LINES_DROPPED]: 'Log lines that were left out to bound the volume, by component.',
+  [CONFIG_VERSION]: 'Version of the configuration in force; 0 while there is none.',
+  [MEMBERS]: 'Nodes that are known, this one included.',
+  [MEMBERS_REACHED]: 'Nodes that can be reached, this one included.',
+  [STORE_WATCHED]: 'Whether this node watches the store and is answered: 1 or 0.',
+  [LOCAL_LOAD]: 'Requests running or waiting at the upstream on this host.',
+};
+
+export function createMeters(): metrics.Metrics {
+  const meters = new metrics.Metrics();
+  meters.describe(HELP);
+  return meters;
+}
--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -1,28 +1,19 @@
 import * as assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { failures, ids } from '@godwittrack/core';
+import { failures } from '@godwittrack/core';
 import * as fc from 'fast-check';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as frames from '../frames.js';
 
 const REQUEST: frames.Frame = {
   type: 'request',
+  sentMs: 1_234,
   id: 7,
-  req: {
-    requestId: ids.requestId('q'),
+  req: fixtures.forwarded({
     method: 'POST',
-    target: '/a/?b=c',
     headers: ['Host', 'host.example'],
     body: Buffer.from([0, 255, 13, 10]),
-    route: ids.routeName('r'),
-    semantics: 'once',
-    priority: 1,
-    callerService: ids.serviceName('s'),
-    instance: ids.instanceId('i'),
-    targetLeftMs: 100,
-    deadlineLeftMs: 400,
-    estimateMs: 30,
-  },
+  }),
 };
 
 const FRAMES: frames.Frame[] = [
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -29,6 +29,8 @@
 export interface RequestFrame {
   type: 'request';
   id: number;
+  /** Sender's monotonic clock, whole milliseconds. */
+  sentMs: number;
   req: exchange.ForwardedRequest;
 }
 
@@ -40,6 +42,8 @@
   | { type: 'recall'; upstream: members.UpstreamState }
   | { type: 'cancel'; id: number }
   | { type: 'outcome'; id: number; delivery: exchange.Delivery }
+  /** The sender takes no more requests; those with these ids are still under way there. */
+  | { type: 'goodbye'; running: number[] }
   | { type: 'ping' }
   | { type: 'pong' }
   | { type: 'configDelta'; delta: configuration.ConfigurationDelta }
@@ -64,6 +68,7 @@
   'beacon',
   'rollouts',
   'evidence',
+  'goodbye',
 ];
 
 export function encode(frame: Frame): Buffer {
@@ -78,7 +83,7 @@
   const code = TYPES.indexOf(frame.type);
   switch (frame.type) {
     case 'request':
-      return [code, frame.id, ...packRequest(frame.req)];
+      return [code, frame.id, frame.sentMs, ...packRequest(frame.req)];
     case 'outcome':
       return [code, frame.id, ...packDelivery(frame.delivery)];
     default: {
@@ -93,7 +98,10 @@
   try {
     const [code, first, ...rest] = msgpack.decode(message) as [number, unknown, ...unknown[]];
     const type = TYPES[code];
-    if (type === 'request') return { type, id: first as number, req: unpackRequest(rest) };
+    if (type === 'request') {
+      const [sentMs, ...fields] = rest;
+      return { type, id: first as number, sentMs: sentMs as number, req: unpackRequest(fields) };
+    }
     if (type === 'outcome') return { type, id: first as number, delivery: unpackDelivery(rest) };
     if (type === undefined) throw new Error(`type code ${code}`);
     return { type, ...(first as object) } as Frame;
--- a/packages/mesh/src/peers/peerLink.ts
+++ b/packages/mesh/src/peers/peerLink.ts
@@ -18,6 +18,8 @@
 const SILENCE_LIMIT_MS = 650;
 const WATCH_INTERVAL_MS = 100;
 const UNREACHABLE_RETRY_MS = 50;
+/** A node that stops is back or replaced after a second at least; other nodes are asked meanwhile. */
+const STOPPED_RETRY_MS = 50;
 
 interface Call {
   resolve: (delivery: exchange.Delivery) => void;
@@ -43,6 +45,9 @@
 
   private stopped = false;
 
+  /** The node takes no more requests on this connection. */
+  private dismissed = false;
+
   private nextId = 1;
 
   private readonly calls = new Map<number, Call>();
@@ -73,7 +78,7 @@
 
   /** Whether requests can be sent there. */
   get usable(): boolean {
-    return this.up && this.answered;
+    return this.up && this.answered && !this.dismissed;
   }
 
   get connected(): boolean {
@@ -108,7 +113,9 @@
       const release = () => signal.removeEventListener('abort', cancel);
       if (this.calls.size === 0) this.heardAtMs = performance.now();
       this.calls.set(id, { resolve, release });
-      this.socket!.write(frames.encode({ type: 'request', id, req }));
+      this.socket!.write(
+        frames.encode({ type: 'request', id, sentMs: Math.round(performance.now()), req }),
+      );
       this.startWatch();
     });
   }
@@ -142,6 +149,7 @@
       this.up = true;
       this.backoff.reset();
       this.answered = false;
+      this.dismissed = false;
       socket.write(frames.encode(this.options.hello()));
       socket.write(frames.encode({ type: 'ping' }));
       this.options.onUp(this);
@@ -166,11 +174,26 @@
       this.calls.delete(frame.id);
       call.release();
       call.resolve(frame.delivery);
+    } else if (frame.type === 'goodbye') {
+      this.dismiss(new Set(frame.running));
     } else if (frame.type !== 'pong') {
       this.options.onFrame(this, frame);
     }
   }
 
+  /** Requests that the node has not taken have not run. */
+  private dismiss(running: ReadonlySet<number>): void {
+    this.dismissed = true;
+    for (const [id, call] of this.calls) {
+      if (!running.has(id)) {
+        this.calls.delete(id);
+        call.release();
+        const outcome = exchange.refused('nodeStopped', STOPPED_RETRY_MS);
+        call.resolve({ outcome, report: null });
+      }
+    }
+  }
+
   private lose(detail: string, socket = this.socket): void {
     if (socket === null || socket !== this.socket) return;
     this.socket = null;
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -6,10 +6,12 @@
 import type { failures, ids } from '@godwittrack/core';
 import * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
+import type * as news from '../config/news.js';
 import type * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import type * as evidence from '../rollouts/evidence.js';
 import type * as rolloutBoard from '../rollouts/rolloutBoard.js';
+import * as configurationRequests from './configurationRequests.js';
 import * as frames from './frames.js';
 import * as peerLink from './peerLink.js';
 import type * as peerServer from './peerServer.js';
@@ -33,7 +35,16 @@
 
   private stopping = false;
 
-  constructor(private readonly options: PeerNetworkOptions) {}
+  private readonly requests: configurationRequests.ConfigurationRequests;
+
+  constructor(private readonly options: PeerNetworkOptions) {
+    const { config } = options;
+    this.requests = new configurationRequests.ConfigurationRequests({
+      heldVersion: () => config.version,
+      nowMs: () => performance.now(),
+    });
+    config.onChange(() => this.requests.review());
+  }
 
   /** Null for this node itself and for nodes never heard of. */
   link(node: ids.NodeId): peerLink.PeerLink | null {
@@ -71,8 +82,9 @@
     }
   }
 
-  /** Drops members that have been out of reach for long. */
-  forgetLost(): void {
+  /** Asks again for what was not answered, and drops members that have been out of reach for long. */
+  review(): void {
+    this.requests.review();
     const now = performance.now();
     for (const link of this.links.values()) {
       if (!link.connected && now - link.downSinceMs > FORGET_AFTER_MS) {
@@ -105,16 +117,17 @@
       const remembered = table.get(frame.from.node)?.upstream ?? null;
       this.introduce(frame.from);
       table.setUpstream(frame.from.node, frame.upstream);
-      rollouts.merge(frame.rollouts, 'peer');
+      rollouts.merge(frame.rollouts, this.originOf(frame.from.domain));
       if (frame.rolloutsKnown) rollouts.setKnown();
-      if (frame.configVersion > config.version) session.tell(this.want());
+      this.want(session, frame.configVersion);
       if (frame.upstream === null && remembered !== null && !remembered.leaving) {
         session.tell({ type: 'recall', upstream: remembered });
       }
       return;
     }
-    const from = session.hello?.from.node;
-    if (from === undefined) return;
+    if (session.hello === null) return;
+    const { node: from, domain } = session.hello.from;
+    const origin = this.originOf(domain);
     switch (frame.type) {
       case 'upstream':
         table.setUpstream(from, frame.upstream);
@@ -123,14 +136,14 @@
         this.takeDelta(session, frame.delta);
         break;
       case 'configWhole':
-        config.offer(frame.cfg, `node ${from}`);
+        config.offer(frame.cfg, { origin, name: `node ${from}` });
         break;
       case 'beacon':
         onBeacon(from);
-        if (frame.configVersion > config.version) session.tell(this.want());
+        this.want(session, frame.configVersion);
         break;
       case 'rollouts':
-        rollouts.merge(frame.states, 'peer');
+        rollouts.merge(frame.states, origin);
         break;
       case 'evidence':
         onEvidence(frame.report);
@@ -145,8 +158,14 @@
     for (const link of this.links.values()) link.stop();
   }
 
-  private want(): frames.Frame {
-    return { type: 'configWanted', heldVersion: this.options.config.version };
+  private originOf(domain: ids.DomainName): news.Origin {
+    return domain === this.options.table.self.domain ? 'domain' : 'remote';
+  }
+
+  private want(session: peerServer.PeerSession, version: number): void {
+    const { config } = this.options;
+    const ask = () => session.tell({ type: 'configWanted', heldVersion: config.version });
+    this.requests.offered({ version, ask });
   }
 
   private takeDelta(
@@ -155,12 +174,14 @@
   ): void {
     const { config } = this.options;
     if (delta.version <= config.version) return;
-    const held = config.current?.cfg;
-    if (held === undefined || held.version !== delta.base) {
-      session.tell(this.want());
+    const base = config.find(delta.base);
+    if (base === null) {
+      this.want(session, delta.version);
       return;
     }
-    config.offer(configuration.applyDelta(held, delta), `node ${session.hello!.from.node}`);
+    const { node, domain } = session.hello!.from;
+    const source = { origin: this.originOf(domain), name: `node ${node}` };
+    config.offer(configuration.applyDelta(base, delta), source);
   }
 
   private createLink(address: members.NodeAddress): peerLink.PeerLink {
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -3,6 +3,7 @@
 import * as net from 'node:net';
 import * as exchange from '../routing/exchange.js';
 import * as frames from './frames.js';
+import * as transitDelay from './transitDelay.js';
 
 /** Wait that is named to callers of a node that stops. */
 const STOPPING_RETRY_MS = 50;
@@ -24,6 +25,11 @@
 
   readonly running = new Map<number, AbortController>();
 
+  readonly transit = new transitDelay.TransitDelay();
+
+  /** The other node was told that further requests are not taken. */
+  closing = false;
+
   constructor(readonly socket: net.Socket) {}
 
   tell(frame: frames.Frame): void {
@@ -61,6 +67,18 @@
     this.refusing = true;
   }
 
+  /**
+   * Tells other nodes that requests which they have sent and which are not under way here have not run
+   * and will not run, so that they need not be given up as lost when the connections end.
+   */
+  sayGoodbye(): void {
+    this.server.close();
+    for (const session of this.sessions) {
+      session.closing = true;
+      session.tell({ type: 'goodbye', running: [...session.running.keys()] });
+    }
+  }
+
   close(): void {
     this.server.close();
     for (const session of this.sessions) session.socket.destroy();
@@ -103,7 +121,11 @@
     }
   }
 
-  private async serve(session: Session, { id, req }: frames.RequestFrame): Promise<void> {
+  private async serve(session: Session, frame: frames.RequestFrame): Promise<void> {
+    // The other node has learned by the goodbye that this request is not run.
+    if (session.closing) return;
+    const { id } = frame;
+    const req = arrived(frame, session.transit.note(frame.sentMs, performance.now()));
     if (this.refusing) {
       const outcome = exchange.refused('nodeStopping', STOPPING_RETRY_MS);
       session.tell({ type: 'outcome', id, delivery: { outcome, report: null } });
@@ -116,3 +138,13 @@
     session.tell({ type: 'outcome', id, delivery });
   }
 }
+
+/** The request with the time that is left after its way here. */
+function arrived({ req }: frames.RequestFrame, heldUpMs: number): exchange.ForwardedRequest {
+  const { targetLeftMs, deadlineLeftMs } = req;
+  return {
+    ...req,
+    targetLeftMs: targetLeftMs - heldUpMs,
+    deadlineLeftMs: deadlineLeftMs - heldUpMs,
+  };
+}
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -4,6 +4,7 @@
 import type * as callerServer from '../callers/callerServer.js';
 import type * as configHolder from '../config/configHolder.js';
 import type * as fleetStore from '../config/fleetStore.js';
+import * as news from '../config/news.js';
 import * as storeWatcher from '../config/storeWatcher.js';
 import type * as localUpstream from '../membership/localUpstream.js';
 import type * as members from '../membership/members.js';
@@ -82,7 +83,7 @@
     this.every(REVIEW_INTERVAL_MS, () => {
       watcher.review();
       controller.tick();
-      network.forgetLost();
+      network.review();
     });
     this.every(storeWatcher.BEACON_INTERVAL_MS, () => this.sendBeacon());
     this.every(EVIDENCE_INTERVAL_MS, () => this.sendEvidence());
@@ -95,7 +96,6 @@
     const { log, network, callers, settings, nowMs, peers, self, store } = this.parts;
     const askedMs = nowMs();
     log.belief('agent', 'stop was asked for', { inFlight: callers.inFlightCount });
-    this.parts.watcher.stop();
     if (self.upstream === null || !self.upstream.accepting) {
       store.unregisterNode(self).catch((err: unknown) => {
         log.belief('agent', 'the node could not be unregistered', { failure: failures.of(err) });
@@ -113,6 +113,7 @@
       if (nowMs() > refuseAtMs) callers.refuseNew();
       await backoff.sleep(STOP_POLL_MS);
     }
+    peers.sayGoodbye();
     callers.closeIdle();
     await backoff.sleep(FLUSH_MS);
     this.abort.abort();
@@ -134,18 +135,22 @@
       recorder.reset();
     });
     config.onChange(({ cfg }, previous, source) => {
-      log.belief('config', 'a configuration is in force', { version: cfg.version, source });
-      if (this.parts.watcher.isWatching) {
-        network.announceConfiguration(cfg, previous, (member) => this.hearsFromHere(member));
-      }
+      log.belief('config', 'a configuration is in force', {
+        version: cfg.version,
+        source: source.name,
+      });
+      // After a start the others hold at least as much.
+      if (previous === null && source.origin !== 'store') return;
+      const audience = news.audienceOf(source.origin);
+      if (audience === 'nobody') return;
+      network.announceConfiguration(cfg, previous, (member) => this.isIn(audience, member));
     });
-    board.onChange((state, source) => {
+    board.onChange((state, origin) => {
       if (state.phase === 'held') recorder.reset();
-      if (source === 'peer') return;
-      const everyone = source === 'self';
-      network.broadcast(
-        { type: 'rollouts', states: [state] },
-        (member) => everyone || this.hearsFromHere(member),
+      const audience = news.audienceOf(origin);
+      if (audience === 'nobody') return;
+      network.broadcast({ type: 'rollouts', states: [state] }, (member) =>
+        this.isIn(audience, member),
       );
     });
     recorder.onVeto((state, reason) => {
@@ -161,16 +166,18 @@
     network.broadcast({ type: 'upstream', upstream: self.upstream });
   }
 
-  /** Nodes that this node passes news from the store to: its domain, and one node of each other. */
-  private hearsFromHere(member: members.Member): boolean {
+  private isIn(audience: news.Audience, member: members.Member): boolean {
     const { self, network } = this.parts;
+    if (audience === 'everyone') return true;
     if (member.domain === self.domain) return true;
+    if (audience === 'domain') return false;
     return storeWatcher.watcherOf(member.domain, network.reachable()) === member.node;
   }
 
   private sendBeacon(): void {
     const { watcher, network, config, self } = this.parts;
-    if (!watcher.inContact) return;
+    // A node about to stop goes on watching, but lets the next one take over.
+    if (this.stopping || !watcher.inContact) return;
     const beacon = { type: 'beacon', configVersion: config.version } as const;
     network.broadcast(beacon, ({ domain }) => domain === self.domain);
   }
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -1,6 +1,6 @@
 /** Builds a node of the mesh from its settings and from what the platform's adapter provides. */
 
-import type { ids } from '@godwittrack/core';
+import type { ids, metrics } from '@godwittrack/core';
 import * as random from 'pure-rand/generator/xoroshiro128plus';
 import * as uniform from 'pure-rand/distribution/uniformFloat64';
 import * as pino from 'pino';
@@ -12,6 +12,7 @@
 import * as localUpstream from '../membership/localUpstream.js';
 import * as members from '../membership/members.js';
 import * as decisionLog from '../observability/decisionLog.js';
+import * as meters from '../observability/meters.js';
 import * as peerNetwork from '../peers/peerNetwork.js';
 import * as peerServer from '../peers/peerServer.js';
 import * as evidence from '../rollouts/evidence.js';
@@ -57,6 +58,7 @@
   agent: agent.Agent;
   upstream: localUpstream.LocalUpstream;
   log: decisionLog.DecisionLog;
+  meters: metrics.Metrics;
   /** Takes settings that changed while the process runs. */
   reload(settings: MeshSettings): void;
 }
@@ -64,7 +66,7 @@
 /** Log lines that wait for a slow reader; further ones are dropped. */
 const MAX_LOG_BYTES = 1024 * 1024;
 
-export function createLog(name: string): decisionLog.DecisionLog {
+export function createLog(name: string, counted: metrics.Metrics): decisionLog.DecisionLog {
   const destination = pino.destination({
     fd: 1,
     sync: false,
@@ -75,13 +77,14 @@
     { base: { node: name }, timestamp: pino.stdTimeFunctions.epochTime },
     destination,
   );
-  return new decisionLog.DecisionLog(logger, () => performance.now());
+  return new decisionLog.DecisionLog(logger, () => performance.now(), counted);
 }
 
 export function createMesh(
   initial: MeshSettings,
   platform: MeshPlatform,
   log: decisionLog.DecisionLog,
+  counted: metrics.Metrics,
 ): Mesh {
   let settings = initial;
   const nowMs = () => performance.now();
@@ -101,6 +104,7 @@
     pool: new upstreamPool.UpstreamPool(settings.upstreamAddress, platform.codec),
     codec: platform.codec,
     log,
+    meters: counted,
     evidence: recorder,
     mayServe: (service, version) => board.mayServe(service, version),
     nowMs,
@@ -141,10 +145,17 @@
       () => table.size,
     ),
     log,
+    meters: counted,
     callerService: () => settings.service,
     random: nextRandom,
     nowMs,
   });
+  counted.gauge(meters.CONFIG_VERSION, () => config.version);
+  counted.gauge(meters.MEMBERS, () => table.size);
+  counted.gauge(meters.MEMBERS_REACHED, () => network.reachable().length);
+  counted.gauge(meters.STORE_WATCHED, () => Number(watcher.inContact));
+  counted.gauge(meters.LOCAL_LOAD, () => local.load);
+  board.onChange(({ phase }) => counted.increment(meters.ROLLOUT_PHASES, { phase }));
   const parts: agent.AgentParts = {
     settings,
     self,
@@ -164,6 +175,7 @@
       isKnown: () => board.isKnown,
       codec: platform.codec,
       log,
+      meters: counted,
       nowMs,
     }),
     watcher,
@@ -184,7 +196,7 @@
   const reload = (next: MeshSettings) => {
     settings = next;
   };
-  return { agent: new agent.Agent(parts), upstream, log, reload };
+  return { agent: new agent.Agent(parts), upstream, log, meters: counted, reload };
 }
 
 function recall(upstream: localUpstream.LocalUpstream, state: members.UpstreamState): void {
--- a/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
+++ b/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
@@ -30,8 +30,8 @@
         const forwards = board();
         const backwards = board();
         const state = (one: phases.Phase) => ({ ...ORDER, phase: one, reason: null });
-        for (const one of heard) forwards.merge([state(one)], 'peer');
-        for (const one of [...heard].reverse()) backwards.merge([state(one)], 'peer');
+        for (const one of heard) forwards.merge([state(one)], 'domain');
+        for (const one of [...heard].reverse()) backwards.merge([state(one)], 'domain');
         assert.deepEqual(forwards.split('shop'), backwards.split('shop'));
         assert.equal(forwards.mayServe('shop', 'v2'), !heard.includes('rolledBack'));
       }),
@@ -49,7 +49,7 @@
 
   it('follows the final record of the store over what a node believed', () => {
     const subject = board();
-    subject.merge([{ ...ORDER, phase: 'rolledBack', reason: 'failures' }], 'peer');
+    subject.merge([{ ...ORDER, phase: 'rolledBack', reason: 'failures' }], 'domain');
     subject.learn({ ...ORDER, recorded: 'completed', revision: 3 });
     assert.equal(subject.mayServe('shop', 'v2'), true);
   });
--- a/packages/mesh/src/rollouts/rolloutBoard.ts
+++ b/packages/mesh/src/rollouts/rolloutBoard.ts
@@ -4,10 +4,11 @@
  */
 
 import type { ids } from '@godwittrack/core';
+import type * as news from '../config/news.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as phases from './phases.js';
 
-type Listener = (state: phases.RolloutState, source: string) => void;
+type Listener = (state: phases.RolloutState, origin: news.Origin) => void;
 
 interface Held {
   state: phases.RolloutState;
@@ -72,11 +73,11 @@
     const phase =
       record.recorded === null || record.recorded === 'running' ? 'held' : record.recorded;
     const { service, target, durationMs } = record;
-    this.take({ service, target, durationMs, phase, reason: null }, 'store', true);
+    this.take({ service, target, durationMs, phase, reason: null }, 'store');
   }
 
-  merge(states: readonly phases.RolloutState[], source: string): void {
-    for (const state of states) this.take(state, source, false);
+  merge(states: readonly phases.RolloutState[], origin: news.Origin): void {
+    for (const state of states) this.take(state, origin);
   }
 
   /** Moves a rollout on; going back is without effect. */
@@ -87,7 +88,7 @@
     reason: string | null,
   ): void {
     const held = this.rollouts.get(keyOf(service, target));
-    if (held !== undefined) this.take({ ...held.state, phase, reason }, 'self', false);
+    if (held !== undefined) this.take({ ...held.state, phase, reason }, 'self');
   }
 
   /** False for versions that were taken back. */
@@ -107,7 +108,8 @@
     return { target: newest.state.target, share: phases.TARGET_SHARE[newest.state.phase] };
   }
 
-  private take(next: phases.RolloutState, source: string, fromStore: boolean): void {
+  private take(next: phases.RolloutState, origin: news.Origin): void {
+    const fromStore = origin === 'store';
     const key = keyOf(next.service, next.target);
     const held = this.rollouts.get(key);
     if (held === undefined) {
@@ -123,8 +125,8 @@
       held.state = { ...held.state, phase, reason: next.reason };
     }
     const { state } = this.rollouts.get(key)!;
-    this.log.belief('rollouts', 'a rollout has a new phase', { ...state, source });
-    for (const listener of this.listeners) listener(state, source);
+    this.log.belief('rollouts', 'a rollout has a new phase', { ...state, origin });
+    for (const listener of this.listeners) listener(state, origin);
   }
 }
 
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -4,6 +4,7 @@
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as retryBudget from '../../limits/retryBudget.js';
 import * as members from '../../membership/members.js';
+import * as meters from '../../observability/meters.js';
 import * as rolloutBoard from '../../rollouts/rolloutBoard.js';
 import * as balancer from '../balancer.js';
 import * as dispatcher from '../dispatcher.js';
@@ -60,6 +61,7 @@
       observations: new observations.Observations(() => 0),
       budget,
       log,
+      meters: meters.createMeters(),
       callerService: () => ids.serviceName('shop'),
       random: () => 0.5,
       nowMs: () => 0,
@@ -79,6 +81,7 @@
       body: Buffer.alloc(0),
       route: fixtures.route('r', { semantics, maxUpstreams }),
       arrivedMs: 0,
+      targetAtMs: 300,
       deadlineAtMs: 1_000,
     };
     return build(scripts).dispatch(req, new AbortController().signal);
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -1,10 +1,12 @@
 /** Takes one request from its route to an answer: chooses upstreams, and repeats where it may. */
 
-import type { ids } from '@godwittrack/core';
+import type { ids, metrics } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
+import * as admissionQueue from '../limits/admissionQueue.js';
 import type * as retryBudget from '../limits/retryBudget.js';
 import * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
+import * as meters from '../observability/meters.js';
 import type * as rolloutBoard from '../rollouts/rolloutBoard.js';
 import type * as balancer from './balancer.js';
 import * as exchange from './exchange.js';
@@ -13,6 +15,8 @@
 
 /** Upstreams that are offered a request before it is refused; offers that are refused cost little. */
 const MAX_OFFERS = 4;
+/** Shortest wait that is named: a round trip between regions and the time to connect. */
+const MIN_RETRY_MS = 40;
 /** Wait that is named where nothing better is known. */
 const DEFAULT_RETRY_MS = 100;
 
@@ -25,6 +29,8 @@
   route: configuration.Route;
   /** Monotonic time at which it came in. */
   arrivedMs: number;
+  /** Monotonic time until which its answer is worth most, counted from the caller's first attempt. */
+  targetAtMs: number;
   /** Monotonic time by which it must be answered. */
   deadlineAtMs: number;
 }
@@ -40,6 +46,7 @@
   observations: observations.Observations;
   budget: retryBudget.RetryBudget;
   log: observability.DecisionLog;
+  meters: metrics.Metrics;
   callerService: () => ids.ServiceName;
   /** In [0, 1). */
   random: () => number;
@@ -129,11 +136,12 @@
     const demand = {
       serviceMs: seen.serviceMs(req.route.name, req.route.targetLatencyMs),
       answerBytes: seen.answerBytes(req.route.name),
-      targetLeftMs: req.arrivedMs + req.route.targetLatencyMs - now,
+      targetLeftMs: req.targetAtMs - now,
       deadlineLeftMs: req.deadlineAtMs - now,
     };
+    const open = this.withoutFull(eligible, req.route.name, demand.targetLeftMs, progress);
     const choice = this.options.balancer.choose(
-      eligible.map((member) => this.candidate(member, req.route.name, demand.serviceMs)),
+      open.map((member) => this.candidate(member, req.route.name, demand.serviceMs)),
       demand,
     );
     if (choice === null) {
@@ -143,6 +151,23 @@
     return this.options.table.get(choice.candidate.node)!;
   }
 
+  /** Leaves out nodes that had no room a moment ago: asking them again only delays the refusal. */
+  private withoutFull(
+    eligible: members.Member[],
+    route: ids.RouteName,
+    targetLeftMs: number,
+    progress: Progress,
+  ): members.Member[] {
+    let shortestMs = Infinity;
+    const open = eligible.filter(({ node }) => {
+      const fullMs = this.options.observations.fullForMs(node, route, targetLeftMs);
+      if (fullMs > 0) shortestMs = Math.min(shortestMs, fullMs);
+      return fullMs === 0;
+    });
+    if (open.length === 0) progress.retryAfterMs = Math.max(MIN_RETRY_MS, shortestMs);
+    return open;
+  }
+
   private usableMembers(
     service: ids.ServiceName,
     tried: ReadonlySet<ids.NodeId>,
@@ -197,11 +222,14 @@
     if (destination === null) return null;
     const mine = (this.outstanding.get(node) ?? 0) + 1;
     this.outstanding.set(node, mine);
-    const { outcome, report } = await destination.send(this.forward(req, member.upstream!), signal);
+    const forwarded = this.forward(req, member.upstream!);
+    const { outcome, report } = await destination.send(forwarded, signal);
     const left = this.outstanding.get(node)! - 1;
     this.outstanding.set(node, left);
+    const distance = members.distanceBetween(table.self, member);
+    this.options.meters.increment(meters.OFFERS, { distance, outcome: outcome.type });
     if (report !== null) seen.recordReport(node, req.route.name, report, left);
-    return this.judge(req, node, outcome, progress);
+    return this.judge(req, node, outcome, progress, forwarded.targetLeftMs);
   }
 
   private judge(
@@ -209,11 +237,15 @@
     node: ids.NodeId,
     outcome: exchange.Outcome,
     progress: Progress,
+    targetLeftMs: number,
   ): exchange.Outcome | null {
     const { observations: seen } = this.options;
     if (outcome.type === 'refused') {
       progress.retryAfterMs = outcome.retryAfterMs;
       progress.reason = outcome.reason;
+      if (outcome.reason === admissionQueue.QUEUE_TOO_LONG) {
+        seen.recordFull(node, req.route.name, targetLeftMs, outcome.retryAfterMs);
+      }
       if (outcome.reachedUpstream) {
         progress.sends += 1;
         seen.recordFailure(node);
@@ -261,7 +293,7 @@
       priority: route.priority,
       callerService: this.options.callerService(),
       instance: upstream.instance,
-      targetLeftMs: req.arrivedMs + route.targetLatencyMs - now,
+      targetLeftMs: req.targetAtMs - now,
       deadlineLeftMs: req.deadlineAtMs - now,
       estimateMs: this.options.observations.serviceMs(route.name, route.targetLatencyMs),
     };
--- a/packages/mesh/src/routing/observations.ts
+++ b/packages/mesh/src/routing/observations.ts
@@ -11,19 +11,39 @@
 const FAILURE_HALF_LIFE_MS = 3_000;
 /** Time in which half of a difference from the usual time is forgotten, so that slow ones are tried again. */
 const TYPICAL_HALF_LIFE_MS = 3_000;
+/** Part of the wait that a full node stated for which it is not asked again. */
+const FULL_PART = 0.5;
+/** Longest time for which a full node is not asked again; room can come up at any moment. */
+const MAX_FULL_MS = 100;
 /** Time in which half of a reported load is taken as done. */
 const LOAD_HALF_LIFE_MS = 250;
 
 export class MovingAverage {
   private held: number | null = null;
 
+  private heldDeviation: number | null = null;
+
   add(sample: number): void {
-    this.held = this.held === null ? sample : this.held + SAMPLE_WEIGHT * (sample - this.held);
+    if (this.held === null) {
+      this.held = sample;
+      return;
+    }
+    const apart = Math.abs(sample - this.held);
+    this.held += SAMPLE_WEIGHT * (sample - this.held);
+    this.heldDeviation =
+      this.heldDeviation === null
+        ? apart
+        : this.heldDeviation + SAMPLE_WEIGHT * (apart - this.heldDeviation);
   }
 
   get value(): number | null {
     return this.held;
   }
+
+  /** Mean distance of samples from the average; null before the second sample. */
+  get deviation(): number | null {
+    return this.heldDeviation;
+  }
 }
 
 interface Reported {
@@ -31,6 +51,13 @@
   atMs: number;
 }
 
+/** A node had no room for a request. */
+interface Full {
+  untilMs: number;
+  /** Time that the request had until its target latency; one with more may still find room. */
+  targetLeftMs: number;
+}
+
 interface NodeObservations {
   failures: number;
   successes: number;
@@ -39,6 +66,7 @@
   loadOfOthers: Reported;
   /** Usual time at the upstream by route. */
   typicalMs: Map<ids.RouteName, Reported>;
+  full: Map<ids.RouteName, Full>;
 }
 
 interface RouteObservations {
@@ -76,6 +104,19 @@
     return load.value * 0.5 ** ((this.nowMs() - load.atMs) / LOAD_HALF_LIFE_MS);
   }
 
+  /** @returns time after which a node that was full is asked again; 0 where it may be asked now */
+  fullForMs(node: ids.NodeId, route: ids.RouteName, targetLeftMs: number): number {
+    const full = this.nodes.get(node)?.full.get(route);
+    if (full === undefined || targetLeftMs > full.targetLeftMs) return 0;
+    return Math.max(0, full.untilMs - this.nowMs());
+  }
+
+  /** A node had no room for a request and stated a wait. */
+  recordFull(node: ids.NodeId, route: ids.RouteName, targetLeftMs: number, waitMs: number): void {
+    const untilMs = this.nowMs() + Math.min(MAX_FULL_MS, waitMs * FULL_PART);
+    this.node(node).full.set(route, { untilMs, targetLeftMs });
+  }
+
   failureShare(node: ids.NodeId): number {
     if (!this.nodes.has(node)) return 0;
     const { failures, successes } = this.outcome(node);
@@ -126,7 +167,14 @@
     if (seen === undefined) {
       const atMs = this.nowMs();
       const loadOfOthers = { value: 0, atMs };
-      seen = { failures: 0, successes: 0, decayedAtMs: atMs, loadOfOthers, typicalMs: new Map() };
+      seen = {
+        failures: 0,
+        successes: 0,
+        decayedAtMs: atMs,
+        loadOfOthers,
+        typicalMs: new Map(),
+        full: new Map(),
+      };
       this.nodes.set(node, seen);
     }
     return seen;
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -1,8 +1,11 @@
 /** Serves requests at the upstream beside this node: admits, sends, and judges the answer. */
 
+import type { metrics } from '@godwittrack/core';
 import * as admissionQueue from '../limits/admissionQueue.js';
+import * as targetMargin from '../limits/targetMargin.js';
 import type * as localUpstream from '../membership/localUpstream.js';
 import type * as observability from '../observability/decisionLog.js';
+import * as meters from '../observability/meters.js';
 import * as exchange from '../routing/exchange.js';
 import type * as evidence from '../rollouts/evidence.js';
 import * as observations from '../routing/observations.js';
@@ -20,6 +23,7 @@
 const ADVANCE_INTERVAL_MS = 25;
 
 interface Entry extends admissionQueue.Entrant {
+  arrivedMs: number;
   req: exchange.ForwardedRequest;
   signal: AbortSignal;
   settle: (outcome: exchange.Outcome) => void;
@@ -30,6 +34,7 @@
   pool: upstreamPool.UpstreamPool;
   codec: headerCodec.HeaderCodec;
   log: observability.DecisionLog;
+  meters: metrics.Metrics;
   evidence: evidence.EvidenceRecorder;
   /** False for versions that were taken back. */
   mayServe: (service: string, version: string) => boolean;
@@ -98,14 +103,19 @@
     settle: (outcome: exchange.Outcome) => void,
   ): void {
     const now = this.options.nowMs();
+    const seen = this.serviceTimes.get(req.route);
+    const estimateMs = seen?.value ?? req.estimateMs;
+    const { targetLeftMs } = req;
+    const marginMs = targetMargin.targetMargin(estimateMs, seen?.deviation ?? null, targetLeftMs);
     const entry: Entry = {
+      arrivedMs: now,
       req,
       signal,
       settle,
       priority: req.priority,
-      targetAtMs: now + req.targetLeftMs,
+      targetAtMs: now + targetLeftMs - marginMs,
       deadlineAtMs: now + req.deadlineLeftMs,
-      estimateMs: this.serviceTimes.get(req.route)?.value ?? req.estimateMs,
+      estimateMs,
     };
     const decision = this.queue.offer(entry, now);
     if (decision.type === 'run') {
@@ -179,6 +189,11 @@
   private record(entry: Entry, outcome: exchange.Outcome, ms: number): void {
     const { req } = entry;
     const { state } = this.options.upstream;
+    const { meters: counted } = this.options;
+    const labels = { route: req.route };
+    counted.increment(meters.UPSTREAM_REQUESTS, { outcome: outcome.type });
+    counted.observeMs(meters.UPSTREAM_SECONDS, ms, labels);
+    counted.observeMs(meters.WAIT_SECONDS, this.options.nowMs() - ms - entry.arrivedMs, labels);
     if (outcome.type === 'answer' && outcome.status < 500) {
       let average = this.serviceTimes.get(req.route);
       if (average === undefined) {
--- a/playground/src/usersPlatform/__tests__/fleet.test.ts
+++ b/playground/src/usersPlatform/__tests__/fleet.test.ts
@@ -70,6 +70,20 @@
     assert.ok(received.deadlineMs > 0 && received.deadlineMs <= 700);
   });
 
+  it('serves counters of requests and of calls to the store', async () => {
+    await fleet.call(shop, '/view/metrics');
+    const res = await fetch(`http://${shop.metricsAddress}/metrics`);
+    const text = await res.text();
+    assert.match(text, /godwittrack_requests_total\{route="r-view",outcome="answer"\} [1-9]/);
+    assert.match(text, /godwittrack_request_seconds_count\{route="r-view"\} [1-9]/);
+    assert.match(
+      text,
+      /godwittrack_store_calls_total\{purpose="POST godwittrack-nodes",status="\d+"\} 1/,
+    );
+    assert.match(text, /godwittrack_config_version [1-9]/);
+    assert.match(text, /# HELP godwittrack_requests_total /);
+  });
+
   it('answers 404 for a route that no configuration has', async () => {
     assert.equal((await fleet.call(shop, '/none/')).status, 404);
   });
--- a/playground/src/usersPlatform/fleet.ts
+++ b/playground/src/usersPlatform/fleet.ts
@@ -3,10 +3,11 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
-import { wiring } from '@godwittrack/mesh';
+import { meters, wiring } from '@godwittrack/mesh';
 import {
   controlServer,
   headers,
+  metricsServer,
   objectClient,
   objectFleetStore,
   settings,
@@ -23,6 +24,7 @@
   callerAddress: string;
   readyAddress: string;
   controlAddress: string;
+  metricsAddress: string;
   stop(): Promise<void>;
 }
 
@@ -50,7 +52,8 @@
   const { name, service, version = 'v1', zone = 'z-a', slots = 4 } = options;
   const app = new application.ApplicationStandIn(service, `i-${name}`, version, slots);
   const appAddress = await app.start();
-  const [outbound, ready, control, peer] = await Promise.all([
+  const [outbound, ready, control, peer, metrics] = await Promise.all([
+    freePort(),
     freePort(),
     freePort(),
     freePort(),
@@ -72,15 +75,19 @@
     service,
     platform: { address: storeAddress },
   });
-  const log = wiring.createLog(name);
-  const client = new objectClient.ObjectClient(storeAddress);
+  const counted = meters.createMeters();
+  const log = wiring.createLog(name, counted);
+  const client = new objectClient.ObjectClient(storeAddress, counted);
   const store = new objectFleetStore.ObjectFleetStore(client, log);
   const codec = new headers.PlatformHeaders();
-  const mesh = wiring.createMesh(resolved.mesh, { store, codec }, log);
+  const mesh = wiring.createMesh(resolved.mesh, { store, codec }, log, counted);
   const listeners = new controlServer.ControlServer(mesh);
+  const metricsListener = new metricsServer.MetricsServer(mesh);
+  const metricsAddress = `127.0.0.1:${metrics}`;
   await Promise.all([
     mesh.agent.start(),
     listeners.listen(resolved.readyAddress, resolved.controlAddress),
+    metricsListener.listen(metricsAddress),
   ]);
   await app.announce(resolved.controlAddress);
   return {
@@ -90,9 +97,11 @@
     callerAddress: resolved.mesh.callerAddress,
     readyAddress: resolved.readyAddress,
     controlAddress: resolved.controlAddress,
+    metricsAddress,
     async stop() {
       await mesh.agent.stop();
       listeners.close();
+      metricsListener.close();
       app.stop();
     },
   };
