feat(cli): explain a request or a rollout from the logs of several nodes

The line of a request that was given up names the nodes that were asked, the wait that was told and the time that was left.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -4,6 +4,7 @@
 import type { BaseContext } from 'clipanion';
 import * as adminCommand from './adminCommand.js';
 import { AuditCommand } from './commands/audit.js';
+import { ExplainRequestCommand, ExplainRolloutCommand } from './commands/explain.js';
 import { HelpCommand } from './commands/help.js';
 import { NodeListCommand } from './commands/nodeList.js';
 import { RolloutListCommand } from './commands/rolloutList.js';
@@ -20,6 +21,8 @@
 
 const COMMANDS = [
   AuditCommand,
+  ExplainRequestCommand,
+  ExplainRolloutCommand,
   HelpCommand,
   NodeListCommand,
   RolloutListCommand,
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -97,13 +97,16 @@
 
   /** Result for a request that gets no further send. */
   private giveUp(req: CallerRequest, progress: Progress): exchange.Outcome {
-    const { started, failure, reason, retryAfterMs, offers } = progress;
+    const { started, failure, reason, retryAfterMs, offers, tried } = progress;
     if (failure !== null) return failure;
     this.options.log.decision('dispatch', req.requestId, 'a request was given up', {
       route: req.route.name,
       reason,
       offers,
       started,
+      tried: [...tried],
+      retryAfterMs: Math.round(retryAfterMs),
+      targetLeftMs: Math.round(req.targetAtMs - this.options.nowMs()),
       ageMs: Math.round(this.options.nowMs() - req.arrivedMs),
     });
     return started > 0 ? exchange.lost(reason) : exchange.refused(reason, retryAfterMs);
