fix(mesh): callers with a connection for each request are taken as returning too

Change: while no attempt on a route has failed at this node for as long as a request may take, all are first ones, since callers come back to the node on their host.

--- a/packages/mesh/src/callers/__tests__/attemptAge.test.ts
+++ b/packages/mesh/src/callers/__tests__/attemptAge.test.ts
@@ -7,9 +7,11 @@
 
 describe('AttemptAge', () => {
   let ages: attemptAge.AttemptAge;
+  let now: number;
 
   beforeEach(() => {
-    ages = new attemptAge.AttemptAge();
+    now = 0;
+    ages = new attemptAge.AttemptAge(() => now);
   });
 
   /** First attempts of callers that wait between 680 and 800 ms. */
@@ -45,6 +47,18 @@
     assert.equal(ages.ageOf(ids.routeName('other'), 100), 0);
   });
 
+  // Callers that open a connection for each request were never taken as returning.
+  it('takes attempts as first ones while none has failed for as long as a request may take', () => {
+    assert.equal(ages.isCalm(ROUTE, 800), false);
+    now = 801;
+    assert.equal(ages.isCalm(ROUTE, 800), true);
+    ages.noteFailed(ROUTE);
+    now = 1_601;
+    assert.equal(ages.isCalm(ROUTE, 800), false);
+    now = 1_602;
+    assert.equal(ages.isCalm(ROUTE, 800), true);
+  });
+
   it('forgets routes that are gone', () => {
     learn();
     ages.retain(() => false);
--- a/packages/mesh/src/callers/attemptAge.ts
+++ b/packages/mesh/src/callers/attemptAge.ts
@@ -23,12 +23,29 @@
   /** Shortest deadline that first attempts usually state; 0 until enough are known. */
   lowestMs: number;
   middleMs: number;
+  /** Monotonic time of the last attempt that may be repeated; at first that of the first attempt. */
+  failedAtMs: number;
 }
 
 export class AttemptAge {
   private readonly routes = new Map<ids.RouteName, RouteDeadlines>();
 
-  /** Notes an attempt that is certainly a first one: it follows an answer on its connection. */
+  constructor(private readonly nowMs: () => number) {}
+
+  /** Notes an attempt whose caller may come back. */
+  noteFailed(route: ids.RouteName): void {
+    this.deadlinesOf(route).failedAtMs = this.nowMs();
+  }
+
+  /**
+   * Whether all attempts of the moment are first ones: callers come back to the same node, and within
+   * the longest time that a request on the route may take.
+   */
+  isCalm(route: ids.RouteName, timeoutMs: number): boolean {
+    return this.nowMs() - this.deadlinesOf(route).failedAtMs > timeoutMs;
+  }
+
+  /** Notes an attempt that is certainly a first one. */
   noteFirst(route: ids.RouteName, deadlineMs: number): void {
     const known = this.deadlinesOf(route);
     known.samples[known.next] = deadlineMs;
@@ -56,7 +73,14 @@
   private deadlinesOf(route: ids.RouteName): RouteDeadlines {
     let known = this.routes.get(route);
     if (known === undefined) {
-      known = { samples: [], next: 0, sinceRefresh: 0, lowestMs: 0, middleMs: 0 };
+      known = {
+        samples: [],
+        next: 0,
+        sinceRefresh: 0,
+        lowestMs: 0,
+        middleMs: 0,
+        failedAtMs: this.nowMs(),
+      };
       this.routes.set(route, known);
     }
     return known;
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -3,6 +3,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import { ids, type metrics } from '@godwittrack/core';
+import type * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
@@ -50,12 +51,13 @@
 
   private nextId = 1;
 
-  private readonly attemptAge = new attemptAge.AttemptAge();
+  private readonly attemptAge: attemptAge.AttemptAge;
 
   /** Connections on which a request was answered. */
   private readonly answered = new WeakSet<net.Socket>();
 
   constructor(private readonly options: CallerServerOptions) {
+    this.attemptAge = new attemptAge.AttemptAge(options.nowMs);
     this.server = http.createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       requestTimeout: 0,
@@ -154,7 +156,7 @@
     if (route === null) return { status: 404, message: 'no route' };
     const caller = this.options.codec.readCaller(req.headers);
     const limitMs = Math.min(route.timeoutMs, caller.deadlineMs ?? Infinity);
-    const ageMs = this.ageOf(req.socket, route.name, caller.deadlineMs);
+    const ageMs = this.ageOf(req.socket, route, caller.deadlineMs);
     this.nextId += 1;
     const callerRequest: dispatcher.CallerRequest = {
       requestId: caller.requestId ?? ids.requestId(`none-${this.nextId}`),
@@ -170,16 +172,20 @@
     return this.withinTime(callerRequest, limitMs, signal);
   }
 
-  /** Time that the caller has spent on earlier attempts; they come on new connections. */
-  private ageOf(socket: net.Socket, route: ids.RouteName, deadlineMs: number | null): number {
+  /** Time that the caller has spent on earlier attempts; it comes back on a new connection. */
+  private ageOf(
+    socket: net.Socket,
+    { name: route, timeoutMs }: configuration.Route,
+    deadlineMs: number | null,
+  ): number {
     if (deadlineMs === null) return 0;
-    if (!this.answered.has(socket)) {
-      const ageMs = this.attemptAge.ageOf(route, deadlineMs);
-      if (ageMs > 0) this.options.meters.increment(meters.RETURNING, { route });
-      return ageMs;
+    if (this.answered.has(socket) || this.attemptAge.isCalm(route, timeoutMs)) {
+      this.attemptAge.noteFirst(route, deadlineMs);
+      return 0;
     }
-    this.attemptAge.noteFirst(route, deadlineMs);
-    return 0;
+    const ageMs = this.attemptAge.ageOf(route, deadlineMs);
+    if (ageMs > 0) this.options.meters.increment(meters.RETURNING, { route });
+    return ageMs;
   }
 
   /** Answers at the end of the route's timeout whatever becomes of the request. */
@@ -217,6 +223,7 @@
     const type = 'type' in outcome ? outcome.type : 'timeout';
     const failed = type === 'answer' && (outcome as exchange.Answer).status >= 500;
     counted.increment(meters.REQUESTS, { route, outcome: failed ? 'failedAnswer' : type });
+    if (failed || type !== 'answer') this.attemptAge.noteFailed(route);
     counted.observeMs(meters.REQUEST_SECONDS, nowMs() - req.arrivedMs, { route });
     if ('type' in outcome && outcome.type === 'refused') {
       counted.increment(meters.REFUSALS, { reason: outcome.reason });
