--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -41,6 +41,7 @@
   let first: ScriptedDestination;
   let second: ScriptedDestination;
   let budget: retryBudget.RetryBudget;
+  let now: number;
 
   /** Two nodes; the one beside the first upstream is this node, and is asked first. */
   function build(scripts: [exchange.Outcome[], exchange.Outcome[]]): dispatcher.Dispatcher {
@@ -58,22 +59,22 @@
       rollouts: new rolloutBoard.RolloutBoard(log, () => 0),
       balancer: new balancer.Balancer(() => 0),
       split: new splitChooser.SplitChooser(),
-      observations: new observations.Observations(() => 0),
+      observations: new observations.Observations(() => now),
       budget,
       log,
       meters: meters.createMeters(),
       callerService: () => ids.serviceName('shop'),
       random: () => 0.5,
-      nowMs: () => 0,
+      nowMs: () => now,
     });
   }
 
-  function send(
-    scripts: [exchange.Outcome[], exchange.Outcome[]],
+  function request(
     semantics: 'repeatable' | 'once',
     maxUpstreams = 2,
-  ): Promise<exchange.Outcome> {
-    const req = {
+    targetAtMs = 300,
+  ): dispatcher.CallerRequest {
+    return {
       requestId: ids.requestId('q'),
       method: 'GET',
       target: '/r/',
@@ -81,13 +82,22 @@
       body: Buffer.alloc(0),
       route: fixtures.route('r', { semantics, maxUpstreams }),
       arrivedMs: 0,
-      targetAtMs: 300,
+      targetAtMs,
       deadlineAtMs: 1_000,
     };
-    return build(scripts).dispatch(req, new AbortController().signal);
+  }
+
+  function send(
+    scripts: [exchange.Outcome[], exchange.Outcome[]],
+    semantics: 'repeatable' | 'once',
+    maxUpstreams = 2,
+  ): Promise<exchange.Outcome> {
+    const { signal } = new AbortController();
+    return build(scripts).dispatch(request(semantics, maxUpstreams), signal);
   }
 
   beforeEach(() => {
+    now = 0;
     budget = new retryBudget.RetryBudget({ ratio: 0.2, extra: 100 }, () => 1);
     for (let i = 0; i < 100; i += 1) budget.earn(ids.serviceName('shop'));
   });
@@ -149,6 +159,36 @@
     });
   });
 
+  // On days of high load half of all requests made four offers before they were refused, which took
+  // 120 ms of their target of 300 ms.
+  describe('when upstreams have no room', () => {
+    const full = exchange.refused('queueTooLong', 100);
+    const { signal } = new AbortController();
+
+    it('refuses a like request at once and names a wait', async () => {
+      const subject = build([[full], [full]]);
+      await subject.dispatch(request('repeatable'), signal);
+      const outcome = await subject.dispatch(request('repeatable'), signal);
+      assert.deepEqual(outcome, exchange.refused('noRoomInTime', 50));
+      assert.equal(first.received.length + second.received.length, 2);
+    });
+
+    it('still offers a request that has more time', async () => {
+      const subject = build([[full], [full]]);
+      await subject.dispatch(request('repeatable', 2, 200), signal);
+      const outcome = await subject.dispatch(request('repeatable', 2, 300), signal);
+      assert.equal(outcome.type, 'answer');
+    });
+
+    it('asks again after half of the stated wait', async () => {
+      const subject = build([[full], [full]]);
+      await subject.dispatch(request('repeatable'), signal);
+      now = 50;
+      const outcome = await subject.dispatch(request('repeatable'), signal);
+      assert.equal(outcome.type, 'answer');
+    });
+  });
+
   it('names the incarnation that it chose and the time that is left', async () => {
     await send([[], []], 'once');
     const [req] = first.received;
