--- a/packages/mesh/src/upstream/__tests__/upstreamConnection.test.ts
+++ b/packages/mesh/src/upstream/__tests__/upstreamConnection.test.ts
@@ -132,4 +132,39 @@
     );
     assert.equal((await none.send('1', Buffer.from('x'))).type, 'unsent');
   });
+
+  // An answer that ends early must never look whole, wherever it is cut.
+  describe('answers that are cut', () => {
+    const chunked =
+      'HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n';
+    const cases: [string, string][] = [
+      ['by length', answer('1', 'abcde')],
+      ['in chunks', chunked],
+    ];
+
+    /** Sends on a connection of its own; the upstream ends it after so many bytes of its answer. */
+    async function sendCut(whole: string, bytes: number): Promise<upstreamConnection.RawOutcome> {
+      script = (socket) => socket.end(whole.slice(0, bytes));
+      const { port } = server.address() as net.AddressInfo;
+      const cut = new upstreamConnection.UpstreamConnection(
+        '127.0.0.1',
+        port,
+        new TestHeaders(),
+        () => undefined,
+      );
+      return cut.send('1', Buffer.from('GET / HTTP/1.1\r\n\r\n'));
+    }
+
+    async function checkCuts(whole: string): Promise<void> {
+      for (let bytes = 0; bytes < whole.length; bytes += 1) {
+        const raw = await sendCut(whole, bytes);
+        assert.equal(raw.type, 'broken', `cut after ${bytes} bytes: ${whole.slice(0, bytes)}`);
+      }
+      assert.equal(bodyOf(await sendCut(whole, whole.length)), 'abcde');
+    }
+
+    for (const [kind, whole] of cases) {
+      it(`${kind} are lost at every byte`, () => checkCuts(whole));
+    }
+  });
 });
