--- a/playground/src/usersPlatform/__tests__/fleet.test.ts
+++ b/playground/src/usersPlatform/__tests__/fleet.test.ts
@@ -1,8 +1,12 @@
 import * as assert from 'node:assert/strict';
 import { after, before, describe, it } from 'node:test';
+import * as timers from 'node:timers/promises';
 import * as fleet from '../fleet.js';
 import * as objectStore from '../objectStore.js';
 
+/** Between the time at which a stopping node withdraws its upstream and its end. */
+const AFTER_WITHDRAWAL_MS = 1_700;
+
 function spec(version: number, more: object = {}): object {
   const usual = {
     host: 'shop.example',
@@ -226,6 +230,13 @@
     const stopping = other.stop();
     assert.equal(other.mesh.agent.ready, false);
     assert.equal((await pending).status, 200);
+    // Requests that the others sent until the end were cut when the process ended.
+    await timers.setTimeout(AFTER_WITHDRAWAL_MS);
+    const late = await Promise.all(
+      Array.from({ length: 20 }, () => fleet.call(fonts, '/view/withdrawn')),
+    );
+    assert.ok(late.every(({ status }) => status === 200));
+    assert.ok(other.app.received.every(({ target }) => target !== '/view/withdrawn'));
     await stopping;
     hosts.splice(hosts.indexOf(other), 1);
     await fleet.until('the others serve without it', async () => {
