refactor(playground): the fleet of the users' platform uses the harness

It looked for free ports and waited with copies of harness/ports and harness/wait. Its copy could hand out a port that another process took before the node listened; blocks of ports cannot.

--- a/playground/src/usersPlatform/__tests__/fleet.test.ts
+++ b/playground/src/usersPlatform/__tests__/fleet.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import { after, before, describe, it } from 'node:test';
 import * as timers from 'node:timers/promises';
+import * as wait from '../../harness/wait.js';
 import * as fleet from '../fleet.js';
 import * as objectStore from '../objectStore.js';
 
@@ -49,7 +50,7 @@
     fonts = await fleet.startHost(address, { name: 'fonts-1', service: 'fonts', zone: 'z-b' });
     other = await fleet.startHost(address, { name: 'shop-2', service: 'shop', zone: 'z-b' });
     hosts.push(shop, fonts, other);
-    await fleet.until('each node reaches each service', async () => {
+    await wait.waitFor('each node reaches each service', async () => {
       const answers = await Promise.all(
         hosts.flatMap((host) => [fleet.call(host, '/view/a'), fleet.call(host, '/font/a')]),
       );
@@ -101,7 +102,7 @@
       timeout_ms: 700,
     };
     store.write('config', 'main', spec(4, { 'r-new': added }));
-    await fleet.until('the new route is served everywhere', async () => {
+    await wait.waitFor('the new route is served everywhere', async () => {
       const answers = await Promise.all(hosts.map((host) => fleet.call(host, '/new/')));
       return answers.every(({ status }) => status === 200);
     });
@@ -111,7 +112,7 @@
     store.write('config', 'main', { version: 9, routes: 'none' });
     store.write('config', 'main', spec(2));
     store.write('config', 'main', spec(10));
-    await fleet.until('the newest configuration is in force', async () => {
+    await wait.waitFor('the newest configuration is in force', async () => {
       const { status } = await fleet.call(fonts, '/new/');
       return status === 404;
     });
@@ -128,7 +129,7 @@
     assert.ok(answers.every(({ status }) => status === 200));
     shop.app.instance = 'i-shop-1b';
     assert.equal(await shop.app.announce(shop.controlAddress), 200);
-    await fleet.until('the next incarnation is used', async () => {
+    await wait.waitFor('the next incarnation is used', async () => {
       await fleet.call(shop, '/view/');
       return shop.app.received.length > seen;
     });
@@ -153,7 +154,7 @@
         },
       }),
     );
-    await fleet.until('the configuration after the outage is in force', async () => {
+    await wait.waitFor('the configuration after the outage is in force', async () => {
       const answer = await fleet.call(other, '/late/');
       return answer.status === 200;
     });
@@ -170,7 +171,7 @@
     };
     store.write('config', 'main', spec(12, { 'r-unheard': route }));
     store.forgetAndCut();
-    await fleet.until('the configuration is in force everywhere', async () => {
+    await wait.waitFor('the configuration is in force everywhere', async () => {
       const answers = await Promise.all(hosts.map((host) => fleet.call(host, '/unheard/')));
       return answers.every(({ status }) => status === 200);
     });
@@ -208,7 +209,7 @@
       res.writeHead(500);
       res.end('bad');
     };
-    await fleet.until('the version is taken back', async () => {
+    await wait.waitFor('the version is taken back', async () => {
       await Promise.all(Array.from({ length: 20 }, () => fleet.call(shop, '/view/')));
       const status = store.read('rollouts', 'shop')?.status as { state?: string } | null;
       return status?.state === 'rolled_back';
@@ -239,7 +240,7 @@
     assert.ok(other.app.received.every(({ target }) => target !== '/view/withdrawn'));
     await stopping;
     hosts.splice(hosts.indexOf(other), 1);
-    await fleet.until('the others serve without it', async () => {
+    await wait.waitFor('the others serve without it', async () => {
       const answer = await fleet.call(fonts, '/view/');
       return answer.status === 200;
     });
--- a/playground/src/usersPlatform/fleet.ts
+++ b/playground/src/usersPlatform/fleet.ts
@@ -1,9 +1,7 @@
 /** Nodes of the mesh with their application servers, joined to a stand-in of the users' store. */
 
 import * as http from 'node:http';
-import * as net from 'node:net';
-import * as timers from 'node:timers/promises';
-import { meters, wiring } from '@godwittrack/mesh';
+import { meters, networkAddress, wiring } from '@godwittrack/mesh';
 import {
   controlServer,
   headers,
@@ -12,10 +10,11 @@
   objectFleetStore,
   settings,
 } from '@godwittrack/users-platform';
+import * as ports from '../harness/ports.js';
 import * as application from './application.js';
 
-const POLL_MS = 20;
-const WAIT_LIMIT_MS = 10_000;
+/** Addresses that a host listens on. */
+const ADDRESSES = 5;
 
 export interface Host {
   name: string;
@@ -36,40 +35,20 @@
   slots?: number;
 }
 
-async function freePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
-}
-
 export async function startHost(storeAddress: string, options: HostOptions): Promise<Host> {
   const { name, service, version = 'v1', zone = 'z-a', slots = 4 } = options;
   const app = new application.ApplicationStandIn(service, `i-${name}`, version, slots);
   const appAddress = await app.start();
-  const [outbound, ready, control, peer, metrics] = await Promise.all([
-    freePort(),
-    freePort(),
-    freePort(),
-    freePort(),
-    freePort(),
-  ]);
+  const [callerAddress, readyAddress, controlAddress, peerAddress, metricsAddress] =
+    (await ports.allocateAddresses(ADDRESSES)) as [string, string, string, string, string];
+  const peerPort = networkAddress.split(peerAddress).port;
   const resolved = settings.resolveSettings({
     node_name: name,
     ip: '127.0.0.1',
     zone,
     region: 'r-a',
-    listen: {
-      outbound: `127.0.0.1:${outbound}`,
-      ready: `127.0.0.1:${ready}`,
-      control: `127.0.0.1:${control}`,
-    },
-    internal_port_range: [peer, peer],
+    listen: { outbound: callerAddress, ready: readyAddress, control: controlAddress },
+    internal_port_range: [peerPort, peerPort],
     bounds: ['grace_period_s=4', 'retry_budget_ratio=0.2', 'budget_extra_retries=64'],
     app_address: appAddress,
     service,
@@ -83,20 +62,19 @@
   const mesh = wiring.createMesh(resolved.mesh, { store, codec }, log, counted);
   const listeners = new controlServer.ControlServer(mesh);
   const metricsListener = new metricsServer.MetricsServer(mesh);
-  const metricsAddress = `127.0.0.1:${metrics}`;
   await Promise.all([
     mesh.agent.start(),
-    listeners.listen(resolved.readyAddress, resolved.controlAddress),
+    listeners.listen(readyAddress, controlAddress),
     metricsListener.listen(metricsAddress),
   ]);
-  await app.announce(resolved.controlAddress);
+  await app.announce(controlAddress);
   return {
     name,
     app,
     mesh,
-    callerAddress: resolved.mesh.callerAddress,
-    readyAddress: resolved.readyAddress,
-    controlAddress: resolved.controlAddress,
+    callerAddress,
+    readyAddress,
+    controlAddress,
     metricsAddress,
     async stop() {
       await mesh.agent.stop();
@@ -171,13 +149,3 @@
     req.end(body);
   });
 }
-
-/** Waits until `holds`; fails with `what` after the limit. */
-export async function until(what: string, holds: () => boolean | Promise<boolean>): Promise<void> {
-  const endMs = performance.now() + WAIT_LIMIT_MS;
-  while (performance.now() < endMs) {
-    if (await holds()) return;
-    await timers.setTimeout(POLL_MS);
-  }
-  throw new Error(`not within ${WAIT_LIMIT_MS} ms: ${what}`);
-}
