refactor(mesh): one piece of code where there were twins, and dead code goes

Behaviour stays as it is. - The store offers two things to read and watch (fleetStore.Watchable), so the two subjects of the watcher and the four methods of the adapter share one read and one watch. - RouteAverages creates averages by route; localDestination and observations each did. - networkAddress.listen replaces four copies of listening; phases.keyOf and phases.isFinal replace a second key and a second list of final phases; the shortest Retry-After stands once. - Nodes of other domains are ranked once for each piece of news, not once for each member (at 73 nodes 72 rankings for each change). - Answers of the node itself are a case of the tagged union, so casts and key checks go. - LocalUpstream.setDown and PeerLink.outstanding had no caller. Left as they are: the header filters of packages/node and of the mesh, and their address splitting, differ in what they keep; merging would change one. Test fixtures of platform/ and of the fleet each write a configuration, since neither package may import the tests of the other.

--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -18,6 +18,8 @@
 const DEFAULT_IDLE_MS = 20_000;
 /** Accepted by the parser; the configured limit is checked afterwards. */
 const MAX_HEADER_BYTES = 256 * 1024;
+/** New connections that wait to be accepted; callers may open one for each request. */
+const LISTEN_BACKLOG = 1_024;
 /** Wait that is named while no configuration is known. */
 const NO_CONFIG_RETRY_MS = 250;
 /** Wait that is named while the process is about to end. */
@@ -34,7 +36,9 @@
   nowMs: () => number;
 }
 
+/** An answer that no upstream gave. */
 interface OwnAnswer {
+  type: 'own';
   status: number;
   message: string;
   retryAfterMs?: number;
@@ -87,11 +91,7 @@
   }
 
   listen(address: string): Promise<void> {
-    const { host, port } = networkAddress.split(address);
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen({ host, port, backlog: 1_024 }, () => resolve());
-    });
+    return networkAddress.listen(this.server, address, { backlog: LISTEN_BACKLOG });
   }
 
   get inFlightCount(): number {
@@ -126,7 +126,7 @@
       if (!controller.signal.aborted) this.write(req, res, outcome);
     } catch (err) {
       this.options.log.warn('callers', 'a request failed unexpectedly', { err: String(err) });
-      if (!res.headersSent) this.writeOwn(req, res, { status: 502, message: 'internal failure' });
+      if (!res.headersSent) this.writeOwn(req, res, ownAnswer(502, 'internal failure'));
     } finally {
       this.inFlight -= 1;
     }
@@ -139,21 +139,20 @@
   ): Promise<exchange.Outcome | OwnAnswer> {
     if (this.refusing) {
       req.resume();
-      return { status: 503, message: 'this node stops', retryAfterMs: STOPPING_RETRY_MS };
+      return ownAnswer(503, 'this node stops', STOPPING_RETRY_MS);
     }
     const held = this.options.isKnown() ? this.options.config.current : null;
     if (held === null) {
       req.resume();
-      return { status: 503, message: 'no configuration yet', retryAfterMs: NO_CONFIG_RETRY_MS };
+      return ownAnswer(503, 'no configuration yet', NO_CONFIG_RETRY_MS);
     }
     const { limits } = held.cfg;
-    if (headerBytes(req) > limits.maxHeaderBytes)
-      return { status: 431, message: 'headers too large' };
+    if (headerBytes(req) > limits.maxHeaderBytes) return ownAnswer(431, 'headers too large');
     const body = await readBody(req, limits.maxBodyBytes);
-    if (body === null) return { status: 413, message: 'body too large' };
+    if (body === null) return ownAnswer(413, 'body too large');
     if (!req.complete) return exchange.lost('the request ended early');
     const route = held.routes.find(req.headers.host ?? '', req.url ?? '/');
-    if (route === null) return { status: 404, message: 'no route' };
+    if (route === null) return ownAnswer(404, 'no route');
     const caller = this.options.codec.readCaller(req.headers);
     const limitMs = Math.min(route.timeoutMs, caller.deadlineMs ?? Infinity);
     const ageMs = this.ageOf(req.socket, route, caller.deadlineMs);
@@ -199,14 +198,14 @@
     signal.addEventListener('abort', stop, { once: true });
     let timer: NodeJS.Timeout | undefined;
     const timeout = new Promise<OwnAnswer>((resolve) => {
-      timer = setTimeout(() => resolve({ status: 504, message: 'timeout' }), limitMs);
+      timer = setTimeout(() => resolve(ownAnswer(504, 'timeout')), limitMs);
     });
     const outcome = await Promise.race([
       this.options.dispatcher.dispatch(req, attempt.signal),
       timeout,
     ]);
     clearTimeout(timer);
-    if (!('type' in outcome)) {
+    if (outcome.type === 'own') {
       attempt.abort();
       this.options.log.decision('callers', req.requestId, 'a request ran into its timeout', {
         route: req.route.name,
@@ -220,12 +219,11 @@
   private count(req: dispatcher.CallerRequest, outcome: exchange.Outcome | OwnAnswer): void {
     const { meters: counted, nowMs } = this.options;
     const route = req.route.name;
-    const type = 'type' in outcome ? outcome.type : 'timeout';
-    const failed = type === 'answer' && (outcome as exchange.Answer).status >= 500;
-    counted.increment(meters.REQUESTS, { route, outcome: failed ? 'failedAnswer' : type });
-    if (failed || type !== 'answer') this.attemptAge.noteFailed(route);
+    const ended = endOf(outcome);
+    counted.increment(meters.REQUESTS, { route, outcome: ended });
+    if (ended !== 'answer') this.attemptAge.noteFailed(route);
     counted.observeMs(meters.REQUEST_SECONDS, nowMs() - req.arrivedMs, { route });
-    if ('type' in outcome && outcome.type === 'refused') {
+    if (outcome.type === 'refused') {
       counted.increment(meters.REFUSALS, { reason: outcome.reason });
     }
   }
@@ -235,7 +233,7 @@
     res: http.ServerResponse,
     outcome: exchange.Outcome | OwnAnswer,
   ): void {
-    if (!('type' in outcome)) {
+    if (outcome.type === 'own') {
       this.writeOwn(req, res, outcome);
     } else if (outcome.type === 'answer') {
       const { status, headers, body } = outcome;
@@ -245,9 +243,9 @@
       res.end(body);
     } else if (outcome.type === 'refused') {
       const { reason, retryAfterMs } = outcome;
-      this.writeOwn(req, res, { status: 503, message: `not run: ${reason}`, retryAfterMs });
+      this.writeOwn(req, res, ownAnswer(503, `not run: ${reason}`, retryAfterMs));
     } else {
-      this.writeOwn(req, res, { status: 502, message: outcome.detail });
+      this.writeOwn(req, res, ownAnswer(502, outcome.detail));
     }
   }
 
@@ -276,6 +274,16 @@
   }
 }
 
+function ownAnswer(status: number, message: string, retryAfterMs?: number): OwnAnswer {
+  return { type: 'own', status, message, retryAfterMs };
+}
+
+/** How a request ended, as metrics name it. */
+function endOf(outcome: exchange.Outcome | OwnAnswer): string {
+  if (outcome.type === 'own') return 'timeout';
+  return outcome.type === 'answer' && outcome.status >= 500 ? 'failedAnswer' : outcome.type;
+}
+
 function headerBytes(req: http.IncomingMessage): number {
   let bytes = (req.url ?? '').length;
   for (const part of req.rawHeaders) bytes += part.length + 2;
--- a/packages/mesh/src/config/fleetStore.ts
+++ b/packages/mesh/src/config/fleetStore.ts
@@ -13,33 +13,31 @@
   value: T | null;
 }
 
+/** One thing in the store that can be read and waited on. Calls fail as those of the store do. */
+export abstract class Watchable<T> {
+  abstract read(signal: AbortSignal): Promise<Reading<T>>;
+
+  /** Waits for a change after `cursor`, at most `waitMs`; the value is null if there was none. */
+  abstract watch(cursor: Cursor, waitMs: number, signal: AbortSignal): Promise<Reading<T>>;
+}
+
 /**
  * Calls fail with `platformUnavailable`, `platformOverloaded` or `watchExpired`. What cannot be
  * decoded is logged by the adapter and left out.
  */
 export abstract class FleetStore {
-  abstract readConfiguration(signal: AbortSignal): Promise<Reading<configuration.Configuration>>;
+  abstract readonly configuration: Watchable<configuration.Configuration>;
 
-  /** Waits for a change after `cursor`, at most `waitMs`; the value is null if there was none. */
-  abstract watchConfiguration(
-    cursor: Cursor,
-    waitMs: number,
-    signal: AbortSignal,
-  ): Promise<Reading<configuration.Configuration>>;
-
-  abstract readRollouts(signal: AbortSignal): Promise<Reading<phases.RolloutRecord[]>>;
-
-  abstract watchRollouts(
-    cursor: Cursor,
-    waitMs: number,
-    signal: AbortSignal,
-  ): Promise<Reading<phases.RolloutRecord[]>>;
+  abstract readonly rollouts: Watchable<phases.RolloutRecord[]>;
 
   /**
    * Records how a rollout stands, if the store still holds the same order.
    * @returns false if another writer was faster; read again then
    */
-  abstract recordRollout(record: phases.RolloutRecord, outcome: RecordedPhase): Promise<boolean>;
+  abstract recordRollout(
+    record: phases.RolloutRecord,
+    outcome: phases.RecordedPhase,
+  ): Promise<boolean>;
 
   abstract registerNode(address: members.NodeAddress): Promise<void>;
 
@@ -47,5 +45,3 @@
 
   abstract unregisterNode(address: members.NodeAddress): Promise<void>;
 }
-
-export type RecordedPhase = NonNullable<phases.RolloutRecord['recorded']>;
--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -25,52 +25,37 @@
 /** Time in which a call of the watch must have been answered for the store to count as in contact. */
 const CONTACT_LIMIT_MS = CONFIG_WAIT_MS + 2_000;
 
-/** One thing that is watched. */
-export abstract class Subject {
+/** One thing that is read once, then watched from there. */
+export abstract class Subject<T> {
   abstract readonly name: string;
 
-  /** Reads, or waits for a change after `cursor`, and takes what came. */
-  abstract advance(
-    cursor: fleetStore.Cursor | null,
-    signal: AbortSignal,
-  ): Promise<fleetStore.Cursor>;
-}
+  protected abstract readonly waitMs: number;
+
+  constructor(private readonly source: fleetStore.Watchable<T>) {}
 
-/** Read once, then watched from there. */
-abstract class ReadThenWatched<T> extends Subject {
+  /** Reads, or waits for a change after `cursor`, and takes what came. */
   async advance(cursor: fleetStore.Cursor | null, signal: AbortSignal): Promise<fleetStore.Cursor> {
-    const reading = await (cursor === null ? this.read(signal) : this.watch(cursor, signal));
+    const reading = await (cursor === null
+      ? this.source.read(signal)
+      : this.source.watch(cursor, this.waitMs, signal));
     this.take(reading.value);
     return reading.cursor;
   }
 
-  protected abstract read(signal: AbortSignal): Promise<fleetStore.Reading<T>>;
-
-  protected abstract watch(
-    cursor: fleetStore.Cursor,
-    signal: AbortSignal,
-  ): Promise<fleetStore.Reading<T>>;
-
   /** Null where nothing changed, or nothing that can be read. */
   protected abstract take(value: T | null): void;
 }
 
-export class ConfigurationSubject extends ReadThenWatched<configuration.Configuration> {
+export class ConfigurationSubject extends Subject<configuration.Configuration> {
   readonly name = 'configuration';
 
+  protected readonly waitMs = CONFIG_WAIT_MS;
+
   constructor(
-    private readonly store: fleetStore.FleetStore,
+    source: fleetStore.Watchable<configuration.Configuration>,
     private readonly config: configHolder.ConfigHolder,
   ) {
-    super();
-  }
-
-  protected read(signal: AbortSignal) {
-    return this.store.readConfiguration(signal);
-  }
-
-  protected watch(cursor: fleetStore.Cursor, signal: AbortSignal) {
-    return this.store.watchConfiguration(cursor, CONFIG_WAIT_MS, signal);
+    super(source);
   }
 
   protected take(value: configuration.Configuration | null): void {
@@ -78,22 +63,16 @@
   }
 }
 
-export class RolloutsSubject extends ReadThenWatched<phases.RolloutRecord[]> {
+export class RolloutsSubject extends Subject<phases.RolloutRecord[]> {
   readonly name = 'rollouts';
 
+  protected readonly waitMs = ROLLOUTS_WAIT_MS;
+
   constructor(
-    private readonly store: fleetStore.FleetStore,
+    source: fleetStore.Watchable<phases.RolloutRecord[]>,
     private readonly board: rolloutBoard.RolloutBoard,
   ) {
-    super();
-  }
-
-  protected read(signal: AbortSignal) {
-    return this.store.readRollouts(signal);
-  }
-
-  protected watch(cursor: fleetStore.Cursor, signal: AbortSignal) {
-    return this.store.watchRollouts(cursor, ROLLOUTS_WAIT_MS, signal);
+    super(source);
   }
 
   protected take(value: phases.RolloutRecord[] | null): void {
@@ -119,7 +98,7 @@
   private contactAtMs = -Infinity;
 
   constructor(
-    private readonly subjects: readonly Subject[],
+    private readonly subjects: readonly Subject<unknown>[],
     private readonly options: StoreWatcherOptions,
   ) {}
 
@@ -158,9 +137,7 @@
   private hasWatcherAhead(): boolean {
     const { table, reachable } = this.options;
     const now = this.options.nowMs();
-    const peers = reachable().filter(({ domain }) => domain === table.self.domain);
-    const ranked = rendezvous.rank(table.self.domain, peers, ({ node }) => node);
-    for (const { node } of ranked) {
+    for (const { node } of rankIn(table.self.domain, reachable())) {
       if (node === table.self.node) return false;
       if (now - (this.heardAt.get(node) ?? -Infinity) < TAKE_OVER_AFTER_MS) return true;
     }
@@ -175,7 +152,7 @@
     }
   }
 
-  private async follow(subject: Subject, signal: AbortSignal): Promise<void> {
+  private async follow(subject: Subject<unknown>, signal: AbortSignal): Promise<void> {
     const delays = new backoff.Backoff({ initialMs: RETRY_INITIAL_MS, maxMs: RETRY_MAX_MS });
     let cursor: fleetStore.Cursor | null = null;
     let lost = false;
@@ -210,6 +187,11 @@
   domain: ids.DomainName,
   reachable: readonly members.Member[],
 ): ids.NodeId | null {
-  const peers = reachable.filter((member) => member.domain === domain);
-  return rendezvous.rank(domain, peers, ({ node }) => node)[0]?.node ?? null;
+  return rankIn(domain, reachable)[0]?.node ?? null;
+}
+
+/** Nodes of a failure domain in the order in which they watch the store. */
+function rankIn(domain: ids.DomainName, reachable: readonly members.Member[]): members.Member[] {
+  const inDomain = reachable.filter((member) => member.domain === domain);
+  return rendezvous.rank(domain, inDomain, ({ node }) => node);
 }
--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -38,7 +38,8 @@
 
 /** Share of the slots that may be spoken for by waiting requests that will miss their target. */
 const LATE_WAITING_SHARE = 0.25;
-const MIN_RETRY_AFTER_MS = 40;
+/** Shortest wait that is named: a round trip between regions and the time to connect. */
+export const MIN_RETRY_AFTER_MS = 40;
 const MAX_RETRY_AFTER_MS = 1_000;
 
 export class AdmissionQueue<T extends Entrant> {
--- a/packages/mesh/src/membership/localUpstream.ts
+++ b/packages/mesh/src/membership/localUpstream.ts
@@ -36,8 +36,6 @@
 
   private readonly left = new Map<ids.InstanceId, number | null>();
 
-  private down = false;
-
   private readonly listeners: ((state: members.UpstreamState | null) => void)[] = [];
 
   constructor(private readonly address: string) {}
@@ -51,8 +49,7 @@
     if (this.current === null) return null;
     const { instance, service, version, slots, bornMs } = this.current.announcement;
     const leaving = this.current.announcement.leaving || this.current.left;
-    const accepting = !leaving && !this.down;
-    return { instance, service, version, slots, bornMs, leaving, accepting };
+    return { instance, service, version, slots, bornMs, leaving, accepting: !leaving };
   }
 
   announce(next: Announcement): AnnouncementOutcome {
@@ -63,7 +60,6 @@
     const same = held?.instance === next.instance && held.bornMs === next.bornMs;
     // A server that leaves does not come back under the same incarnation.
     const leaving = next.leaving || (same && held.leaving);
-    if (!same) this.down = false;
     this.replace({ announcement: { ...next, leaving }, left: false });
     return 'accepted';
   }
@@ -122,13 +118,6 @@
     return 'accepted';
   }
 
-  /** Set while connections to the upstream fail; the next incarnation starts fresh. */
-  setDown(down: boolean): void {
-    if (this.down === down) return;
-    this.down = down;
-    this.notify();
-  }
-
   private remember(instance: ids.InstanceId, bornMs: number | null): void {
     const known = this.left.get(instance);
     if (known === undefined || isNewer(bornMs, known)) this.left.set(instance, bornMs);
--- a/packages/mesh/src/networkAddress.ts
+++ b/packages/mesh/src/networkAddress.ts
@@ -11,3 +11,15 @@
   const { host, port } = split(text);
   return net.isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port < 65_536;
 }
+
+/** Listens on an address; rejects where that fails. */
+export function listen(
+  server: net.Server,
+  address: string,
+  options: net.ListenOptions = {},
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({ ...options, ...split(address) }, () => resolve());
+  });
+}
--- a/packages/mesh/src/peers/__tests__/peerLink.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerLink.test.ts
@@ -47,7 +47,7 @@
     await new Promise((resolve) => {
       probe.close(resolve);
     });
-    await server.listen('127.0.0.1', port);
+    await server.listen(`127.0.0.1:${port}`);
     const from = fixtures.member('a');
     link = new peerLink.PeerLink({
       node: ids.nodeId('b'),
--- a/packages/mesh/src/peers/peerLink.ts
+++ b/packages/mesh/src/peers/peerLink.ts
@@ -85,10 +85,6 @@
     return this.up;
   }
 
-  get outstanding(): number {
-    return this.calls.size;
-  }
-
   /** Tells the node something; without effect while the link is down. */
   tell(frame: frames.Frame): void {
     if (this.up) this.socket!.write(frames.encode(frame));
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -6,7 +6,6 @@
 import type { failures, ids } from '@godwittrack/core';
 import * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
-import type * as news from '../config/news.js';
 import type * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import type * as evidence from '../rollouts/evidence.js';
@@ -117,7 +116,7 @@
       const remembered = table.get(frame.from.node)?.upstream ?? null;
       this.introduce(frame.from);
       table.setUpstream(frame.from.node, frame.upstream);
-      rollouts.merge(frame.rollouts, this.originOf(frame.from.domain));
+      rollouts.merge(frame.rollouts, this.sourceOf(frame.from).origin);
       if (frame.rolloutsKnown) rollouts.setKnown();
       this.want(session, frame.configVersion);
       if (frame.upstream === null && remembered !== null && !remembered.leaving) {
@@ -126,24 +125,24 @@
       return;
     }
     if (session.hello === null) return;
-    const { node: from, domain } = session.hello.from;
-    const origin = this.originOf(domain);
+    const { node: from } = session.hello.from;
+    const source = this.sourceOf(session.hello.from);
     switch (frame.type) {
       case 'upstream':
         table.setUpstream(from, frame.upstream);
         break;
       case 'configDelta':
-        this.takeDelta(session, frame.delta);
+        this.takeDelta(session, source, frame.delta);
         break;
       case 'configWhole':
-        config.offer(frame.cfg, { origin, name: `node ${from}` });
+        config.offer(frame.cfg, source);
         break;
       case 'beacon':
         onBeacon(from);
         this.want(session, frame.configVersion);
         break;
       case 'rollouts':
-        rollouts.merge(frame.states, origin);
+        rollouts.merge(frame.states, source.origin);
         break;
       case 'evidence':
         onEvidence(frame.report);
@@ -158,8 +157,9 @@
     for (const link of this.links.values()) link.stop();
   }
 
-  private originOf(domain: ids.DomainName): news.Origin {
-    return domain === this.options.table.self.domain ? 'domain' : 'remote';
+  private sourceOf({ node, domain }: members.NodeAddress): configHolder.Source {
+    const origin = domain === this.options.table.self.domain ? 'domain' : 'remote';
+    return { origin, name: `node ${node}` };
   }
 
   private want(session: peerServer.PeerSession, version: number): void {
@@ -170,6 +170,7 @@
 
   private takeDelta(
     session: peerServer.PeerSession,
+    source: configHolder.Source,
     delta: configuration.ConfigurationDelta,
   ): void {
     const { config } = this.options;
@@ -179,8 +180,6 @@
       this.want(session, delta.version);
       return;
     }
-    const { node, domain } = session.hello!.from;
-    const source = { origin: this.originOf(domain), name: `node ${node}` };
     config.offer(configuration.applyDelta(base, delta), source);
   }
 
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -1,6 +1,7 @@
 /** Takes connections of other nodes: serves their requests here and hears what they state. */
 
 import * as net from 'node:net';
+import * as networkAddress from '../networkAddress.js';
 import * as exchange from '../routing/exchange.js';
 import * as frames from './frames.js';
 import * as transitDelay from './transitDelay.js';
@@ -48,11 +49,8 @@
     this.server = net.createServer({ noDelay: true }, (socket) => this.accept(socket));
   }
 
-  listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen({ host, port }, () => resolve());
-    });
+  listen(address: string): Promise<void> {
+    return networkAddress.listen(this.server, address);
   }
 
   /** Requests of other nodes under way here. */
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -14,7 +14,6 @@
 import type * as evidence from '../rollouts/evidence.js';
 import type * as rolloutBoard from '../rollouts/rolloutBoard.js';
 import type * as rolloutController from '../rollouts/rolloutController.js';
-import * as networkAddress from '../networkAddress.js';
 
 const REVIEW_INTERVAL_MS = 200;
 const EVIDENCE_INTERVAL_MS = 300;
@@ -76,8 +75,7 @@
   async start(): Promise<void> {
     const { settings, self, peers, callers, watcher, controller, network } = this.parts;
     this.connectParts();
-    const { host, port } = networkAddress.split(self.address);
-    await Promise.all([peers.listen(host, port), callers.listen(settings.callerAddress)]);
+    await Promise.all([peers.listen(self.address), callers.listen(settings.callerAddress)]);
     watcher.review();
     void this.join();
     this.every(REVIEW_INTERVAL_MS, () => {
@@ -143,15 +141,13 @@
       if (previous === null && source.origin !== 'store') return;
       const audience = news.audienceOf(source.origin);
       if (audience === 'nobody') return;
-      network.announceConfiguration(cfg, previous, (member) => this.isIn(audience, member));
+      network.announceConfiguration(cfg, previous, this.hearersOf(audience));
     });
     board.onChange((state, origin) => {
       if (state.phase === 'held') recorder.reset();
       const audience = news.audienceOf(origin);
       if (audience === 'nobody') return;
-      network.broadcast({ type: 'rollouts', states: [state] }, (member) =>
-        this.isIn(audience, member),
-      );
+      network.broadcast({ type: 'rollouts', states: [state] }, this.hearersOf(audience));
     });
     recorder.onVeto((state, reason) => {
       board.advance(state.service, state.version, 'rolledBack', reason);
@@ -166,12 +162,15 @@
     network.broadcast({ type: 'upstream', upstream: self.upstream });
   }
 
-  private isIn(audience: news.Audience, member: members.Member): boolean {
+  /** Tells whether a member belongs to the audience; the nodes of other domains are ranked once. */
+  private hearersOf(audience: news.Audience): (member: members.Member) => boolean {
     const { self, network } = this.parts;
-    if (audience === 'everyone') return true;
-    if (member.domain === self.domain) return true;
-    if (audience === 'domain') return false;
-    return storeWatcher.watcherOf(member.domain, network.reachable()) === member.node;
+    if (audience === 'everyone') return () => true;
+    if (audience === 'domain') return ({ domain }) => domain === self.domain;
+    const reachable = network.reachable();
+    const domains = new Set(reachable.map(({ domain }) => domain));
+    const firsts = new Set([...domains].map((one) => storeWatcher.watcherOf(one, reachable)));
+    return ({ domain, node }) => domain === self.domain || firsts.has(node);
   }
 
   private sendBeacon(): void {
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -124,8 +124,8 @@
   const reachable = () => network.reachable();
   watcher = new storeWatcher.StoreWatcher(
     [
-      new storeWatcher.ConfigurationSubject(platform.store, config),
-      new storeWatcher.RolloutsSubject(platform.store, board),
+      new storeWatcher.ConfigurationSubject(platform.store.configuration, config),
+      new storeWatcher.RolloutsSubject(platform.store.rollouts, board),
     ],
     { table, reachable, log, nowMs },
   );
--- a/packages/mesh/src/rollouts/phases.ts
+++ b/packages/mesh/src/rollouts/phases.ts
@@ -5,6 +5,9 @@
 export const PHASES = ['held', 'canary', 'pulse', 'full', 'completed', 'rolledBack'] as const;
 export type Phase = (typeof PHASES)[number];
 
+/** What of a rollout is recorded in the store. */
+export type RecordedPhase = 'running' | 'completed' | 'rolledBack';
+
 /** An operator's order to move a service to a version. */
 export interface RolloutOrder {
   service: ids.ServiceName;
@@ -16,7 +19,7 @@
 /** What the store holds: the order and the last recorded phase. */
 export interface RolloutRecord extends RolloutOrder {
   /** Null while nothing was recorded for this target. */
-  recorded: 'running' | 'completed' | 'rolledBack' | null;
+  recorded: RecordedPhase | null;
   /** Revision for the next conditional update. */
   revision: number;
 }
@@ -27,7 +30,12 @@
   reason: string | null;
 }
 
-export function isFinal(phase: Phase): boolean {
+/** Identifies a rollout. */
+export function keyOf(service: string, target: string): string {
+  return `${service}\u0000${target}`;
+}
+
+export function isFinal(phase: Phase | RecordedPhase | null): boolean {
   return phase === 'completed' || phase === 'rolledBack';
 }
 
--- a/packages/mesh/src/rollouts/rolloutBoard.ts
+++ b/packages/mesh/src/rollouts/rolloutBoard.ts
@@ -87,18 +87,18 @@
     phase: phases.Phase,
     reason: string | null,
   ): void {
-    const held = this.rollouts.get(keyOf(service, target));
+    const held = this.rollouts.get(phases.keyOf(service, target));
     if (held !== undefined) this.take({ ...held.state, phase, reason }, 'self');
   }
 
   /** False for versions that were taken back. */
   mayServe(service: string, version: string): boolean {
-    return this.rollouts.get(keyOf(service, version))?.state.phase !== 'rolledBack';
+    return this.rollouts.get(phases.keyOf(service, version))?.state.phase !== 'rolledBack';
   }
 
   /** Whether a version is new and not yet proved. */
   isOnTrial(service: string, version: string): boolean {
-    const held = this.rollouts.get(keyOf(service, version));
+    const held = this.rollouts.get(phases.keyOf(service, version));
     return held !== undefined && !phases.isFinal(held.state.phase);
   }
 
@@ -110,7 +110,7 @@
 
   private take(next: phases.RolloutState, origin: news.Origin): void {
     const fromStore = origin === 'store';
-    const key = keyOf(next.service, next.target);
+    const key = phases.keyOf(next.service, next.target);
     const held = this.rollouts.get(key);
     if (held === undefined) {
       this.places += 1;
@@ -135,7 +135,3 @@
   if (phases.isFinal(held)) return fromStore && phases.isFinal(next) ? next : held;
   return phases.laterPhase(held, next);
 }
-
-function keyOf(service: string, version: string): string {
-  return `${service}\u0000${version}`;
-}
--- a/packages/mesh/src/rollouts/rolloutController.ts
+++ b/packages/mesh/src/rollouts/rolloutController.ts
@@ -38,7 +38,7 @@
   phase: phases.Phase;
   sinceMs: number;
   recording: boolean;
-  recorded: fleetStore.RecordedPhase | null;
+  recorded: phases.RecordedPhase | null;
   nextRecordMs: number;
 }
 
@@ -119,7 +119,7 @@
   }
 
   private progressOf(state: phases.RolloutState): Progress {
-    const key = `${state.service}\u0000${state.target}`;
+    const key = phases.keyOf(state.service, state.target);
     let progress = this.progress.get(key);
     if (progress === undefined) {
       progress = {
@@ -139,7 +139,7 @@
 
   private record(
     state: phases.RolloutState,
-    outcome: fleetStore.RecordedPhase,
+    outcome: phases.RecordedPhase,
     progress: Progress,
   ): void {
     const now = this.options.nowMs();
@@ -164,19 +164,15 @@
   }
 
   /** Reads first, so that a final record or a newer order is never overwritten. */
-  private async write(
-    state: phases.RolloutState,
-    outcome: fleetStore.RecordedPhase,
-  ): Promise<boolean> {
+  private async write(state: phases.RolloutState, outcome: phases.RecordedPhase): Promise<boolean> {
     const { store, board, log } = this.options;
-    const { value } = await store.readRollouts(AbortSignal.timeout(RECORD_TIMEOUT_MS));
+    const { value } = await store.rollouts.read(AbortSignal.timeout(RECORD_TIMEOUT_MS));
     const record = value?.find(
       ({ service, target }) => service === state.service && target === state.target,
     );
     if (record === undefined) return true;
     board.learn(record);
-    const final = record.recorded === 'completed' || record.recorded === 'rolledBack';
-    if (final || record.recorded === outcome) return true;
+    if (phases.isFinal(record.recorded) || record.recorded === outcome) return true;
     const taken = await store.recordRollout(record, outcome);
     log.belief('rollouts', taken ? 'a rollout was recorded' : 'another node recorded first', {
       service: state.service,
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -15,8 +15,6 @@
 
 /** Upstreams that are offered a request before it is refused; offers that are refused cost little. */
 const MAX_OFFERS = 4;
-/** Shortest wait that is named: a round trip between regions and the time to connect. */
-const MIN_RETRY_MS = 40;
 /** Wait that is named where nothing better is known. */
 const DEFAULT_RETRY_MS = 100;
 
@@ -167,7 +165,9 @@
       if (fullMs > 0) shortestMs = Math.min(shortestMs, fullMs);
       return fullMs === 0;
     });
-    if (open.length === 0) progress.retryAfterMs = Math.max(MIN_RETRY_MS, shortestMs);
+    if (open.length === 0) {
+      progress.retryAfterMs = Math.max(admissionQueue.MIN_RETRY_AFTER_MS, shortestMs);
+    }
     return open;
   }
 
--- a/packages/mesh/src/routing/observations.ts
+++ b/packages/mesh/src/routing/observations.ts
@@ -46,6 +46,29 @@
   }
 }
 
+/** A moving average for each route. */
+export class RouteAverages {
+  private readonly averages = new Map<ids.RouteName, MovingAverage>();
+
+  add(route: ids.RouteName, sample: number): void {
+    let average = this.averages.get(route);
+    if (average === undefined) {
+      average = new MovingAverage();
+      this.averages.set(route, average);
+    }
+    average.add(sample);
+  }
+
+  /** Undefined before the first sample. */
+  get(route: ids.RouteName): MovingAverage | undefined {
+    return this.averages.get(route);
+  }
+
+  clear(): void {
+    this.averages.clear();
+  }
+}
+
 interface Reported {
   value: number;
   atMs: number;
@@ -69,13 +92,10 @@
   full: Map<ids.RouteName, Full>;
 }
 
-interface RouteObservations {
-  serviceMs: MovingAverage;
-  answerBytes: MovingAverage;
-}
-
 export class Observations {
-  private readonly routes = new Map<ids.RouteName, RouteObservations>();
+  private readonly serviceTimes = new RouteAverages();
+
+  private readonly answerSizes = new RouteAverages();
 
   private readonly nodes = new Map<ids.NodeId, NodeObservations>();
 
@@ -83,11 +103,11 @@
 
   /** Usual time at an upstream, over the fleet. */
   serviceMs(route: ids.RouteName, targetLatencyMs: number): number {
-    return this.routes.get(route)?.serviceMs.value ?? targetLatencyMs * FIRST_GUESS_SHARE;
+    return this.serviceTimes.get(route)?.value ?? targetLatencyMs * FIRST_GUESS_SHARE;
   }
 
   answerBytes(route: ids.RouteName): number {
-    return this.routes.get(route)?.answerBytes.value ?? 0;
+    return this.answerSizes.get(route)?.value ?? 0;
   }
 
   /** Usual time at one upstream; tends to the fleet's usual time while nothing is heard of it. */
@@ -125,13 +145,8 @@
   }
 
   recordAnswer(node: ids.NodeId, route: ids.RouteName, ms: number, bytes: number): void {
-    let seen = this.routes.get(route);
-    if (seen === undefined) {
-      seen = { serviceMs: new MovingAverage(), answerBytes: new MovingAverage() };
-      this.routes.set(route, seen);
-    }
-    seen.serviceMs.add(ms);
-    seen.answerBytes.add(bytes);
+    this.serviceTimes.add(route, ms);
+    this.answerSizes.add(route, bytes);
     this.outcome(node).successes += 1;
   }
 
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -44,7 +44,7 @@
 export class LocalDestination extends exchange.Destination {
   private readonly queue = new admissionQueue.AdmissionQueue<Entry>();
 
-  private readonly serviceTimes = new Map<string, observations.MovingAverage>();
+  private readonly serviceTimes = new observations.RouteAverages();
 
   private connectFailures = 0;
 
@@ -195,12 +195,7 @@
     counted.observeMs(meters.UPSTREAM_SECONDS, ms, labels);
     counted.observeMs(meters.WAIT_SECONDS, this.options.nowMs() - ms - entry.arrivedMs, labels);
     if (outcome.type === 'answer' && outcome.status < 500) {
-      let average = this.serviceTimes.get(req.route);
-      if (average === undefined) {
-        average = new observations.MovingAverage();
-        this.serviceTimes.set(req.route, average);
-      }
-      average.add(ms);
+      this.serviceTimes.add(req.route, ms);
     }
     const cancelled = entry.signal.aborted || outcome.type === 'refused';
     if (state !== null && state.instance === req.instance && !cancelled) {
