--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -14,6 +14,7 @@
 export const ROLLOUT_PHASES = 'godwittrack_rollout_phases_total';
 export const LOG_LINES_DROPPED = 'godwittrack_log_lines_dropped_total';
 export const CONFIG_VERSION = 'godwittrack_config_version';
+export const CONFIG_UNREADABLE = 'godwittrack_config_unreadable_total';
 export const MEMBERS = 'godwittrack_members';
 export const MEMBERS_REACHED = 'godwittrack_members_reached';
 export const STORE_WATCHED = 'godwittrack_store_watched';
@@ -32,6 +33,7 @@
   [ROLLOUT_PHASES]: 'Phases of rollouts that came into force here.',
   [LOG_LINES_DROPPED]: 'Log lines that were left out to bound the volume, by component.',
   [CONFIG_VERSION]: 'Version of the configuration in force; 0 while there is none.',
+  [CONFIG_UNREADABLE]: 'Configurations in the store that could not be read and were not taken.',
   [MEMBERS]: 'Nodes that are known, this one included.',
   [MEMBERS_REACHED]: 'Nodes that can be reached, this one included.',
   [STORE_WATCHED]: 'Whether this node watches the store and is answered: 1 or 0.',
--- a/playground/src/usersPlatform/fleet.ts
+++ b/playground/src/usersPlatform/fleet.ts
@@ -57,7 +57,7 @@
   const counted = meters.createMeters();
   const log = wiring.createLog(name, counted);
   const client = new objectClient.ObjectClient(storeAddress, counted);
-  const store = new objectFleetStore.ObjectFleetStore(client, log);
+  const store = new objectFleetStore.ObjectFleetStore(client, log, counted);
   const codec = new headers.PlatformHeaders();
   const mesh = wiring.createMesh(resolved.mesh, { store, codec }, log, counted);
   const listeners = new controlServer.ControlServer(mesh);
