fix(mesh): bytes without end from an upstream are bounded, splits start at a turn of each node

Cause 1: interim answers, answers to other requests and trailers without end kept a connection and its request until the deadline, and bodies of several requests could together pass the memory of a process. Change: 2 MB beside the body end the connection; bodies under way share 80 MB. Cause 2: every node began a split at its heaviest destination, so 195 nodes with a request or two each missed the weights. Change: a node starts at a turn of its own. The property test failed before.

--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -138,7 +138,7 @@
     },
     rollouts: board,
     balancer: new balancer.Balancer(nextRandom),
-    split: new splitChooser.SplitChooser(),
+    split: new splitChooser.SplitChooser(nextRandom),
     observations: new observations.Observations(nowMs),
     budget: new retryBudget.RetryBudget(
       { ratio: settings.retryRatio, extra: settings.retryExtra },
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -58,7 +58,7 @@
       destinationOf: () => second,
       rollouts: new rolloutBoard.RolloutBoard(log, () => 0),
       balancer: new balancer.Balancer(() => 0),
-      split: new splitChooser.SplitChooser(),
+      split: new splitChooser.SplitChooser(() => 0),
       observations: new observations.Observations(() => now),
       budget,
       log,
--- a/packages/mesh/src/routing/__tests__/routing.test.ts
+++ b/packages/mesh/src/routing/__tests__/routing.test.ts
@@ -2,6 +2,8 @@
 import { describe, it } from 'node:test';
 import { ids } from '@godwittrack/core';
 import * as fc from 'fast-check';
+import * as random from 'pure-rand/generator/xoroshiro128plus';
+import * as uniform from 'pure-rand/distribution/uniformFloat64';
 import * as configuration from '../../config/configuration.js';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as balancer from '../balancer.js';
@@ -36,7 +38,7 @@
 
 describe('SplitChooser', () => {
   it('gives each destination its weight within any ten requests', () => {
-    const chooser = new splitChooser.SplitChooser();
+    const chooser = new splitChooser.SplitChooser(() => 0.3);
     const split = fixtures.route('r', {
       destinations: [
         { service: ids.serviceName('a'), weight: 7 },
@@ -49,8 +51,31 @@
     }
   });
 
+  // Many nodes with a few requests each: the pattern of a route just added to a large fleet.
+  it('keeps the weights over 200 requests that are spread over 195 nodes', () => {
+    const weights = fc.integer({ min: 5, max: 50 });
+    const run = (weight: number, seed: number) => {
+      const rng = random.xoroshiro128plus(seed);
+      const next = () => uniform.uniformFloat64(rng);
+      const split = fixtures.route('r', {
+        destinations: [
+          { service: ids.serviceName('a'), weight: 100 - weight },
+          { service: ids.serviceName('b'), weight },
+        ],
+      });
+      const nodes = Array.from({ length: 195 }, () => new splitChooser.SplitChooser(next));
+      let b = 0;
+      for (let i = 0; i < 200; i += 1) {
+        if (nodes[Math.floor(next() * nodes.length)]!.choose(split).service === 'b') b += 1;
+      }
+      // The users' bound for the share of a part over 200 requests.
+      assert.ok(Math.abs(b / 200 - weight / 100) < 0.2, `${b} of 200 at weight ${weight}`);
+    };
+    fc.assert(fc.property(weights, fc.integer(), run));
+  });
+
   it('gives nothing to a destination of weight 0', () => {
-    const chooser = new splitChooser.SplitChooser();
+    const chooser = new splitChooser.SplitChooser(() => 0.3);
     const split = fixtures.route('r', {
       destinations: [
         { service: ids.serviceName('a'), weight: 0 },
--- a/packages/mesh/src/upstream/__tests__/upstreamConnection.test.ts
+++ b/packages/mesh/src/upstream/__tests__/upstreamConnection.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import * as timers from 'node:timers/promises';
 import { ids } from '@godwittrack/core';
+import * as byteBudget from '../../limits/byteBudget.js';
 import type * as exchange from '../../routing/exchange.js';
 import * as headerCodec from '../headerCodec.js';
 import * as upstreamConnection from '../upstreamConnection.js';
@@ -31,6 +32,9 @@
   }
 }
 
+/** Memory for bodies; small, so that a body without end is soon too large. */
+const HELD_LIMIT_BYTES = 8 * 1024 * 1024;
+
 const answer = (id: string, body: string) =>
   `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
 
@@ -38,6 +42,7 @@
   let server: net.Server;
   let script: (socket: net.Socket, request: number) => void;
   let connection: upstreamConnection.UpstreamConnection;
+  let held: byteBudget.ByteBudget;
 
   beforeEach(async () => {
     server = net.createServer((socket) => {
@@ -53,11 +58,13 @@
       server.listen(0, '127.0.0.1', resolve);
     });
     const { port } = server.address() as net.AddressInfo;
+    held = new byteBudget.ByteBudget(HELD_LIMIT_BYTES);
     connection = new upstreamConnection.UpstreamConnection(
       '127.0.0.1',
       port,
       new TestHeaders(),
       () => undefined,
+      held,
     );
   });
 
@@ -129,6 +136,7 @@
       port,
       new TestHeaders(),
       () => undefined,
+      held,
     );
     assert.equal((await none.send('1', Buffer.from('x'))).type, 'unsent');
   });
@@ -151,6 +159,7 @@
         port,
         new TestHeaders(),
         () => undefined,
+        held,
       );
       return cut.send('1', Buffer.from('GET / HTTP/1.1\r\n\r\n'));
     }
@@ -167,4 +176,59 @@
       it(`${kind} are lost at every byte`, () => checkCuts(whole));
     }
   });
+
+  // An upstream in trouble may send until the connection is closed; nobody else may be hurt by it.
+  describe('bytes without end', () => {
+    const PIECE_BYTES = 64 * 1024;
+
+    /** Sends `head`, then `piece` again and again until the connection ends. */
+    function endless(head: string, piece: string): (socket: net.Socket) => void {
+      const bytes = Buffer.from(piece.repeat(Math.ceil(PIECE_BYTES / piece.length)));
+      return (socket) => {
+        const pour = () => {
+          while (!socket.destroyed && socket.write(bytes));
+        };
+        socket.on('drain', pour);
+        socket.write(head);
+        pour();
+      };
+    }
+
+    const cases: [string, string, string][] = [
+      ['in the status line', 'HTTP/1.1 200 ', 'OK'],
+      ['in a header', 'HTTP/1.1 200 OK\r\nX-Id: 1\r\nX: ', 'y'],
+      ['as headers', 'HTTP/1.1 200 OK\r\nX-Id: 1\r\n', 'A: b\r\n'],
+      ['as interim answers', '', 'HTTP/1.1 100 Continue\r\n\r\n'],
+      ['as answers to other requests', '', answer('0', 'x'.repeat(1_000))],
+      [
+        'in the length of a chunk',
+        'HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3;',
+        'x',
+      ],
+      [
+        'in trailers',
+        'HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n',
+        'A: b\r\n',
+      ],
+      ['in a body without length', 'HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n', 'x'],
+    ];
+    async function checkEnded(head: string, piece: string): Promise<void> {
+      script = endless(head, piece);
+      assert.equal((await send('1')).type, 'broken');
+      assert.equal(connection.reusable, false);
+      assert.equal(held.used, 0);
+    }
+
+    for (const [where, head, piece] of cases) {
+      it(`${where} end the connection and the request`, { timeout: 10_000 }, () =>
+        checkEnded(head, piece),
+      );
+    }
+
+    it('leave room for a late answer to an earlier request', async () => {
+      const late = answer('0', 'x'.repeat(1024 * 1024));
+      script = (socket) => socket.write(late + answer('1', 'mine'));
+      assert.equal(bodyOf(await send('1')), 'mine');
+    });
+  });
 });
--- a/packages/mesh/src/upstream/upstreamConnection.ts
+++ b/packages/mesh/src/upstream/upstreamConnection.ts
@@ -6,6 +6,7 @@
 
 import * as net from 'node:net';
 import * as httpParser from 'http-parser-js';
+import type * as byteBudget from '../limits/byteBudget.js';
 import type * as exchange from '../routing/exchange.js';
 import * as headerCodec from './headerCodec.js';
 
@@ -18,6 +19,13 @@
 const DEFAULT_KEEP_ALIVE_MS = 4_000;
 /** Answers larger than this are given up, since they are held whole before they are passed on. */
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+/**
+ * Bytes in one exchange that are no part of the answer's body: heads, chunk framing, and one late answer
+ * to an earlier request. An upstream that sends more is in trouble and may never stop.
+ */
+const MAX_STRAY_BYTES = 2 * 1024 * 1024;
+/** Framing bytes that are allowed for each byte of a body that comes in chunks of one byte. */
+const MAX_FRAMING_PER_BYTE = 8;
 
 /** Empty line that servers ignore ahead of a request (RFC 9112, 2.2). */
 const END_PROBE = '\r\n';
@@ -45,6 +53,8 @@
   headers: exchange.FlatHeaders;
   chunks: Buffer[];
   bytes: number;
+  /** Reserved for the body. */
+  heldBytes: number;
   belongs: boolean;
 }
 
@@ -67,11 +77,15 @@
 
   private detail = 'connection closed';
 
+  /** Received for the current request, less the body of its answer. */
+  private strayBytes = 0;
+
   constructor(
     host: string,
     port: number,
     private readonly codec: headerCodec.HeaderCodec,
     private readonly onIdleClose: (connection: UpstreamConnection) => void,
+    private readonly heldBytes: byteBudget.ByteBudget,
   ) {
     this.socket = net.connect({ host, port, noDelay: true, allowHalfOpen: true });
     this.socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
@@ -107,6 +121,7 @@
         return;
       }
       this.pending = { requestId, settle };
+      this.strayBytes = 0;
       this.socket.write(bytes);
     });
   }
@@ -133,8 +148,15 @@
       this.fail('bytes without a request');
       return;
     }
+    this.strayBytes += chunk.length;
     const result = this.parser.execute(chunk);
     if (result instanceof Error) this.fail(`unreadable answer: ${result.message}`);
+    else if (this.strayBytes > this.strayLimit()) this.fail('bytes without end that are no answer');
+  }
+
+  private strayLimit(): number {
+    const bodyBytes = this.incoming?.belongs ? this.incoming.bytes : 0;
+    return MAX_STRAY_BYTES + bodyBytes * MAX_FRAMING_PER_BYTE;
   }
 
   private begin(status: number, headers: exchange.FlatHeaders): void {
@@ -142,7 +164,7 @@
     const { requestId } = this.codec.readAnswer(headers);
     const belongs =
       this.pending !== null && (requestId ?? this.pending.requestId) === this.pending.requestId;
-    this.incoming = { status, headers, chunks: [], bytes: 0, belongs };
+    this.incoming = { status, headers, chunks: [], bytes: 0, heldBytes: 0, belongs };
   }
 
   private collect(chunk: Buffer): void {
@@ -152,13 +174,20 @@
       this.fail('answer too large');
       return;
     }
+    if (!this.incoming.belongs) return;
+    this.strayBytes -= chunk.length;
+    if (!this.heldBytes.reserve(chunk.length)) {
+      this.fail('no memory left for the answer');
+      return;
+    }
+    this.incoming.heldBytes += chunk.length;
     // The parser hands out views of the chunk that it was given, which nobody else changes.
-    if (this.incoming.belongs) this.incoming.chunks.push(chunk);
+    this.incoming.chunks.push(chunk);
   }
 
   private complete(): void {
     const { incoming, pending } = this;
-    this.incoming = null;
+    this.dropIncoming();
     if (incoming === null || !incoming.belongs || pending === null) {
       if (incoming !== null && pending === null) this.fail('an answer without a request');
       return;
@@ -171,6 +200,12 @@
     pending.settle({ type: 'answer', answer: { status, headers, body } });
   }
 
+  /** An answer that has come in whole, or is given up, is no longer held here. */
+  private dropIncoming(): void {
+    if (this.incoming !== null) this.heldBytes.release(this.incoming.heldBytes);
+    this.incoming = null;
+  }
+
   private noteKeepAlive(headers: exchange.FlatHeaders): void {
     if (/\bclose\b/i.test(headerCodec.valueOf(headers, 'connection') ?? '')) {
       this.fail('the upstream closes');
@@ -203,6 +238,7 @@
     this.closed = true;
     this.detail = detail;
     this.socket.destroy();
+    this.dropIncoming();
     const { pending } = this;
     this.pending = null;
     if (pending !== null) {
--- a/packages/mesh/src/upstream/upstreamPool.ts
+++ b/packages/mesh/src/upstream/upstreamPool.ts
@@ -1,5 +1,6 @@
 /** Connections to the upstream beside this node, kept for the next request. */
 
+import * as byteBudget from '../limits/byteBudget.js';
 import * as networkAddress from '../networkAddress.js';
 import type * as exchange from '../routing/exchange.js';
 import type * as headerCodec from './headerCodec.js';
@@ -7,10 +8,14 @@
 
 /** A request that may run only once is not sent on a connection that has been idle for longer. */
 const ONCE_IDLE_LIMIT_MS = 1_000;
+/** Memory for bodies that come in from the upstream; the smallest host has 250 MB for the process. */
+const MAX_HELD_BYTES = 80 * 1024 * 1024;
 
 export class UpstreamPool {
   private idle: upstreamConnection.UpstreamConnection[] = [];
 
+  private readonly heldBytes = new byteBudget.ByteBudget(MAX_HELD_BYTES);
+
   constructor(
     private readonly address: string,
     private readonly codec: headerCodec.HeaderCodec,
@@ -45,8 +50,15 @@
 
   private connect(): upstreamConnection.UpstreamConnection {
     const { host, port } = networkAddress.split(this.address);
-    return new upstreamConnection.UpstreamConnection(host, port, this.codec, (closed) => {
+    const forget = (closed: upstreamConnection.UpstreamConnection) => {
       this.idle = this.idle.filter((other) => other !== closed);
-    });
+    };
+    return new upstreamConnection.UpstreamConnection(
+      host,
+      port,
+      this.codec,
+      forget,
+      this.heldBytes,
+    );
   }
 }
