fix(mesh): an upstream whose host's clock was set back is taken in the end

Ruled out: other uses of the time of day; it seeds the random numbers and the log lines, nothing decides by it. Change: the held incarnation gives way to one that goes on announcing itself after 4 s of silence. Test: failed before.

--- a/packages/mesh/src/membership/__tests__/localUpstream.test.ts
+++ b/packages/mesh/src/membership/__tests__/localUpstream.test.ts
@@ -118,4 +118,43 @@
       }),
     );
   });
+
+  // Start times are times of day, which may be set back between two starts on one host.
+  describe('when the clock of the host was set back', () => {
+    const STEP_MS = 2_400;
+    let now: number;
+    let restarted: localUpstream.LocalUpstream;
+    const held = fixtures.announcement({ bornMs: 10_000, sequence: 40 });
+    const next = (sequence: number) =>
+      fixtures.announcement({
+        instance: ids.instanceId('i-2'),
+        bornMs: held.bornMs! - STEP_MS,
+        sequence,
+      });
+
+    beforeEach(() => {
+      now = 0;
+      restarted = new localUpstream.LocalUpstream(fixtures.UPSTREAM_ADDRESS, () => now);
+      restarted.announce(held);
+    });
+
+    it('takes a new incarnation that goes on announcing itself while the one before is silent', () => {
+      for (let sequence = 1; now < 8_000; sequence += 1) {
+        now += 1_500;
+        restarted.announce(next(sequence));
+      }
+      assert.equal(restarted.state!.instance, 'i-2');
+    });
+
+    it('keeps the held one against late announcements of an earlier one', () => {
+      for (let sequence = 1; sequence <= 5; sequence += 1) {
+        now += 1_500;
+        restarted.announce({ ...held, sequence: held.sequence + sequence });
+        assert.equal(restarted.announce(next(sequence)), 'olderIncarnation');
+      }
+      now += 60_000;
+      assert.equal(restarted.announce(next(6)), 'accepted');
+      assert.equal(restarted.announce(next(5)), 'lateSequence');
+    });
+  });
 });
--- a/packages/mesh/src/membership/localUpstream.ts
+++ b/packages/mesh/src/membership/localUpstream.ts
@@ -24,8 +24,17 @@
 interface Incarnation {
   announcement: Announcement;
   left: boolean;
+  /** Monotonic time of the announcement. */
+  heardAtMs: number;
 }
 
+/**
+ * Silence of the held incarnation after which another counts as newer although it says that it started
+ * earlier: its host's clock may have been set back. Twice the usual interval and the time that one may
+ * be late.
+ */
+const SILENT_AFTER_MS = 4_000;
+
 /** Ahead of the first announcement of any incarnation. */
 const UNCONFIRMED_SEQUENCE = -1;
 /** Incarnations that have left are remembered so that late announcements do not revive them. */
@@ -38,7 +47,13 @@
 
   private readonly listeners: ((state: members.UpstreamState | null) => void)[] = [];
 
-  constructor(private readonly address: string) {}
+  /** Last announcement that was refused as of an older incarnation. */
+  private challenger: Announcement | null = null;
+
+  constructor(
+    private readonly address: string,
+    private readonly nowMs: () => number = () => performance.now(),
+  ) {}
 
   onChange(listener: (state: members.UpstreamState | null) => void): void {
     this.listeners.push(listener);
@@ -55,15 +70,28 @@
   announce(next: Announcement): AnnouncementOutcome {
     if (next.address !== this.address) return 'otherAddress';
     const outcome = this.judge(next);
-    if (outcome !== 'accepted') return outcome;
+    if (outcome === 'olderIncarnation' && !this.mustGiveWay(next)) return outcome;
+    if (outcome !== 'accepted' && outcome !== 'olderIncarnation') return outcome;
+    this.challenger = null;
     const held = this.current?.announcement;
     const same = held?.instance === next.instance && held.bornMs === next.bornMs;
     // A server that leaves does not come back under the same incarnation.
     const leaving = next.leaving || (same && held.leaving);
-    this.replace({ announcement: { ...next, leaving }, left: false });
+    this.replace({ announcement: { ...next, leaving }, left: false, heardAtMs: this.nowMs() });
     return 'accepted';
   }
 
+  /** Whether an incarnation that goes on announcing itself replaces the held one, which is silent. */
+  private mustGiveWay(next: Announcement): boolean {
+    const before = this.challenger;
+    this.challenger = next;
+    const isAlive =
+      before?.instance === next.instance &&
+      before.bornMs === next.bornMs &&
+      next.sequence > before.sequence;
+    return isAlive && this.nowMs() - this.current!.heardAtMs > SILENT_AFTER_MS;
+  }
+
   private judge(next: Announcement): AnnouncementOutcome {
     if (this.left.has(next.instance) && !isNewer(next.bornMs, this.left.get(next.instance)!)) {
       return 'alreadyLeft';
@@ -96,7 +124,7 @@
       sequence: UNCONFIRMED_SEQUENCE,
       bornMs,
     };
-    this.replace({ announcement, left: false });
+    this.replace({ announcement, left: false, heardAtMs: this.nowMs() });
   }
 
   /** Forgets an upstream that was only recalled and has not announced itself since. */
@@ -114,7 +142,7 @@
     }
     if (held?.instance === instance) this.remember(instance, held.bornMs);
     this.remember(instance, bornMs);
-    if (held?.instance === instance) this.replace({ announcement: held, left: true });
+    if (held?.instance === instance) this.replace({ ...this.current!, left: true });
     return 'accepted';
   }
 
