--- a/packages/core/src/rendezvous.ts
+++ b/packages/core/src/rendezvous.ts
@@ -14,10 +14,15 @@
   return (hash ^ (hash >>> 16)) >>> 0;
 }
 
+/** Weight of a candidate for `key`; the highest is first. */
+export function weightOf(key: string, name: string): number {
+  return hash32(`${key}\u0000${name}`);
+}
+
 /** Candidates ordered by their weight for `key`, highest first; ties by name. */
 export function rank<T>(key: string, candidates: readonly T[], nameOf: (item: T) => string): T[] {
   return candidates
-    .map((item) => ({ item, name: nameOf(item), weight: hash32(`${key}\u0000${nameOf(item)}`) }))
+    .map((item) => ({ item, name: nameOf(item), weight: weightOf(key, nameOf(item)) }))
     .sort((a, b) => b.weight - a.weight || (a.name < b.name ? -1 : 1))
     .map(({ item }) => item);
 }
--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -49,7 +49,14 @@
   node: string,
   more: Partial<balancer.Candidate> = {},
 ): balancer.Candidate {
-  const usual = { distance: 'domain', slots: 10, load: 0, workMs: 100, failureShare: 0 } as const;
+  const usual = {
+    distance: 'domain',
+    slots: 10,
+    load: 0,
+    workMs: 100,
+    failureShare: 0,
+    isOpen: true,
+  } as const;
   return { node: ids.nodeId(node), ...usual, ...more };
 }
 
@@ -57,12 +64,14 @@
   node: string,
   upstream: Partial<members.UpstreamState> | null = {},
   domain = 'd1',
+  region = 'r1',
 ): members.Member {
   return {
     node: ids.nodeId(node),
     address: '127.0.0.1:7000',
     domain: ids.domainName(domain),
-    region: ids.regionName('r1'),
+    region: ids.regionName(region),
+    sequence: 1,
     upstream:
       upstream === null
         ? null
@@ -117,6 +126,7 @@
     targetLeftMs: 100,
     deadlineLeftMs: 400,
     estimateMs: 30,
+    maxWaitMs: Infinity,
     ...more,
   };
 }
--- a/packages/mesh/src/config/__tests__/news.test.ts
+++ b/packages/mesh/src/config/__tests__/news.test.ts
@@ -9,11 +9,12 @@
 interface Node {
   name: string;
   domain: string;
+  isRelay: boolean;
   heard: boolean;
 }
 
-/** Passes one piece of news on as far as it goes. `isFirst` names the node that a domain is told through. */
-function spread(nodes: Node[], watcher: Node, isFirst: (node: Node) => boolean): void {
+/** Passes one piece of news on as far as it goes. */
+function spread(nodes: Node[], watcher: Node): void {
   const queue: { to: Node; origin: news.Origin }[] = [{ to: watcher, origin: 'store' }];
   for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
     const { to: at, origin } = next;
@@ -22,10 +23,7 @@
       const audience = news.audienceOf(origin);
       for (const node of nodes) {
         const inDomain = node.domain === at.domain;
-        const told =
-          audience === 'everyone' ||
-          (audience === 'domain' && inDomain) ||
-          (audience === 'domainAndOneOfEachOther' && (inDomain || isFirst(node)));
+        const told = inDomain ? audience.domain : audience.farRelays && at.isRelay && node.isRelay;
         if (told) queue.push({ to: node, origin: inDomain ? 'domain' : 'remote' });
       }
     }
@@ -41,14 +39,15 @@
         fc.nat({ max: 8 }),
         fc.array(fc.nat({ max: 2 }), { minLength: 3 }),
         (at, picks) => {
-          const nodes = domains.flatMap((domain) =>
-            [0, 1, 2].map((i) => ({ name: `${domain}${i}`, domain, heard: false })),
-          );
-          spread(
-            nodes,
-            nodes[at]!,
-            ({ name, domain }) => name === `${domain}${picks[domains.indexOf(domain)]}`,
+          const nodes = domains.flatMap((domain, i) =>
+            [0, 1, 2].map((place) => ({
+              name: `${domain}${place}`,
+              domain,
+              isRelay: place === picks[i],
+              heard: false,
+            })),
           );
+          spread(nodes, nodes[at]!);
           assert.deepEqual(
             nodes.filter(({ heard }) => !heard),
             [],
--- a/packages/mesh/src/config/news.ts
+++ b/packages/mesh/src/config/news.ts
@@ -1,8 +1,7 @@
 /**
- * Where news of configurations and rollouts comes from, and to which nodes it is passed on. Each node
- * that watches the store tells its own failure domain and one node of each other. What comes from
- * another domain goes on to all of the own one, so that news arrives also while its watching node
- * has ended and no other has taken over yet.
+ * Where news of configurations and rollouts comes from, and to which nodes it is passed on. A node tells
+ * its own failure domain; relays carry news between domains. So it arrives also in a domain whose
+ * watching node has ended and where no other has taken over yet.
  */
 
 export type Origin =
@@ -14,13 +13,18 @@
   /** A node of another failure domain. */
   | 'remote';
 
-export type Audience = 'everyone' | 'domainAndOneOfEachOther' | 'domain' | 'nobody';
+export interface Audience {
+  /** All nodes of the own failure domain. */
+  domain: boolean;
+  /** Relays of the other failure domains, if this node is a relay. */
+  farRelays: boolean;
+}
 
 const AUDIENCES: Record<Origin, Audience> = {
-  store: 'domainAndOneOfEachOther',
-  self: 'everyone',
-  remote: 'domain',
-  domain: 'nobody',
+  store: { domain: true, farRelays: true },
+  self: { domain: true, farRelays: true },
+  domain: { domain: false, farRelays: true },
+  remote: { domain: true, farRelays: false },
 };
 
 export function audienceOf(origin: Origin): Audience {
--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -4,7 +4,7 @@
  * calls to the store do not grow with the number of nodes.
  */
 
-import { backoff, failures, type ids, rendezvous } from '@godwittrack/core';
+import { backoff, failures, type ids } from '@godwittrack/core';
 import type * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import type * as phases from '../rollouts/phases.js';
@@ -83,7 +83,8 @@
 
 export interface StoreWatcherOptions {
   table: members.MemberTable;
-  reachable: () => members.Member[];
+  /** Nodes of the own failure domain in reach, in the order in which they watch the store. */
+  watchers: () => readonly members.Member[];
   log: observability.DecisionLog;
   nowMs: () => number;
 }
@@ -135,15 +136,23 @@
 
   /** A node of the same failure domain that ranks ahead and was heard of lately. */
   private hasWatcherAhead(): boolean {
-    const { table, reachable } = this.options;
+    const { table, watchers } = this.options;
     const now = this.options.nowMs();
-    for (const { node } of rankIn(table.self.domain, reachable())) {
+    for (const { node } of watchers()) {
       if (node === table.self.node) return false;
-      if (now - (this.heardAt.get(node) ?? -Infinity) < TAKE_OVER_AFTER_MS) return true;
+      if (now - this.firstMet(node, now) < TAKE_OVER_AFTER_MS) return true;
     }
     return false;
   }
 
+  /** Last beacon of a node; one that has just come into reach has that long for its first. */
+  private firstMet(node: ids.NodeId, nowMs: number): number {
+    const heard = this.heardAt.get(node);
+    if (heard !== undefined) return heard;
+    this.heardAt.set(node, nowMs);
+    return nowMs;
+  }
+
   private start(): void {
     for (const subject of this.subjects) {
       const controller = new AbortController();
@@ -181,17 +190,3 @@
     }
   }
 }
-
-/** First-ranked node of a failure domain among the nodes that can be reached. */
-export function watcherOf(
-  domain: ids.DomainName,
-  reachable: readonly members.Member[],
-): ids.NodeId | null {
-  return rankIn(domain, reachable)[0]?.node ?? null;
-}
-
-/** Nodes of a failure domain in the order in which they watch the store. */
-function rankIn(domain: ids.DomainName, reachable: readonly members.Member[]): members.Member[] {
-  const inDomain = reachable.filter((member) => member.domain === domain);
-  return rendezvous.rank(domain, inDomain, ({ node }) => node);
-}
--- a/packages/mesh/src/limits/__tests__/admissionQueue.test.ts
+++ b/packages/mesh/src/limits/__tests__/admissionQueue.test.ts
@@ -15,6 +15,7 @@
     targetAtMs: nowMs + 3 * WORK_MS,
     deadlineAtMs: nowMs + 8 * WORK_MS,
     estimateMs: WORK_MS,
+    maxWaitMs: Infinity,
     ...more,
   };
 }
@@ -45,6 +46,14 @@
       assert.equal(decision.type, 'refuse');
     });
 
+    // Its sender knows of a shorter wait elsewhere: the pattern of a busy server beside an idle one.
+    it('refuses a wait that its sender does not want, and takes one that it does', () => {
+      fill();
+      const picky = queue.offer(entrant('p', 0, { maxWaitMs: WORK_MS / 4 }), 0);
+      assert.deepEqual(picky, { type: 'refuse', reason: 'waitTooLong', retryAfterMs: WORK_MS / 2 });
+      assert.equal(queue.offer(entrant('w', 0, { maxWaitMs: WORK_MS }), 0).type, 'wait');
+    });
+
     it('refuses everything while the upstream takes no work', () => {
       queue.setSlots(0);
       const decision = queue.offer(entrant('a', 0), 0);
--- a/packages/mesh/src/limits/__tests__/targetMargin.test.ts
+++ b/packages/mesh/src/limits/__tests__/targetMargin.test.ts
@@ -44,6 +44,7 @@
       targetAtMs: trueTargetMs - marginOf(MEAN_MS, TARGET_MS),
       deadlineAtMs: arrivesAt + DEADLINE_MS,
       estimateMs: MEAN_MS,
+      maxWaitMs: Infinity,
       workMs: exponential(MEAN_MS),
     };
     if (queue.offer(work, arrivesAt).type === 'run') start(work, arrivesAt);
--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -13,12 +13,17 @@
   deadlineAtMs: number;
   /** Expected time at the upstream. */
   estimateMs: number;
+  /** A longer wait is refused when it comes in, since its sender knows a better place. */
+  maxWaitMs: number;
 }
 
+/** Reason of a refusal where the sender may find a shorter wait elsewhere. */
+export const WAIT_TOO_LONG = 'waitTooLong';
 /** Reason of a refusal where a similar request, a moment later, would be refused as well. */
 export const QUEUE_TOO_LONG = 'queueTooLong';
 
-export type RefusalReason = 'noTimeLeft' | typeof QUEUE_TOO_LONG | 'notAccepting';
+export type RefusalReason =
+  'noTimeLeft' | typeof QUEUE_TOO_LONG | typeof WAIT_TOO_LONG | 'notAccepting';
 
 export type Decision =
   | { type: 'run' }
@@ -80,6 +85,7 @@
     if (!this.canWait(entrant, waitMs, nowMs, this.lateCount(nowMs))) {
       return refuse(QUEUE_TOO_LONG, waitMs);
     }
+    if (waitMs > entrant.maxWaitMs) return refuse(WAIT_TOO_LONG, waitMs);
     this.waiting.splice(place, 0, entrant);
     return { type: 'wait' };
   }
--- /dev/null
+++ b/packages/mesh/src/membership/__tests__/memberSpread.test.ts
@@ -0,0 +1,265 @@
+import * as assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { ids } from '@godwittrack/core';
+import * as fc from 'fast-check';
+import * as random from 'pure-rand/generator/xoroshiro128plus';
+import * as uniform from 'pure-rand/distribution/uniformFloat64';
+import * as fixtures from '../../__tests__/fixtures.js';
+import * as members from '../members.js';
+import * as memberSpread from '../memberSpread.js';
+import * as neighbours from '../neighbours.js';
+
+/** Rounds of digests after which everything lost on the way must be mended. */
+const MENDING_ROUNDS = 6;
+const ROUND_MS = 2_000;
+
+interface Sent {
+  from: members.Member;
+  to: ids.NodeId;
+  message: memberSpread.SpreadMessage;
+}
+
+class FakeNode {
+  readonly table: members.MemberTable;
+
+  readonly near: neighbours.Neighbours;
+
+  readonly spread: memberSpread.MemberSpread;
+
+  isAlive = true;
+
+  constructor(
+    readonly self: members.Member,
+    fleet: FakeFleet,
+  ) {
+    this.table = new members.MemberTable(self, () => fleet.nowMs);
+    this.near = new neighbours.Neighbours({
+      table: this.table,
+      isReachable: (node) => fleet.isAlive(node),
+      reachVersion: () => fleet.reachChanges,
+    });
+    this.spread = new memberSpread.MemberSpread({
+      table: this.table,
+      neighbours: this.near,
+      tell: (to, message) => fleet.post({ from: self, to, message }),
+      onPending: () => fleet.pending.add(this),
+      nowMs: () => fleet.nowMs,
+    });
+  }
+}
+
+/** Nodes in one process with a transport that loses and reorders messages. */
+class FakeFleet {
+  nowMs = 0;
+
+  reachChanges = 0;
+
+  messages = 0;
+
+  lossShare = 0;
+
+  readonly pending = new Set<FakeNode>();
+
+  readonly nodes = new Map<ids.NodeId, FakeNode>();
+
+  private queue: Sent[] = [];
+
+  private readonly rng: ReturnType<typeof random.xoroshiro128plus>;
+
+  constructor(size: number, domains: number, seed: number) {
+    this.rng = random.xoroshiro128plus(seed);
+    const selves = Array.from({ length: size }, (_, i) =>
+      fixtures.member(`n${i}`, {}, `d${i % domains}`),
+    );
+    for (const self of selves) this.nodes.set(self.node, new FakeNode(self, this));
+    for (const { table } of this.nodes.values()) {
+      for (const self of selves) if (self.node !== table.self.node) table.merge(self);
+    }
+  }
+
+  isAlive(node: ids.NodeId): boolean {
+    return this.nodes.get(node)?.isAlive ?? false;
+  }
+
+  at(i: number): FakeNode {
+    return this.nodes.get(ids.nodeId(`n${i}`))!;
+  }
+
+  post(sent: Sent): void {
+    this.messages += 1;
+    if (this.next() >= this.lossShare) this.queue.push(sent);
+  }
+
+  kill(node: FakeNode): void {
+    node.isAlive = false;
+    this.reachChanges += 1;
+  }
+
+  state(node: FakeNode, upstream: members.UpstreamState | null): void {
+    node.table.restate(upstream);
+    node.spread.stateSelf();
+    this.settle();
+  }
+
+  /** Delivers all that is under way, in any order. */
+  settle(): void {
+    while (this.queue.length > 0 || this.pending.size > 0) {
+      while (this.queue.length > 0) {
+        const [sent] = this.queue.splice(Math.floor(this.next() * this.queue.length), 1);
+        this.deliver(sent!);
+      }
+      for (const node of [...this.pending]) {
+        this.pending.delete(node);
+        node.spread.flush();
+      }
+    }
+  }
+
+  round(): void {
+    this.nowMs += ROUND_MS;
+    for (const node of this.nodes.values()) if (node.isAlive) node.spread.sendDigests();
+    this.settle();
+  }
+
+  /** Nodes that do not hold what another one says of itself. */
+  stale(about: FakeNode): string[] {
+    return [...this.nodes.values()]
+      .filter(({ isAlive, table }) => {
+        const held = table.get(about.self.node);
+        return isAlive && held?.sequence !== about.self.sequence;
+      })
+      .map(({ self }) => self.node);
+  }
+
+  private deliver({ from, to, message }: Sent): void {
+    const node = this.nodes.get(to)!;
+    if (!node.isAlive) return;
+    const reply = (back: memberSpread.SpreadMessage) =>
+      this.post({ from: node.self, to: from.node, message: back });
+    node.spread.hear(from, message, reply);
+  }
+
+  private next(): number {
+    return uniform.uniformFloat64(this.rng);
+  }
+}
+
+const leaving = (node: FakeNode) => ({ ...node.self.upstream!, leaving: true, accepting: false });
+
+describe('MemberSpread', () => {
+  for (const size of [12, 195, 800]) {
+    it(`tells each of ${size} nodes that an upstream leaves, by few messages`, () => {
+      const fleet = new FakeFleet(size, 8, 1);
+      const node = fleet.at(size - 1);
+      fleet.state(node, leaving(node));
+      assert.deepEqual(fleet.stale(node), []);
+      // Two relays on each side carry a statement, so each node hears it at most four times.
+      assert.ok(fleet.messages < 4 * size + 8 * 8, String(fleet.messages));
+    });
+  }
+
+  it('gives a node of a large fleet few links', () => {
+    const fleet = new FakeFleet(800, 10, 1);
+    const links = [...fleet.nodes.values()].map(({ near }) => near.kept.size);
+    const inDomain = 800 / 10 - 1;
+    assert.ok(Math.max(...links) <= inDomain + 2 * 9, String(Math.max(...links)));
+    assert.equal(links.filter((count) => count > inDomain).length, 2 * 10);
+  });
+
+  it('tells all while a relay of each failure domain is dead', () => {
+    const fleet = new FakeFleet(195, 8, 3);
+    for (const relay of fleet.at(0).near.farRelays.filter((_, i) => i % 2 === 0)) {
+      fleet.kill(fleet.nodes.get(relay.node)!);
+    }
+    const node = [...fleet.nodes.values()].find(({ isAlive }) => isAlive)!;
+    fleet.state(node, leaving(node));
+    assert.deepEqual(fleet.stale(node), []);
+  });
+
+  it('mends by digests whatever was lost, in any order of statements', () => {
+    const changes = fc.array(fc.nat({ max: 47 }), { minLength: 1, maxLength: 12 });
+    fc.assert(
+      fc.property(
+        changes,
+        fc.integer(),
+        fc.double({ min: 0, max: 0.7, noNaN: true }),
+        (at, seed, loss) => {
+          const fleet = new FakeFleet(48, 4, seed);
+          fleet.lossShare = loss;
+          for (const i of at) {
+            const node = fleet.at(i);
+            fleet.state(node, { ...node.self.upstream!, slots: node.self.sequence + 1 });
+          }
+          fleet.lossShare = 0;
+          for (let i = 0; i < MENDING_ROUNDS; i += 1) fleet.round();
+          for (const i of at) assert.deepEqual(fleet.stale(fleet.at(i)), []);
+        },
+      ),
+      { numRuns: 50 },
+    );
+  });
+
+  it('forgets a node in all failure domains, and takes it back when it says something new', () => {
+    const fleet = new FakeFleet(48, 4, 5);
+    const node = fleet.at(7);
+    fleet.kill(node);
+    for (const other of fleet.nodes.values()) {
+      if (other.isAlive && other.self.domain === node.self.domain) {
+        other.spread.forget(node.self.node);
+      }
+    }
+    fleet.settle();
+    fleet.round();
+    const holding = [...fleet.nodes.values()].filter(
+      ({ isAlive, table }) => isAlive && table.get(node.self.node) !== undefined,
+    );
+    assert.deepEqual(holding, []);
+    node.isAlive = true;
+    fleet.reachChanges += 1;
+    fleet.state(node, node.self.upstream);
+    assert.deepEqual(fleet.stale(node), []);
+  });
+
+  it('sends nothing more once all hold the same', () => {
+    const fleet = new FakeFleet(48, 4, 6);
+    fleet.round();
+    fleet.messages = 0;
+    fleet.round();
+    const digests = fleet.messages;
+    fleet.messages = 0;
+    fleet.round();
+    assert.equal(fleet.messages, digests);
+  });
+});
+
+describe('MemberTable', () => {
+  const self = fixtures.member('self');
+
+  it('holds the newest statement whatever the order in which they come', () => {
+    const sequences = fc.array(fc.integer({ min: 1, max: 20 }), { minLength: 1 });
+    fc.assert(
+      fc.property(sequences, (order) => {
+        const table = new members.MemberTable({ ...self });
+        for (const sequence of order) table.merge({ ...fixtures.member('b'), sequence });
+        assert.equal(table.get(ids.nodeId('b'))!.sequence, Math.max(...order));
+      }),
+    );
+  });
+
+  it('goes on after the statement that others hold from before a restart', () => {
+    const table = new members.MemberTable({ ...self });
+    table.restate(null, 57);
+    assert.equal(table.self.sequence, 58);
+  });
+
+  it('takes back a node that was removed by mistake, after a while', () => {
+    let now = 0;
+    const table = new members.MemberTable({ ...self }, () => now);
+    const other = fixtures.member('b');
+    table.merge(other);
+    table.remove(other.node);
+    assert.equal(table.merge(other), false);
+    now = 60_000;
+    assert.equal(table.merge(other), true);
+  });
+});
--- a/packages/mesh/src/membership/members.ts
+++ b/packages/mesh/src/membership/members.ts
@@ -1,6 +1,6 @@
 /** Nodes of the fleet and the upstreams beside them, as each node states them of itself. */
 
-import type { ids } from '@godwittrack/core';
+import { type ids, rendezvous } from '@godwittrack/core';
 
 /** The upstream beside a node, as its node lets others use it. */
 export interface UpstreamState {
@@ -25,7 +25,10 @@
   region: ids.RegionName;
 }
 
+/** What a node says of itself. Of two statements the one with the higher sequence is newer. */
 export interface Member extends NodeAddress {
+  /** Rises with each change; 0 where only the address is known. */
+  sequence: number;
   upstream: UpstreamState | null;
 }
 
@@ -39,18 +42,39 @@
   return from.region === to.region ? 'region' : 'remote';
 }
 
-/** Table of known members. Each node states its own entry; nobody states another's. */
+/**
+ * Time for which old statements do not bring a removed node back; the nodes of its failure domain remove
+ * it within a few seconds of each other. After it, a node that was removed by mistake returns.
+ */
+const GONE_FOR_MS = 15_000;
+/** Removed nodes that are remembered. */
+const MAX_REMEMBERED_GONE = 512;
+
+interface Gone {
+  sequence: number;
+  untilMs: number;
+}
+
+/**
+ * Table of known members. Each node numbers its own statements, so they merge in any order and by any
+ * way; nobody states another's upstream.
+ */
 export class MemberTable {
   private readonly members = new Map<ids.NodeId, Member>();
 
-  private readonly listeners: ((member: Member) => void)[] = [];
+  private readonly gone = new Map<ids.NodeId, Gone>();
 
-  constructor(readonly self: Member) {
-    this.members.set(self.node, self);
-  }
+  private readonly byService = new Map<ids.ServiceName, Member[]>();
+
+  private readonly digests = new Map<ids.DomainName, number>();
+
+  private changes = 0;
 
-  onChange(listener: (member: Member) => void): void {
-    this.listeners.push(listener);
+  constructor(
+    readonly self: Member,
+    private readonly nowMs: () => number = () => performance.now(),
+  ) {
+    this.members.set(self.node, self);
   }
 
   get(node: ids.NodeId): Member | undefined {
@@ -65,28 +89,91 @@
     return this.members.size;
   }
 
-  /** Adds a node, or notes its new address. @returns whether anything changed */
-  introduce(address: NodeAddress): boolean {
-    const known = this.members.get(address.node);
-    if (known?.address === address.address) return false;
-    const member = { ...address, upstream: null };
-    this.members.set(address.node, member);
-    this.notify(member);
+  /** Rises with each change of the table. */
+  get version(): number {
+    return this.changes;
+  }
+
+  /** Members whose upstream is of a service and takes work. */
+  serving(service: ids.ServiceName): readonly Member[] {
+    let found = this.byService.get(service);
+    if (found === undefined) {
+      found = [...this.members.values()].filter(
+        ({ upstream }) => upstream !== null && upstream.accepting && upstream.service === service,
+      );
+      this.byService.set(service, found);
+    }
+    return found;
+  }
+
+  /** Nodes with statements in a failure domain, reduced to one number; equal sets have equal numbers. */
+  digestOf(domain: ids.DomainName): number {
+    let digest = this.digests.get(domain);
+    if (digest === undefined) {
+      digest = 0;
+      for (const { node, sequence, domain: own } of this.members.values()) {
+        if (own === domain && sequence > 0) {
+          digest = (digest + rendezvous.hash32(`${node}\u0000${sequence}`)) >>> 0;
+        }
+      }
+      this.digests.set(domain, digest);
+    }
+    return digest;
+  }
+
+  domains(): Set<ids.DomainName> {
+    return new Set([...this.members.values()].map(({ domain }) => domain));
+  }
+
+  /** Adds a node of which only the address is known. @returns whether anything changed */
+  introduce({ node, address, domain, region }: NodeAddress): boolean {
+    const known = this.members.get(node);
+    if (known !== undefined && (known.sequence > 0 || known.address === address)) return false;
+    this.put({ node, address, domain, region, sequence: 0, upstream: null });
+    return true;
+  }
+
+  /** Takes a node's statement of itself if it is newer than what is held. @returns whether it was */
+  merge(statement: Member): boolean {
+    const { node, sequence } = statement;
+    if (node === this.self.node || sequence <= this.lastSequence(node)) return false;
+    this.put({ ...statement });
     return true;
   }
 
-  setUpstream(node: ids.NodeId, upstream: UpstreamState | null): void {
-    const member = this.members.get(node);
-    if (member === undefined) return;
-    member.upstream = upstream;
-    this.notify(member);
+  /** Newest sequence heard of a node, also if it was removed since; -1 if never heard of. */
+  lastSequence(node: ids.NodeId): number {
+    const gone = this.gone.get(node);
+    const goneSequence = gone !== undefined && this.nowMs() < gone.untilMs ? gone.sequence : -1;
+    return Math.max(this.members.get(node)?.sequence ?? -1, goneSequence);
+  }
+
+  /** A new statement of this node of itself, after `atLeast` if others hold one of an earlier process. */
+  restate(upstream: UpstreamState | null, atLeast = 0): void {
+    this.self.upstream = upstream;
+    this.self.sequence = Math.max(this.self.sequence, atLeast) + 1;
+    this.changed();
+  }
+
+  /** Removes a node; only a newer statement than those heard so far brings it back. */
+  remove(node: ids.NodeId, upTo = this.lastSequence(node)): boolean {
+    const known = this.members.get(node);
+    if (node === this.self.node || known === undefined || known.sequence > upTo) return false;
+    this.members.delete(node);
+    this.gone.set(node, { sequence: upTo, untilMs: this.nowMs() + GONE_FOR_MS });
+    if (this.gone.size > MAX_REMEMBERED_GONE) this.gone.delete(this.gone.keys().next().value!);
+    this.changed();
+    return true;
   }
 
-  remove(node: ids.NodeId): void {
-    if (node !== this.self.node) this.members.delete(node);
+  private put(member: Member): void {
+    this.members.set(member.node, member);
+    this.changed();
   }
 
-  private notify(member: Member): void {
-    for (const listener of this.listeners) listener(member);
+  private changed(): void {
+    this.changes += 1;
+    this.byService.clear();
+    this.digests.clear();
   }
 }
--- a/packages/mesh/src/peers/__tests__/configurationRequests.test.ts
+++ b/packages/mesh/src/peers/__tests__/configurationRequests.test.ts
@@ -18,8 +18,8 @@
     });
   });
 
-  function offer(name: string, version: number): void {
-    requests.offered({ version, ask: () => asked.push(name) });
+  function offer(name: string, version: number, patienceMs = 0): void {
+    requests.offered({ version, patienceMs, ask: () => asked.push(name) });
   }
 
   // A restarted node asked each of 72 others, which filled the links between regions.
--- a/packages/mesh/src/peers/__tests__/peerLink.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerLink.test.ts
@@ -10,25 +10,45 @@
 import * as peerServer from '../peerServer.js';
 
 const POLL_MS = 5;
+/** What the node at the other end says of itself. */
+const STATEMENT = { ...fixtures.member('b'), sequence: 9 };
 
 /** Keeps requests under way until they are released. */
 class HeldDestination extends exchange.Destination {
   readonly received: exchange.ForwardedRequest[] = [];
 
-  private readonly held: (() => void)[] = [];
+  private readonly held: ((outcome: exchange.Outcome) => void)[] = [];
 
   send(req: exchange.ForwardedRequest): Promise<exchange.Delivery> {
     this.received.push(req);
     return new Promise((resolve) => {
-      this.held.push(() => resolve({ outcome: exchange.lost('released'), report: null }));
+      this.held.push((outcome) => resolve({ outcome, report: null }));
     });
   }
 
-  release(): void {
-    for (const release of this.held.splice(0)) release();
+  release(outcome: exchange.Outcome = exchange.lost('released')): void {
+    for (const release of this.held.splice(0)) release(outcome);
   }
 }
 
+function createLink(
+  address: string,
+  kept: boolean,
+  onFrame: (frame: frames.Frame) => void = () => {},
+): peerLink.PeerLink {
+  const from = fixtures.member('a', null);
+  return new peerLink.PeerLink({
+    node: ids.nodeId('b'),
+    address,
+    kept,
+    hello: () => ({ type: 'hello', from, configVersion: 0, rollouts: [], rolloutsKnown: false }),
+    onFrame: (_, frame) => onFrame(frame),
+    onUp: () => {},
+    onReachChanged: () => {},
+    onDown: () => {},
+  });
+}
+
 async function until(holds: () => boolean): Promise<void> {
   while (!holds()) await timers.setTimeout(POLL_MS);
 }
@@ -37,10 +57,16 @@
   let destination: HeldDestination;
   let server: peerServer.PeerServer;
   let link: peerLink.PeerLink;
+  let address: string;
 
   beforeEach(async () => {
     destination = new HeldDestination();
-    server = new peerServer.PeerServer({ destination, onFrame: () => {}, onViolation: () => {} });
+    server = new peerServer.PeerServer({
+      destination,
+      statement: () => STATEMENT,
+      onFrame: () => {},
+      onViolation: () => {},
+    });
     const probe = net.createServer().listen(0, '127.0.0.1');
     await until(() => probe.listening);
     const { port } = probe.address() as net.AddressInfo;
@@ -48,22 +74,8 @@
       probe.close(resolve);
     });
     await server.listen(`127.0.0.1:${port}`);
-    const from = fixtures.member('a');
-    link = new peerLink.PeerLink({
-      node: ids.nodeId('b'),
-      address: `127.0.0.1:${port}`,
-      hello: () => ({
-        type: 'hello',
-        from: { node: from.node, address: from.address, domain: from.domain, region: from.region },
-        upstream: null,
-        configVersion: 0,
-        rollouts: [],
-        rolloutsKnown: false,
-      }),
-      onFrame: () => {},
-      onUp: () => {},
-      onDown: () => {},
-    });
+    address = `127.0.0.1:${port}`;
+    link = createLink(address, true);
     await until(() => link.usable);
   });
 
@@ -102,6 +114,98 @@
   });
 });
 
+describe('a link that is not kept', () => {
+  const destination = new HeldDestination();
+  let server: peerServer.PeerServer | null = null;
+  let silent: net.Server | null = null;
+  let link: peerLink.PeerLink;
+
+  async function freeAddress(): Promise<string> {
+    const probe = net.createServer().listen(0, '127.0.0.1');
+    await until(() => probe.listening);
+    const { port } = probe.address() as net.AddressInfo;
+    await new Promise((resolve) => {
+      probe.close(resolve);
+    });
+    return `127.0.0.1:${port}`;
+  }
+
+  async function listen(address: string): Promise<void> {
+    server = new peerServer.PeerServer({
+      destination,
+      statement: () => STATEMENT,
+      onFrame: () => {},
+      onViolation: () => {},
+    });
+    await server.listen(address);
+  }
+
+  function send(semantics: 'repeatable' | 'once' = 'once'): Promise<exchange.Delivery> {
+    return link.send(fixtures.forwarded({ semantics }), new AbortController().signal);
+  }
+
+  afterEach(() => {
+    link.stop();
+    server?.close();
+    silent?.close();
+    destination.release();
+    destination.received.length = 0;
+  });
+
+  it('opens for the first request, and again after it was closed', async () => {
+    const address = await freeAddress();
+    await listen(address);
+    link = createLink(address, false);
+    for (let i = 1; i <= 2; i += 1) {
+      assert.equal(link.usable, false);
+      assert.ok(link.accepts);
+      const answered = send();
+      await until(() => destination.received.length === i);
+      destination.release();
+      assert.deepEqual((await answered).outcome, exchange.lost('released'));
+      link.closeUnused();
+    }
+  });
+
+  // A node that stands still is connected to, and would run the request when it wakes.
+  it('does not send what may run only once to a node that gives no sign of life', async () => {
+    const bytes: Buffer[] = [];
+    silent = net.createServer((socket) => socket.on('data', (chunk) => bytes.push(chunk)));
+    silent.listen(0, '127.0.0.1');
+    await until(() => silent!.listening);
+    const { port } = silent.address() as net.AddressInfo;
+    link = createLink(`127.0.0.1:${port}`, false);
+    const { outcome } = await send('once');
+    assert.deepEqual(outcome.type === 'refused' && outcome.reason, 'peerUnreachable');
+    assert.equal(Buffer.concat(bytes).includes('/a/?b=c'), false);
+    await until(() => !link.accepts);
+  });
+
+  // Nodes asked for an incarnation that had gone, again and again, where a statement had been lost.
+  it('brings the present statement of a node with a refusal that shows an old one', async () => {
+    const address = await freeAddress();
+    await listen(address);
+    const heard: frames.Frame[] = [];
+    link = createLink(address, false, (frame) => heard.push(frame));
+    const answered = send();
+    await until(() => destination.received.length === 1);
+    destination.release(exchange.refused('otherIncarnation', 50));
+    assert.equal((await answered).outcome.type, 'refused');
+    assert.deepEqual(heard, [{ type: 'members', members: [STATEMENT] }]);
+  });
+
+  it('takes no request while the node is out of reach, until it has answered again', async () => {
+    const address = await freeAddress();
+    link = createLink(address, false);
+    const { outcome } = await send('repeatable');
+    assert.equal(outcome.type, 'refused');
+    assert.equal(link.accepts, false);
+    await listen(address);
+    await until(() => link.accepts);
+    assert.ok(link.usable);
+  });
+});
+
 describe('frames', () => {
   it('carry the ids of requests that are still under way in a goodbye', () => {
     const goodbye = { type: 'goodbye', running: [3, 9] } as const;
--- /dev/null
+++ b/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
@@ -0,0 +1,154 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
+import { afterEach, describe, it } from 'node:test';
+import { ids } from '@godwittrack/core';
+import * as fixtures from '../../__tests__/fixtures.js';
+import * as configHolder from '../../config/configHolder.js';
+import * as members from '../../membership/members.js';
+import * as rolloutBoard from '../../rollouts/rolloutBoard.js';
+import * as exchange from '../../routing/exchange.js';
+import * as peerNetwork from '../peerNetwork.js';
+import * as peerServer from '../peerServer.js';
+
+const POLL_MS = 5;
+const REVIEW_MS = 50;
+
+class RefusingDestination extends exchange.Destination {
+  send(): Promise<exchange.Delivery> {
+    return Promise.resolve({ outcome: exchange.refused('test', 1), report: null });
+  }
+}
+
+interface Node {
+  self: members.Member;
+  table: members.MemberTable;
+  config: configHolder.ConfigHolder;
+  board: rolloutBoard.RolloutBoard;
+  network: peerNetwork.PeerNetwork;
+  recalled: members.UpstreamState[];
+  stop: () => void;
+}
+
+async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) await timers.setTimeout(POLL_MS);
+}
+
+async function freeAddress(): Promise<string> {
+  const probe = net.createServer().listen(0, '127.0.0.1');
+  await until(() => probe.listening);
+  const { port } = probe.address() as net.AddressInfo;
+  await new Promise((resolve) => {
+    probe.close(resolve);
+  });
+  return `127.0.0.1:${port}`;
+}
+
+async function startNode(name: string, domain: string, address: string): Promise<Node> {
+  const nowMs = () => performance.now();
+  const self = { ...fixtures.member(name, null, domain), address };
+  const log = fixtures.silentLog();
+  const table = new members.MemberTable(self);
+  const config = new configHolder.ConfigHolder(nowMs);
+  const board = new rolloutBoard.RolloutBoard(log, nowMs);
+  const recalled: members.UpstreamState[] = [];
+  const network = new peerNetwork.PeerNetwork({
+    table,
+    config,
+    rollouts: board,
+    log,
+    onBeacon: () => {},
+    onEvidence: () => {},
+    onRecall: (upstream) => recalled.push(upstream),
+  });
+  const server = new peerServer.PeerServer({
+    destination: new RefusingDestination(),
+    statement: () => self,
+    onFrame: (session, frame) => network.hear(session, frame),
+    onViolation: (detail) => assert.fail(detail),
+  });
+  await server.listen(address);
+  const timer = setInterval(() => network.review(), REVIEW_MS);
+  const stop = () => {
+    clearInterval(timer);
+    network.stop();
+    server.close();
+  };
+  return { self, table, config, board, network, recalled, stop };
+}
+
+describe('PeerNetwork', { timeout: 20_000 }, () => {
+  const nodes: Node[] = [];
+
+  async function start(name: string, domain: string, address?: string): Promise<Node> {
+    const node = await startNode(name, domain, address ?? (await freeAddress()));
+    nodes.push(node);
+    return node;
+  }
+
+  afterEach(() => {
+    for (const node of nodes.splice(0)) node.stop();
+  });
+
+  const knows = (node: Node, about: Node) => node.table.get(about.self.node);
+
+  // A node that left watching the store to another never learned that there are no rollouts, and so
+  // refused every request.
+  it('lets a node learn the rollouts that nobody knew when it connected', async () => {
+    const watching = await start('a', 'd1');
+    const joining = await start('b', 'd1');
+    joining.network.introduce([watching.self]);
+    await until(() => knows(watching, joining) !== undefined);
+    await until(() => knows(joining, watching)!.sequence > 0);
+    watching.board.setKnown();
+    const beacon = { type: 'beacon', configVersion: 0 } as const;
+    await until(() => {
+      watching.network.broadcast(beacon, { domain: true, farRelays: false });
+      return joining.board.isKnown;
+    });
+  });
+
+  it('brings a configuration to a node of another failure domain by its version alone', async () => {
+    const watching = await start('a', 'd1');
+    const far = await start('b', 'd2');
+    far.network.introduce([watching.self]);
+    await until(() => knows(watching, far) !== undefined);
+    const cfg = fixtures.configurationOf(3, [fixtures.route('r')]);
+    watching.config.offer(cfg, { origin: 'store', name: 'store' });
+    await until(() => {
+      watching.network.announceConfiguration(cfg, null, { domain: true, farRelays: true });
+      return far.config.version === 3;
+    });
+    assert.deepEqual(far.config.current!.cfg, cfg);
+  });
+
+  it('lets a restarted node go on after what it said before, and recalls its upstream', async () => {
+    const other = await start('a', 'd1');
+    const address = await freeAddress();
+    const before = await start('b', 'd1', address);
+    before.network.introduce([other.self]);
+    const { upstream } = fixtures.member('b');
+    for (let i = 0; i < 5; i += 1) {
+      before.table.restate({ ...upstream!, slots: 5 + i });
+      before.network.stateSelf();
+    }
+    await until(() => knows(other, before)?.upstream?.slots === 9);
+    before.stop();
+    const restarted = await start('b', 'd1', address);
+    await until(() => restarted.recalled.length > 0);
+    assert.equal(restarted.recalled[0]!.slots, 9);
+    await until(() => knows(other, restarted)?.upstream === null);
+    assert.ok(restarted.self.sequence > 5);
+  });
+
+  it('passes what a node says on through relays to a node that it has no link to', async () => {
+    const first = await start('a', 'd1');
+    const second = await start('b', 'd2');
+    first.network.introduce([second.self]);
+    await until(() => knows(second, first) !== undefined);
+    const { upstream } = fixtures.member('a');
+    first.table.restate({ ...upstream!, service: ids.serviceName('fonts') });
+    first.network.stateSelf();
+    await until(() => knows(second, first)?.upstream?.service === 'fonts');
+  });
+});
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -8,6 +8,7 @@
 import { failures } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
 import type * as members from '../membership/members.js';
+import type * as memberSpread from '../membership/memberSpread.js';
 import type * as phases from '../rollouts/phases.js';
 import type * as evidence from '../rollouts/evidence.js';
 import type * as exchange from '../routing/exchange.js';
@@ -18,8 +19,8 @@
 /** What a node tells when it connects. */
 export interface Hello {
   type: 'hello';
-  from: members.NodeAddress;
-  upstream: members.UpstreamState | null;
+  /** The sender's statement of itself. */
+  from: members.Member;
   configVersion: number;
   rollouts: phases.RolloutState[];
   /** Whether the sender knows all rollouts. */
@@ -37,9 +38,9 @@
 export type Frame =
   | Hello
   | RequestFrame
-  | { type: 'upstream'; upstream: members.UpstreamState | null }
-  /** What is remembered of the upstream beside a node that has just been restarted. */
-  | { type: 'recall'; upstream: members.UpstreamState }
+  | memberSpread.SpreadMessage
+  /** A newer statement of the receiver than its own, from before it was restarted. */
+  | { type: 'recall'; member: members.Member }
   | { type: 'cancel'; id: number }
   | { type: 'outcome'; id: number; delivery: exchange.Delivery }
   /** The sender takes no more requests; those with these ids are still under way there. */
@@ -50,13 +51,22 @@
   | { type: 'configWhole'; cfg: configuration.Configuration }
   | { type: 'configWanted'; heldVersion: number }
   | { type: 'beacon'; configVersion: number }
+  /** What a relay holds, told now and then to mend news that were lost. */
+  | {
+      type: 'newsDigest';
+      configVersion: number;
+      rollouts: phases.RolloutState[];
+      rolloutsKnown: boolean;
+    }
+  /** Asks for a digest of news, by a node that does not know the rollouts yet. */
+  | { type: 'newsWanted' }
   | { type: 'rollouts'; states: phases.RolloutState[] }
   | { type: 'evidence'; report: evidence.EvidenceReport };
 
 const TYPES: readonly Frame['type'][] = [
   'hello',
   'request',
-  'upstream',
+  'members',
   'recall',
   'cancel',
   'outcome',
@@ -69,10 +79,19 @@
   'rollouts',
   'evidence',
   'goodbye',
+  'digests',
+  'membersWanted',
+  'gone',
+  'newsDigest',
+  'newsWanted',
 ];
 
+/** Kept, since each new one allocates its buffer. */
+const encoder = new msgpack.Encoder({ ignoreUndefined: true });
+const decoder = new msgpack.Decoder();
+
 export function encode(frame: Frame): Buffer {
-  const message = msgpack.encode(pack(frame), { ignoreUndefined: true });
+  const message = encoder.encodeSharedRef(pack(frame));
   const framed = Buffer.allocUnsafe(LENGTH_BYTES + message.length);
   framed.writeUInt32BE(message.length, 0);
   framed.set(message, LENGTH_BYTES);
@@ -86,6 +105,8 @@
       return [code, frame.id, frame.sentMs, ...packRequest(frame.req)];
     case 'outcome':
       return [code, frame.id, ...packDelivery(frame.delivery)];
+    case 'members':
+      return [code, frame.members.map(packMember)];
     default: {
       const { type, ...fields } = frame;
       return [code, fields];
@@ -96,12 +117,13 @@
 /** @throws protocolViolation */
 function decode(message: Uint8Array, peer: string): Frame {
   try {
-    const [code, first, ...rest] = msgpack.decode(message) as [number, unknown, ...unknown[]];
+    const [code, first, ...rest] = decoder.decode(message) as [number, unknown, ...unknown[]];
     const type = TYPES[code];
     if (type === 'request') {
       const [sentMs, ...fields] = rest;
       return { type, id: first as number, sentMs: sentMs as number, req: unpackRequest(fields) };
     }
+    if (type === 'members') return { type, members: (first as unknown[][]).map(unpackMember) };
     if (type === 'outcome') return { type, id: first as number, delivery: unpackDelivery(rest) };
     if (type === undefined) throw new Error(`type code ${code}`);
     return { type, ...(first as object) } as Frame;
@@ -110,6 +132,22 @@
   }
 }
 
+function packMember(member: members.Member): unknown[] {
+  const { node, address, domain, region, sequence, upstream } = member;
+  if (upstream === null) return [node, address, domain, region, sequence];
+  const { instance, service, version, slots, bornMs, leaving, accepting } = upstream;
+  const state = [instance, service, version, slots, bornMs, leaving, accepting];
+  return [node, address, domain, region, sequence, ...state];
+}
+
+function unpackMember(fields: unknown[]): members.Member {
+  const [node, address, domain, region, sequence, ...state] = fields;
+  const [instance, service, version, slots, bornMs, leaving, accepting] = state;
+  const upstream =
+    state.length === 0 ? null : { instance, service, version, slots, bornMs, leaving, accepting };
+  return { node, address, domain, region, sequence, upstream } as members.Member;
+}
+
 function packRequest(req: exchange.ForwardedRequest): unknown[] {
   return [
     req.requestId,
@@ -125,12 +163,14 @@
     Math.round(req.targetLeftMs),
     Math.round(req.deadlineLeftMs),
     Math.round(req.estimateMs),
+    Number.isFinite(req.maxWaitMs) ? Math.round(req.maxWaitMs) : null,
   ];
 }
 
 function unpackRequest(fields: unknown[]): exchange.ForwardedRequest {
   const [requestId, method, target, headers, body, route, repeatable, priority] = fields;
-  const [callerService, instance, targetLeftMs, deadlineLeftMs, estimateMs] = fields.slice(8);
+  const [callerService, instance, targetLeftMs, deadlineLeftMs, estimateMs, maxWaitMs] =
+    fields.slice(8);
   return {
     requestId,
     method,
@@ -145,6 +185,7 @@
     targetLeftMs,
     deadlineLeftMs,
     estimateMs,
+    maxWaitMs: maxWaitMs ?? Infinity,
   } as exchange.ForwardedRequest;
 }
 
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -1,22 +1,33 @@
 /**
- * Links to all members. Every node states its own upstream on its own links, so that there is one
- * source for each fact; configuration and rollouts are passed on as well, since they only advance.
+ * Links to other nodes and what is told on them. Links to neighbours are kept; links for requests are
+ * opened when they are first needed. Knowledge of members spreads by `MemberSpread`; configuration and
+ * rollouts are passed on as well, since they only advance.
  */
 
-import type { failures, ids } from '@godwittrack/core';
+import type { ids } from '@godwittrack/core';
 import * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
+import type * as news from '../config/news.js';
 import type * as members from '../membership/members.js';
+import * as memberSpread from '../membership/memberSpread.js';
+import * as neighbours from '../membership/neighbours.js';
 import type * as observability from '../observability/decisionLog.js';
 import type * as evidence from '../rollouts/evidence.js';
 import type * as rolloutBoard from '../rollouts/rolloutBoard.js';
 import * as configurationRequests from './configurationRequests.js';
-import * as frames from './frames.js';
+import type * as frames from './frames.js';
+import * as frameCodec from './frames.js';
 import * as peerLink from './peerLink.js';
 import type * as peerServer from './peerServer.js';
 
-/** A member out of reach for longer is forgotten; it comes back when it connects here. */
+/** A node of the own failure domain out of reach for longer is forgotten by all. */
 const FORGET_AFTER_MS = 30_000;
+/** How often relays tell digests of what they know. */
+const DIGEST_INTERVAL_MS = 2_000;
+/** Time in which statements of several nodes are collected before they are passed on. */
+const FLUSH_AFTER_MS = 20;
+/** Links for requests beside those that are kept; the one unused for longest is closed first. */
+const MAX_REQUEST_LINKS = 96;
 
 export interface PeerNetworkOptions {
   table: members.MemberTable;
@@ -29,201 +40,395 @@
   onRecall: (upstream: members.UpstreamState) => void;
 }
 
+/** Where a message came from, and how to send back to there. */
+interface Sender {
+  from: members.NodeAddress;
+  tell: (frame: frames.Frame) => void;
+}
+
 export class PeerNetwork {
   private readonly links = new Map<ids.NodeId, peerLink.PeerLink>();
 
   private stopping = false;
 
+  /** Rises when a node comes into reach or goes out of it. */
+  private reachChanges = 0;
+
+  private reviewedView = '';
+
+  private digestsSentMs = 0;
+
+  private flushTimer: NodeJS.Timeout | null = null;
+
   private readonly requests: configurationRequests.ConfigurationRequests;
 
+  private readonly near: neighbours.Neighbours;
+
+  private readonly spread: memberSpread.MemberSpread;
+
+  private reached: { key: string; members: members.Member[] } | null = null;
+
   constructor(private readonly options: PeerNetworkOptions) {
-    const { config } = options;
+    const { config, table } = options;
+    const nowMs = () => performance.now();
     this.requests = new configurationRequests.ConfigurationRequests({
       heldVersion: () => config.version,
-      nowMs: () => performance.now(),
+      nowMs,
+    });
+    this.near = new neighbours.Neighbours({
+      table,
+      isReachable: (node) => this.isReachable(node),
+      reachVersion: () => this.reachChanges,
+    });
+    this.spread = new memberSpread.MemberSpread({
+      table,
+      neighbours: this.near,
+      tell: (node, message) => this.links.get(node)?.tell(message),
+      onPending: () => this.scheduleFlush(),
+      nowMs,
     });
     config.onChange(() => this.requests.review());
   }
 
-  /** Null for this node itself and for nodes never heard of. */
-  link(node: ids.NodeId): peerLink.PeerLink | null {
-    return this.links.get(node) ?? null;
+  /** A link that can be given a request, opened if need be; null for this node and those out of reach. */
+  route(node: ids.NodeId): peerLink.PeerLink | null {
+    const link = this.linkTo(node);
+    return link?.accepts ? link : null;
   }
 
-  /** Members that can be reached now, with this node. */
-  reachable(): members.Member[] {
+  /** Whether a request to the node pays for opening a link first. */
+  isOpen(node: ids.NodeId): boolean {
+    return this.links.get(node)?.usable ?? false;
+  }
+
+  /** Tells one node something; lost where it is out of reach. */
+  tell(node: ids.NodeId, frame: frames.Frame): void {
+    const link = this.linkTo(node);
+    link?.open();
+    link?.tell(frame);
+  }
+
+  /** Members that nothing speaks against, with this node. */
+  reachable(): readonly members.Member[] {
     const { table } = this.options;
-    return [...table.all()].filter(
-      ({ node }) => node === table.self.node || this.links.get(node)?.usable === true,
-    );
-  }
-
-  /** Learns of a node and keeps a link to it. */
-  introduce(address: members.NodeAddress): void {
-    if (address.node === this.options.table.self.node) return;
-    const changed = this.options.table.introduce(address);
-    const known = this.links.get(address.node);
-    if (known !== undefined && !changed) {
-      known.hurry();
-      return;
+    const key = this.viewKey();
+    if (this.reached?.key !== key) {
+      const reached = [...table.all()].filter(({ node }) => this.isReachable(node));
+      this.reached = { key, members: reached };
     }
-    known?.stop();
-    if (this.stopping) return;
-    this.options.log.belief('members', 'a node is known', { ...address });
-    this.links.set(address.node, this.createLink(address));
+    return this.reached.members;
   }
 
-  broadcast(frame: frames.Frame, to: (member: members.Member) => boolean = () => true): void {
-    const bytes = frames.encode(frame);
-    for (const link of this.links.values()) {
-      const member = this.options.table.get(link.node);
-      if (member !== undefined && to(member)) link.tellEncoded(bytes);
+  /** Nodes of the own failure domain in reach, in the order in which they watch the store. */
+  watchers(): readonly members.Member[] {
+    return this.near.domainRank;
+  }
+
+  /** Learns the addresses of nodes, and keeps links to those that are neighbours. */
+  introduce(addresses: readonly members.NodeAddress[]): void {
+    const { table, log } = this.options;
+    for (const address of addresses) {
+      if (address.node !== table.self.node && table.introduce(address)) {
+        log.belief('members', 'a node is known', { ...address });
+      }
     }
+    if (this.reviewedView !== this.viewKey()) this.keepNeighbours();
+  }
+
+  /** Tells all neighbours what this node says of itself. */
+  stateSelf(): void {
+    this.spread.stateSelf();
+  }
+
+  /** Tells news to the own failure domain, and from a relay to the others. */
+  broadcast(frame: frames.Frame, { domain, farRelays }: news.Audience): void {
+    const bytes = frameCodec.encode(frame);
+    if (domain) this.tellAll(this.near.domainPeers, bytes);
+    if (farRelays) this.tellAll(this.near.farRelays, bytes);
   }
 
-  /** Asks again for what was not answered, and drops members that have been out of reach for long. */
+  /** Called several times a second: keeps the links that are needed, and asks again for what is missing. */
   review(): void {
     this.requests.review();
+    for (const link of this.links.values()) link.review();
+    this.forgetLost();
+    if (this.reviewedView !== this.viewKey()) this.keepNeighbours();
+    this.closeSurplus();
     const now = performance.now();
-    for (const link of this.links.values()) {
-      if (!link.connected && now - link.downSinceMs > FORGET_AFTER_MS) {
-        link.stop();
-        this.links.delete(link.node);
-        this.options.table.remove(link.node);
-        this.options.log.belief('members', 'a node out of reach is forgotten', { node: link.node });
-      }
-    }
+    if (now - this.digestsSentMs < DIGEST_INTERVAL_MS) return;
+    this.digestsSentMs = now;
+    this.spread.sendDigests();
+    this.broadcast(this.newsDigest(), { domain: this.near.isRelay, farRelays: true });
+  }
+
+  /** Called ten times a second: nodes that have requests of this one must give signs of life. */
+  checkSilence(): void {
+    for (const link of this.links.values()) link.checkSilence();
   }
 
-  /** Tells a new configuration: as a difference where one is held, else whole on request. */
+  /**
+   * Tells a new configuration: a difference to the own failure domain, the version to others, which ask
+   * for it if they do not hear of it from their own watching node.
+   */
   announceConfiguration(
     cfg: configuration.Configuration,
     previous: configuration.Configuration | null,
-    to: (member: members.Member) => boolean,
+    audience: news.Audience,
   ): void {
-    if (previous === null) {
-      this.broadcast({ type: 'beacon', configVersion: cfg.version }, to);
-    } else {
+    const version: frames.Frame = { type: 'beacon', configVersion: cfg.version };
+    this.broadcast(version, { domain: false, farRelays: audience.farRelays });
+    if (!audience.domain) return;
+    const inDomain = { domain: true, farRelays: false };
+    if (previous === null) this.broadcast(version, inDomain);
+    else {
       const delta = configuration.difference(previous, cfg);
-      this.broadcast({ type: 'configDelta', delta }, to);
+      this.broadcast({ type: 'configDelta', delta }, inDomain);
     }
   }
 
   /** Frames that another node sent on its own link to this one. */
   hear(session: peerServer.PeerSession, frame: frames.Frame): void {
-    const { table, config, rollouts, onBeacon, onEvidence } = this.options;
-    if (frame.type === 'hello') {
-      const remembered = table.get(frame.from.node)?.upstream ?? null;
-      this.introduce(frame.from);
-      table.setUpstream(frame.from.node, frame.upstream);
-      rollouts.merge(frame.rollouts, this.sourceOf(frame.from).origin);
-      if (frame.rolloutsKnown) rollouts.setKnown();
-      this.want(session, frame.configVersion);
-      if (frame.upstream === null && remembered !== null && !remembered.leaving) {
-        session.tell({ type: 'recall', upstream: remembered });
-      }
-      return;
+    const tell = (reply: frames.Frame) => session.tell(reply);
+    if (frame.type === 'hello') this.welcome({ from: frame.from, tell }, frame);
+    else if (session.hello !== null) this.take({ from: session.hello.from, tell }, frame);
+  }
+
+  stop(): void {
+    this.stopping = true;
+    if (this.flushTimer !== null) clearTimeout(this.flushTimer);
+    for (const link of this.links.values()) link.stop();
+  }
+
+  private welcome(
+    sender: Sender,
+    { from, rollouts, rolloutsKnown, configVersion }: frames.Hello,
+  ): void {
+    const { table, rollouts: board } = this.options;
+    this.introduce([from]);
+    const held = table.get(from.node);
+    const heldSequence = table.lastSequence(from.node);
+    const isStale =
+      heldSequence > from.sequence ||
+      (held?.sequence === from.sequence && !sameUpstream(held.upstream, from.upstream));
+    if (isStale) {
+      // The node was restarted and does not know what it said before.
+      const remembered = held ?? { ...from, sequence: heldSequence };
+      sender.tell({ type: 'recall', member: remembered });
+    } else {
+      this.spread.take(sender.from, from);
     }
-    if (session.hello === null) return;
-    const { node: from } = session.hello.from;
-    const source = this.sourceOf(session.hello.from);
+    this.links.get(from.node)?.hurry();
+    board.merge(rollouts, this.originOf(from));
+    if (rolloutsKnown) board.setKnown();
+    this.want(sender, configVersion);
+    if (from.domain === table.self.domain) sender.tell(this.spread.digests());
+  }
+
+  private take(sender: Sender, frame: frames.Frame): void {
+    const { config, rollouts, onBeacon, onEvidence } = this.options;
     switch (frame.type) {
-      case 'upstream':
-        table.setUpstream(from, frame.upstream);
+      case 'members':
+      case 'digests':
+      case 'membersWanted':
+      case 'gone':
+        this.spread.hear(sender.from, frame, sender.tell);
         break;
       case 'configDelta':
-        this.takeDelta(session, source, frame.delta);
+        this.takeDelta(sender, frame.delta);
         break;
       case 'configWhole':
-        config.offer(frame.cfg, source);
+        config.offer(frame.cfg, this.sourceOf(sender));
+        break;
+      case 'configWanted':
+        this.answerWanted(sender, frame.heldVersion);
         break;
       case 'beacon':
-        onBeacon(from);
-        this.want(session, frame.configVersion);
+        onBeacon(sender.from.node);
+        this.want(sender, frame.configVersion);
+        // A node that joins does not read the store itself where another watches.
+        if (!rollouts.isKnown) sender.tell({ type: 'newsWanted' });
+        break;
+      case 'newsWanted':
+        sender.tell(this.newsDigest());
+        break;
+      case 'newsDigest':
+        rollouts.merge(frame.rollouts, this.originOf(sender.from));
+        if (frame.rolloutsKnown) rollouts.setKnown();
+        this.want(sender, frame.configVersion);
         break;
       case 'rollouts':
-        rollouts.merge(frame.states, source.origin);
+        rollouts.merge(frame.states, this.originOf(sender.from));
         break;
       case 'evidence':
         onEvidence(frame.report);
         break;
-      default:
+      case 'recall':
+        this.takeRecall(frame.member);
+        break;
+      default: {
+        const { node: from } = sender.from;
         this.options.log.warn('peers', 'unexpected message', { from, type: frame.type });
+      }
     }
   }
 
-  stop(): void {
-    this.stopping = true;
-    for (const link of this.links.values()) link.stop();
+  /** Others hold a later statement than this process has made, so it goes on from there. */
+  private takeRecall(remembered: members.Member): void {
+    const { table, onRecall } = this.options;
+    if (remembered.sequence >= table.self.sequence) {
+      table.restate(table.self.upstream, remembered.sequence);
+      this.stateSelf();
+    }
+    const { upstream } = remembered;
+    if (upstream !== null && !upstream.leaving) onRecall(upstream);
+  }
+
+  private newsDigest(): frames.Frame {
+    const { config, rollouts } = this.options;
+    return {
+      type: 'newsDigest',
+      configVersion: config.version,
+      rollouts: rollouts.states(),
+      rolloutsKnown: rollouts.isKnown,
+    };
+  }
+
+  private originOf({ domain }: members.NodeAddress): 'domain' | 'remote' {
+    return domain === this.options.table.self.domain ? 'domain' : 'remote';
   }
 
-  private sourceOf({ node, domain }: members.NodeAddress): configHolder.Source {
-    const origin = domain === this.options.table.self.domain ? 'domain' : 'remote';
-    return { origin, name: `node ${node}` };
+  private sourceOf({ from }: Sender): configHolder.Source {
+    return { origin: this.originOf(from), name: `node ${from.node}` };
   }
 
-  private want(session: peerServer.PeerSession, version: number): void {
+  private want(sender: Sender, version: number): void {
     const { config } = this.options;
-    const ask = () => session.tell({ type: 'configWanted', heldVersion: config.version });
-    this.requests.offered({ version, ask });
+    const ask = () => sender.tell({ type: 'configWanted', heldVersion: config.version });
+    const isNear = this.originOf(sender.from) === 'domain' || config.current === null;
+    const patienceMs = isNear ? 0 : configurationRequests.REMOTE_PATIENCE_MS;
+    this.requests.offered({ version, patienceMs, ask });
   }
 
-  private takeDelta(
-    session: peerServer.PeerSession,
-    source: configHolder.Source,
-    delta: configuration.ConfigurationDelta,
-  ): void {
+  private answerWanted(sender: Sender, heldVersion: number): void {
+    const { config } = this.options;
+    const cfg = config.current?.cfg;
+    if (cfg === undefined || cfg.version <= heldVersion) return;
+    const base = config.find(heldVersion);
+    if (base === null) sender.tell({ type: 'configWhole', cfg });
+    else sender.tell({ type: 'configDelta', delta: configuration.difference(base, cfg) });
+  }
+
+  private takeDelta(sender: Sender, delta: configuration.ConfigurationDelta): void {
     const { config } = this.options;
     if (delta.version <= config.version) return;
     const base = config.find(delta.base);
-    if (base === null) {
-      this.want(session, delta.version);
-      return;
+    if (base === null) this.want(sender, delta.version);
+    else config.offer(configuration.applyDelta(base, delta), this.sourceOf(sender));
+  }
+
+  private tellAll(nodes: readonly members.Member[], bytes: Buffer): void {
+    for (const { node } of nodes) this.links.get(node)?.tellEncoded(bytes);
+  }
+
+  private isReachable(node: ids.NodeId): boolean {
+    if (node === this.options.table.self.node) return true;
+    const link = this.links.get(node);
+    return link === undefined || link.isReachable;
+  }
+
+  private viewKey(): string {
+    return `${this.options.table.version}.${this.reachChanges}`;
+  }
+
+  private scheduleFlush(): void {
+    if (this.flushTimer !== null || this.stopping) return;
+    this.flushTimer = setTimeout(() => {
+      this.flushTimer = null;
+      this.spread.flush();
+    }, FLUSH_AFTER_MS);
+  }
+
+  private keepNeighbours(): void {
+    if (this.stopping) return;
+    const { table } = this.options;
+    const { kept } = this.near;
+    for (const node of kept) this.linkTo(node)?.setKept(true);
+    for (const link of this.links.values()) {
+      if (!kept.has(link.node)) {
+        if (table.get(link.node) === undefined) this.drop(link);
+        else link.setKept(false);
+      }
+    }
+    this.reviewedView = this.viewKey();
+  }
+
+  /** Drops nodes of the own failure domain that have been out of reach for long. */
+  private forgetLost(): void {
+    const { table, log } = this.options;
+    const now = performance.now();
+    for (const link of this.links.values()) {
+      const isOwn = table.get(link.node)?.domain === table.self.domain;
+      if (isOwn && link.isDown && now - link.downSinceMs > FORGET_AFTER_MS) {
+        log.belief('members', 'a node out of reach is forgotten', { node: link.node });
+        this.spread.forget(link.node);
+        this.drop(link);
+      }
     }
-    config.offer(configuration.applyDelta(base, delta), source);
+  }
+
+  private closeSurplus(): void {
+    const spare = [...this.links.values()].filter((link) => link.isSpare);
+    if (spare.length <= MAX_REQUEST_LINKS) return;
+    spare.sort((a, b) => a.lastUsedMs - b.lastUsedMs);
+    for (const link of spare.slice(0, spare.length - MAX_REQUEST_LINKS)) link.closeUnused();
+  }
+
+  private drop(link: peerLink.PeerLink): void {
+    this.links.delete(link.node);
+    link.stop();
+  }
+
+  /** The link to a member, made where there is none yet or its address has changed. */
+  private linkTo(node: ids.NodeId): peerLink.PeerLink | null {
+    const { table } = this.options;
+    const member = table.get(node);
+    if (member === undefined || node === table.self.node || this.stopping) return null;
+    let link = this.links.get(node);
+    if (link !== undefined && link.address === member.address) return link;
+    if (link !== undefined) this.drop(link);
+    link = this.createLink(member);
+    this.links.set(node, link);
+    return link;
   }
 
   private createLink(address: members.NodeAddress): peerLink.PeerLink {
     const { table, config, rollouts, log } = this.options;
+    const reachChanged = () => {
+      this.reachChanges += 1;
+    };
     return new peerLink.PeerLink({
       node: address.node,
       address: address.address,
+      kept: this.near.kept.has(address.node),
       hello: () => ({
         type: 'hello',
-        from: {
-          node: table.self.node,
-          address: table.self.address,
-          domain: table.self.domain,
-          region: table.self.region,
-        },
-        upstream: table.self.upstream,
+        from: table.self,
         configVersion: config.version,
         rollouts: rollouts.states(),
         rolloutsKnown: rollouts.isKnown,
       }),
-      onFrame: (link, frame) => this.answer(link, frame),
+      onFrame: (link, frame) =>
+        this.take({ from: address, tell: (reply) => link.tell(reply) }, frame),
       onUp: (link) => log.belief('members', 'a node is reached', { node: link.node }),
-      onDown: (link, detail) =>
-        log.belief('members', 'a node is lost', { node: link.node, detail }),
+      onReachChanged: reachChanged,
+      onDown: (link, detail) => {
+        reachChanged();
+        log.belief('members', 'a node is lost', { node: link.node, detail });
+      },
     });
   }
+}
 
-  /** Frames that come back on this node's own links. */
-  private answer(link: peerLink.PeerLink, frame: frames.Frame): void {
-    const { config, log } = this.options;
-    const cfg = config.current?.cfg;
-    if (frame.type === 'configWanted') {
-      if (cfg !== undefined && cfg.version > frame.heldVersion)
-        link.tell({ type: 'configWhole', cfg });
-    } else if (frame.type === 'recall') {
-      this.options.onRecall(frame.upstream);
-    } else {
-      const failure: failures.Failure = {
-        type: 'protocolViolation',
-        peer: link.node,
-        detail: `unexpected ${frame.type}`,
-      };
-      log.warn('peers', 'unexpected message', { failure });
-    }
-  }
+function sameUpstream(a: members.UpstreamState | null, b: members.UpstreamState | null): boolean {
+  return JSON.stringify(a) === JSON.stringify(b);
 }
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -1,6 +1,7 @@
 /** Takes connections of other nodes: serves their requests here and hears what they state. */
 
 import * as net from 'node:net';
+import type * as members from '../membership/members.js';
 import * as networkAddress from '../networkAddress.js';
 import * as exchange from '../routing/exchange.js';
 import * as frames from './frames.js';
@@ -17,6 +18,8 @@
 
 export interface PeerServerOptions {
   destination: exchange.Destination;
+  /** What this node says of itself. */
+  statement: () => members.Member;
   onFrame: (session: PeerSession, frame: frames.Frame) => void;
   onViolation: (detail: string) => void;
 }
@@ -133,6 +136,13 @@
     session.running.set(id, controller);
     const delivery = await this.options.destination.send(req, controller.signal);
     session.running.delete(id);
+    if (
+      delivery.outcome.type === 'refused' &&
+      exchange.STALE_REASONS.has(delivery.outcome.reason)
+    ) {
+      // The other node would send more requests on what it believes.
+      session.tell({ type: 'members', members: [this.options.statement()] });
+    }
     session.tell({ type: 'outcome', id, delivery });
   }
 }
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -16,7 +16,10 @@
 import type * as rolloutController from '../rollouts/rolloutController.js';
 
 const REVIEW_INTERVAL_MS = 200;
+const SILENCE_CHECK_INTERVAL_MS = 100;
 const EVIDENCE_INTERVAL_MS = 300;
+/** Time for the list of nodes before this node watches the store without it. */
+const JOIN_PATIENCE_MS = 700;
 const REGISTER_RETRY_INITIAL_MS = 100;
 const REGISTER_RETRY_MAX_MS = 1_500;
 /** Time after a stop was asked for in which callers are sent elsewhere: two readiness checks. */
@@ -40,6 +43,7 @@
 export interface AgentParts {
   settings: AgentSettings;
   self: members.Member;
+  table: members.MemberTable;
   config: configHolder.ConfigHolder;
   board: rolloutBoard.RolloutBoard;
   upstream: localUpstream.LocalUpstream;
@@ -58,6 +62,9 @@
 export class Agent {
   private stopping = false;
 
+  /** The store has told which nodes there are. */
+  private joined = false;
+
   /** Other nodes have been told to send no more requests here. */
   private withdrawn = false;
 
@@ -73,16 +80,18 @@
   }
 
   async start(): Promise<void> {
-    const { settings, self, peers, callers, watcher, controller, network } = this.parts;
+    const { settings, self, peers, callers, watcher, controller, network, nowMs } = this.parts;
     this.connectParts();
     await Promise.all([peers.listen(self.address), callers.listen(settings.callerAddress)]);
-    watcher.review();
+    const startedMs = nowMs();
     void this.join();
     this.every(REVIEW_INTERVAL_MS, () => {
-      watcher.review();
+      // Before it knows the others, a node cannot tell that one of them watches already.
+      if (this.joined || nowMs() - startedMs > JOIN_PATIENCE_MS) watcher.review();
       controller.tick();
       network.review();
     });
+    this.every(SILENCE_CHECK_INTERVAL_MS, () => network.checkSilence());
     this.every(storeWatcher.BEACON_INTERVAL_MS, () => this.sendBeacon());
     this.every(EVIDENCE_INTERVAL_MS, () => this.sendEvidence());
   }
@@ -139,46 +148,32 @@
       });
       // After a start the others hold at least as much.
       if (previous === null && source.origin !== 'store') return;
-      const audience = news.audienceOf(source.origin);
-      if (audience === 'nobody') return;
-      network.announceConfiguration(cfg, previous, this.hearersOf(audience));
+      network.announceConfiguration(cfg, previous, news.audienceOf(source.origin));
     });
     board.onChange((state, origin) => {
       if (state.phase === 'held') recorder.reset();
-      const audience = news.audienceOf(origin);
-      if (audience === 'nobody') return;
-      network.broadcast({ type: 'rollouts', states: [state] }, this.hearersOf(audience));
+      network.broadcast({ type: 'rollouts', states: [state] }, news.audienceOf(origin));
     });
     recorder.onVeto((state, reason) => {
       board.advance(state.service, state.version, 'rolledBack', reason);
     });
   }
 
-  /** States the upstream to all nodes; a node about to stop offers it to nobody else. */
+  /** States the upstream to others; a node about to stop offers it to nobody else. */
   private stateUpstream(state: members.UpstreamState | null): void {
-    const { self, network } = this.parts;
-    self.upstream =
-      state === null ? null : { ...state, accepting: state.accepting && !this.withdrawn };
-    network.broadcast({ type: 'upstream', upstream: self.upstream });
-  }
-
-  /** Tells whether a member belongs to the audience; the nodes of other domains are ranked once. */
-  private hearersOf(audience: news.Audience): (member: members.Member) => boolean {
-    const { self, network } = this.parts;
-    if (audience === 'everyone') return () => true;
-    if (audience === 'domain') return ({ domain }) => domain === self.domain;
-    const reachable = network.reachable();
-    const domains = new Set(reachable.map(({ domain }) => domain));
-    const firsts = new Set([...domains].map((one) => storeWatcher.watcherOf(one, reachable)));
-    return ({ domain, node }) => domain === self.domain || firsts.has(node);
+    const { table, network } = this.parts;
+    table.restate(
+      state === null ? null : { ...state, accepting: state.accepting && !this.withdrawn },
+    );
+    network.stateSelf();
   }
 
   private sendBeacon(): void {
-    const { watcher, network, config, self } = this.parts;
+    const { watcher, network, config } = this.parts;
     // A node about to stop goes on watching, but lets the next one take over.
     if (this.stopping || !watcher.inContact) return;
     const beacon = { type: 'beacon', configVersion: config.version } as const;
-    network.broadcast(beacon, ({ domain }) => domain === self.domain);
+    network.broadcast(beacon, { domain: true, farRelays: false });
   }
 
   /** Tells the node in charge of a running rollout what this node's upstream answered. */
@@ -197,12 +192,12 @@
     const report = { node: self.node, service, version, instance, routes: recorder.snapshot() };
     const leader = controller.leader(service);
     if (leader === self.node) this.parts.onEvidence(report);
-    else network.link(leader)?.tell({ type: 'evidence', report });
+    else network.tell(leader, { type: 'evidence', report });
   }
 
   /** Makes this node known and learns of the others; tried until it works. */
   private async join(): Promise<void> {
-    const { self, store, network, log } = this.parts;
+    const { self, store, network, log, watcher } = this.parts;
     const { signal } = this.abort;
     const delays = new backoff.Backoff({
       initialMs: REGISTER_RETRY_INITIAL_MS,
@@ -213,7 +208,9 @@
       try {
         await store.registerNode(self);
         const nodes = await store.listNodes();
-        for (const address of nodes) network.introduce(address);
+        network.introduce(nodes);
+        this.joined = true;
+        watcher.review();
         log.belief('agent', 'joined the fleet', { known: nodes.length });
         return;
       } catch (err) {
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -90,7 +90,7 @@
   const nowMs = () => performance.now();
   const rng = random.xoroshiro128plus(Date.now() ^ process.pid);
   const nextRandom = () => uniform.uniformFloat64(rng);
-  const self: members.Member = { ...settings.self, upstream: null };
+  const self: members.Member = { ...settings.self, sequence: 1, upstream: null };
   const table = new members.MemberTable(self);
   const config = new configHolder.ConfigHolder(nowMs);
   const board = new rolloutBoard.RolloutBoard(log, nowMs);
@@ -127,15 +127,13 @@
       new storeWatcher.ConfigurationSubject(platform.store.configuration, config),
       new storeWatcher.RolloutsSubject(platform.store.rollouts, board),
     ],
-    { table, reachable, log, nowMs },
+    { table, watchers: () => network.watchers(), log, nowMs },
   );
   const dispatch = new dispatcher.Dispatcher({
     table,
     local,
-    destinationOf: (node) => {
-      const link = network.link(node);
-      return link?.usable ? link : null;
-    },
+    destinationOf: (node) => network.route(node),
+    isOpen: (node) => network.isOpen(node),
     rollouts: board,
     balancer: new balancer.Balancer(nextRandom),
     split: new splitChooser.SplitChooser(nextRandom),
@@ -159,6 +157,7 @@
   const parts: agent.AgentParts = {
     settings,
     self,
+    table,
     config,
     board,
     upstream,
@@ -166,6 +165,7 @@
     network,
     peers: new peerServer.PeerServer({
       destination: local,
+      statement: () => self,
       onFrame: (session, frame) => network.hear(session, frame),
       onViolation: (detail) => log.warn('peers', 'a connection was ended', { detail }),
     }),
--- a/packages/mesh/src/rollouts/rolloutController.ts
+++ b/packages/mesh/src/rollouts/rolloutController.ts
@@ -26,7 +26,8 @@
 
 export interface RolloutControllerOptions {
   table: members.MemberTable;
-  reachable: () => members.Member[];
+  /** Nodes in reach; the same array until one comes or goes. */
+  reachable: () => readonly members.Member[];
   board: rolloutBoard.RolloutBoard;
   judge: versionJudge.VersionJudge;
   store: fleetStore.FleetStore;
@@ -45,12 +46,23 @@
 export class RolloutController {
   private readonly progress = new Map<string, Progress>();
 
+  /** Leader of each service among the nodes that were in reach when it was looked for. */
+  private readonly leaders = new Map<
+    string,
+    { among: readonly members.Member[]; node: ids.NodeId }
+  >();
+
   constructor(private readonly options: RolloutControllerOptions) {}
 
   /** Node that acts for a service and receives the evidence. */
   leader(service: string): ids.NodeId {
-    const ranked = rendezvous.rank(service, this.options.reachable(), ({ node }) => node);
-    return ranked[0]?.node ?? this.options.table.self.node;
+    const among = this.options.reachable();
+    const known = this.leaders.get(service);
+    if (known?.among === among) return known.node;
+    const ranked = rendezvous.rank(service, among, ({ node }) => node);
+    const node = ranked[0]?.node ?? this.options.table.self.node;
+    this.leaders.set(service, { among, node });
+    return node;
   }
 
   /** Called several times a second. */
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -49,13 +49,13 @@
     second = new ScriptedDestination(scripts[1]);
     const table = new members.MemberTable(fixtures.member('a'));
     const other = fixtures.member('b');
-    table.introduce(other);
-    table.setUpstream(other.node, other.upstream);
+    table.merge(other);
     const log = fixtures.silentLog();
     return new dispatcher.Dispatcher({
       table,
       local: first,
       destinationOf: () => second,
+      isOpen: () => true,
       rollouts: new rolloutBoard.RolloutBoard(log, () => 0),
       balancer: new balancer.Balancer(() => 0),
       split: new splitChooser.SplitChooser(() => 0),
--- a/packages/mesh/src/routing/balancer.ts
+++ b/packages/mesh/src/routing/balancer.ts
@@ -13,6 +13,8 @@
   workMs: number;
   /** Share of recent requests there that failed, 0 to 1. */
   failureShare: number;
+  /** False where a link must be opened first. */
+  isOpen: boolean;
 }
 
 export interface Demand {
@@ -50,11 +52,15 @@
 const FAILURE_COST_MS = 1_000;
 /** Two scores closer than this are as good as equal and are decided by chance. */
 const TIE_MS = 4;
+/** The same as a share of the usual time, which is not known better than that. */
+const TIE_WORK_SHARE = 0.08;
 
 export interface Choice {
   candidate: Candidate;
   /** Expected time until the answer. */
   expectedMs: number;
+  /** Wait for a slot there beyond which another candidate is better; Infinity where there is none. */
+  maxWaitMs: number;
 }
 
 export class Balancer {
@@ -63,19 +69,28 @@
 
   /** @returns null where no candidate can answer before the caller gives up */
   choose(candidates: readonly Candidate[], demand: Demand): Choice | null {
-    let best: Choice | null = null;
+    let best: Candidate | null = null;
+    let bestExpectedMs = 0;
     let bestScore = Infinity;
+    let nextScore = Infinity;
     for (const candidate of candidates) {
       const expectedMs = expectedTime(candidate);
       if (expectedMs <= demand.deadlineLeftMs) {
-        const score = this.score(candidate, expectedMs, demand) + this.random() * TIE_MS;
+        const tieMs = Math.max(TIE_MS, candidate.workMs * TIE_WORK_SHARE);
+        const score = this.score(candidate, expectedMs, demand) + this.random() * tieMs;
         if (score < bestScore) {
-          best = { candidate, expectedMs };
+          nextScore = bestScore;
+          best = candidate;
+          bestExpectedMs = expectedMs;
           bestScore = score;
+        } else {
+          nextScore = Math.min(nextScore, score);
         }
       }
     }
-    return best;
+    if (best === null) return null;
+    const maxWaitMs = waitingTime(best) + nextScore - bestScore;
+    return { candidate: best, expectedMs: bestExpectedMs, maxWaitMs };
   }
 
   private score(candidate: Candidate, expectedMs: number, demand: Demand): number {
@@ -96,9 +111,14 @@
 
 /** Time until the answer: travel, waiting for a slot, and the work at the upstream's own pace. */
 export function expectedTime(candidate: Candidate): number {
-  const { workMs } = candidate;
+  const { workMs, distance, isOpen } = candidate;
   const filled = Math.min(1, candidate.load / Math.max(1, candidate.slots));
-  const ahead = Math.max(0, candidate.load + 1 - candidate.slots);
-  const waitMs = (ahead * workMs) / Math.max(1, candidate.slots);
-  return TRAVEL_MS[candidate.distance] + waitMs + workMs * (1 + FULL_SLOWDOWN * filled * filled);
+  const travelMs = TRAVEL_MS[distance] * (isOpen ? 1 : 2);
+  return travelMs + waitingTime(candidate) + workMs * (1 + FULL_SLOWDOWN * filled * filled);
+}
+
+/** Expected wait for a slot. */
+function waitingTime({ load, slots, workMs }: Candidate): number {
+  const ahead = Math.max(0, load + 1 - slots);
+  return (ahead * workMs) / Math.max(1, slots);
 }
--- a/packages/mesh/src/routing/exchange.ts
+++ b/packages/mesh/src/routing/exchange.ts
@@ -25,6 +25,8 @@
   deadlineLeftMs: number;
   /** Time at an upstream that its sender expects. */
   estimateMs: number;
+  /** Longest wait for a slot there for which the sender knows nothing better; Infinity if none. */
+  maxWaitMs: number;
 }
 
 export interface Answer {
@@ -45,6 +47,13 @@
   reachedUpstream: boolean;
 }
 
+/** Reasons of refusals that show that the sender does not know the upstream's present state. */
+export const STALE_REASONS: ReadonlySet<string> = new Set([
+  'upstreamUnknown',
+  'upstreamLeaving',
+  'otherIncarnation',
+]);
+
 /** The request may have run. */
 export interface Lost {
   type: 'lost';
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -116,6 +116,7 @@
       targetAtMs: now + targetLeftMs - marginMs,
       deadlineAtMs: now + req.deadlineLeftMs,
       estimateMs,
+      maxWaitMs: req.maxWaitMs,
     };
     const decision = this.queue.offer(entry, now);
     if (decision.type === 'run') {
