--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -17,6 +17,7 @@
 export const CONFIG_UNREADABLE = 'godwittrack_config_unreadable_total';
 export const MEMBERS = 'godwittrack_members';
 export const MEMBERS_REACHED = 'godwittrack_members_reached';
+export const LINKS_OPEN = 'godwittrack_links_open';
 export const STORE_WATCHED = 'godwittrack_store_watched';
 export const LOCAL_LOAD = 'godwittrack_upstream_load';
 
@@ -35,7 +36,8 @@
   [CONFIG_VERSION]: 'Version of the configuration in force; 0 while there is none.',
   [CONFIG_UNREADABLE]: 'Configurations in the store that could not be read and were not taken.',
   [MEMBERS]: 'Nodes that are known, this one included.',
-  [MEMBERS_REACHED]: 'Nodes that can be reached, this one included.',
+  [MEMBERS_REACHED]: 'Nodes that are not known to be out of reach, this one included.',
+  [LINKS_OPEN]: 'Links to other nodes that are open, kept ones and those for requests.',
   [STORE_WATCHED]: 'Whether this node watches the store and is answered: 1 or 0.',
   [LOCAL_LOAD]: 'Requests running or waiting at the upstream on this host.',
 };
--- a/packages/mesh/src/peers/peerLink.ts
+++ b/packages/mesh/src/peers/peerLink.ts
@@ -119,6 +119,10 @@
     return !this.failing && !this.dismissed;
   }
 
+  get isOpen(): boolean {
+    return this.up;
+  }
+
   /** Open for requests only, with none under way. */
   get isSpare(): boolean {
     return this.up && !this.isKept && this.calls.size === 0;
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -90,6 +90,10 @@
     config.onChange(() => this.requests.review());
   }
 
+  get openLinks(): number {
+    return [...this.links.values()].filter(({ isOpen }) => isOpen).length;
+  }
+
   /** A link that can be given a request, opened if need be; null for this node and those out of reach. */
   route(node: ids.NodeId): peerLink.PeerLink | null {
     const link = this.linkTo(node);
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -151,6 +151,7 @@
   counted.gauge(meters.CONFIG_VERSION, () => config.version);
   counted.gauge(meters.MEMBERS, () => table.size);
   counted.gauge(meters.MEMBERS_REACHED, () => network.reachable().length);
+  counted.gauge(meters.LINKS_OPEN, () => network.openLinks);
   counted.gauge(meters.STORE_WATCHED, () => Number(watcher.inContact));
   counted.gauge(meters.LOCAL_LOAD, () => local.load);
   board.onChange(({ phase }) => counted.increment(meters.ROLLOUT_PHASES, { phase }));
