fix(mesh): a restarted node believes the memory that its upstream leaves

Cause: a restarted node asks nobody about its upstream, others tell what they remember of it. One that had missed the leaving brought the upstream back into use for up to 1.2 s even after another had told that it leaves; and an announcement from before the leaving that came late was taken for good, since the new process knows no sequence. Change: a memory of leaving binds, whatever else is remembered or announced by the same incarnation. Tests: two orders of memories and a late announcement, which failed before. One earlier test used an accepting memory after one that says it leaves, which is the fault itself; it is split into two that are stricter (the state stays unknown).

--- a/packages/mesh/src/membership/__tests__/localUpstream.test.ts
+++ b/packages/mesh/src/membership/__tests__/localUpstream.test.ts
@@ -78,11 +78,35 @@
     });
 
     it('is not used if it had said that it leaves, or says so now', () => {
-      upstream.recall({ ...remembered, leaving: true });
-      assert.equal(accepting(), null);
       upstream.recall(remembered);
       upstream.announce(fixtures.announcement({ sequence: 1, leaving: true }));
       assert.equal(accepting(), false);
+      const other = new localUpstream.LocalUpstream(fixtures.UPSTREAM_ADDRESS);
+      other.recall({ ...remembered, leaving: true });
+      assert.equal(other.state, null);
+      other.recall(remembered);
+      assert.equal(other.state, null);
+    });
+
+    // What other nodes remember differs where one of them has missed that the upstream leaves.
+    it('is not used by an older memory of it after a newer one says that it leaves', () => {
+      upstream.recall(remembered);
+      upstream.recall({ ...remembered, leaving: true, accepting: false });
+      assert.equal(accepting(), false);
+    });
+
+    it('is not used by an announcement from before it said that it leaves', () => {
+      upstream.announce(fixtures.announcement({ sequence: 3 }));
+      upstream.recall({ ...remembered, leaving: true, accepting: false });
+      assert.equal(accepting(), false);
+      upstream.announce(fixtures.announcement({ sequence: 4 }));
+      assert.equal(accepting(), false);
+    });
+
+    it('is used as the next incarnation under the same id', () => {
+      upstream.recall({ ...remembered, leaving: true, accepting: false });
+      upstream.announce(fixtures.announcement({ bornMs: 2_000 }));
+      assert.equal(accepting(), true);
     });
 
     it('gives way to its next incarnation', () => {
--- a/packages/mesh/src/membership/localUpstream.ts
+++ b/packages/mesh/src/membership/localUpstream.ts
@@ -109,10 +109,15 @@
 
   /**
    * Takes what another node remembers of the upstream from before this node was restarted. Without an
-   * announcement of the upstream itself it holds only for a short time; see `dropUnconfirmed`.
+   * announcement of the upstream itself it holds only for a short time; see `dropUnconfirmed`. That it
+   * leaves counts against announcements too, since one from before may come late.
    */
   recall(state: members.UpstreamState): void {
-    if (this.current !== null || state.leaving || this.left.has(state.instance)) return;
+    if (state.leaving) {
+      this.leave(state.instance, state.bornMs);
+      return;
+    }
+    if (this.current !== null || this.left.has(state.instance)) return;
     const { instance, service, version, slots, bornMs } = state;
     const announcement = {
       instance,
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -284,7 +284,7 @@
       this.stateSelf();
     }
     const { upstream } = remembered;
-    if (upstream !== null && !upstream.leaving) onRecall(upstream);
+    if (upstream !== null) onRecall(upstream);
   }
 
   private newsDigest(): frames.Frame {
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -201,7 +201,6 @@
 }
 
 function recall(upstream: localUpstream.LocalUpstream, state: members.UpstreamState): void {
-  if (upstream.state !== null) return;
   upstream.recall(state);
   setTimeout(() => upstream.dropUnconfirmed(), RECALLED_FOR_MS);
 }
