--- a/packages/mesh/src/peers/peerLink.ts
+++ b/packages/mesh/src/peers/peerLink.ts
@@ -143,7 +143,7 @@
     if (kept) this.hurry();
   }
 
-  /** Tells the node something; without effect while the link is down, unless it can be opened. */
+  /** Tells the node something; without effect while the link is down. */
   tell(frame: frames.Frame): void {
     if (this.up) this.write(frames.encode(frame));
   }
@@ -201,7 +201,10 @@
     }
   }
 
-  /** Whether the request may be written now; one that may run only once waits for a sign of life. */
+  /**
+   * Whether the request may be written now. One that may run only once waits for a sign of life, since a
+   * node that stands still would run it when it wakes.
+   */
   private maySend({ semantics }: exchange.ForwardedRequest): boolean {
     return this.up && (this.answered || semantics === 'repeatable');
   }
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -190,7 +190,7 @@
     const candidates: balancer.Candidate[] = [];
     let full = 0;
     let shortestMs = Infinity;
-    const isOpen = (member: members.Member) => {
+    const hasRoom = (member: members.Member) => {
       if (!isEligible(member)) return false;
       const fullMs = seen.fullForMs(member.node, route.name, targetLeftMs);
       if (fullMs === 0) return true;
@@ -198,7 +198,7 @@
       shortestMs = Math.min(shortestMs, fullMs);
       return false;
     };
-    this.order.consider(service, isOpen, (member, distance) => {
+    this.order.consider(service, hasRoom, (member, distance) => {
       candidates.push(this.candidate(member, distance, route.name, usualMs));
     });
     if (candidates.length === 0 && full > 0) {
