--- a/packages/mesh/src/peers/__tests__/peerLink.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerLink.test.ts
@@ -1,15 +1,14 @@
 import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
-import * as timers from 'node:timers/promises';
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
+import * as loopback from '../../__tests__/loopback.js';
 import * as exchange from '../../routing/exchange.js';
 import * as frames from '../frames.js';
 import * as peerLink from '../peerLink.js';
 import * as peerServer from '../peerServer.js';
 
-const POLL_MS = 5;
 /** What the node at the other end says of itself. */
 const STATEMENT = { ...fixtures.member('b'), sequence: 9 };
 
@@ -49,10 +48,6 @@
   });
 }
 
-async function until(holds: () => boolean): Promise<void> {
-  while (!holds()) await timers.setTimeout(POLL_MS);
-}
-
 describe('a link between two nodes', () => {
   let destination: HeldDestination;
   let server: peerServer.PeerServer;
@@ -67,16 +62,10 @@
       onFrame: () => {},
       onViolation: () => {},
     });
-    const probe = net.createServer().listen(0, '127.0.0.1');
-    await until(() => probe.listening);
-    const { port } = probe.address() as net.AddressInfo;
-    await new Promise((resolve) => {
-      probe.close(resolve);
-    });
-    await server.listen(`127.0.0.1:${port}`);
-    address = `127.0.0.1:${port}`;
+    address = await loopback.freeAddress();
+    await server.listen(address);
     link = createLink(address, true);
-    await until(() => link.usable);
+    await loopback.until(() => link.usable);
   });
 
   afterEach(() => {
@@ -92,7 +81,7 @@
   // A request that crossed the end of a stopping node was reported as one that may have run.
   it('refuses what a stopping node has not taken, and still delivers what it has', async () => {
     const taken = send();
-    await until(() => destination.received.length === 1);
+    await loopback.until(() => destination.received.length === 1);
     server.sayGoodbye();
     const crossing = send();
     const { outcome } = await crossing;
@@ -108,7 +97,7 @@
 
   it('takes what was under way as lost when the connection breaks', async () => {
     const taken = send();
-    await until(() => destination.received.length === 1);
+    await loopback.until(() => destination.received.length === 1);
     server.close();
     assert.equal((await taken).outcome.type, 'lost');
   });
@@ -120,16 +109,6 @@
   let silent: net.Server | null = null;
   let link: peerLink.PeerLink;
 
-  async function freeAddress(): Promise<string> {
-    const probe = net.createServer().listen(0, '127.0.0.1');
-    await until(() => probe.listening);
-    const { port } = probe.address() as net.AddressInfo;
-    await new Promise((resolve) => {
-      probe.close(resolve);
-    });
-    return `127.0.0.1:${port}`;
-  }
-
   async function listen(address: string): Promise<void> {
     server = new peerServer.PeerServer({
       destination,
@@ -153,14 +132,14 @@
   });
 
   it('opens for the first request, and again after it was closed', async () => {
-    const address = await freeAddress();
+    const address = await loopback.freeAddress();
     await listen(address);
     link = createLink(address, false);
     for (let i = 1; i <= 2; i += 1) {
       assert.equal(link.usable, false);
       assert.ok(link.accepts);
       const answered = send();
-      await until(() => destination.received.length === i);
+      await loopback.until(() => destination.received.length === i);
       destination.release();
       assert.deepEqual((await answered).outcome, exchange.lost('released'));
       link.closeUnused();
@@ -172,36 +151,36 @@
     const bytes: Buffer[] = [];
     silent = net.createServer((socket) => socket.on('data', (chunk) => bytes.push(chunk)));
     silent.listen(0, '127.0.0.1');
-    await until(() => silent!.listening);
+    await loopback.until(() => silent!.listening);
     const { port } = silent.address() as net.AddressInfo;
     link = createLink(`127.0.0.1:${port}`, false);
     const { outcome } = await send('once');
     assert.deepEqual(outcome.type === 'refused' && outcome.reason, 'peerUnreachable');
     assert.equal(Buffer.concat(bytes).includes('/a/?b=c'), false);
-    await until(() => !link.accepts);
+    await loopback.until(() => !link.accepts);
   });
 
   // Nodes asked for an incarnation that had gone, again and again, where a statement had been lost.
   it('brings the present statement of a node with a refusal that shows an old one', async () => {
-    const address = await freeAddress();
+    const address = await loopback.freeAddress();
     await listen(address);
     const heard: frames.Frame[] = [];
     link = createLink(address, false, (frame) => heard.push(frame));
     const answered = send();
-    await until(() => destination.received.length === 1);
+    await loopback.until(() => destination.received.length === 1);
     destination.release(exchange.refused('otherIncarnation', 50));
     assert.equal((await answered).outcome.type, 'refused');
     assert.deepEqual(heard, [{ type: 'members', members: [STATEMENT] }]);
   });
 
   it('takes no request while the node is out of reach, until it has answered again', async () => {
-    const address = await freeAddress();
+    const address = await loopback.freeAddress();
     link = createLink(address, false);
     const { outcome } = await send('repeatable');
     assert.equal(outcome.type, 'refused');
     assert.equal(link.accepts, false);
     await listen(address);
-    await until(() => link.accepts);
+    await loopback.until(() => link.accepts);
     assert.ok(link.usable);
   });
 });
--- a/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
@@ -1,9 +1,8 @@
 import * as assert from 'node:assert/strict';
-import * as net from 'node:net';
-import * as timers from 'node:timers/promises';
 import { afterEach, describe, it } from 'node:test';
 import { ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
+import * as loopback from '../../__tests__/loopback.js';
 import * as configHolder from '../../config/configHolder.js';
 import * as members from '../../membership/members.js';
 import * as rolloutBoard from '../../rollouts/rolloutBoard.js';
@@ -11,7 +10,6 @@
 import * as peerNetwork from '../peerNetwork.js';
 import * as peerServer from '../peerServer.js';
 
-const POLL_MS = 5;
 const REVIEW_MS = 50;
 
 class RefusingDestination extends exchange.Destination {
@@ -30,20 +28,6 @@
   stop: () => void;
 }
 
-async function until(holds: () => boolean): Promise<void> {
-  while (!holds()) await timers.setTimeout(POLL_MS);
-}
-
-async function freeAddress(): Promise<string> {
-  const probe = net.createServer().listen(0, '127.0.0.1');
-  await until(() => probe.listening);
-  const { port } = probe.address() as net.AddressInfo;
-  await new Promise((resolve) => {
-    probe.close(resolve);
-  });
-  return `127.0.0.1:${port}`;
-}
-
 async function startNode(name: string, domain: string, address: string): Promise<Node> {
   const nowMs = () => performance.now();
   const self = { ...fixtures.member(name, null, domain), address };
@@ -81,7 +65,7 @@
   const nodes: Node[] = [];
 
   async function start(name: string, domain: string, address?: string): Promise<Node> {
-    const node = await startNode(name, domain, address ?? (await freeAddress()));
+    const node = await startNode(name, domain, address ?? (await loopback.freeAddress()));
     nodes.push(node);
     return node;
   }
@@ -98,11 +82,11 @@
     const watching = await start('a', 'd1');
     const joining = await start('b', 'd1');
     joining.network.introduce([watching.self]);
-    await until(() => knows(watching, joining) !== undefined);
-    await until(() => knows(joining, watching)!.sequence > 0);
+    await loopback.until(() => knows(watching, joining) !== undefined);
+    await loopback.until(() => knows(joining, watching)!.sequence > 0);
     watching.board.setKnown();
     const beacon = { type: 'beacon', configVersion: 0 } as const;
-    await until(() => {
+    await loopback.until(() => {
       watching.network.broadcast(beacon, { domain: true, farRelays: false });
       return joining.board.isKnown;
     });
@@ -112,10 +96,10 @@
     const watching = await start('a', 'd1');
     const far = await start('b', 'd2');
     far.network.introduce([watching.self]);
-    await until(() => knows(watching, far) !== undefined);
+    await loopback.until(() => knows(watching, far) !== undefined);
     const cfg = fixtures.configurationOf(3, [fixtures.route('r')]);
     watching.config.offer(cfg, { origin: 'store', name: 'store' });
-    await until(() => {
+    await loopback.until(() => {
       watching.network.announceConfiguration(cfg, null, { domain: true, farRelays: true });
       return far.config.version === 3;
     });
@@ -124,7 +108,7 @@
 
   it('lets a restarted node go on after what it said before, and recalls its upstream', async () => {
     const other = await start('a', 'd1');
-    const address = await freeAddress();
+    const address = await loopback.freeAddress();
     const before = await start('b', 'd1', address);
     before.network.introduce([other.self]);
     const { upstream } = fixtures.member('b');
@@ -132,12 +116,12 @@
       before.table.restate({ ...upstream!, slots: 5 + i });
       before.network.stateSelf();
     }
-    await until(() => knows(other, before)?.upstream?.slots === 9);
+    await loopback.until(() => knows(other, before)?.upstream?.slots === 9);
     before.stop();
     const restarted = await start('b', 'd1', address);
-    await until(() => restarted.recalled.length > 0);
+    await loopback.until(() => restarted.recalled.length > 0);
     assert.equal(restarted.recalled[0]!.slots, 9);
-    await until(() => knows(other, restarted)?.upstream === null);
+    await loopback.until(() => knows(other, restarted)?.upstream === null);
     assert.ok(restarted.self.sequence > 5);
   });
 
@@ -145,10 +129,10 @@
     const first = await start('a', 'd1');
     const second = await start('b', 'd2');
     first.network.introduce([second.self]);
-    await until(() => knows(second, first) !== undefined);
+    await loopback.until(() => knows(second, first) !== undefined);
     const { upstream } = fixtures.member('a');
     first.table.restate({ ...upstream!, service: ids.serviceName('fonts') });
     first.network.stateSelf();
-    await until(() => knows(second, first)?.upstream?.service === 'fonts');
+    await loopback.until(() => knows(second, first)?.upstream?.service === 'fonts');
   });
 });
