--- a/packages/mesh/src/membership/neighbours.ts
+++ b/packages/mesh/src/membership/neighbours.ts
@@ -10,7 +10,7 @@
 /** Nodes of a failure domain that carry knowledge between domains; two, so that one may stand still. */
 const RELAYS_PER_DOMAIN = 2;
 /** Largest fleet in which each node keeps a link to each other; about the size of one domain. */
-export const FULL_MESH_LIMIT = 24;
+const FULL_MESH_LIMIT = 24;
 
 export interface NeighboursOptions {
   table: members.MemberTable;
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -15,8 +15,7 @@
 import type * as evidence from '../rollouts/evidence.js';
 import type * as rolloutBoard from '../rollouts/rolloutBoard.js';
 import * as configurationRequests from './configurationRequests.js';
-import type * as frames from './frames.js';
-import * as frameCodec from './frames.js';
+import * as frames from './frames.js';
 import * as peerLink from './peerLink.js';
 import type * as peerServer from './peerServer.js';
 
@@ -146,7 +145,7 @@
 
   /** Tells news to the own failure domain, and from a relay to the others. */
   broadcast(frame: frames.Frame, { domain, farRelays }: news.Audience): void {
-    const bytes = frameCodec.encode(frame);
+    const bytes = frames.encode(frame);
     if (domain) this.tellAll(this.near.domainPeers, bytes);
     if (farRelays) this.tellAll(this.near.farRelays, bytes);
   }
