--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -12,6 +12,7 @@
 import type * as headerCodec from '../upstream/headerCodec.js';
 import * as networkAddress from '../networkAddress.js';
 import * as attemptAge from './attemptAge.js';
+import * as callerConnections from './callerConnections.js';
 
 /** Callers may reuse a connection up to the configured idle time; the server waits a little longer. */
 const IDLE_SLACK_MS = 2_000;
@@ -57,6 +58,8 @@
 
   private readonly attemptAge: attemptAge.AttemptAge;
 
+  private readonly connections = new callerConnections.CallerConnections();
+
   /** Connections on which a request was answered. */
   private readonly answered = new WeakSet<net.Socket>();
 
@@ -118,6 +121,10 @@
     this.inFlight += 1;
     const arrivedMs = this.options.nowMs();
     const controller = new AbortController();
+    let leftMs: number | null = null;
+    const visit = this.connections.enter(req.socket, () => {
+      leftMs = this.options.nowMs();
+    });
     res.on('close', () => {
       if (!res.writableFinished) controller.abort();
     });
@@ -129,9 +136,32 @@
       if (!res.headersSent) this.writeOwn(req, res, ownAnswer(502, 'internal failure'));
     } finally {
       this.inFlight -= 1;
+      visit.end();
+      if (leftMs !== null) this.recordLeft(req, visit.ahead, arrivedMs, leftMs);
     }
   }
 
+  /** A caller that had closed before its request was read shows by a small age of the request. */
+  private recordLeft(
+    req: http.IncomingMessage,
+    ahead: number,
+    arrivedMs: number,
+    leftMs: number,
+  ): void {
+    const { codec, log, meters: counted, nowMs } = this.options;
+    const ageMs = leftMs - arrivedMs;
+    const workedOnMs = nowMs() - leftMs;
+    const labels = { position: ahead === 0 ? 'first' : 'behind' };
+    counted.observeMs(meters.LEFT_AGE_SECONDS, ageMs, labels);
+    counted.observeMs(meters.LEFT_WORK_SECONDS, workedOnMs, labels);
+    const requestId = codec.readCaller(req.headers).requestId ?? 'none';
+    log.decision('callers', requestId, 'the caller left', {
+      ahead,
+      ageMs: Math.round(ageMs),
+      workedOnMs: Math.round(workedOnMs),
+    });
+  }
+
   private async answer(
     req: http.IncomingMessage,
     arrivedMs: number,
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -7,6 +7,9 @@
 export const REFUSALS = 'godwittrack_refusals_total';
 export const OFFERS = 'godwittrack_offers_total';
 export const RETURNING = 'godwittrack_returning_requests_total';
+export const LEFT_AGE_SECONDS = 'godwittrack_left_age_seconds';
+export const LEFT_WORK_SECONDS = 'godwittrack_left_work_seconds';
+export const CANCELS = 'godwittrack_cancels_total';
 export const UPSTREAM_REQUESTS = 'godwittrack_upstream_requests_total';
 export const UPSTREAM_SECONDS = 'godwittrack_upstream_seconds';
 export const WAIT_SECONDS = 'godwittrack_wait_seconds';
@@ -27,6 +30,11 @@
   [REFUSALS]: 'Requests of callers on this host that were refused without being run, by reason.',
   [OFFERS]: 'Requests offered to an upstream, by distance and by outcome.',
   [RETURNING]: 'Requests that were taken as repeated by their caller after a refusal, by route.',
+  [LEFT_AGE_SECONDS]:
+    'Age of requests when their caller closed its connection, by place on the connection.',
+  [LEFT_WORK_SECONDS]:
+    'Time for which requests were under way after their caller had left, by place on the connection.',
+  [CANCELS]: 'Requests at the upstream on this host that were cancelled, by how far they had come.',
   [UPSTREAM_REQUESTS]: 'Requests for the upstream on this host, by outcome.',
   [UPSTREAM_SECONDS]: 'Time of requests at the upstream on this host, by route.',
   [WAIT_SECONDS]: 'Time that requests waited here for the upstream on this host, by route.',
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -126,6 +126,7 @@
     } else {
       const leave = () => {
         if (!this.queue.isWaiting(entry)) return;
+        this.countCancel('waiting');
         settle(exchange.refused('cancelled', NOT_ACCEPTING_RETRY_MS));
         this.apply(this.queue.release(entry, this.options.nowMs()));
       };
@@ -152,7 +153,9 @@
     const deadlineLeftMs = entry.deadlineAtMs - startedMs;
     const stop = () => {
       // Work that may run only once goes on: its effect is wanted, or unknown if it were cut.
-      if (req.semantics === 'repeatable') connection.destroy('cancelled');
+      const stops = req.semantics === 'repeatable';
+      this.countCancel(stops ? 'running' : 'kept');
+      if (stops) connection.destroy('cancelled');
     };
     const timer = setTimeout(() => connection.destroy('deadline'), deadlineLeftMs);
     signal.addEventListener('abort', stop, { once: true });
@@ -166,6 +169,10 @@
     return this.judge(req, raw, this.options.nowMs() - startedMs);
   }
 
+  private countCancel(stage: 'waiting' | 'running' | 'kept'): void {
+    this.options.meters.increment(meters.CANCELS, { stage });
+  }
+
   private judge(
     req: exchange.ForwardedRequest,
     raw: upstreamConnection.RawOutcome,
