--- a/packages/mesh/src/callers/callerConnections.ts
+++ b/packages/mesh/src/callers/callerConnections.ts
@@ -22,7 +22,10 @@
     return { ahead, end: () => listeners.delete(onLeave) };
   }
 
-  /** A caller that ends its side takes no more answers: the server then closes the connection. */
+  /**
+   * Follows the socket, since only the first response on a connection hears of its close. A caller that
+   * ends its side takes no more answers: the server closes the connection then.
+   */
   private follow(socket: net.Socket): Set<Listener> {
     const listeners = new Set<Listener>();
     this.underWay.set(socket, listeners);
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -124,9 +124,7 @@
     let leftMs: number | null = null;
     const visit = this.connections.enter(req.socket, () => {
       leftMs = this.options.nowMs();
-    });
-    res.on('close', () => {
-      if (!res.writableFinished) controller.abort();
+      controller.abort();
     });
     try {
       const outcome = await this.answer(req, arrivedMs, controller.signal);
--- /dev/null
+++ b/playground/src/usersPlatform/__tests__/leavingCallers.test.ts
@@ -0,0 +1,107 @@
+import * as net from 'node:net';
+import { after, afterEach, before, describe, it } from 'node:test';
+import * as wait from '../../harness/wait.js';
+import type * as application from '../application.js';
+import * as fleet from '../fleet.js';
+import * as objectStore from '../objectStore.js';
+
+const SPEC = {
+  version: 1,
+  routes: {
+    'r-font': {
+      host: 'shop.example',
+      path_prefix: '/font/',
+      kind: 'safe',
+      service: 'fonts',
+      timeout_ms: 30_000,
+      target_latency_ms: 300,
+      priority: 2,
+      max_attempts: 2,
+    },
+  },
+  services: { fonts: { health_path: '/health', max_connections: 130 } },
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: 1_048_576,
+    header_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+  },
+};
+
+function request(id: string): string {
+  return [
+    `GET /font/${id} HTTP/1.1`,
+    'Host: shop.example',
+    `Attempt-Id: ${id}`,
+    'Deadline-Milliseconds: 25000',
+    '\r\n',
+  ].join('\r\n');
+}
+
+/** Holds every request until it is released or its connection closes. */
+class HeldWork {
+  readonly running = new Set<string>();
+
+  private readonly held: (() => void)[] = [];
+
+  readonly behaviour: application.Behaviour = ({ target }, res) => {
+    this.running.add(target);
+    res.on('close', () => this.running.delete(target));
+    this.held.push(() => res.end(target));
+  };
+
+  release(): void {
+    for (const release of this.held.splice(0)) release();
+  }
+}
+
+describe('callers that leave before their answer', () => {
+  const store = new objectStore.ObjectStoreStandIn();
+  let shop: fleet.Host;
+  let fonts: fleet.Host;
+  let work: HeldWork;
+
+  before(async () => {
+    const address = await store.start();
+    store.write('config', 'main', SPEC);
+    shop = await fleet.startHost(address, { name: 'shop-1', service: 'shop' });
+    fonts = await fleet.startHost(address, { name: 'fonts-1', service: 'fonts', zone: 'z-b' });
+    await wait.waitFor('each node reaches the service', async () => {
+      const answers = await Promise.all([shop, fonts].map((host) => fleet.call(host, '/font/a')));
+      return answers.every(({ status }) => status === 200);
+    });
+  });
+
+  after(async () => {
+    await Promise.all([shop, fonts].map((host) => host.stop()));
+    store.stop();
+  });
+
+  afterEach(() => work.release());
+
+  function hold(): void {
+    work = new HeldWork();
+    fonts.app.behaviour = work.behaviour;
+  }
+
+  function connect(host: fleet.Host): net.Socket {
+    const [ip, port] = host.callerAddress.split(':');
+    return net.connect(Number(port), ip);
+  }
+
+  async function leavePipelined(host: fleet.Host): Promise<void> {
+    hold();
+    const socket = connect(host);
+    socket.write(['1', '2', '3'].map(request).join(''));
+    await wait.waitFor('all are at work', () => work.running.size === 3);
+    socket.destroy();
+    await wait.waitFor('none is at work', () => work.running.size === 0);
+  }
+
+  // Requests behind the first one on a connection ran to their end after the connection had closed.
+  describe('with several requests on a connection', () => {
+    it('stop the work for all of them beside the upstream', () => leavePipelined(fonts));
+
+    it('stop the work for all of them beside another node', () => leavePipelined(shop));
+  });
+});
