--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -8,7 +8,7 @@
 import * as decisionLog from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
 import type * as balancer from '../routing/balancer.js';
-import type * as exchange from '../routing/exchange.js';
+import * as exchange from '../routing/exchange.js';
 
 export const UPSTREAM_ADDRESS = '127.0.0.1:9000';
 
@@ -130,3 +130,24 @@
     ...more,
   };
 }
+
+/** Keeps requests under way until they are released, and notes which were cancelled. */
+export class HeldDestination extends exchange.Destination {
+  readonly received: exchange.ForwardedRequest[] = [];
+
+  readonly cancelled: ids.RequestId[] = [];
+
+  private readonly held: ((outcome: exchange.Outcome) => void)[] = [];
+
+  send(req: exchange.ForwardedRequest, signal: AbortSignal): Promise<exchange.Delivery> {
+    this.received.push(req);
+    signal.addEventListener('abort', () => this.cancelled.push(req.requestId));
+    return new Promise((resolve) => {
+      this.held.push((outcome) => resolve({ outcome, report: null }));
+    });
+  }
+
+  release(outcome: exchange.Outcome = exchange.lost('released')): void {
+    for (const release of this.held.splice(0)) release(outcome);
+  }
+}
--- a/packages/mesh/src/callers/callerConnections.ts
+++ b/packages/mesh/src/callers/callerConnections.ts
@@ -34,8 +34,7 @@
       listeners.clear();
       for (const onLeave of left) onLeave();
     };
-    socket.once('end', leave);
-    socket.once('close', leave);
+    for (const event of ['end', 'error', 'close']) socket.once(event, leave);
     return listeners;
   }
 }
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -10,6 +10,7 @@
 import type * as dispatcher from '../routing/dispatcher.js';
 import * as exchange from '../routing/exchange.js';
 import type * as headerCodec from '../upstream/headerCodec.js';
+import * as eventLoop from '../eventLoop.js';
 import * as networkAddress from '../networkAddress.js';
 import * as attemptAge from './attemptAge.js';
 import * as callerConnections from './callerConnections.js';
@@ -179,6 +180,8 @@
     const body = await readBody(req, limits.maxBodyBytes);
     if (body === null) return ownAnswer(413, 'body too large');
     if (!req.complete) return exchange.lost('the request ended early');
+    await eventLoop.nextPoll();
+    if (signal.aborted) return exchange.refused('cancelled', 0);
     const route = held.routes.find(req.headers.host ?? '', req.url ?? '/');
     if (route === null) return ownAnswer(404, 'no route');
     const caller = this.options.codec.readCaller(req.headers);
--- a/packages/mesh/src/peers/__tests__/peerLink.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerLink.test.ts
@@ -12,24 +12,6 @@
 /** What the node at the other end says of itself. */
 const STATEMENT = { ...fixtures.member('b'), sequence: 9 };
 
-/** Keeps requests under way until they are released. */
-class HeldDestination extends exchange.Destination {
-  readonly received: exchange.ForwardedRequest[] = [];
-
-  private readonly held: ((outcome: exchange.Outcome) => void)[] = [];
-
-  send(req: exchange.ForwardedRequest): Promise<exchange.Delivery> {
-    this.received.push(req);
-    return new Promise((resolve) => {
-      this.held.push((outcome) => resolve({ outcome, report: null }));
-    });
-  }
-
-  release(outcome: exchange.Outcome = exchange.lost('released')): void {
-    for (const release of this.held.splice(0)) release(outcome);
-  }
-}
-
 function createLink(
   address: string,
   kept: boolean,
@@ -49,13 +31,13 @@
 }
 
 describe('a link between two nodes', () => {
-  let destination: HeldDestination;
+  let destination: fixtures.HeldDestination;
   let server: peerServer.PeerServer;
   let link: peerLink.PeerLink;
   let address: string;
 
   beforeEach(async () => {
-    destination = new HeldDestination();
+    destination = new fixtures.HeldDestination();
     server = new peerServer.PeerServer({
       destination,
       statement: () => STATEMENT,
@@ -104,7 +86,7 @@
 });
 
 describe('a link that is not kept', () => {
-  const destination = new HeldDestination();
+  const destination = new fixtures.HeldDestination();
   let server: peerServer.PeerServer | null = null;
   let silent: net.Server | null = null;
   let link: peerLink.PeerLink;
--- /dev/null
+++ b/packages/mesh/src/peers/__tests__/peerServer.test.ts
@@ -0,0 +1,98 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import { ids } from '@godwittrack/core';
+import * as fixtures from '../../__tests__/fixtures.js';
+import * as loopback from '../../__tests__/loopback.js';
+import * as networkAddress from '../../networkAddress.js';
+import * as frames from '../frames.js';
+import * as peerServer from '../peerServer.js';
+
+function request(id: number): Buffer {
+  const req = fixtures.forwarded({ requestId: ids.requestId(`q-${id}`), semantics: 'repeatable' });
+  return frames.encode({ type: 'request', id, sentMs: 0, req });
+}
+
+function hello(node: string): Buffer {
+  const from = fixtures.member(node, null);
+  return frames.encode({
+    type: 'hello',
+    from,
+    configVersion: 0,
+    rollouts: [],
+    rolloutsKnown: false,
+  });
+}
+
+describe('PeerServer', () => {
+  let destination: fixtures.HeldDestination;
+  let server: peerServer.PeerServer;
+  let address: string;
+  const sockets: net.Socket[] = [];
+
+  beforeEach(async () => {
+    destination = new fixtures.HeldDestination();
+    server = new peerServer.PeerServer({
+      destination,
+      statement: () => fixtures.member('b'),
+      onFrame: () => {},
+      onViolation: () => {},
+    });
+    address = await loopback.freeAddress();
+    await server.listen(address);
+  });
+
+  afterEach(() => {
+    for (const socket of sockets.splice(0)) socket.destroy();
+    server.close();
+    destination.release();
+  });
+
+  async function connect(): Promise<net.Socket> {
+    const socket = net.connect(networkAddress.split(address));
+    sockets.push(socket);
+    await loopback.until(() => !socket.connecting);
+    return socket;
+  }
+
+  function received(): string[] {
+    return destination.received.map(({ requestId }) => requestId);
+  }
+
+  describe('a node that stood still', () => {
+    // Requests were sent to the upstream although their cancellation had come in behind them.
+    it('does not run a request that is cancelled in the same read', async () => {
+      const socket = await connect();
+      const cancel = frames.encode({ type: 'cancel', id: 1 });
+      socket.write(Buffer.concat([hello('a'), request(1), cancel, request(2)]));
+      await loopback.until(() => destination.received.length > 0);
+      assert.deepEqual(received(), ['q-2']);
+    });
+
+    // Requests of a link that had been given up meanwhile were sent to the upstream.
+    it('does not run requests of a link that has ended behind them', async () => {
+      const ended = await connect();
+      const reset = await connect();
+      const open = await connect();
+      ended.write(request(1));
+      ended.destroy();
+      reset.write(request(2));
+      reset.resetAndDestroy();
+      open.write(request(3));
+      await loopback.until(() => received().includes('q-3'));
+      assert.deepEqual(received(), ['q-3']);
+    });
+  });
+
+  it('answers a request that it has cancelled before it ran', async () => {
+    const socket = await connect();
+    const splitter = new frames.FrameSplitter('b');
+    const answers: frames.Frame[] = [];
+    socket.on('data', (chunk: Buffer) => answers.push(...splitter.push(chunk)));
+    socket.write(Buffer.concat([request(1), frames.encode({ type: 'cancel', id: 1 })]));
+    await loopback.until(() => answers.length > 0 || destination.received.length > 0);
+    const [answer] = answers;
+    assert.ok(answer?.type === 'outcome' && answer.delivery.outcome.type === 'refused');
+    assert.equal(answer.delivery.outcome.reason, 'cancelled');
+  });
+});
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -2,6 +2,7 @@
 
 import * as net from 'node:net';
 import type * as members from '../membership/members.js';
+import * as eventLoop from '../eventLoop.js';
 import * as networkAddress from '../networkAddress.js';
 import * as exchange from '../routing/exchange.js';
 import * as frames from './frames.js';
@@ -36,6 +37,12 @@
 
   constructor(readonly socket: net.Socket) {}
 
+  /** The other node is gone or has given the connection up, and takes no more answers. */
+  end(): void {
+    this.socket.destroy();
+    for (const controller of this.running.values()) controller.abort();
+  }
+
   tell(frame: frames.Frame): void {
     if (!this.socket.destroyed) this.socket.write(frames.encode(frame));
   }
@@ -97,12 +104,12 @@
         socket.destroy();
       }
     });
-    // The close that follows an error ends the session.
-    socket.on('error', () => socket.destroy());
-    socket.on('close', () => {
-      this.sessions.delete(session);
-      for (const controller of session.running.values()) controller.abort();
-    });
+    for (const event of ['end', 'error', 'close']) {
+      socket.on(event, () => {
+        this.sessions.delete(session);
+        session.end();
+      });
+    }
   }
 
   private take(session: Session, frame: frames.Frame): void {
@@ -134,7 +141,10 @@
     }
     const controller = new AbortController();
     session.running.set(id, controller);
-    const delivery = await this.options.destination.send(req, controller.signal);
+    await eventLoop.nextPoll();
+    const delivery = controller.signal.aborted
+      ? { outcome: exchange.refused('cancelled', 0), report: null }
+      : await this.options.destination.send(req, controller.signal);
     session.running.delete(id);
     if (
       delivery.outcome.type === 'refused' &&
--- a/playground/src/usersPlatform/__tests__/leavingCallers.test.ts
+++ b/playground/src/usersPlatform/__tests__/leavingCallers.test.ts
@@ -1,3 +1,4 @@
+import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
 import { after, afterEach, before, describe, it } from 'node:test';
 import * as wait from '../../harness/wait.js';
@@ -40,11 +41,14 @@
 
 /** Holds every request until it is released or its connection closes. */
 class HeldWork {
+  readonly received = new Set<string>();
+
   readonly running = new Set<string>();
 
   private readonly held: (() => void)[] = [];
 
   readonly behaviour: application.Behaviour = ({ target }, res) => {
+    this.received.add(target);
     this.running.add(target);
     res.on('close', () => this.running.delete(target));
     this.held.push(() => res.end(target));
@@ -98,6 +102,21 @@
     await wait.waitFor('none is at work', () => work.running.size === 0);
   }
 
+  // A process that stood still sent requests to upstreams although their callers had closed already.
+  it('are not served if they closed before their request was read', async () => {
+    hold();
+    for (const id of ['closed', 'reset']) {
+      const socket = connect(fonts);
+      await wait.waitFor('the connection is open', () => !socket.connecting);
+      socket.write(request(id));
+      if (id === 'reset') socket.resetAndDestroy();
+      else socket.destroy();
+    }
+    connect(fonts).write(request('open'));
+    await wait.waitFor('the last request is at work', () => work.running.has('/font/open'));
+    assert.deepEqual([...work.received], ['/font/open']);
+  });
+
   // Requests behind the first one on a connection ran to their end after the connection had closed.
   describe('with several requests on a connection', () => {
     it('stop the work for all of them beside the upstream', () => leavePipelined(fonts));
