--- a/packages/mesh/src/peers/__tests__/peerServer.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerServer.test.ts
@@ -95,4 +95,17 @@
     assert.ok(answer?.type === 'outcome' && answer.delivery.outcome.type === 'refused');
     assert.equal(answer.delivery.outcome.reason, 'cancelled');
   });
+
+  // A link that the other node had given up silently kept its requests at work.
+  it('cancels what a node sent on an earlier link when it connects anew', async () => {
+    const silent = await connect();
+    silent.write(Buffer.concat([hello('a'), request(1)]));
+    const other = await connect();
+    other.write(Buffer.concat([hello('c'), request(2)]));
+    await loopback.until(() => destination.received.length === 2);
+    const anew = await connect();
+    anew.write(hello('a'));
+    await loopback.until(() => destination.cancelled.length > 0);
+    assert.deepEqual(destination.cancelled, ['q-1']);
+  });
 });
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -124,11 +124,19 @@
         session.tell({ type: 'pong' });
         break;
       default:
-        if (frame.type === 'hello') session.hello = frame;
+        if (frame.type === 'hello') this.greet(session, frame);
         this.options.onFrame(session, frame);
     }
   }
 
+  /** A node has one link here, so one that connects anew has given up its earlier link. */
+  private greet(session: Session, hello: frames.Hello): void {
+    session.hello = hello;
+    for (const other of this.sessions) {
+      if (other !== session && other.hello?.from.node === hello.from.node) other.end();
+    }
+  }
+
   private async serve(session: Session, frame: frames.RequestFrame): Promise<void> {
     // The other node has learned by the goodbye that this request is not run.
     if (session.closing) return;
