--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -2,7 +2,7 @@
 
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import { ids, type metrics } from '@godwittrack/core';
+import { callerConnections, ids, type metrics } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
 import type * as observability from '../observability/decisionLog.js';
@@ -13,7 +13,6 @@
 import * as eventLoop from '../eventLoop.js';
 import * as networkAddress from '../networkAddress.js';
 import * as attemptAge from './attemptAge.js';
-import * as callerConnections from './callerConnections.js';
 
 /** Callers may reuse a connection up to the configured idle time; the server waits a little longer. */
 const IDLE_SLACK_MS = 2_000;
--- a/packages/node/src/requests/__tests__/callerServer.test.ts
+++ b/packages/node/src/requests/__tests__/callerServer.test.ts
@@ -54,6 +54,23 @@
     caller.destroy();
   });
 
+  it('give back their slots when a caller leaves that has sent several on a connection', async () => {
+    // Requests behind the first one went on, and were counted as under way for good.
+    const running = new Set<string>();
+    const serve: http.RequestListener = (req, res) => {
+      running.add(req.url!);
+      res.on('close', () => running.delete(req.url!));
+    };
+    const stack = await fixtures.createStack(serve, { slots: 3 });
+    const caller = net.connect(stack.port, '127.0.0.1');
+    const paths = ['/safe?1', '/safe?2', '/safe?3'];
+    caller.write(paths.map((path) => `GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`).join(''));
+    while (running.size < paths.length) await timers.setTimeout(5);
+    caller.destroy();
+    await settled(stack);
+    assert.deepEqual([stack.gate.inFlight, stack.callers.inFlight, [...running]], [0, 0, []]);
+  });
+
   it('send a body with its framing, so that the upstream reads one request', async () => {
     // Guards against a chunked GET or DELETE body that the upstream takes for another request.
     const seen: string[] = [];
--- a/packages/node/src/requests/callerServer.ts
+++ b/packages/node/src/requests/callerServer.ts
@@ -3,7 +3,7 @@
 import * as crypto from 'node:crypto';
 import * as http from 'node:http';
 import { once } from 'node:events';
-import { failures } from '@godwittrack/core';
+import { callerConnections, failures } from '@godwittrack/core';
 import type { configuration, metrics } from '@godwittrack/core';
 import type { requests } from '@godwittrack/protocol';
 import type * as configStore from '../config/configStore.js';
@@ -29,6 +29,8 @@
 
   private active = 0;
 
+  private readonly connections = new callerConnections.CallerConnections();
+
   constructor(
     private readonly cfg: settings.ResolvedSettings,
     private readonly config: configStore.ConfigStore,
@@ -72,8 +74,9 @@
   private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     const startMs = performance.now();
     const gone = new AbortController();
-    res.on('close', () => {
-      if (res.writableFinished) return;
+    const left = new AbortController();
+    const visit = this.connections.enter(req.socket, () => {
+      left.abort();
       gone.abort(failures.raise({ type: 'cancelled', detail: 'the caller left' }));
     });
     const given = headerOf(req, 'x-request-id');
@@ -92,7 +95,8 @@
       httpFailures.send(res, failure, requestId, mayHaveRun(state, req, failure));
     } finally {
       // What is not handed to the system yet would be lost if the process ended now.
-      await outgoing.flushed(res);
+      await outgoing.flushed(res, left.signal);
+      visit.end();
       this.active -= 1;
       const ms = performance.now() - startMs;
       this.meters.observeMs('godwittrack_request_seconds', ms);
--- a/packages/node/src/requests/outgoing.ts
+++ b/packages/node/src/requests/outgoing.ts
@@ -12,10 +12,16 @@
   await event(to, 'drain', signal);
 }
 
-/** Resolves when the answer was handed to the system whole, or its connection has closed. */
-export async function flushed(res: http.ServerResponse): Promise<void> {
-  if (res.writableFinished || res.destroyed || res.closed) return;
-  await event(res, 'finish', null);
+/**
+ * Resolves when the answer was handed to the system whole, or its connection has closed. An answer that
+ * waits behind others on its connection hears of the close by `left` only.
+ */
+export async function flushed(
+  res: http.ServerResponse,
+  left: AbortSignal | null = null,
+): Promise<void> {
+  if (res.writableFinished || res.destroyed || res.closed || left?.aborted) return;
+  await event(res, 'finish', left);
 }
 
 async function event(
