--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -160,7 +160,7 @@
       network.announceConfiguration(cfg, previous, news.audienceOf(source.origin));
     });
     board.onChange((state, origin) => {
-      if (state.phase === 'held') recorder.reset();
+      recorder.enterPhase(state.phase);
       network.broadcast({ type: 'rollouts', states: [state] }, news.audienceOf(origin));
     });
     recorder.onVeto((state, reason) => {
--- a/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
+++ b/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
@@ -76,6 +76,30 @@
     assert.equal(vetoes.length, 0);
   });
 
+  // A fault under load that was spread over many upstreams was outweighed by the canary's good answers.
+  it('judges the pulse by its own answers, which show faults under load', () => {
+    const judge = new versionJudge.VersionJudge();
+    for (const [version, failsUnderLoad] of [
+      ['v1', false],
+      ['v2', true],
+    ] as const) {
+      for (let host = 0; host < 6; host += 1) {
+        const { upstream } = fixtures.member(`${version}-${host}`, {
+          version: ids.versionName(version),
+        });
+        const counted = new evidence.EvidenceRecorder(() => false);
+        for (let i = 0; i < 40; i += 1) counted.record(upstream!, 'r', false, 90);
+        counted.enterPhase('pulse');
+        for (let i = 0; i < 10; i += 1) counted.record(upstream!, 'r', failsUnderLoad && i < 3, 90);
+        const { service, instance } = upstream!;
+        const node = ids.nodeId(`${version}-${host}`);
+        const routes = counted.snapshot();
+        judge.hear({ node, service, version: upstream!.version, instance, routes });
+      }
+    }
+    assert.equal(judge.judge(SHOP, V2).good, false);
+  });
+
   it('leaves a version that is not on trial alone', () => {
     for (let i = 0; i < 20; i += 1)
       recorder.record({ ...state, version: ids.versionName('v1') }, 'r', true, 10);
--- a/packages/mesh/src/rollouts/evidence.ts
+++ b/packages/mesh/src/rollouts/evidence.ts
@@ -2,6 +2,7 @@
 
 import type { ids } from '@godwittrack/core';
 import type * as members from '../membership/members.js';
+import type * as phases from './phases.js';
 
 export interface RouteEvidence {
   requests: number;
@@ -15,7 +16,7 @@
   service: ids.ServiceName;
   version: ids.VersionName;
   instance: ids.InstanceId;
-  /** Counted since the service's rollout began at this node. */
+  /** Counted since the service's rollout began at this node, or since its pulse. */
   routes: Record<string, RouteEvidence>;
 }
 
@@ -39,6 +40,12 @@
     this.listeners.push(listener);
   }
 
+  /** A rollout has a new phase. Good answers from before the pulse would hide faults under load. */
+  enterPhase(phase: phases.Phase): void {
+    if (phase === 'held') this.reset();
+    else if (phase === 'pulse') this.routes = {};
+  }
+
   /** Starts anew, at the start of a rollout or for another upstream. */
   reset(): void {
     this.routes = {};
