--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -128,6 +128,8 @@
     });
     try {
       const outcome = await this.answer(req, arrivedMs, controller.signal);
+      // A connection with large answers before their turn is not read, so its close would not be seen.
+      await visit.turn;
       if (!controller.signal.aborted) this.write(req, res, outcome);
     } catch (err) {
       this.options.log.warn('callers', 'a request failed unexpectedly', { err: String(err) });
--- a/playground/src/usersPlatform/__tests__/leavingCallers.test.ts
+++ b/playground/src/usersPlatform/__tests__/leavingCallers.test.ts
@@ -1,11 +1,15 @@
 import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
 import { after, afterEach, before, describe, it } from 'node:test';
+import { meters } from '@godwittrack/mesh';
 import * as wait from '../../harness/wait.js';
 import type * as application from '../application.js';
 import * as fleet from '../fleet.js';
 import * as objectStore from '../objectStore.js';
 
+/** More than a socket's buffer takes. */
+const LARGE_BYTES = 256 * 1024;
+
 const SPEC = {
   version: 1,
   routes: {
@@ -39,7 +43,7 @@
   ].join('\r\n');
 }
 
-/** Holds every request until it is released or its connection closes. */
+/** Holds every request but large ones until it is released or its connection closes. */
 class HeldWork {
   readonly received = new Set<string>();
 
@@ -48,6 +52,10 @@
   private readonly held: (() => void)[] = [];
 
   readonly behaviour: application.Behaviour = ({ target }, res) => {
+    if (target.endsWith('large')) {
+      res.end(Buffer.alloc(LARGE_BYTES));
+      return;
+    }
     this.received.add(target);
     this.running.add(target);
     res.on('close', () => this.running.delete(target));
@@ -64,6 +72,7 @@
   let shop: fleet.Host;
   let fonts: fleet.Host;
   let work: HeldWork;
+  let answeredBefore = 0;
 
   before(async () => {
     const address = await store.start();
@@ -86,6 +95,14 @@
   function hold(): void {
     work = new HeldWork();
     fonts.app.behaviour = work.behaviour;
+    answeredBefore = 0;
+    answeredBefore = answered();
+  }
+
+  /** Requests for which the node beside the upstream has had an answer since the work is held. */
+  function answered(): number {
+    const labels = { route: 'r-font', outcome: 'answer' };
+    return fonts.mesh.meters.counter(meters.REQUESTS, labels) - answeredBefore;
   }
 
   function connect(host: fleet.Host): net.Socket {
@@ -122,5 +139,17 @@
     it('stop the work for all of them beside the upstream', () => leavePipelined(fonts));
 
     it('stop the work for all of them beside another node', () => leavePipelined(shop));
+
+    // The connection was not read while a large answer waited for its turn, so its close was not seen.
+    it('stop the work while a large answer waits for its turn', async () => {
+      hold();
+      const socket = connect(fonts);
+      socket.write(request('1') + request('large'));
+      await wait.waitFor('the large answer is at hand', () => answered() > 0);
+      socket.write(request('3'));
+      await wait.waitFor('the others are at work', () => work.running.size === 2);
+      socket.destroy();
+      await wait.waitFor('none is at work', () => work.running.size === 0);
+    });
   });
 });
