--- a/packages/mesh/src/peers/__tests__/peerServer.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerServer.test.ts
@@ -13,11 +13,11 @@
   return frames.encode({ type: 'request', id, sentMs: 0, req });
 }
 
-function hello(node: string): Buffer {
-  const from = fixtures.member(node, null);
+function hello(node: string, to = 'b'): Buffer {
   return frames.encode({
     type: 'hello',
-    from,
+    from: fixtures.member(node, null),
+    to: ids.nodeId(to),
     configVersion: 0,
     rollouts: [],
     rolloutsKnown: false,
@@ -108,4 +108,15 @@
     await loopback.until(() => destination.cancelled.length > 0);
     assert.deepEqual(destination.cancelled, ['q-1']);
   });
+
+  // Links to a node that had left and to the one that got its address ended each other all the time.
+  it('keeps the links of a node that believes two nodes at this address', async () => {
+    const present = await connect();
+    present.write(Buffer.concat([hello('a'), request(1)]));
+    await loopback.until(() => destination.received.length === 1);
+    const departed = await connect();
+    departed.write(Buffer.concat([hello('a', 'departed'), request(2)]));
+    await loopback.until(() => destination.received.length === 2);
+    assert.deepEqual(destination.cancelled, []);
+  });
 });
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -5,7 +5,7 @@
  */
 
 import * as msgpack from '@msgpack/msgpack';
-import { failures } from '@godwittrack/core';
+import { failures, type ids } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
 import type * as members from '../membership/members.js';
 import type * as memberSpread from '../membership/memberSpread.js';
@@ -21,6 +21,8 @@
   type: 'hello';
   /** The sender's statement of itself. */
   from: members.Member;
+  /** The node that the link is meant for; another may have got its address. */
+  to: ids.NodeId;
   configVersion: number;
   rollouts: phases.RolloutState[];
   /** Whether the sender knows all rollouts. */
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -417,6 +417,7 @@
       hello: () => ({
         type: 'hello',
         from: table.self,
+        to: address.node,
         configVersion: config.version,
         rollouts: rollouts.states(),
         rolloutsKnown: rollouts.isKnown,
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -129,11 +129,15 @@
     }
   }
 
-  /** A node has one link here, so one that connects anew has given up its earlier link. */
+  /**
+   * A node has one link to each other, so one that connects anew has given up its earlier link. It may
+   * have another here to a node that had this address before.
+   */
   private greet(session: Session, hello: frames.Hello): void {
     session.hello = hello;
     for (const other of this.sessions) {
-      if (other !== session && other.hello?.from.node === hello.from.node) other.end();
+      const isSameLink = other.hello?.from.node === hello.from.node && other.hello.to === hello.to;
+      if (other !== session && isSameLink) other.end();
     }
   }
 
