--- a/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
@@ -125,6 +125,22 @@
     assert.ok(restarted.self.sequence > 5);
   });
 
+  // A node that had left stayed a candidate for requests, since another answered at its address.
+  it('forgets a node that has left when another one answers at its address', async () => {
+    const other = await start('a', 'd1');
+    const address = await loopback.freeAddress();
+    const departed = await start('b', 'd1', address);
+    departed.table.restate(fixtures.member('b').upstream);
+    departed.network.introduce([other.self]);
+    await loopback.until(() => knows(other, departed)?.upstream != null);
+    departed.stop();
+    const successor = await start('c', 'd1', address);
+    successor.network.introduce([other.self]);
+    await loopback.until(() => knows(other, departed) === undefined);
+    await loopback.until(() => knows(other, successor) !== undefined);
+    assert.ok(other.network.route(successor.self.node) !== null);
+  });
+
   it('passes what a node says on through relays to a node that it has no link to', async () => {
     const first = await start('a', 'd1');
     const second = await start('b', 'd2');
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -43,6 +43,8 @@
   | memberSpread.SpreadMessage
   /** A newer statement of the receiver than its own, from before it was restarted. */
   | { type: 'recall'; member: members.Member }
+  /** The link was meant for `node`, whose address the sender has now. */
+  | { type: 'misdirected'; node: ids.NodeId }
   | { type: 'cancel'; id: number }
   | { type: 'outcome'; id: number; delivery: exchange.Delivery }
   /** The sender takes no more requests; those with these ids are still under way there. */
@@ -86,6 +88,7 @@
   'gone',
   'newsDigest',
   'newsWanted',
+  'misdirected',
 ];
 
 /** Kept, since each new one allocates its buffer. */
--- a/packages/mesh/src/peers/peerLink.ts
+++ b/packages/mesh/src/peers/peerLink.ts
@@ -324,10 +324,15 @@
     }
   }
 
-  /** Requests that the node has not taken have not run. */
-  private dismiss(running: ReadonlySet<number>): void {
+  /** Another node answers at the address; it refuses what was sent there. */
+  giveUp(): void {
     this.dismissed = true;
     this.options.onReachChanged(this);
+  }
+
+  /** Requests that the node has not taken have not run. */
+  private dismiss(running: ReadonlySet<number>): void {
+    this.giveUp();
     for (const [id, call] of this.calls) {
       if (!running.has(id)) {
         this.calls.delete(id);
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -269,6 +269,9 @@
       case 'recall':
         this.takeRecall(frame.member);
         break;
+      case 'misdirected':
+        this.forgetDeparted(frame.node);
+        break;
       default: {
         const { node: from } = sender.from;
         this.options.log.warn('peers', 'unexpected message', { from, type: frame.type });
@@ -380,6 +383,15 @@
     }
   }
 
+  /** An address belongs to one host at a time, so the node that had it before is gone. */
+  private forgetDeparted(node: ids.NodeId): void {
+    const link = this.links.get(node);
+    if (link === undefined) return;
+    this.options.log.belief('members', 'another node has the address', { node });
+    link.giveUp();
+    this.spread.forget(node);
+  }
+
   private closeSurplus(): void {
     const spare = [...this.links.values()].filter((link) => link.isSpare);
     if (spare.length <= MAX_REQUEST_LINKS) return;
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -135,6 +135,9 @@
    */
   private greet(session: Session, hello: frames.Hello): void {
     session.hello = hello;
+    if (hello.to !== this.options.statement().node) {
+      session.tell({ type: 'misdirected', node: hello.to });
+    }
     for (const other of this.sessions) {
       const isSameLink = other.hello?.from.node === hello.from.node && other.hello.to === hello.to;
       if (other !== session && isSameLink) other.end();
