--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -182,7 +182,7 @@
     if (body === null) return ownAnswer(413, 'body too large');
     if (!req.complete) return exchange.lost('the request ended early');
     await eventLoop.nextPoll();
-    if (signal.aborted) return exchange.refused('cancelled', 0);
+    if (signal.aborted) return exchange.cancelled();
     const route = held.routes.find(req.headers.host ?? '', req.url ?? '/');
     if (route === null) return ownAnswer(404, 'no route');
     const caller = this.options.codec.readCaller(req.headers);
--- a/packages/mesh/src/peers/peerLink.ts
+++ b/packages/mesh/src/peers/peerLink.ts
@@ -324,7 +324,7 @@
     }
   }
 
-  /** Another node answers at the address; it refuses what was sent there. */
+  /** Sends no further requests on this connection; those under way are still answered. */
   giveUp(): void {
     this.dismissed = true;
     this.options.onReachChanged(this);
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -158,7 +158,7 @@
     session.running.set(id, controller);
     await eventLoop.nextPoll();
     const delivery = controller.signal.aborted
-      ? { outcome: exchange.refused('cancelled', 0), report: null }
+      ? { outcome: exchange.cancelled(), report: null }
       : await this.options.destination.send(req, controller.signal);
     session.running.delete(id);
     if (
--- a/packages/mesh/src/routing/exchange.ts
+++ b/packages/mesh/src/routing/exchange.ts
@@ -86,6 +86,11 @@
   return { type: 'refused', reason, retryAfterMs, reachedUpstream };
 }
 
+/** The caller left before the request was sent, so nobody waits for the answer. */
+export function cancelled(): Refusal {
+  return refused('cancelled', 0);
+}
+
 export function lost(detail: string): Lost {
   return { type: 'lost', detail };
 }
--- a/playground/src/usersPlatform/__tests__/leavingCallers.test.ts
+++ b/playground/src/usersPlatform/__tests__/leavingCallers.test.ts
@@ -72,7 +72,6 @@
   let shop: fleet.Host;
   let fonts: fleet.Host;
   let work: HeldWork;
-  let answeredBefore = 0;
 
   before(async () => {
     const address = await store.start();
@@ -95,14 +94,12 @@
   function hold(): void {
     work = new HeldWork();
     fonts.app.behaviour = work.behaviour;
-    answeredBefore = 0;
-    answeredBefore = answered();
   }
 
-  /** Requests for which the node beside the upstream has had an answer since the work is held. */
-  function answered(): number {
+  /** Answers for callers beside the upstream. */
+  function answerCount(): number {
     const labels = { route: 'r-font', outcome: 'answer' };
-    return fonts.mesh.meters.counter(meters.REQUESTS, labels) - answeredBefore;
+    return fonts.mesh.meters.counter(meters.REQUESTS, labels);
   }
 
   function connect(host: fleet.Host): net.Socket {
@@ -143,9 +140,10 @@
     // The connection was not read while a large answer waited for its turn, so its close was not seen.
     it('stop the work while a large answer waits for its turn', async () => {
       hold();
+      const countBefore = answerCount();
       const socket = connect(fonts);
       socket.write(request('1') + request('large'));
-      await wait.waitFor('the large answer is at hand', () => answered() > 0);
+      await wait.waitFor('the large answer is at hand', () => answerCount() > countBefore);
       socket.write(request('3'));
       await wait.waitFor('the others are at work', () => work.running.size === 2);
       socket.destroy();
