perf(mesh): request bodies count in the cost of distance

Cause: the cost per kilobyte of sending a request to another failure domain counted the answer only. Change: the size of a transfer is the request's body plus the average answer.

--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -37,10 +37,23 @@
   }
 }
 
+class RecordingBalancer extends balancer.Balancer {
+  readonly profiles: balancer.RequestProfile[] = [];
+
+  override choose(
+    candidates: readonly balancer.Candidate[],
+    profile: balancer.RequestProfile,
+  ): balancer.Choice | null {
+    this.profiles.push(profile);
+    return super.choose(candidates, profile);
+  }
+}
+
 describe('Dispatcher', () => {
   let first: ScriptedDestination;
   let second: ScriptedDestination;
   let budget: retryBudget.RetryBudget;
+  let loadBalancer: RecordingBalancer;
   let now: number;
 
   /** Dispatcher on the first of two nodes; the local upstream is preferred. */
@@ -57,7 +70,7 @@
       destinationOf: () => second,
       hasOpenLink: () => true,
       rollouts: new rolloutTable.RolloutTable(log, () => 0),
-      balancer: new balancer.Balancer(() => 0),
+      balancer: loadBalancer,
       trafficSplitter: new trafficSplitter.TrafficSplitter(() => 0),
       upstreamStats: new upstreamStats.UpstreamStats(() => now),
       retryBudget: budget,
@@ -98,6 +111,7 @@
 
   beforeEach(() => {
     now = 0;
+    loadBalancer = new RecordingBalancer(() => 0);
     budget = new retryBudget.RetryBudget({ ratio: 0.2, extra: 100 }, () => 1);
     for (let i = 0; i < 100; i += 1) budget.deposit(ids.serviceName('shop'));
   });
@@ -189,6 +203,18 @@
     });
   });
 
+  // Guards against counting answers only: small answers to large uploads then seem cheap to send far.
+  it('counts the bodies of both directions as the size of a transfer', async () => {
+    const subject = build([[{ ...OK, body: Buffer.alloc(500) }], []]);
+    const upload = { ...request('once'), body: Buffer.alloc(4_000) };
+    await subject.dispatch(upload, new AbortController().signal);
+    await subject.dispatch(upload, new AbortController().signal);
+    assert.deepEqual(
+      loadBalancer.profiles.map(({ transferBytes }) => transferBytes),
+      [4_000, 4_500],
+    );
+  });
+
   it('passes on the chosen incarnation and the remaining time', async () => {
     await send([[], []], 'once');
     const [req] = first.received;
--- a/packages/mesh/src/routing/__tests__/routing.test.ts
+++ b/packages/mesh/src/routing/__tests__/routing.test.ts
@@ -120,7 +120,12 @@
     candidates: balancer.Candidate[],
     overrides: Partial<balancer.RequestProfile> = {},
   ) => {
-    const profile = { answerBytes: 2_048, targetLeftMs: 300, deadlineLeftMs: 1_000, ...overrides };
+    const profile = {
+      transferBytes: 2_048,
+      targetLeftMs: 300,
+      deadlineLeftMs: 1_000,
+      ...overrides,
+    };
     return new balancer.Balancer(() => 0.5).choose(candidates, profile)?.candidate.node ?? null;
   };
   const near = (overrides: Partial<balancer.Candidate> = {}) =>
@@ -144,10 +149,10 @@
     assert.equal(choose([far(), near({ serviceMs: 600 })]), 'far');
   });
 
-  it('sends requests with small answers to distant nodes before those with large ones', () => {
+  it('sends requests with small bodies to distant nodes before those with large ones', () => {
     const crowded = [far(), near({ load: 20 })];
-    assert.equal(choose(crowded, { answerBytes: 200 }), 'far');
-    assert.equal(choose(crowded, { answerBytes: 8_000 }), 'near');
+    assert.equal(choose(crowded, { transferBytes: 200 }), 'far');
+    assert.equal(choose(crowded, { transferBytes: 8_000 }), 'near');
   });
 
   it('still uses a failing upstream where there is no other', () => {
--- a/packages/mesh/src/routing/__tests__/spreadOfWork.test.ts
+++ b/packages/mesh/src/routing/__tests__/spreadOfWork.test.ts
@@ -87,7 +87,7 @@
         load: stats.loadFromOthers(candidate.node),
         serviceMs: MEAN_MS / speed,
       }));
-      const profile = { answerBytes: 0, targetLeftMs: TARGET_MS, deadlineLeftMs: 5_000 };
+      const profile = { transferBytes: 0, targetLeftMs: TARGET_MS, deadlineLeftMs: 5_000 };
       const { candidate, maxWaitMs } = loadBalancer.choose(candidates, profile)!;
       const server = byNode.get(candidate.node)!;
       const acceptsAnyWait = offers === MAX_OFFERS || probed.has(server);
--- a/packages/mesh/src/routing/balancer.ts
+++ b/packages/mesh/src/routing/balancer.ts
@@ -18,8 +18,8 @@
 }
 
 export interface RequestProfile {
-  /** Average size of the answer's body. */
-  answerBytes: number;
+  /** Size of the request's body plus the average size of the answer's body. */
+  transferBytes: number;
   /** Time left until the target latency of the route. */
   targetLeftMs: number;
   /** Time left until the caller's deadline. */
@@ -28,9 +28,9 @@
 
 /**
  * Cost of each distance, as the extra wait in milliseconds that is accepted to stay nearer: a fixed
- * part and a part per kilobyte of the answer. Traffic between failure domains is billed by volume,
- * so a request rather waits for a near slot within its target latency, and small answers are the
- * first to be sent farther.
+ * part and a part per kilobyte transferred. Traffic between failure domains is billed by volume, so a
+ * request rather waits for a near slot within its target latency, and small ones are the first to be
+ * sent farther.
  */
 const DISTANCE_COST_MS: Record<members.Distance, number> = {
   host: 0,
@@ -44,7 +44,7 @@
   region: 12,
   remote: 25,
 };
-/** Larger answers cost no more, so that a far upstream still serves if none is near. */
+/** Larger transfers cost no more, so that a far upstream still serves if none is near. */
 const MAX_COUNTED_KB = 8;
 /** Network round-trip time. */
 const ROUND_TRIP_MS: Record<members.Distance, number> = {
@@ -104,15 +104,15 @@
     const lateMs = Math.max(0, expectedMs - profile.targetLeftMs);
     return (
       expectedMs +
-      distanceCost(candidate.distance, profile.answerBytes) +
+      distanceCost(candidate.distance, profile.transferBytes) +
       candidate.failureShare * FAILURE_COST_MS +
       lateMs * 4
     );
   }
 }
 
-function distanceCost(distance: members.Distance, answerBytes: number): number {
-  const kilobytes = Math.min(MAX_COUNTED_KB, answerBytes / 1_024);
+function distanceCost(distance: members.Distance, transferBytes: number): number {
+  const kilobytes = Math.min(MAX_COUNTED_KB, transferBytes / 1_024);
   return DISTANCE_COST_MS[distance] + DISTANCE_COST_MS_PER_KB[distance] * kilobytes;
 }
 
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -145,7 +145,7 @@
     const now = this.options.nowMs();
     const { upstreamStats: stats } = this.options;
     const profile = {
-      answerBytes: stats.answerBytes(req.route.name),
+      transferBytes: req.body.length + stats.answerBytes(req.route.name),
       targetLeftMs: req.targetAtMs - now,
       deadlineLeftMs: req.deadlineAtMs - now,
     };
