perf(mesh): count up to 32 KB of a transfer in the cost of distance

Cause: an answer of 90 KB counted as 8 KB, so a download crossed failure domains for a wait of 100 to 250 ms that its target latency allows.

--- a/packages/mesh/src/routing/__tests__/routing.test.ts
+++ b/packages/mesh/src/routing/__tests__/routing.test.ts
@@ -155,6 +155,13 @@
     assert.equal(choose(crowded, { transferBytes: 8_000 }), 'near');
   });
 
+  it('lets a large transfer wait near within its target latency', () => {
+    const crowded = [far(), near({ load: 40 })];
+    assert.equal(choose(crowded, { transferBytes: 8_000, targetLeftMs: 600 }), 'far');
+    assert.equal(choose(crowded, { transferBytes: 90_000, targetLeftMs: 600 }), 'near');
+    assert.equal(choose(crowded, { transferBytes: 90_000, targetLeftMs: 200 }), 'far');
+  });
+
   it('still uses a failing upstream where there is no other', () => {
     assert.equal(choose([near({ failureShare: 0.9 })]), 'near');
   });
--- a/packages/mesh/src/routing/balancer.ts
+++ b/packages/mesh/src/routing/balancer.ts
@@ -45,7 +45,7 @@
   remote: 25,
 };
 /** Larger transfers cost no more, so that a far upstream still serves if none is near. */
-const MAX_COUNTED_KB = 8;
+const MAX_COUNTED_KB = 32;
 /** Network round-trip time. */
 const ROUND_TRIP_MS: Record<members.Distance, number> = {
   host: 0,
