fix(mesh): rank the rollouts of a service by the revision of their order

Cause: order numbers followed the arrival at a node, so a state of an older order that a peer sent after the newer one was read from the store counted as the newest; a restarted node then served a version that had been replaced. Ruled out: ranking by phase (a version may be ordered again). Change: a rollout's state carries a revision of its stored order. A service has one stored order, so the higher revision is the newer one, whatever the order of arrival. A change of the newest order is announced like a change of phase. The trial with processes that showed it was not repeated.

--- a/packages/mesh/src/rollouts/phases.ts
+++ b/packages/mesh/src/rollouts/phases.ts
@@ -29,6 +29,11 @@
 
 export interface RolloutState extends RolloutOrder {
   phase: Phase;
+  /**
+   * A revision of the stored order. Each service has one stored order, so of two rollouts of a
+   * service the newer one has the higher revision.
+   */
+  orderRevision: number;
   /** Why the version was rolled back; null in all other phases. */
   reason: string | null;
 }
--- a/packages/mesh/src/rollouts/rolloutTable.ts
+++ b/packages/mesh/src/rollouts/rolloutTable.ts
@@ -14,8 +14,6 @@
   state: phases.RolloutState;
   /** Monotonic time at which this node learned of the rollout. */
   learnedAtMs: number;
-  /** Increases with each order; of a service's rollouts the one with the highest number is the newest. */
-  orderNumber: number;
 }
 
 export interface TrafficSplit {
@@ -30,8 +28,6 @@
 
   private readonly listeners: Listener[] = [];
 
-  private lastOrderNumber = 0;
-
   private synced = false;
 
   constructor(
@@ -63,7 +59,7 @@
     for (const entry of this.rollouts.values()) {
       if (
         entry.state.service === service &&
-        (newest === null || entry.orderNumber > newest.orderNumber)
+        (newest === null || entry.state.orderRevision > newest.state.orderRevision)
       ) {
         newest = entry;
       }
@@ -75,8 +71,8 @@
   applyRecord(record: phases.RolloutRecord): void {
     const phase =
       record.recorded === null || record.recorded === 'running' ? 'held' : record.recorded;
-    const { service, target, durationMs } = record;
-    this.apply({ service, target, durationMs, phase, reason: null }, 'store');
+    const { service, target, durationMs, revision: orderRevision } = record;
+    this.apply({ service, target, durationMs, phase, orderRevision, reason: null }, 'store');
   }
 
   merge(states: readonly phases.RolloutState[], origin: propagation.Origin): void {
@@ -112,24 +108,22 @@
   }
 
   private apply(next: phases.RolloutState, origin: propagation.Origin): void {
-    const fromStore = origin === 'store';
     const key = phases.rolloutKey(next.service, next.target);
     const entry = this.rollouts.get(key);
     if (entry === undefined) {
-      this.lastOrderNumber += 1;
-      this.rollouts.set(key, {
-        state: next,
-        learnedAtMs: this.nowMs(),
-        orderNumber: this.lastOrderNumber,
-      });
+      this.rollouts.set(key, { state: next, learnedAtMs: this.nowMs() });
     } else {
-      if (fromStore && entry.orderNumber < (this.newest(next.service)?.orderNumber ?? 0)) {
-        this.lastOrderNumber += 1;
-        entry.orderNumber = this.lastOrderNumber;
-      }
-      const phase = mergePhases(entry.state.phase, next.phase, fromStore);
-      if (phase === entry.state.phase) return;
-      entry.state = { ...entry.state, phase, reason: next.reason };
+      const { phase: previousPhase, orderRevision } = entry.state;
+      const newestBefore = this.newest(next.service);
+      const phase = mergePhases(previousPhase, next.phase, origin === 'store');
+      const reason = phase === previousPhase ? entry.state.reason : next.reason;
+      entry.state = {
+        ...entry.state,
+        phase,
+        reason,
+        orderRevision: Math.max(orderRevision, next.orderRevision),
+      };
+      if (phase === previousPhase && this.newest(next.service) === newestBefore) return;
     }
     const { state } = this.rollouts.get(key)!;
     this.log.info('rollouts', 'a rollout has a new phase', { ...state, origin });
