test(mesh): the simulation of spread work frees its slots

Cause: dispatch offered a copy of a request to the queue and started the original, so release found nothing and most slots stayed taken; the two checks passed on servers that hardly ever became free. Change: the copy is started. The tests of CandidateSelector move to a file of their own and still run.

--- /dev/null
+++ b/packages/mesh/src/routing/__tests__/candidateSelector.test.ts
@@ -0,0 +1,48 @@
+import * as assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { ids } from '@godwittrack/core';
+import * as fixtures from '../../__tests__/fixtures.js';
+import * as members from '../../membership/members.js';
+import * as candidateSelector from '../candidateSelector.js';
+
+const SERVICE = ids.serviceName('shop');
+
+describe('CandidateSelector', () => {
+  function candidatesOf(size: number, self: number): { node: string; distance: string }[] {
+    const all = Array.from({ length: size }, (_, i) => {
+      const domain = i % 10;
+      return fixtures.member(`n${i}`, {}, `d${domain}`, `r${domain % 2}`);
+    });
+    const table = new members.MemberTable(all[self]!);
+    for (const member of all) table.merge(member);
+    const candidates: { node: string; distance: string }[] = [];
+    new candidateSelector.CandidateSelector(table).forEachCandidate(
+      SERVICE,
+      () => true,
+      ({ node }, distance) => candidates.push({ node, distance }),
+    );
+    return candidates;
+  }
+
+  for (const size of [30, 100, 300, 800]) {
+    it(`considers the own failure domain and a few others of ${size} nodes`, () => {
+      const candidates = candidatesOf(size, 0);
+      const inDomain = size / 10;
+      assert.equal(candidates.filter(({ distance }) => distance === 'domain').length, inDomain - 1);
+      assert.ok(candidates.length <= inDomain + 8 + 6, String(candidates.length));
+    });
+  }
+
+  it('differs between nodes, so that distant servers are used evenly', () => {
+    const uses = new Map<string, number>();
+    for (let self = 0; self < 300; self += 1) {
+      for (const { node, distance } of candidatesOf(300, self)) {
+        if (distance === 'remote') uses.set(node, (uses.get(node) ?? 0) + 1);
+      }
+    }
+    // Each node chooses 6 of 150 distant ones; by chance, some are chosen several times as often as
+    // the mean.
+    assert.ok(uses.size > 280, String(uses.size));
+    assert.ok(Math.max(...uses.values()) < 24, String(Math.max(...uses.values())));
+  });
+});
--- a/packages/mesh/src/routing/__tests__/spreadOfWork.test.ts
+++ b/packages/mesh/src/routing/__tests__/spreadOfWork.test.ts
@@ -5,13 +5,10 @@
 import * as uniform from 'pure-rand/distribution/uniformFloat64';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as admissionQueue from '../../limits/admissionQueue.js';
-import * as members from '../../membership/members.js';
 import * as balancer from '../balancer.js';
-import * as candidateSelector from '../candidateSelector.js';
 import * as upstreamStats from '../upstreamStats.js';
 
 const ROUTE = ids.routeName('r');
-const SERVICE = ids.serviceName('shop');
 const SLOTS = 7;
 const MEAN_MS = 200;
 const TARGET_MS = 800;
@@ -93,13 +90,14 @@
       const acceptsAnyWait = offers === MAX_OFFERS || probed.has(server);
       probed.add(server);
       const maxWait = limitWaits && !acceptsAnyWait ? Math.max(8, maxWaitMs) : Infinity;
-      const decision = server.queue.offer({ ...work, maxWaitMs: maxWait }, now);
+      const offered = { ...work, maxWaitMs: maxWait };
+      const decision = server.queue.offer(offered, now);
       const report = {
         load: server.queue.runningCount + server.queue.waitingCount,
         averageServiceMs: null,
       };
       stats.recordReport(candidate.node, ROUTE, report, 0);
-      if (decision.type === 'run') start(server, work);
+      if (decision.type === 'run') start(server, offered);
       if (decision.type === 'wait' && hasFasterFreeServer(server)) avoidableWaits += 1;
       const isRetried =
         decision.type === 'refuse' && decision.reason === admissionQueue.WAIT_TOO_LONG;
@@ -144,43 +142,3 @@
     assert.ok(busiestToMean < 1.6, String(busiestToMean));
   });
 });
-
-describe('CandidateSelector', () => {
-  function candidatesOf(size: number, self: number): { node: string; distance: string }[] {
-    const all = Array.from({ length: size }, (_, i) => {
-      const domain = i % 10;
-      return fixtures.member(`n${i}`, {}, `d${domain}`, `r${domain % 2}`);
-    });
-    const table = new members.MemberTable(all[self]!);
-    for (const member of all) table.merge(member);
-    const candidates: { node: string; distance: string }[] = [];
-    new candidateSelector.CandidateSelector(table).forEachCandidate(
-      SERVICE,
-      () => true,
-      ({ node }, distance) => candidates.push({ node, distance }),
-    );
-    return candidates;
-  }
-
-  for (const size of [30, 100, 300, 800]) {
-    it(`considers the own failure domain and a few others of ${size} nodes`, () => {
-      const candidates = candidatesOf(size, 0);
-      const inDomain = size / 10;
-      assert.equal(candidates.filter(({ distance }) => distance === 'domain').length, inDomain - 1);
-      assert.ok(candidates.length <= inDomain + 8 + 6, String(candidates.length));
-    });
-  }
-
-  it('differs between nodes, so that distant servers are used evenly', () => {
-    const uses = new Map<string, number>();
-    for (let self = 0; self < 300; self += 1) {
-      for (const { node, distance } of candidatesOf(300, self)) {
-        if (distance === 'remote') uses.set(node, (uses.get(node) ?? 0) + 1);
-      }
-    }
-    // Each node chooses 6 of 150 distant ones; by chance, some are chosen several times as often as
-    // the mean.
-    assert.ok(uses.size > 280, String(uses.size));
-    assert.ok(Math.max(...uses.values()) < 24, String(Math.max(...uses.values())));
-  });
-});
