test: an entry of KNOWN-RED.txt that names no file fails the run

Cause: a comma after the path was read as part of it, so the entry matched nothing and the listed file ran; nothing said why. mended the entry only. Change: the reader of the list refuses a path that does not exist. Entries and the files passed over are as before; with the comma put back the run ends with the path and 0 passed, 1 failed.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -23,19 +23,21 @@
   });
 }
 
+function fail(message) {
+  process.stdout.write(`${message}\n0 passed, 1 failed\n`);
+  process.exit(1);
+}
+
 function readKnownRed() {
   if (!fs.existsSync('KNOWN-RED.txt')) return [];
-  return fs
+  const listed = fs
     .readFileSync('KNOWN-RED.txt', 'utf8')
     .split('\n')
     .map((line) => /^file:\s*(\S+)/.exec(line)?.[1])
-    .filter(Boolean)
-    .map((file) => file.replace(src, dist).replace(/\.ts$/, '.js'));
-}
-
-function fail(message) {
-  process.stdout.write(`${message}\n0 passed, 1 failed\n`);
-  process.exit(1);
+    .filter(Boolean);
+  const missing = listed.find((file) => !fs.existsSync(file));
+  if (missing !== undefined) fail(`KNOWN-RED.txt lists a file that does not exist: ${missing}`);
+  return listed.map((file) => file.replace(src, dist).replace(/\.ts$/, '.js'));
 }
 
 const build = childProcess.spawnSync('npx', ['tsc', '-b'], { stdio: 'inherit' });
