refactor(mesh): one way through the merge of a rollout's state

The merge searched the newest rollout for each state received, also where nothing had changed, and spread three cases over one nested block. It now returns early unless the phase or the order is later; what is stored and announced is the same.

--- a/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
+++ b/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
@@ -16,6 +16,10 @@
   return new rolloutTable.RolloutTable(fixtures.silentLog(), () => 0);
 }
 
+function stateOf(overrides: Partial<phases.RolloutState>): phases.RolloutState {
+  return { ...ORDER, phase: 'held', orderRevision: 1, reason: null, ...overrides };
+}
+
 describe('RolloutTable', () => {
   it('gives an ordered version no traffic before its first phase', () => {
     const subject = createTable();
@@ -29,14 +33,9 @@
       fc.property(fc.array(phase, { minLength: 1, maxLength: 8 }), (received) => {
         const forwards = createTable();
         const backwards = createTable();
-        const state = (value: phases.Phase) => ({
-          ...ORDER,
-          phase: value,
-          orderRevision: 1,
-          reason: null,
-        });
-        for (const value of received) forwards.merge([state(value)], 'domain');
-        for (const value of [...received].reverse()) backwards.merge([state(value)], 'domain');
+        for (const value of received) forwards.merge([stateOf({ phase: value })], 'domain');
+        for (const value of [...received].reverse())
+          backwards.merge([stateOf({ phase: value })], 'domain');
         assert.deepEqual(forwards.trafficSplit('shop'), backwards.trafficSplit('shop'));
         assert.equal(forwards.mayServe('shop', 'v2'), !received.includes('rolledBack'));
       }),
@@ -54,74 +53,70 @@
 
   it('prefers the final record of the store to the phase that a node decided', () => {
     const subject = createTable();
-    subject.merge(
-      [{ ...ORDER, phase: 'rolledBack', orderRevision: 1, reason: 'failures' }],
-      'domain',
-    );
+    subject.merge([stateOf({ phase: 'rolledBack', reason: 'failures' })], 'domain');
     subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 3 });
     assert.equal(subject.mayServe('shop', 'v2'), true);
   });
-});
 
-describe('RolloutTable with several orders of a service', () => {
-  const V3 = ids.versionName('v3');
-  const older: phases.RolloutState = {
-    ...ORDER,
-    phase: 'rolledBack',
-    orderRevision: 7,
-    reason: 'failures',
-  };
-
-  // Guards against orders ranked by their arrival: a restarted node that read the newer order first
-  // then served the version before it.
-  it('keeps the newer order when a state of an older one arrives later', () => {
-    const subject = createTable();
-    subject.applyRecord({ ...ORDER, target: V3, recorded: 'completed', revision: 9 });
-    subject.merge([older], 'remote');
-    assert.deepEqual(subject.trafficSplit('shop'), { target: 'v3', share: 1 });
-  });
-
-  it('follows a version that is ordered again', () => {
-    const subject = createTable();
-    subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 2 });
-    subject.applyRecord({ ...ORDER, target: V3, recorded: 'completed', revision: 5 });
-    subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 8 });
-    assert.equal(subject.trafficSplit('shop').target, 'v2');
-  });
+  describe('with several orders of a service', () => {
+    const V3 = ids.versionName('v3');
+
+    // Guards against orders ranked by their arrival: a restarted node that read the newer order first
+    // then served the version before it.
+    it('keeps the newer order when a state of an older one arrives later', () => {
+      const subject = createTable();
+      subject.applyRecord({ ...ORDER, target: V3, recorded: 'completed', revision: 9 });
+      const older = stateOf({ phase: 'rolledBack', orderRevision: 7, reason: 'failures' });
+      subject.merge([older], 'remote');
+      assert.deepEqual(subject.trafficSplit('shop'), { target: 'v3', share: 1 });
+    });
 
-  it('tells listeners when another order becomes the newest without a new phase', () => {
-    const subject = createTable();
-    subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 2 });
-    subject.applyRecord({ ...ORDER, target: V3, recorded: 'completed', revision: 5 });
-    const targets: string[] = [];
-    subject.onChange(({ target }) => targets.push(target));
-    subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 8 });
-    subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 9 });
-    assert.deepEqual(targets, ['v2']);
-  });
+    it('follows a version that is ordered again', () => {
+      const subject = createTable();
+      subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 2 });
+      subject.applyRecord({ ...ORDER, target: V3, recorded: 'completed', revision: 5 });
+      subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 8 });
+      assert.equal(subject.trafficSplit('shop').target, 'v2');
+    });
 
-  it('has the same newest order in whatever order states arrive', () => {
-    const arrival = fc.record({
-      target: fc.constantFrom('v2', 'v3', 'v4'),
-      orderRevision: fc.integer({ min: 1, max: 20 }),
+    it('tells listeners when another order becomes the newest without a new phase', () => {
+      const subject = createTable();
+      subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 2 });
+      subject.applyRecord({ ...ORDER, target: V3, recorded: 'completed', revision: 5 });
+      const targets: string[] = [];
+      subject.onChange(({ target }) => targets.push(target));
+      subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 8 });
+      subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 9 });
+      assert.deepEqual(targets, ['v2']);
     });
-    // An order has one target, so a revision belongs to one.
-    const arrivals = fc.uniqueArray(arrival, {
-      minLength: 1,
-      maxLength: 6,
-      selector: ({ orderRevision }) => orderRevision,
+
+    it('has the same newest order in whatever order states arrive', () => {
+      const arrival = fc.record({
+        target: fc.constantFrom('v2', 'v3', 'v4'),
+        orderRevision: fc.integer({ min: 1, max: 20 }),
+      });
+      // An order has one target, so a revision belongs to one.
+      const arrivals = fc.uniqueArray(arrival, {
+        minLength: 1,
+        maxLength: 6,
+        selector: ({ orderRevision }) => orderRevision,
+      });
+      fc.assert(
+        fc.property(arrivals, (received) => {
+          const subject = createTable();
+          for (const { target, orderRevision } of received) {
+            const state = {
+              target: ids.versionName(target),
+              phase: 'completed' as const,
+              orderRevision,
+            };
+            subject.merge([stateOf(state)], 'remote');
+          }
+          const newest = received.reduce((a, b) => (a.orderRevision > b.orderRevision ? a : b));
+          assert.equal(subject.trafficSplit('shop').target, newest.target);
+        }),
+      );
     });
-    fc.assert(
-      fc.property(arrivals, (received) => {
-        const subject = createTable();
-        for (const { target, orderRevision } of received) {
-          const state = { ...older, target: ids.versionName(target), orderRevision };
-          subject.merge([{ ...state, phase: 'completed', reason: null }], 'remote');
-        }
-        const newest = received.reduce((a, b) => (a.orderRevision > b.orderRevision ? a : b));
-        assert.equal(subject.trafficSplit('shop').target, newest.target);
-      }),
-    );
   });
 });
 
--- a/packages/mesh/src/rollouts/rolloutTable.ts
+++ b/packages/mesh/src/rollouts/rolloutTable.ts
@@ -112,20 +112,25 @@
     const entry = this.rollouts.get(key);
     if (entry === undefined) {
       this.rollouts.set(key, { state: next, learnedAtMs: this.nowMs() });
-    } else {
-      const { phase: previousPhase, orderRevision } = entry.state;
-      const newestBefore = this.newest(next.service);
-      const phase = mergePhases(previousPhase, next.phase, origin === 'store');
-      const reason = phase === previousPhase ? entry.state.reason : next.reason;
-      entry.state = {
-        ...entry.state,
-        phase,
-        reason,
-        orderRevision: Math.max(orderRevision, next.orderRevision),
-      };
-      if (phase === previousPhase && this.newest(next.service) === newestBefore) return;
+      this.notify(next, origin);
+      return;
     }
-    const { state } = this.rollouts.get(key)!;
+    const { state: current } = entry;
+    const phase = mergePhases(current.phase, next.phase, origin === 'store');
+    const isNewPhase = phase !== current.phase;
+    const isLaterOrder = next.orderRevision > current.orderRevision;
+    if (!isNewPhase && !isLaterOrder) return;
+    const newestBefore = this.newest(next.service);
+    entry.state = {
+      ...current,
+      phase,
+      reason: isNewPhase ? next.reason : current.reason,
+      orderRevision: isLaterOrder ? next.orderRevision : current.orderRevision,
+    };
+    if (isNewPhase || this.newest(next.service) !== newestBefore) this.notify(entry.state, origin);
+  }
+
+  private notify(state: phases.RolloutState, origin: propagation.Origin): void {
     this.log.info('rollouts', 'a rollout has a new phase', { ...state, origin });
     for (const listener of this.listeners) listener(state, origin);
   }
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -207,8 +207,9 @@
   it('counts the bodies of both directions as the size of a transfer', async () => {
     const subject = build([[{ ...OK, body: Buffer.alloc(500) }], []]);
     const upload = { ...request('once'), body: Buffer.alloc(4_000) };
-    await subject.dispatch(upload, new AbortController().signal);
-    await subject.dispatch(upload, new AbortController().signal);
+    const { signal } = new AbortController();
+    await subject.dispatch(upload, signal);
+    await subject.dispatch(upload, signal);
     assert.deepEqual(
       loadBalancer.profiles.map(({ transferBytes }) => transferBytes),
       [4_000, 4_500],
