feat(mesh): log and count the requests for a newer configuration

The log told which version a node applied and from whom, but not which newer version it had heard of, so "nothing was advertised" and "it was advertised and not asked for" looked the same.

--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -17,6 +17,8 @@
 export const ROLLOUT_PHASES = 'godwittrack_rollout_phases_total';
 export const LOG_LINES_DROPPED = 'godwittrack_log_lines_dropped_total';
 export const CONFIG_VERSION = 'godwittrack_config_version';
+export const CONFIG_ADVERTISED_VERSION = 'godwittrack_config_advertised_version';
+export const CONFIG_REQUESTS = 'godwittrack_config_requests_total';
 export const CONFIG_UNREADABLE = 'godwittrack_config_unreadable_total';
 export const MEMBERS = 'godwittrack_members';
 export const MEMBERS_REACHED = 'godwittrack_members_reached';
@@ -43,6 +45,10 @@
   [ROLLOUT_PHASES]: 'Phases of rollouts that came into force here.',
   [LOG_LINES_DROPPED]: 'Log lines that were left out to bound the volume, by component.',
   [CONFIG_VERSION]: 'Version of the configuration in force; 0 while there is none.',
+  [CONFIG_ADVERTISED_VERSION]:
+    'Newest version of the configuration that another node has advertised; 0 while there is none.',
+  [CONFIG_REQUESTS]:
+    'Requests to other nodes for a newer configuration, by origin of the advertised version.',
   [CONFIG_UNREADABLE]: 'Configurations in the store that could not be read and were not taken.',
   [MEMBERS]: 'Nodes that are known, this one included.',
   [MEMBERS_REACHED]: 'Nodes that are not known to be out of reach, this one included.',
--- a/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
@@ -5,6 +5,7 @@
 import * as loopback from '../../__tests__/loopback.js';
 import * as configHolder from '../../config/configHolder.js';
 import * as members from '../../membership/members.js';
+import * as meters from '../../observability/meters.js';
 import * as rolloutTable from '../../rollouts/rolloutTable.js';
 import * as exchange from '../../routing/exchange.js';
 import * as peerNetwork from '../peerNetwork.js';
@@ -41,6 +42,7 @@
     config,
     rollouts,
     log,
+    meters: meters.createMetrics(),
     onBeacon: () => {},
     onEvidence: () => {},
     onPreviousUpstream: (upstream) => restored.push(upstream),
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -4,7 +4,7 @@
  * configuration and of rollouts are forwarded too: both only advance, so the order of arrival is irrelevant.
  */
 
-import type { ids } from '@godwittrack/core';
+import type { ids, metrics } from '@godwittrack/core';
 import * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
 import type * as propagation from '../config/propagation.js';
@@ -12,6 +12,7 @@
 import * as memberGossip from '../membership/memberGossip.js';
 import * as neighbours from '../membership/neighbours.js';
 import type * as observability from '../observability/decisionLog.js';
+import * as meters from '../observability/meters.js';
 import type * as evidence from '../rollouts/evidence.js';
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
 import * as configurationRequests from './configurationRequests.js';
@@ -33,6 +34,7 @@
   config: configHolder.ConfigHolder;
   rollouts: rolloutTable.RolloutTable;
   log: observability.DecisionLog;
+  meters: metrics.Metrics;
   onBeacon: (node: ids.NodeId) => void;
   onEvidence: (report: evidence.EvidenceReport) => void;
   /** Another node has sent the upstream state that this node published before a restart. */
@@ -58,6 +60,8 @@
 
   private digestsSentMs = 0;
 
+  private newestAdvertised = 0;
+
   private flushTimer: NodeJS.Timeout | null = null;
 
   private readonly configRequests: configurationRequests.ConfigurationRequests;
@@ -90,6 +94,11 @@
     config.onChange(() => this.configRequests.requestDeferred());
   }
 
+  /** Newest version of the configuration that another node has advertised. */
+  get advertisedVersion(): number {
+    return this.newestAdvertised;
+  }
+
   get openLinks(): number {
     return [...this.links.values()].filter(({ isOpen }) => isOpen).length;
   }
@@ -313,9 +322,23 @@
   }
 
   private onVersionAdvertised(sender: Sender, version: number): void {
-    const { config } = this.options;
-    const request = () => sender.reply({ type: 'configRequest', heldVersion: config.version });
-    const isNear = this.originOf(sender.from) === 'domain' || config.current === null;
+    const { config, log, meters: metricsRegistry } = this.options;
+    const origin = this.originOf(sender.from);
+    const advertisedMs = performance.now();
+    const request = () => {
+      const waitedMs = Math.round(performance.now() - advertisedMs);
+      const { node } = sender.from;
+      log.info('config', 'configuration requested', {
+        version,
+        held: config.version,
+        from: node,
+        waitedMs,
+      });
+      metricsRegistry.increment(meters.CONFIG_REQUESTS, { origin });
+      sender.reply({ type: 'configRequest', heldVersion: config.version });
+    };
+    this.newestAdvertised = Math.max(this.newestAdvertised, version);
+    const isNear = origin === 'domain' || config.current === null;
     const delayMs = isNear ? 0 : configurationRequests.REMOTE_REQUEST_DELAY_MS;
     this.configRequests.onAdvertised({ version, delayMs, request });
   }
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -118,6 +118,7 @@
     config,
     rollouts,
     log,
+    meters: metricsRegistry,
     onBeacon: (node) => watcher.recordBeacon(node),
     onEvidence,
     onPreviousUpstream: (state) => recallUpstream(upstream, state),
@@ -150,6 +151,7 @@
     nowMs,
   });
   metricsRegistry.gauge(meters.CONFIG_VERSION, () => config.version);
+  metricsRegistry.gauge(meters.CONFIG_ADVERTISED_VERSION, () => network.advertisedVersion);
   metricsRegistry.gauge(meters.MEMBERS, () => table.size);
   metricsRegistry.gauge(meters.MEMBERS_REACHED, () => network.reachable().length);
   metricsRegistry.gauge(meters.LINKS_OPEN, () => network.openLinks);
