fix(mesh): request a version within its delay however many newer ones follow

Cause: an advertisement from another failure domain is requested 300 ms later, in case the own domain delivers it meanwhile. Each newer version took the place of the waiting one with a new delay, so with a version every 240 ms nothing was requested until the changes ended. A timer that the awaited events push on, without a limit.

Ruled out: advertisements that do not arrive.

Change: each missing version keeps the time from which it may be requested. The newest version is then requested, from a node that has left no request unanswered, of the own domain if there is one. A request that is lost is repeated, also where only one node has advertised the version.

--- a/packages/mesh/src/peers/__tests__/configurationStorm.test.ts
+++ b/packages/mesh/src/peers/__tests__/configurationStorm.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { ids } from '@godwittrack/core';
 import * as fc from 'fast-check';
 import * as configurationRequests from '../configurationRequests.js';
 
@@ -20,6 +21,7 @@
     activeVersion: () => active,
     nowMs: () => now,
   });
+  const node = ids.nodeId('remote');
   let version = 0;
   let nextVersionMs = 0;
   const request = () => {
@@ -32,9 +34,9 @@
       version += 1;
       missing.push({ version, atMs: now });
       const delayMs = configurationRequests.REMOTE_REQUEST_DELAY_MS;
-      requests.onAdvertised({ version, delayMs, request });
+      requests.onAdvertised({ node, version, delayMs, request });
     }
-    if (now % CHECK_INTERVAL_MS === 0) requests.requestDeferred();
+    if (now % CHECK_INTERVAL_MS === 0) requests.requestDue();
   }
   return missing.reduce((most, { atMs }) => Math.max(most, now - atMs), longest);
 }
--- a/packages/mesh/src/peers/configurationRequests.ts
+++ b/packages/mesh/src/peers/configurationRequests.ts
@@ -1,8 +1,11 @@
 /**
- * Decides from which node a newer configuration is requested. After a restart, all other nodes advertise a
- * newer version at once; requesting it from each of them would saturate the links between regions.
+ * Decides from which node a newer configuration is requested, and when. After a restart, all other nodes
+ * advertise a newer version at once; requesting it from each of them would saturate the links between
+ * regions. A version is requested within its own delay, however many newer ones follow.
  */
 
+import type { ids } from '@godwittrack/core';
+
 /** Time to wait for a response before another node is asked. */
 const RESPONSE_TIMEOUT_MS = 500;
 
@@ -13,6 +16,8 @@
 export const REMOTE_REQUEST_DELAY_MS = 300;
 
 export interface Advertisement {
+  /** Node that has the version. */
+  node: ids.NodeId;
   version: number;
   /** Delay before the request, during which the version may arrive from the own failure domain. */
   delayMs: number;
@@ -20,6 +25,18 @@
   request: () => void;
 }
 
+interface Source {
+  advertisement: Advertisement;
+  /** Time of the last request that the node has not answered; -Infinity if there is none. */
+  askedMs: number;
+}
+
+interface MissingVersion {
+  version: number;
+  /** Time from which the version may be requested. */
+  dueMs: number;
+}
+
 export interface ConfigurationRequestsOptions {
   activeVersion: () => number;
   nowMs: () => number;
@@ -28,41 +45,58 @@
 export class ConfigurationRequests {
   private inFlight: { version: number; atMs: number } | null = null;
 
-  /** Newest version that was advertised while a response was awaited, or whose delay has not passed. */
-  private deferred: { advertisement: Advertisement; notBeforeMs: number } | null = null;
+  /** Nodes that have a newer version than the active one, with their newest advertisement. */
+  private readonly sources = new Map<ids.NodeId, Source>();
+
+  /** Advertised versions newer than the active one, oldest first. */
+  private missing: MissingVersion[] = [];
 
   constructor(private readonly options: ConfigurationRequestsOptions) {}
 
   /** Handles the advertisement of a version that may be newer than the active one. */
   onAdvertised(advertisement: Advertisement): void {
-    if (advertisement.version <= this.options.activeVersion()) return;
+    const { node, version, delayMs } = advertisement;
+    if (version <= this.options.activeVersion()) return;
+    const source = this.sources.get(node);
+    if (source === undefined || version >= source.advertisement.version) {
+      this.sources.set(node, { advertisement, askedMs: source?.askedMs ?? -Infinity });
+    }
+    this.addMissing({ version, dueMs: this.options.nowMs() + delayMs });
+    this.requestDue();
+  }
+
+  /**
+   * Requests the newest version if the delay of any missing one has passed and no response is awaited.
+   * Called periodically and when a version becomes active.
+   */
+  requestDue(): void {
+    this.discardActive();
     const now = this.options.nowMs();
-    if (this.isAwaitingResponse() || advertisement.delayMs > 0) {
-      if (this.deferred === null || advertisement.version > this.deferred.advertisement.version) {
-        this.deferred = { advertisement, notBeforeMs: now + advertisement.delayMs };
-      } else if (
-        advertisement.version === this.deferred.advertisement.version &&
-        advertisement.delayMs === 0
-      ) {
-        this.deferred = { advertisement, notBeforeMs: now };
-      }
-      return;
+    if (this.isAwaitingResponse() || !this.missing.some(({ dueMs }) => dueMs <= now)) return;
+    const [source] = [...this.sources.values()].sort(compareSources);
+    if (source === undefined) return;
+    source.askedMs = now;
+    this.inFlight = { version: source.advertisement.version, atMs: now };
+    source.advertisement.request();
+  }
+
+  private addMissing({ version, dueMs }: MissingVersion): void {
+    const known = this.missing.find((each) => each.version === version);
+    if (known === undefined) {
+      this.missing.push({ version, dueMs });
+      this.missing.sort((a, b) => a.version - b.version);
+    } else {
+      known.dueMs = Math.min(known.dueMs, dueMs);
     }
-    this.inFlight = { version: advertisement.version, atMs: now };
-    advertisement.request();
   }
 
-  /** Requests the deferred version once its delay has passed and no response is awaited. Called periodically. */
-  requestDeferred(): void {
-    const { deferred } = this;
-    if (
-      deferred === null ||
-      this.isAwaitingResponse() ||
-      this.options.nowMs() < deferred.notBeforeMs
-    )
-      return;
-    this.deferred = null;
-    this.onAdvertised({ ...deferred.advertisement, delayMs: 0 });
+  /** Forgets what the active configuration has made obsolete. */
+  private discardActive(): void {
+    const active = this.options.activeVersion();
+    this.missing = this.missing.filter(({ version }) => version > active);
+    for (const [node, { advertisement }] of this.sources) {
+      if (advertisement.version <= active) this.sources.delete(node);
+    }
   }
 
   private isAwaitingResponse(): boolean {
@@ -71,3 +105,10 @@
     return this.options.nowMs() - this.inFlight.atMs < RESPONSE_TIMEOUT_MS;
   }
 }
+
+/** Nodes that have not left a request unanswered first, then the nearer ones, then the newest version. */
+function compareSources(a: Source, b: Source): number {
+  if (a.askedMs !== b.askedMs) return a.askedMs - b.askedMs;
+  const [first, second] = [a.advertisement, b.advertisement];
+  return first.delayMs - second.delayMs || second.version - first.version;
+}
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -91,7 +91,7 @@
       onPending: () => this.scheduleFlush(),
       nowMs,
     });
-    config.onChange(() => this.configRequests.requestDeferred());
+    config.onChange(() => this.configRequests.requestDue());
   }
 
   /** Newest version of the configuration that another node has advertised. */
@@ -165,7 +165,7 @@
    * Called several times a second.
    */
   maintain(): void {
-    this.configRequests.requestDeferred();
+    this.configRequests.requestDue();
     const { monitored } = this.neighbours;
     for (const link of this.links.values()) link.maintain(monitored.has(link.node));
     this.removeUnreachable();
@@ -340,7 +340,7 @@
     this.newestAdvertised = Math.max(this.newestAdvertised, version);
     const isNear = origin === 'domain' || config.current === null;
     const delayMs = isNear ? 0 : configurationRequests.REMOTE_REQUEST_DELAY_MS;
-    this.configRequests.onAdvertised({ version, delayMs, request });
+    this.configRequests.onAdvertised({ node: sender.from.node, version, delayMs, request });
   }
 
   private sendConfiguration(sender: Sender, heldVersion: number): void {
