fix(mesh): a node whose store calls fail stops sending beacons

Cause: the watching node counted as in contact with the store for 6 s after its last success, although each call since had failed. It went on sending beacons, so no other node of its domain watched. A claim that rests on the last success where a later failure is known.

Change: contact ends with a failed call and returns with the next success. A single call that is cut is repeated within 100 ms, before the others miss a beacon. The 6 s remain for calls that hang.

--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -22,7 +22,7 @@
 const ROLLOUTS_WATCH_TIMEOUT_MS = 8_000;
 const RETRY_INITIAL_MS = 100;
 const RETRY_MAX_MS = 1_000;
-/** Time since the last successful store call after which the store counts as unreachable. */
+/** Time since the last response after which the store counts as unreachable although no call has failed. */
 const STORE_CONTACT_TIMEOUT_MS = CONFIG_WATCH_TIMEOUT_MS + 2_000;
 
 /** A resource of the store that is read once and then watched for changes. */
@@ -98,14 +98,18 @@
 
   private lastContactMs = -Infinity;
 
+  /** Resources whose last call failed. */
+  private readonly failing = new Set<WatchedResource<unknown>>();
+
   constructor(
     private readonly resources: readonly WatchedResource<unknown>[],
     private readonly options: StoreWatcherOptions,
   ) {}
 
-  /** Whether this node watches the store and the store responds. */
+  /** Whether this node watches the store, no last call failed, and the store has responded recently. */
   get hasStoreContact(): boolean {
-    return this.watching && this.options.nowMs() - this.lastContactMs < STORE_CONTACT_TIMEOUT_MS;
+    if (!this.watching || this.failing.size > 0) return false;
+    return this.options.nowMs() - this.lastContactMs < STORE_CONTACT_TIMEOUT_MS;
   }
 
   /** Records a beacon: the node watches the store, and the store responds to it. */
@@ -133,6 +137,7 @@
 
   stop(): void {
     for (const loop of this.watchLoops.splice(0)) loop.abort();
+    this.failing.clear();
     this.watching = false;
   }
 
@@ -172,28 +177,26 @@
   ): Promise<void> {
     const retryDelays = new backoff.Backoff({ initialMs: RETRY_INITIAL_MS, maxMs: RETRY_MAX_MS });
     let cursor: fleetStore.Cursor | null = null;
-    let isUnreachable = false;
     while (!signal.aborted) {
       try {
         cursor = await resource.poll(cursor, signal);
         if (signal.aborted) return;
         this.lastContactMs = this.options.nowMs();
         retryDelays.reset();
-        if (isUnreachable)
+        if (this.failing.delete(resource))
           this.options.log.info('store', 'store responds again', { subject: resource.name });
-        isUnreachable = false;
       } catch (err) {
         if (signal.aborted) return;
         const failure = failures.fromError(err);
         // A store that has compacted its history may end the watch and then return no events for the old
         // cursor, so the resource is read again in full.
         cursor = null;
-        if (!isUnreachable)
+        if (!this.failing.has(resource))
           this.options.log.info('store', 'store read or watch failed', {
             subject: resource.name,
             failure,
           });
-        isUnreachable = true;
+        this.failing.add(resource);
         await backoff.sleep(retryDelays.nextMs(), signal);
       }
     }
