fix(mesh): bound the sum of the steps by which watching the store is taken over

Two nodes ahead that cannot watch took 2 s, all the time in which a configuration must be in force. And a watching node stopped as soon as a node that ranks higher had joined, before that one had read the store.

Change: a node whose beacons have stopped leaves the next one 400 ms for its first beacon, which that one now sends with its first response; a watching node stops only for a beacon. Sum with two nodes ahead: 1.0 + 0.4 s and one review (0.2 s).

--- a/packages/mesh/src/config/__tests__/storeWatcher.test.ts
+++ b/packages/mesh/src/config/__tests__/storeWatcher.test.ts
@@ -9,6 +9,9 @@
 
 /** Longer than a node waits for the beacons of the watching node. */
 const TAKEOVER_MS = 1_300;
+/** Time by which a configuration must be in force, less the time to read and forward it. */
+const MAX_TAKEOVER_MS = 2_000 - 200;
+const REVIEW_INTERVAL_MS = 200;
 /** Calls that are seen to fail before a test goes on. */
 const FAILED_CALLS = 3;
 
@@ -61,11 +64,14 @@
 describe('StoreWatcher', { timeout: 20_000 }, () => {
   const first = fixtures.member('a');
   const second = fixtures.member('b');
+  const third = fixtures.member('c');
   let now: number;
+  let candidates: members.Member[];
   let watchers: storeWatcher.StoreWatcher[];
 
   beforeEach(() => {
     now = 10_000;
+    candidates = [first, second, third];
     watchers = [];
   });
 
@@ -76,7 +82,7 @@
   function createWatcher(self: members.Member, store: SwitchableStore): storeWatcher.StoreWatcher {
     const watcher = new storeWatcher.StoreWatcher([new Resource(store)], {
       table: new members.MemberTable(self),
-      watcherCandidates: () => [first, second],
+      watcherCandidates: () => candidates,
       log: fixtures.silentLog(),
       nowMs: () => now,
     });
@@ -114,6 +120,54 @@
     assert.ok(storeOfNext.calls > 0);
   });
 
+  // Each node ahead was granted a full second in its turn, so two nodes ahead took the whole time in which a
+  // configuration must be in force.
+  it('takes over in time from a node that has stopped, past one that cannot watch', () => {
+    const store = new SwitchableStore();
+    const watcher = createWatcher(third, store);
+    watcher.recordBeacon(first.node);
+    for (const calmEndMs = now + 5_000; now < calmEndMs; now += REVIEW_INTERVAL_MS) {
+      watcher.recordBeacon(first.node);
+      watcher.updateRole();
+    }
+    const lastBeaconMs = now - REVIEW_INTERVAL_MS;
+    while (store.calls === 0 && now - lastBeaconMs < 10_000) {
+      now += REVIEW_INTERVAL_MS;
+      watcher.updateRole();
+    }
+    assert.ok(now - lastBeaconMs <= MAX_TAKEOVER_MS, `${now - lastBeaconMs} ms`);
+  });
+
+  // A node that had just joined and ranked first made the watching node stop before it had read the store.
+  it('goes on watching until the node ahead has contact to the store', async () => {
+    const store = new SwitchableStore();
+    const watching = createWatcher(second, store);
+    watching.recordBeacon(first.node);
+    now += TAKEOVER_MS;
+    watching.updateRole();
+    now += TAKEOVER_MS;
+    watching.updateRole();
+    await loopback.until(() => watching.hasStoreContact);
+    const joining = fixtures.member('a2');
+    candidates = [joining, first, second, third];
+    watching.updateRole();
+    assert.equal(watching.hasStoreContact, true);
+    watching.recordBeacon(joining.node);
+    watching.updateRole();
+    assert.equal(watching.hasStoreContact, false);
+  });
+
+  it('reports contact to the store at once', async () => {
+    const watching = createWatcher(first, new SwitchableStore());
+    let contacts = 0;
+    watching.onContact(() => {
+      contacts += 1;
+    });
+    watching.updateRole();
+    await loopback.until(() => watching.hasStoreContact);
+    assert.equal(contacts, 1);
+  });
+
   it('keeps watching after a single failed call', async () => {
     const store = new SwitchableStore();
     const watching = createWatcher(first, store);
--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps a node up to date with the store. Only the first-ranked node of each failure domain watches the
  * store, and forwards changes to the others. The next node takes over when the beacons of the watching
- * node stop. The number of calls to the store therefore does not grow with the number of nodes.
+ * node stop, which it sends only while the store answers it. The number of calls to the store therefore does not grow with the number of nodes.
  */
 
 import { backoff, failures, type ids } from '@godwittrack/core';
@@ -17,6 +17,8 @@
 export const BEACON_INTERVAL_MS = 400;
 /** Time without a beacon after which the next-ranked node starts watching. */
 const BEACON_TIMEOUT_MS = 1_000;
+/** Time that each further node gets to send its first beacon; it reads the store once and sends it at once. */
+const TAKEOVER_TIMEOUT_MS = 400;
 /** Longest wait of one watch call. Limits how long a dead connection can go unnoticed. */
 const CONFIG_WATCH_TIMEOUT_MS = 4_000;
 const ROLLOUTS_WATCH_TIMEOUT_MS = 8_000;
@@ -96,6 +98,11 @@
 
   private readonly beaconReceivedAtMs = new Map<ids.NodeId, number>();
 
+  /** Time at which a node without a recent beacon was found to be the next to watch. */
+  private readonly turnStartedAtMs = new Map<ids.NodeId, number>();
+
+  private readonly contactListeners: (() => void)[] = [];
+
   private lastContactMs = -Infinity;
 
   /** Resources whose last call failed. */
@@ -112,9 +119,15 @@
     return this.options.nowMs() - this.lastContactMs < STORE_CONTACT_TIMEOUT_MS;
   }
 
+  /** Adds a listener that is called when this node gains contact to the store. */
+  onContact(listener: () => void): void {
+    this.contactListeners.push(listener);
+  }
+
   /** Records a beacon: the node watches the store, and the store responds to it. */
   recordBeacon(node: ids.NodeId): void {
     this.beaconReceivedAtMs.set(node, this.options.nowMs());
+    this.turnStartedAtMs.delete(node);
   }
 
   /** Starts or stops watching as the ranking and the beacons of other nodes require; called periodically. */
@@ -141,26 +154,39 @@
     this.watching = false;
   }
 
-  /** Whether a higher-ranked node of the same failure domain has sent a beacon recently. */
+  /**
+   * Whether a higher-ranked node of the same failure domain has sent a beacon recently, or has its turn to
+   * send the first one. A node that watches goes on until there is a beacon.
+   */
   private hasActiveWatcherAhead(): boolean {
     const { table, watcherCandidates: candidates } = this.options;
     const now = this.options.nowMs();
+    let isFirst = true;
+    let isActive = false;
     for (const { node } of candidates()) {
-      if (node === table.self.node) return false;
-      if (now - this.lastBeaconMs(node, now) < BEACON_TIMEOUT_MS) return true;
+      if (node === table.self.node) break;
+      if (isActive) this.turnStartedAtMs.delete(node);
+      else {
+        isActive =
+          this.isBeaconRecent(node, now) || (!this.watching && this.hasTurn(node, isFirst));
+      }
+      isFirst = false;
     }
-    return false;
+    return isActive;
   }
 
-  /**
-   * Time of the last beacon of a node. A node that has never sent one counts as if it had sent it now, so
-   * that it has the full timeout for its first beacon.
-   */
-  private lastBeaconMs(node: ids.NodeId, nowMs: number): number {
+  private isBeaconRecent(node: ids.NodeId, nowMs: number): boolean {
     const receivedAtMs = this.beaconReceivedAtMs.get(node);
-    if (receivedAtMs !== undefined) return receivedAtMs;
-    this.beaconReceivedAtMs.set(node, nowMs);
-    return nowMs;
+    return receivedAtMs !== undefined && nowMs - receivedAtMs < BEACON_TIMEOUT_MS;
+  }
+
+  /** Whether a node without a recent beacon still has time for its first one. */
+  private hasTurn(node: ids.NodeId, isFirst: boolean): boolean {
+    if (isFirst && this.beaconReceivedAtMs.has(node)) return false;
+    const now = this.options.nowMs();
+    const startedAtMs = this.turnStartedAtMs.get(node) ?? now;
+    this.turnStartedAtMs.set(node, startedAtMs);
+    return now - startedAtMs < (isFirst ? BEACON_TIMEOUT_MS : TAKEOVER_TIMEOUT_MS);
   }
 
   private start(): void {
@@ -181,10 +207,8 @@
       try {
         cursor = await resource.poll(cursor, signal);
         if (signal.aborted) return;
-        this.lastContactMs = this.options.nowMs();
+        this.recordResponse(resource);
         retryDelays.reset();
-        if (this.failing.delete(resource))
-          this.options.log.info('store', 'store responds again', { subject: resource.name });
       } catch (err) {
         if (signal.aborted) return;
         const failure = failures.fromError(err);
@@ -201,4 +225,13 @@
       }
     }
   }
+
+  private recordResponse(resource: WatchedResource<unknown>): void {
+    const hadContact = this.hasStoreContact;
+    this.lastContactMs = this.options.nowMs();
+    if (this.failing.delete(resource))
+      this.options.log.info('store', 'store responds again', { subject: resource.name });
+    if (hadContact || !this.hasStoreContact) return;
+    for (const listener of this.contactListeners) listener();
+  }
 }
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -144,7 +144,7 @@
   }
 
   private subscribe(): void {
-    const { upstream, network, config, rollouts, evidence: recorder, log } = this.parts;
+    const { upstream, network, config, rollouts, watcher, evidence: recorder, log } = this.parts;
     upstream.onChange((state) => {
       log.info('upstream', 'upstream state changed', { ...state });
       this.publishUpstream(state);
@@ -163,6 +163,7 @@
       recorder.enterPhase(state.phase);
       network.broadcast({ type: 'rollouts', states: [state] }, propagation.scopeOf(origin));
     });
+    watcher.onContact(() => this.sendBeacon());
     recorder.onFailureThreshold((state, reason) => {
       rollouts.advance(state.service, state.version, 'rolledBack', reason);
     });
