--- /dev/null
+++ b/playground/src/usersPlatform/__tests__/serverStatements.test.ts
@@ -0,0 +1,125 @@
+import * as assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import * as timers from 'node:timers/promises';
+import * as wait from '../../harness/wait.js';
+import * as fleet from '../fleet.js';
+import * as objectStore from '../objectStore.js';
+
+/** Time from the first statement of a limit until it must be kept. */
+const STABLE_WINDOW_MS = 3_000;
+/** Span in which the requests of a limited server are counted. */
+const COUNTED_MS = 4_000;
+/** Requests beyond one and a half times the limit that a server may get in that span. */
+const EXTRA_REQUESTS = 5;
+/** Time from an answer that says that the server leaves until no request may reach it. */
+const DRAIN_PERIOD_MS = 2_000;
+const CALL_INTERVAL_MS = 8;
+const STATED_LIMIT = 17.5;
+
+const configuration = {
+  version: 1,
+  routes: {
+    'r-view': {
+      host: 'shop.example',
+      path_prefix: '/view/',
+      kind: 'safe',
+      service: 'shop',
+      timeout_ms: 700,
+      target_latency_ms: 300,
+      priority: 2,
+      max_attempts: 2,
+    },
+  },
+  services: { shop: { health_path: '/health', max_connections: 130 } },
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: 1_048_576,
+    header_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+  },
+};
+
+/** Largest number of times in any span of `COUNTED_MS` that begins at `fromMs` or later. */
+function mostInSpan(timesMs: readonly number[], fromMs: number): number {
+  const counted = timesMs.filter((atMs) => atMs >= fromMs);
+  return counted.reduce((most, startMs) => {
+    const inSpan = counted.filter((atMs) => atMs >= startMs && atMs < startMs + COUNTED_MS);
+    return Math.max(most, inSpan.length);
+  }, 0);
+}
+
+describe('what servers state in their answers', { timeout: 60_000 }, () => {
+  const store = new objectStore.ObjectStoreStandIn();
+  const storeAddress = store.start();
+  const hosts: fleet.Host[] = [];
+  /** Monotonic times at which requests reached the first server. */
+  const arrivalsMs: number[] = [];
+  let first: fleet.Host;
+
+  before(async () => {
+    const address = await storeAddress;
+    store.write('config', 'main', configuration);
+    const zones = ['z-a', 'z-b', 'z-a'];
+    hosts.push(
+      ...(await Promise.all(
+        zones.map((zone, i) => fleet.startHost(address, { name: `s-${i}`, service: 'shop', zone })),
+      )),
+    );
+    [first] = hosts as [fleet.Host];
+    first.app.handler = (_req, res) => {
+      arrivalsMs.push(performance.now());
+      res.end('served');
+    };
+    await wait.waitFor('each node serves', async () => {
+      const answers = await Promise.all(hosts.map((host) => fleet.call(host, '/view/a')));
+      return answers.every(({ status }) => status === 200) && arrivalsMs.length > 0;
+    });
+  });
+
+  after(async () => {
+    await Promise.all(hosts.map((host) => host.stop()));
+    store.stop();
+  });
+
+  /** Calls all nodes in turn for `ms`. @returns the answers */
+  async function callAll(ms: number): Promise<fleet.CallerAnswer[]> {
+    const pending: Promise<fleet.CallerAnswer>[] = [];
+    const endMs = performance.now() + ms;
+    for (let i = 0; performance.now() < endMs; i += 1) {
+      pending.push(fleet.call(hosts[i % hosts.length]!, '/view/b'));
+      await timers.setTimeout(CALL_INTERVAL_MS);
+    }
+    return Promise.all(pending);
+  }
+
+  // A server in need that named a limit got twice as many requests as it had named, since nothing read
+  // its limit.
+  it('keeps the requests of a server within its limit, and serves the rest elsewhere', async () => {
+    first.app.statedLimit = String(STATED_LIMIT);
+    const statedMs = performance.now();
+    const answers = await callAll(STABLE_WINDOW_MS + COUNTED_MS + 500);
+    const most = mostInSpan(arrivalsMs, statedMs + STABLE_WINDOW_MS);
+    const allowed = (1.5 * STATED_LIMIT * COUNTED_MS) / 1_000 + EXTRA_REQUESTS;
+    assert.ok(most <= allowed, `${most} requests, ${allowed} allowed`);
+    assert.ok(most > 0, 'a limited server still serves');
+    assert.ok(answers.every(({ status }) => status === 200));
+  });
+
+  it('sends as much as before once the server no longer names a limit', async () => {
+    first.app.statedLimit = null;
+    await callAll(1_000);
+    const served = arrivalsMs.length;
+    await callAll(1_000);
+    assert.ok(arrivalsMs.length - served > STATED_LIMIT * 1.2, `${arrivalsMs.length - served}`);
+  });
+
+  // A server that said only in its answers that it leaves got requests until it ended.
+  it('sends no request to a server that has said in an answer that it leaves', async () => {
+    first.app.saysLeaving = true;
+    await callAll(500);
+    const lastAllowedMs = performance.now() + DRAIN_PERIOD_MS;
+    const answers = await callAll(DRAIN_PERIOD_MS + 1_000);
+    assert.ok(arrivalsMs.every((atMs) => atMs <= lastAllowedMs));
+    assert.ok(answers.every(({ status }) => status === 200));
+  });
+});
--- a/playground/src/usersPlatform/application.ts
+++ b/playground/src/usersPlatform/application.ts
@@ -24,6 +24,12 @@
   /** Handles requests; null answers with the instance and the request target. */
   handler: RequestHandler | null = null;
 
+  /** Value of `Server-Limit` in all answers; null for none. */
+  statedLimit: string | null = null;
+
+  /** Whether all answers say that the server leaves. */
+  saysLeaving = false;
+
   private sequence = 0;
 
   private address = '';
@@ -88,6 +94,8 @@
       expectedInstance: header('expected-instance'),
     };
     res.setHeader('Attempt-Id', received.id);
+    if (this.statedLimit !== null) res.setHeader('Server-Limit', this.statedLimit);
+    if (this.saysLeaving) res.setHeader('Server-Leaving', '1');
     if (received.expectedInstance !== this.instance) {
       res.writeHead(421, { 'Instance-Id': this.instance });
       res.end();
