feat(mesh): keep the requests of an upstream within the limit that it states

Cause: upstreams state how much they take, and nothing read it.

Ruled out: that a limit was read and reached the deciding node late, since there was no such code.

Change: the node beside the upstream starts requests at no more than the stated rate (token bucket, a quarter of a second of allowance, none at the start of a limit). All requests for the upstream pass there, so the limit holds for all nodes without shares. Requests wait for the rate in the order of their priority while they can be answered in time; others are refused at once with the wait as Retry-After, and offered elsewhere. The limit is published with the state of the upstream: the choice of upstream counts its capacity as the limit times the service time. It ends with the incarnation, and is restored after a restart of the node. Limits that cannot be read are logged and ignored. The evidence of a rollout is no longer reset by a change of the upstream's state that is not a new incarnation.

--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -55,6 +55,7 @@
   const defaults = {
     distance: 'domain',
     slots: 10,
+    limitPerSecond: null,
     load: 0,
     serviceMs: 100,
     failureShare: 0,
@@ -84,6 +85,7 @@
             version: ids.versionName('v1'),
             slots: 10,
             bornMs: 1_000,
+            limitPerSecond: null,
             leaving: false,
             accepting: true,
             ...upstream,
--- a/packages/mesh/src/limits/__tests__/admissionQueue.test.ts
+++ b/packages/mesh/src/limits/__tests__/admissionQueue.test.ts
@@ -38,6 +38,48 @@
     return running;
   };
 
+  describe('rate', () => {
+    const PER_SECOND = 10;
+
+    beforeEach(() => {
+      queue.setRate(PER_SECOND, 0);
+    });
+
+    it('lets requests wait that the rate admits in time, in the order of their priority', () => {
+      const request = createRequest('p2', 0);
+      const urgent = createRequest('p0', 0, { priority: 0 });
+      assert.equal(queue.offer(request, 0).type, 'wait');
+      assert.equal(queue.offer(urgent, 0).type, 'wait');
+      assert.deepEqual(queue.advance(99).started, []);
+      assert.deepEqual(queue.advance(100).started, [urgent]);
+      assert.deepEqual(queue.advance(200).started, [request]);
+    });
+
+    it('refuses at once what the rate does not admit in time, and states the wait', () => {
+      for (const name of ['a', 'b', 'c']) queue.offer(createRequest(name, 0), 0);
+      const decision = queue.offer(createRequest('d', 0, { deadlineAtMs: 499 }), 0);
+      assert.deepEqual(decision, { type: 'refuse', reason: 'limitReached', retryAfterMs: 400 });
+    });
+
+    it('refuses waiting requests that a lower rate no longer admits in time', () => {
+      const request = createRequest('a', 0);
+      queue.offer(request, 0);
+      queue.setRate(1, 10);
+      const { refused } = queue.advance(10);
+      assert.deepEqual(
+        refused.map(({ reason }) => reason),
+        ['limitReached'],
+      );
+    });
+
+    it('starts waiting requests when the limit is lifted', () => {
+      const request = createRequest('a', 0);
+      queue.offer(request, 0);
+      queue.setRate(null, 10);
+      assert.deepEqual(queue.advance(10).started, [request]);
+    });
+  });
+
   describe('admission', () => {
     it('runs no more requests than there are slots', () => {
       fillSlots();
--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -1,10 +1,12 @@
 /**
  * Admission control for the upstream on a node's host: decides which requests run, wait or are
- * refused. Requests that can still be answered within their target latency go first, ordered by
+ * refused, within its slots and the rate that it has stated. Requests that can still be answered within their target latency go first, ordered by
  * priority and then by target time; late ones get the remaining capacity. Requests that cannot be
  * served are refused at once.
  */
 
+import * as rateLimiter from './rateLimiter.js';
+
 export interface AdmissionRequest {
   /** 0 is the most urgent. */
   priority: number;
@@ -22,9 +24,18 @@
 export const WAIT_TOO_LONG = 'waitTooLong';
 /** The request cannot be answered in time, nor would a similar one a moment later. */
 export const QUEUE_TOO_LONG = 'queueTooLong';
+/** The same, because of the rate that the upstream takes. */
+export const LIMIT_REACHED = 'limitReached';
 
 export type RefusalReason =
-  'noTimeLeft' | typeof QUEUE_TOO_LONG | typeof WAIT_TOO_LONG | 'notAccepting';
+  | 'noTimeLeft'
+  | typeof QUEUE_TOO_LONG
+  | typeof LIMIT_REACHED
+  | typeof WAIT_TOO_LONG
+  | 'notAccepting';
+
+/** Reasons of refusals that show that the upstream had no capacity for the request. */
+export const FULL_REASONS: ReadonlySet<string> = new Set([QUEUE_TOO_LONG, LIMIT_REACHED]);
 
 export type Decision =
   | { type: 'run' }
@@ -55,11 +66,18 @@
 
   private slots = 0;
 
+  private readonly limiter = new rateLimiter.RateLimiter();
+
   /** Sets the number of concurrent requests; lowering it does not stop running ones. */
   setSlots(slots: number): void {
     this.slots = slots;
   }
 
+  /** Sets the number of requests that may start in a second; null lifts the limit. */
+  setRate(perSecond: number | null, nowMs: number): void {
+    this.limiter.setRate(perSecond, nowMs);
+  }
+
   get runningCount(): number {
     return this.running.size;
   }
@@ -77,14 +95,18 @@
     if (nowMs + request.estimateMs > request.deadlineAtMs) {
       return refuse('noTimeLeft', MIN_RETRY_AFTER_MS);
     }
-    if (this.running.size < this.slots && this.waiting.length === 0) {
+    if (
+      this.running.size < this.slots &&
+      this.waiting.length === 0 &&
+      this.limiter.tryTake(nowMs)
+    ) {
       this.running.add(request);
       return { type: 'run' };
     }
     const position = this.positionOf(request, nowMs);
-    const waitMs = this.expectedWaitMs(position, request.estimateMs);
+    const waitMs = this.expectedWaitMs(position, request.estimateMs, nowMs);
     if (!this.canWait(request, waitMs, nowMs, this.lateCount(nowMs))) {
-      return refuse(QUEUE_TOO_LONG, waitMs);
+      return refuse(this.fullReason(position, request.estimateMs, nowMs), waitMs);
     }
     if (waitMs > request.maxWaitMs) return refuse(WAIT_TOO_LONG, waitMs);
     this.waiting.splice(position, 0, request);
@@ -111,17 +133,20 @@
     const update: QueueUpdate<T> = { started: [], refused: [] };
     this.waiting.sort((a, b) => this.compare(a, b, nowMs));
     while (this.running.size < this.slots && this.waiting.length > 0) {
-      const next = this.waiting.shift()!;
+      const next = this.waiting[0]!;
       if (nowMs + next.estimateMs > next.deadlineAtMs) {
         update.refused.push({
           request: next,
           reason: 'noTimeLeft',
           retryAfterMs: MIN_RETRY_AFTER_MS,
         });
-      } else {
+      } else if (this.limiter.tryTake(nowMs)) {
         this.running.add(next);
         update.started.push(next);
+      } else {
+        break;
       }
+      this.waiting.shift();
     }
     this.refuseUnservable(update, nowMs);
     return update;
@@ -131,13 +156,14 @@
     const kept: T[] = [];
     let lateCount = 0;
     for (const request of this.waiting) {
-      const waitMs = this.expectedWaitMs(kept.length, request.estimateMs);
+      const waitMs = this.expectedWaitMs(kept.length, request.estimateMs, nowMs);
       if (this.canWait(request, waitMs, nowMs, lateCount)) {
         if (isLate(request, nowMs, waitMs)) lateCount += 1;
         kept.push(request);
       } else {
         const retryAfterMs = clampRetryAfter(waitMs);
-        update.refused.push({ request, reason: QUEUE_TOO_LONG, retryAfterMs });
+        const reason = this.fullReason(kept.length, request.estimateMs, nowMs);
+        update.refused.push({ request, reason, retryAfterMs });
       }
     }
     this.waiting = kept;
@@ -153,8 +179,18 @@
     return this.waiting.filter((request) => isLate(request, nowMs, 0)).length;
   }
 
-  /** Expected wait behind `ahead` waiting requests, from the rate at which running requests end. */
-  private expectedWaitMs(ahead: number, estimateMs: number): number {
+  /** Expected wait behind `ahead` waiting requests, for a slot and for the rate. */
+  private expectedWaitMs(ahead: number, estimateMs: number, nowMs: number): number {
+    return Math.max(this.slotWaitMs(ahead, estimateMs), this.limiter.waitMs(ahead, nowMs));
+  }
+
+  private fullReason(ahead: number, estimateMs: number, nowMs: number): RefusalReason {
+    const isLimited = this.limiter.waitMs(ahead, nowMs) > this.slotWaitMs(ahead, estimateMs);
+    return isLimited ? LIMIT_REACHED : QUEUE_TOO_LONG;
+  }
+
+  /** Expected wait for a slot, from the rate at which running requests end. */
+  private slotWaitMs(ahead: number, estimateMs: number): number {
     let meanMs = estimateMs;
     if (this.running.size > 0) {
       let sum = 0;
--- a/packages/mesh/src/membership/__tests__/localUpstream.test.ts
+++ b/packages/mesh/src/membership/__tests__/localUpstream.test.ts
@@ -20,6 +20,46 @@
     assert.equal(accepting(), true);
   });
 
+  describe('stated limit', () => {
+    const instance = ids.instanceId('i-1');
+    let published: (number | null)[];
+
+    beforeEach(() => {
+      published = [];
+      upstream.announce(fixtures.announcement());
+      upstream.onChange((state) => published.push(state?.limitPerSecond ?? null));
+    });
+
+    it('holds over announcements until it is lifted', () => {
+      upstream.recordLimit(instance, 20);
+      upstream.announce(fixtures.announcement({ sequence: 2 }));
+      assert.equal(upstream.limitPerSecond, 20);
+      upstream.recordLimit(instance, null);
+      assert.equal(upstream.limitPerSecond, null);
+    });
+
+    it('ends with the incarnation, also if the next one has the same id', () => {
+      upstream.recordLimit(instance, 20);
+      upstream.announce(fixtures.announcement({ bornMs: 2_000 }));
+      assert.equal(upstream.limitPerSecond, null);
+      upstream.recordLimit(ids.instanceId('i-0'), 5);
+      assert.equal(upstream.limitPerSecond, null);
+    });
+
+    it('is published when it changes by more than a tenth', () => {
+      for (const limit of [20, 21, 19, 25, 26, null]) upstream.recordLimit(instance, limit);
+      assert.deepEqual(published, [20, 25, null]);
+    });
+
+    it('is restored with the state from before a restart', () => {
+      upstream.recordLimit(instance, 20);
+      const restarted = new localUpstream.LocalUpstream(fixtures.UPSTREAM_ADDRESS);
+      restarted.restore(upstream.state!);
+      restarted.announce(fixtures.announcement({ sequence: 9 }));
+      assert.equal(restarted.limitPerSecond, 20);
+    });
+  });
+
   it('ignores an announcement for another address', () => {
     const other = fixtures.announcement({ address: '127.0.0.1:9001' });
     assert.equal(upstream.announce(other), 'otherAddress');
--- a/packages/mesh/src/membership/localUpstream.ts
+++ b/packages/mesh/src/membership/localUpstream.ts
@@ -26,6 +26,10 @@
   hasLeft: boolean;
   /** Monotonic time at which the announcement arrived. */
   announcedAtMs: number;
+  /** Limit that its answers state, in requests per second; null for none. */
+  limitPerSecond: number | null;
+  /** Limit that other nodes know; differs from the stated one by `MIN_LIMIT_CHANGE` at most. */
+  publishedLimit: number | null;
 }
 
 /**
@@ -35,6 +39,9 @@
  */
 const ANNOUNCEMENT_TIMEOUT_MS = 4_000;
 
+/** Change of a limit, as a share of it, from which on it is published: each change costs a message. */
+const MIN_LIMIT_CHANGE = 0.1;
+
 /** Sequence of a restored state; lower than that of any announcement. */
 const UNCONFIRMED_SEQUENCE = -1;
 /** Departed incarnations that are remembered, so that late announcements do not reactivate them. */
@@ -63,9 +70,31 @@
   /** Null until the first announcement after the start of the node. */
   get state(): members.UpstreamState | null {
     if (this.current === null) return null;
-    const { instance, service, version, slots, bornMs } = this.current.announcement;
-    const leaving = this.current.announcement.leaving || this.current.hasLeft;
-    return { instance, service, version, slots, bornMs, leaving, accepting: !leaving };
+    const { announcement, hasLeft, publishedLimit: limitPerSecond } = this.current;
+    const { instance, service, version, slots, bornMs } = announcement;
+    const leaving = announcement.leaving || hasLeft;
+    const accepting = !leaving;
+    return { instance, service, version, slots, bornMs, limitPerSecond, leaving, accepting };
+  }
+
+  /** Requests per second that the current incarnation takes; null if it states no limit. */
+  get limitPerSecond(): number | null {
+    return this.current?.limitPerSecond ?? null;
+  }
+
+  /** Records the limit that an answer of the incarnation states; null lifts it. */
+  recordLimit(instance: ids.InstanceId, perSecond: number | null): void {
+    if (this.current === null || this.current.announcement.instance !== instance) return;
+    const { publishedLimit } = this.current;
+    const isSmallChange =
+      perSecond !== null &&
+      publishedLimit !== null &&
+      Math.abs(perSecond - publishedLimit) <= publishedLimit * MIN_LIMIT_CHANGE;
+    this.replace({
+      ...this.current,
+      limitPerSecond: perSecond,
+      publishedLimit: isSmallChange ? publishedLimit : perSecond,
+    });
   }
 
   announce(next: Announcement): AnnouncementOutcome {
@@ -82,6 +111,8 @@
       announcement: { ...next, leaving },
       hasLeft: false,
       announcedAtMs: this.nowMs(),
+      limitPerSecond: isSameIncarnation ? this.current!.limitPerSecond : null,
+      publishedLimit: isSameIncarnation ? this.current!.publishedLimit : null,
     });
     return 'accepted';
   }
@@ -126,7 +157,7 @@
       return;
     }
     if (this.current !== null || this.departed.has(state.instance)) return;
-    const { instance, service, version, slots, bornMs } = state;
+    const { instance, service, version, slots, bornMs, limitPerSecond } = state;
     const announcement = {
       instance,
       service,
@@ -137,7 +168,13 @@
       sequence: UNCONFIRMED_SEQUENCE,
       bornMs,
     };
-    this.replace({ announcement, hasLeft: false, announcedAtMs: this.nowMs() });
+    this.replace({
+      announcement,
+      hasLeft: false,
+      announcedAtMs: this.nowMs(),
+      limitPerSecond,
+      publishedLimit: limitPerSecond,
+    });
   }
 
   /** Drops a restored state that no announcement has confirmed. */
--- a/packages/mesh/src/membership/members.ts
+++ b/packages/mesh/src/membership/members.ts
@@ -10,6 +10,8 @@
   slots: number;
   /** Start time in Unix milliseconds; null if the upstream does not report it. */
   bornMs: number | null;
+  /** Requests per second that the upstream takes from all nodes together; null if it states no limit. */
+  limitPerSecond: number | null;
   /** The upstream has reported that it is leaving or has ended. */
   leaving: boolean;
   /** False while the upstream is leaving or down, and while its node is shutting down. */
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -24,6 +24,7 @@
 export const MEMBERS_REACHED = 'godwittrack_members_reached';
 export const LINKS_OPEN = 'godwittrack_links_open';
 export const STORE_WATCHED = 'godwittrack_store_watched';
+export const UPSTREAM_LIMIT = 'godwittrack_upstream_limit';
 export const UPSTREAM_LOAD = 'godwittrack_upstream_load';
 
 const HELP: Record<string, string> = {
@@ -54,6 +55,8 @@
   [MEMBERS_REACHED]: 'Nodes that are not known to be out of reach, this one included.',
   [LINKS_OPEN]: 'Links to other nodes that are open, kept ones and those for requests.',
   [STORE_WATCHED]: 'Whether this node watches the store and is answered: 1 or 0.',
+  [UPSTREAM_LIMIT]:
+    'Requests per second that the upstream on this host takes by its own statement; 0 without a limit.',
   [UPSTREAM_LOAD]: 'Requests running or waiting at the upstream on this host.',
 };
 
--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -18,6 +18,10 @@
 
 const FRAMES: frames.Frame[] = [
   REQUEST,
+  {
+    type: 'members',
+    members: [fixtures.member('a', { limitPerSecond: 22.7 }), fixtures.member('b')],
+  },
   { type: 'ping' },
   { type: 'cancel', id: 7 },
   { type: 'configFull', cfg: fixtures.configurationOf(3, [fixtures.route('r')]) },
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -141,16 +141,28 @@
 function packMember(member: members.Member): unknown[] {
   const { node, address, domain, region, sequence, upstream } = member;
   if (upstream === null) return [node, address, domain, region, sequence];
-  const { instance, service, version, slots, bornMs, leaving, accepting } = upstream;
-  const state = [instance, service, version, slots, bornMs, leaving, accepting];
+  const { instance, service, version, slots, bornMs, leaving, accepting, limitPerSecond } =
+    upstream;
+  const state = [instance, service, version, slots, bornMs, leaving, accepting, limitPerSecond];
   return [node, address, domain, region, sequence, ...state];
 }
 
 function unpackMember(fields: unknown[]): members.Member {
   const [node, address, domain, region, sequence, ...state] = fields;
-  const [instance, service, version, slots, bornMs, leaving, accepting] = state;
+  const [instance, service, version, slots, bornMs, leaving, accepting, limitPerSecond] = state;
   const upstream =
-    state.length === 0 ? null : { instance, service, version, slots, bornMs, leaving, accepting };
+    state.length === 0
+      ? null
+      : {
+          instance,
+          service,
+          version,
+          slots,
+          bornMs,
+          leaving,
+          accepting,
+          limitPerSecond: limitPerSecond ?? null,
+        };
   return { node, address, domain, region, sequence, upstream } as members.Member;
 }
 
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -145,9 +145,13 @@
 
   private subscribe(): void {
     const { upstream, network, config, rollouts, watcher, evidence: recorder, log } = this.parts;
+    let incarnation = '';
     upstream.onChange((state) => {
       log.info('upstream', 'upstream state changed', { ...state });
       this.publishUpstream(state);
+      const current = `${state?.instance} ${state?.version} ${state?.bornMs}`;
+      if (current === incarnation) return;
+      incarnation = current;
       recorder.reset();
     });
     config.onChange(({ cfg }, previous, source) => {
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -156,6 +156,7 @@
   metricsRegistry.gauge(meters.MEMBERS_REACHED, () => network.reachable().length);
   metricsRegistry.gauge(meters.LINKS_OPEN, () => network.openLinks);
   metricsRegistry.gauge(meters.STORE_WATCHED, () => Number(watcher.hasStoreContact));
+  metricsRegistry.gauge(meters.UPSTREAM_LIMIT, () => upstream.limitPerSecond ?? 0);
   metricsRegistry.gauge(meters.UPSTREAM_LOAD, () => local.load);
   rollouts.onChange(({ phase }) => metricsRegistry.increment(meters.ROLLOUT_PHASES, { phase }));
   const parts: agent.AgentParts = {
--- a/packages/mesh/src/routing/balancer.ts
+++ b/packages/mesh/src/routing/balancer.ts
@@ -7,6 +7,8 @@
   node: ids.NodeId;
   distance: members.Distance;
   slots: number;
+  /** Requests per second that the upstream takes; null if it states no limit. */
+  limitPerSecond: number | null;
   /** In-flight requests: those of this node, and those of other nodes as last reported. */
   load: number;
   /** Average service time of the route's requests at this upstream. */
@@ -124,7 +126,18 @@
   return roundTripMs + expectedWaitMs(candidate) + meanMs * (1 + FULL_SLOWDOWN * usage * usage);
 }
 
-function expectedWaitMs({ load, slots, serviceMs: meanMs }: Candidate): number {
-  const queued = Math.max(0, load + 1 - slots);
-  return (queued * meanMs) / Math.max(1, slots);
+function expectedWaitMs(candidate: Candidate): number {
+  const capacity = capacityOf(candidate);
+  const queued = Math.max(0, candidate.load + 1 - capacity);
+  return (queued * candidate.serviceMs) / capacity;
+}
+
+/**
+ * Requests that the upstream runs at once: its slots, or what its limit comes to (Little's law). At least
+ * one, so that an idle upstream stays a candidate and can state another limit in an answer.
+ */
+function capacityOf({ slots, limitPerSecond, serviceMs }: Candidate): number {
+  const capacity = Math.max(1, slots);
+  if (limitPerSecond === null) return capacity;
+  return Math.min(capacity, Math.max(1, (limitPerSecond * serviceMs) / 1_000));
 }
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -244,6 +244,7 @@
       node,
       distance,
       slots: upstream!.slots,
+      limitPerSecond: upstream!.limitPerSecond,
       load: (this.outstanding.get(node) ?? 0) + stats.loadFromOthers(node),
       serviceMs: stats.serviceMsAt(node, route, routeAverageMs),
       failureShare: stats.failureShare(node),
@@ -297,8 +298,8 @@
       progress.reason = outcome.reason;
       if (outcome.reason === admissionQueue.WAIT_TOO_LONG) progress.probed.add(node);
       else progress.tried.add(node);
-      if (outcome.reason === admissionQueue.QUEUE_TOO_LONG) {
-        stats.recordFull(node, req.route.name, targetLeftMs, outcome.retryAfterMs);
+      if (admissionQueue.FULL_REASONS.has(outcome.reason)) {
+        stats.recordFull(node, req.route.name, targetLeftMs, outcome);
       }
       if (outcome.reachedUpstream) {
         progress.sends += 1;
--- a/packages/mesh/src/routing/upstreamStats.ts
+++ b/packages/mesh/src/routing/upstreamStats.ts
@@ -1,6 +1,7 @@
 /** Statistics on upstreams: service times and answer sizes by route, load and failures by node. */
 
 import type { ids } from '@godwittrack/core';
+import * as admissionQueue from '../limits/admissionQueue.js';
 import type * as exchange from './exchange.js';
 
 /** Weight of the newest sample in a moving average. */
@@ -16,8 +17,8 @@
 const SERVICE_TIME_HALF_LIFE_MS = 3_000;
 /** A full node is not asked again for this share of the wait that it stated. */
 const FULL_BACKOFF_SHARE = 0.5;
-/** Upper bound of that time, since a slot can become free at any moment. */
-const MAX_FULL_BACKOFF_MS = 100;
+/** Upper bound of that time for a wait for a slot, since one can become free at any moment. */
+const MAX_SLOT_BACKOFF_MS = 100;
 /** Half-life of a reported load: its requests are assumed to end at this rate. */
 const LOAD_HALF_LIFE_MS = 250;
 
@@ -134,9 +135,15 @@
     return Math.max(0, backoff.untilMs - this.nowMs());
   }
 
-  /** Records that a node refused a request for lack of capacity and stated a wait. */
-  recordFull(node: ids.NodeId, route: ids.RouteName, targetLeftMs: number, waitMs: number): void {
-    const untilMs = this.nowMs() + Math.min(MAX_FULL_BACKOFF_MS, waitMs * FULL_BACKOFF_SHARE);
+  /** Records that a node refused a request for lack of slots, or because of its limit, and stated a wait. */
+  recordFull(
+    node: ids.NodeId,
+    route: ids.RouteName,
+    targetLeftMs: number,
+    { reason, retryAfterMs }: exchange.Refusal,
+  ): void {
+    const maxMs = reason === admissionQueue.LIMIT_REACHED ? Infinity : MAX_SLOT_BACKOFF_MS;
+    const untilMs = this.nowMs() + Math.min(maxMs, retryAfterMs * FULL_BACKOFF_SHARE);
     this.statsOf(node).fullBackoffs.set(route, { untilMs, targetLeftMs });
   }
 
--- a/packages/mesh/src/upstream/headerCodec.ts
+++ b/packages/mesh/src/upstream/headerCodec.ts
@@ -9,6 +9,10 @@
   deadlineMs: number | null;
 }
 
+/** Limit of the rate of requests that an answer states. */
+export type StatedLimit =
+  { type: 'none' } | { type: 'rate'; perSecond: number } | { type: 'unreadable'; text: string };
+
 export interface AnswerHeaders {
   /** Request that is answered; null if the upstream states none. */
   requestId: ids.RequestId | null;
@@ -16,6 +20,7 @@
   signed: boolean;
   /** Whether the upstream states that it has not run the request. */
   notExecuted: boolean;
+  limit: StatedLimit;
 }
 
 export abstract class HeaderCodec {
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -1,6 +1,6 @@
 /** The upstream on this host as a destination: admits and sends requests, evaluates answers. */
 
-import type { metrics } from '@godwittrack/core';
+import type { ids, metrics } from '@godwittrack/core';
 import * as admissionQueue from '../limits/admissionQueue.js';
 import * as targetMargin from '../limits/targetMargin.js';
 import type * as localUpstream from '../membership/localUpstream.js';
@@ -63,6 +63,7 @@
         this.serviceTimes.clear();
       }
       this.queue.setSlots(state?.slots ?? 0);
+      this.applyLimit();
       if (state === null || !state.accepting) this.refuseWaiting('notAccepting');
     });
   }
@@ -190,6 +191,7 @@
     if (raw.type === 'broken') return exchange.lost(raw.detail);
     const { status, headers, body } = raw.answer;
     const answerInfo = this.options.codec.readAnswer(headers);
+    this.recordLimit(req.instance, answerInfo, status);
     if (answerInfo.notExecuted || status === 421) {
       return exchange.refused(`upstream${status}`, RETRY_AFTER_MS, true);
     }
@@ -198,6 +200,33 @@
     return { type: 'answer', status, headers: returned, body, serviceMs };
   }
 
+  /** A limit holds until an answer of the upstream states another one, or a successful one states none. */
+  private recordLimit(
+    instance: ids.InstanceId,
+    { limit, signed }: headerCodec.AnswerHeaders,
+    status: number,
+  ): void {
+    const { upstream, log } = this.options;
+    if (limit.type === 'unreadable') {
+      log.warn('upstream', 'unreadable limit ignored', { instance, limit: limit.text });
+      return;
+    }
+    if (limit.type === 'none' && (!signed || status >= 300)) return;
+    const perSecond = limit.type === 'rate' ? limit.perSecond : null;
+    if (upstream.limitPerSecond === perSecond) return;
+    log.info('upstream', 'limit changed', {
+      instance,
+      perSecond,
+      previous: upstream.limitPerSecond,
+    });
+    upstream.recordLimit(instance, perSecond);
+    this.applyLimit();
+  }
+
+  private applyLimit(): void {
+    this.queue.setRate(this.options.upstream.limitPerSecond, this.options.nowMs());
+  }
+
   private recordOutcome(entry: QueueEntry, outcome: exchange.Outcome, ms: number): void {
     const { req } = entry;
     const { state } = this.options.upstream;
