feat(mesh): an upstream may say in its answers that it leaves

The same class as LIMIT: a statement that nobody reads.

Change: it counts like the announcement of leaving, at once at the node beside the upstream, which refuses what waits there (it has not run and is offered elsewhere) and tells the others. It cannot be taken back by the same incarnation.

--- a/packages/mesh/src/membership/__tests__/localUpstream.test.ts
+++ b/packages/mesh/src/membership/__tests__/localUpstream.test.ts
@@ -73,6 +73,18 @@
     assert.equal(upstream.state?.accepting, false);
   });
 
+  it('accepts no requests after an answer said that it leaves, until the next incarnation', () => {
+    upstream.announce(fixtures.announcement());
+    upstream.recordLeaving(ids.instanceId('i-0'));
+    assert.equal(accepting(), true);
+    upstream.recordLeaving(ids.instanceId('i-1'));
+    assert.equal(accepting(), false);
+    upstream.announce(fixtures.announcement({ sequence: 2 }));
+    assert.equal(accepting(), false);
+    upstream.announce(fixtures.announcement({ sequence: 1, bornMs: 2_000 }));
+    assert.equal(accepting(), true);
+  });
+
   it('accepts no requests after it has ended, even if an announcement arrives late', () => {
     upstream.announce(fixtures.announcement());
     upstream.leave(ids.instanceId('i-1'), null);
--- a/packages/mesh/src/membership/localUpstream.ts
+++ b/packages/mesh/src/membership/localUpstream.ts
@@ -97,6 +97,13 @@
     });
   }
 
+  /** Records that an answer of the incarnation states that it is leaving, as an announcement does. */
+  recordLeaving(instance: ids.InstanceId): void {
+    if (this.current === null || this.current.announcement.instance !== instance) return;
+    const announcement = { ...this.current.announcement, leaving: true };
+    this.replace({ ...this.current, announcement });
+  }
+
   announce(next: Announcement): AnnouncementOutcome {
     if (next.address !== this.address) return 'otherAddress';
     const outcome = this.classify(next);
--- a/packages/mesh/src/upstream/__tests__/upstreamConnection.test.ts
+++ b/packages/mesh/src/upstream/__tests__/upstreamConnection.test.ts
@@ -24,7 +24,7 @@
   readAnswer(headers: exchange.FlatHeaders): headerCodec.AnswerHeaders {
     const id = headerCodec.headerValue(headers, 'x-id');
     const requestId = id === null ? null : ids.requestId(id);
-    return { requestId, signed: true, notExecuted: false, limit: { type: 'none' } };
+    return { requestId, signed: true, notExecuted: false, leaving: false, limit: { type: 'none' } };
   }
 
   returnable(raw: readonly string[]): exchange.FlatHeaders {
--- a/packages/mesh/src/upstream/headerCodec.ts
+++ b/packages/mesh/src/upstream/headerCodec.ts
@@ -20,6 +20,8 @@
   signed: boolean;
   /** Whether the upstream states that it has not run the request. */
   notExecuted: boolean;
+  /** Whether the upstream states that it is leaving. */
+  leaving: boolean;
   limit: StatedLimit;
 }
 
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -191,6 +191,7 @@
     if (raw.type === 'broken') return exchange.lost(raw.detail);
     const { status, headers, body } = raw.answer;
     const answerInfo = this.options.codec.readAnswer(headers);
+    if (answerInfo.leaving) this.options.upstream.recordLeaving(req.instance);
     this.recordLimit(req.instance, answerInfo, status);
     if (answerInfo.notExecuted || status === 421) {
       return exchange.refused(`upstream${status}`, RETRY_AFTER_MS, true);
