--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -1,7 +1,8 @@
 /**
  * Keeps a node up to date with the store. Only the first-ranked node of each failure domain watches the
- * store, and forwards changes to the others. The next node takes over when the beacons of the watching
- * node stop, which it sends only while the store answers it. The number of calls to the store therefore does not grow with the number of nodes.
+ * store, and forwards changes to the others. It sends them beacons while the store responds; when these
+ * stop, the next node takes over. The number of calls to the store therefore does not grow with the number
+ * of nodes.
  */
 
 import { backoff, failures, type ids } from '@godwittrack/core';
@@ -17,7 +18,7 @@
 export const BEACON_INTERVAL_MS = 400;
 /** Time without a beacon after which the next-ranked node starts watching. */
 const BEACON_TIMEOUT_MS = 1_000;
-/** Time that each further node gets to send its first beacon; it reads the store once and sends it at once. */
+/** Time that each further candidate has for its first beacon, which it sends with its first response. */
 const TAKEOVER_TIMEOUT_MS = 400;
 /** Longest wait of one watch call. Limits how long a dead connection can go unnoticed. */
 const CONFIG_WATCH_TIMEOUT_MS = 4_000;
