--- a/playground/src/common/random.ts
+++ b/playground/src/common/random.ts
@@ -20,6 +20,15 @@
     return this.next() < probability;
   }
 
+  /** Uniform among the integers from `min` to `max`. */
+  integer(min: number, max: number): number {
+    return min + Math.floor(this.next() * (max - min + 1));
+  }
+
+  pick<T>(values: readonly T[]): T {
+    return values[this.integer(0, values.length - 1)]!;
+  }
+
   /** Standard normal variate, by the Box-Muller transform. */
   normal(): number {
     return Math.sqrt(-2 * Math.log(1 - this.next())) * Math.cos(2 * Math.PI * this.next());
--- a/playground/src/usersPlatform/objectStore.ts
+++ b/playground/src/usersPlatform/objectStore.ts
@@ -27,7 +27,25 @@
  * connection, and `loseAnswers` carries out the request but closes the connection instead of
  * answering.
  */
-type Fault = 'none' | 'silent' | 'busy' | 'reset' | 'loseAnswers';
+export type Fault = 'none' | 'silent' | 'busy' | 'reset' | 'loseAnswers';
+
+/** A further address of the store, for one client, with a fault of its own. */
+export interface StoreGate {
+  readonly address: string;
+  /** Applies to this client alone; resets the watches that wait when it is set. */
+  setFault(fault: Fault): void;
+}
+
+/** Faults and waiting watches of the clients of one address. */
+class GateState {
+  fault: Fault = 'none';
+
+  readonly watchSockets = new Set<net.Socket>();
+
+  resetWatches(): void {
+    for (const socket of this.watchSockets) socket.resetAndDestroy();
+  }
+}
 
 interface ParsedRequest {
   method: string;
@@ -47,8 +65,6 @@
 const PAGE_SIZE = 50;
 
 export class ObjectStoreStandIn {
-  fault: Fault = 'none';
-
   /** While set, watches report no events. */
   watchEventsSuppressed = false;
 
@@ -65,22 +81,51 @@
 
   private readonly changeListeners = new Set<() => void>();
 
-  private readonly watchSockets = new Set<net.Socket>();
+  private readonly mainGate = new GateState();
 
-  private readonly server = http.createServer((req, res) => {
-    void this.serve(req, res);
-  });
+  private readonly servers: http.Server[] = [];
 
-  async start(): Promise<string> {
-    await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
-    });
-    return `127.0.0.1:${(this.server.address() as net.AddressInfo).port}`;
+  /** Fault of the main address. */
+  get fault(): Fault {
+    return this.mainGate.fault;
+  }
+
+  set fault(fault: Fault) {
+    this.mainGate.fault = fault;
+  }
+
+  start(): Promise<string> {
+    return this.listen(this.mainGate);
+  }
+
+  async openGate(): Promise<StoreGate> {
+    const gate = new GateState();
+    const address = await this.listen(gate);
+    return {
+      address,
+      setFault(fault) {
+        gate.fault = fault;
+        if (fault !== 'none') gate.resetWatches();
+      },
+    };
   }
 
   stop(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  private async listen(gate: GateState): Promise<string> {
+    const server = http.createServer((req, res) => {
+      void this.serve(gate, req, res);
+    });
+    this.servers.push(server);
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
   }
 
   /** Writes the spec of an object unconditionally, as an operator does. */
@@ -106,23 +151,27 @@
   loseHistoryAndResetWatches(): void {
     this.events = [];
     this.watchEventsSuppressed = false;
-    for (const socket of this.watchSockets) socket.resetAndDestroy();
+    this.mainGate.resetWatches();
   }
 
-  private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+  private async serve(
+    gate: GateState,
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk);
-    if (this.fault === 'silent') return;
-    if (this.fault === 'reset') {
+    if (gate.fault === 'silent') return;
+    if (gate.fault === 'reset') {
       req.socket.resetAndDestroy();
       return;
     }
     const request = parseRequest(req, Buffer.concat(chunks));
-    if (request.query.has('watch')) this.watchSockets.add(req.socket);
-    const reply = this.fault === 'busy' ? { status: 503, body: {} } : await this.answer(request);
-    this.watchSockets.delete(req.socket);
+    if (request.query.has('watch')) gate.watchSockets.add(req.socket);
+    const reply = gate.fault === 'busy' ? { status: 503, body: {} } : await this.answer(request);
+    gate.watchSockets.delete(req.socket);
     if (req.socket.destroyed) return;
-    if (this.fault === 'loseAnswers') {
+    if (gate.fault === 'loseAnswers') {
       req.socket.destroy();
       return;
     }
