--- a/packages/mesh/src/limits/__tests__/admissionQueue.test.ts
+++ b/packages/mesh/src/limits/__tests__/admissionQueue.test.ts
@@ -72,6 +72,40 @@
       );
     });
 
+    it('starts every urgent request while others ask for five times the rate', () => {
+      const SECONDS = 10;
+      const running: { request: NamedRequest; endMs: number }[] = [];
+      const started = { urgent: 0, other: 0 };
+      const refused = { urgent: 0, other: 0 };
+      const count = (counts: typeof started, { name }: NamedRequest) => {
+        counts[name as keyof typeof started] += 1;
+      };
+      const applyUpdate = (update: admissionQueue.QueueUpdate<NamedRequest>, now: number) => {
+        for (const request of update.started) {
+          running.push({ request, endMs: now + SERVICE_MS });
+          count(started, request);
+        }
+        for (const { request } of update.refused) count(refused, request);
+      };
+      const offer = (name: string, priority: number, now: number) => {
+        const request = createRequest(name, now, { priority });
+        const decision = queue.offer(request, now);
+        if (decision.type === 'run') applyUpdate({ started: [request], refused: [] }, now);
+        if (decision.type === 'refuse') count(refused, request);
+      };
+      for (let now = 0; now < SECONDS * 1_000; now += 5) {
+        while (running.length > 0 && running[0]!.endMs <= now) {
+          applyUpdate(queue.release(running.shift()!.request, now), now);
+        }
+        if (now % 25 === 0) applyUpdate(queue.advance(now), now);
+        if (now % 20 === 0) offer('other', 2, now);
+        if (now % 200 === 100) offer('urgent', 0, now);
+      }
+      assert.equal(refused.urgent, 0);
+      assert.ok(started.urgent >= SECONDS * 5 - 2, `${started.urgent}`);
+      assert.ok(started.urgent + started.other >= SECONDS * PER_SECOND * 0.95);
+    });
+
     it('starts waiting requests when the limit is lifted', () => {
       const request = createRequest('a', 0);
       queue.offer(request, 0);
