fix(mesh): refuse in time what waits for the rate of a limited upstream

Callers of a limited service got 504 at the route's timeout for requests that no upstream had got: they waited for the rate while requests that were on time overtook them, or their turn came with the last millisecond of their deadline.

Change: a late request waits for the rate at most twice its expected wait; a request that waits for the rate keeps 25 ms of its deadline for its refusal. Nothing changes where the upstream states no limit.

The unit tests failed before (refused after 355 ms where 300 are allowed; accepted with nothing to spare).

--- a/packages/mesh/src/limits/__tests__/admissionQueue.test.ts
+++ b/packages/mesh/src/limits/__tests__/admissionQueue.test.ts
@@ -106,6 +106,28 @@
       assert.ok(started.urgent + started.other >= SECONDS * PER_SECOND * 0.95);
     });
 
+    // At a limited upstream, requests waited for the rate until their caller gave up and got 504.
+    it('does not let a request wait to its deadline while others overtake it', () => {
+      const late = createRequest('late', 0, { targetAtMs: 0 });
+      assert.equal(queue.offer(late, 0).type, 'wait');
+      let refusedAtMs = Infinity;
+      for (let now = 5; now < 8 * SERVICE_MS && refusedAtMs === Infinity; now += 5) {
+        if (now % 50 === 0) queue.offer(createRequest('other', now), now);
+        const { started, refused } = queue.advance(now);
+        for (const request of started) queue.release(request, now);
+        if (refused.some(({ request }) => request === late)) refusedAtMs = now;
+      }
+      assert.ok(refusedAtMs <= 3 * SERVICE_MS, `${refusedAtMs}`);
+    });
+
+    it('refuses a request that could only just be answered before its deadline', () => {
+      const tight = createRequest('tight', 0, {
+        targetAtMs: 2 * SERVICE_MS,
+        deadlineAtMs: 2 * SERVICE_MS,
+      });
+      assert.equal(queue.offer(tight, 0).type, 'refuse');
+    });
+
     it('starts waiting requests when the limit is lifted', () => {
       const request = createRequest('a', 0);
       queue.offer(request, 0);
--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -55,6 +55,16 @@
 
 /** Limit of waiting requests that will miss their target, as a share of the slots. */
 const MAX_LATE_WAITING_SHARE = 0.25;
+/**
+ * Time that a request must have left when it starts after waiting for the rate, so that it is refused before
+ * its caller gives up. It may also start later than expected by this time.
+ */
+const RATE_RESERVE_MS = 25;
+/**
+ * A late request that waits for the rate is refused after this multiple of its expected wait: requests that
+ * are on time overtake it.
+ */
+const MAX_LATE_WAIT_FACTOR = 2;
 /** Lower bound of the stated retry delay: a round trip between regions and the time to connect. */
 export const MIN_RETRY_AFTER_MS = 40;
 const MAX_RETRY_AFTER_MS = 1_000;
@@ -64,6 +74,9 @@
 
   private waiting: T[] = [];
 
+  /** Times at which late requests that wait for the rate are refused. */
+  private readonly refuseAtMs = new WeakMap<T, number>();
+
   private slots = 0;
 
   private readonly limiter = new rateLimiter.RateLimiter();
@@ -134,7 +147,7 @@
     this.waiting.sort((a, b) => this.compare(a, b, nowMs));
     while (this.running.size < this.slots && this.waiting.length > 0) {
       const next = this.waiting[0]!;
-      if (nowMs + next.estimateMs > next.deadlineAtMs) {
+      if (nowMs + this.reserveMs + next.estimateMs > next.deadlineAtMs) {
         update.refused.push({
           request: next,
           reason: 'noTimeLeft',
@@ -170,9 +183,21 @@
   }
 
   private canWait(request: T, waitMs: number, nowMs: number, lateBefore: number): boolean {
-    if (nowMs + waitMs + request.estimateMs > request.deadlineAtMs) return false;
+    const reserveMs = 2 * this.reserveMs;
+    if (nowMs + waitMs + reserveMs + request.estimateMs > request.deadlineAtMs) return false;
     if (!isLate(request, nowMs, waitMs)) return true;
-    return lateBefore < Math.ceil(this.slots * MAX_LATE_WAITING_SHARE);
+    if (lateBefore >= Math.ceil(this.slots * MAX_LATE_WAITING_SHARE)) return false;
+    return !this.limiter.isLimited || nowMs <= this.lateWaitEndMs(request, waitMs, nowMs);
+  }
+
+  private get reserveMs(): number {
+    return this.limiter.isLimited ? RATE_RESERVE_MS : 0;
+  }
+
+  private lateWaitEndMs(request: T, waitMs: number, nowMs: number): number {
+    const endMs = this.refuseAtMs.get(request) ?? nowMs + waitMs * MAX_LATE_WAIT_FACTOR;
+    this.refuseAtMs.set(request, endMs);
+    return endMs;
   }
 
   private lateCount(nowMs: number): number {
