--- a/playground/src/usersPlatform/__tests__/configurationStorm.test.ts
+++ b/playground/src/usersPlatform/__tests__/configurationStorm.test.ts
@@ -6,6 +6,7 @@
 import * as wait from '../../harness/wait.js';
 import * as fleet from '../fleet.js';
 import * as objectStore from '../objectStore.js';
+import * as fixtures from './fixtures.js';
 
 /** Seeds played; more by hand, with STORM_SEEDS=50. */
 const SEEDS = Number(process.env.STORM_SEEDS ?? 2);
@@ -18,8 +19,6 @@
 const MAX_INTERVAL_MS = 300;
 /** Time from the write of a version until every node in touch with the store must serve it. */
 const CONFIG_APPLY_MS = 2_000;
-/** Time without a fault after which a node counts as in touch. */
-const STABLE_WINDOW_MS = 3_000;
 const FAULTS: objectStore.Fault[] = ['busy', 'reset', 'silent'];
 /** Routes in a configuration; the one of each version is removed after that many versions. */
 const ROUTES = 24;
@@ -35,25 +34,9 @@
 function configurationOf(version: number): object {
   const routes: Record<string, object> = {};
   for (let each = Math.max(1, version - ROUTES + 1); each <= version; each += 1) {
-    routes[`r-${each}`] = {
-      host: 'shop.example',
-      path_prefix: `/v${each}/`,
-      kind: 'safe',
-      service: 'shop',
-      timeout_ms: 700,
-    };
+    routes[`r-${each}`] = fixtures.route(`/v${each}/`);
   }
-  return {
-    version,
-    routes,
-    services: { shop: { health_path: '/health', max_connections: 130 } },
-    limits: {
-      max_header_bytes: 16_384,
-      max_body_bytes: 1_048_576,
-      header_timeout_ms: 3_000,
-      idle_timeout_ms: 15_000,
-    },
-  };
+  return fixtures.configurationOf(version, routes);
 }
 
 /** Plays one storm. @returns what was not served in time */
@@ -86,7 +69,9 @@
   const checkLater = async (version: number) => {
     await timers.setTimeout(CONFIG_APPLY_MS);
     const now = performance.now();
-    const inTouch = hosts.filter(({ servedSinceMs }) => now - servedSinceMs > STABLE_WINDOW_MS);
+    const inTouch = hosts.filter(
+      ({ servedSinceMs }) => now - servedSinceMs > fixtures.STABLE_WINDOW_MS,
+    );
     await Promise.all(
       inTouch.map(async (each) => {
         if (!(await serves(each, version))) missed.push(`${each.host.name} version ${version}`);
--- a/playground/src/usersPlatform/__tests__/serverLimits.test.ts
+++ b/playground/src/usersPlatform/__tests__/serverLimits.test.ts
@@ -6,6 +6,7 @@
 import * as wait from '../../harness/wait.js';
 import * as fleet from '../fleet.js';
 import * as objectStore from '../objectStore.js';
+import * as fixtures from './fixtures.js';
 
 /** Seeds played; more by hand, with LIMIT_SEEDS=50. */
 const SEEDS = Number(process.env.LIMIT_SEEDS ?? 1);
@@ -13,12 +14,6 @@
 const SERVERS = 3;
 const RUN_MS = 16_000;
 const CALL_INTERVAL_MS = 6;
-/** Time from the first statement of a limit until it must be kept. */
-const STABLE_WINDOW_MS = 3_000;
-/** Span in which the requests of a limited server are counted. */
-const COUNTED_MS = 4_000;
-const TOLERATED_SHARE = 1.5;
-const TOLERATED_REQUESTS = 5;
 const MIN_LIMIT = 4;
 const MAX_LIMIT = 40;
 /** Time after which a server states another limit, takes it back, or starts again. */
@@ -33,25 +28,7 @@
   perSecond: number | null;
 }
 
-const configuration = {
-  version: 1,
-  routes: {
-    'r-view': {
-      host: 'shop.example',
-      path_prefix: '/view/',
-      kind: 'safe',
-      service: 'shop',
-      timeout_ms: 700,
-    },
-  },
-  services: { shop: { health_path: '/health', max_connections: 130 } },
-  limits: {
-    max_header_bytes: 16_384,
-    max_body_bytes: 1_048_576,
-    header_timeout_ms: 3_000,
-    idle_timeout_ms: 15_000,
-  },
-};
+const configuration = fixtures.configurationOf(1, { 'r-view': fixtures.route('/view/') });
 
 /** Requests that the statements allow between two times; Infinity if a part of the span has no limit. */
 function allowedBetween(statements: readonly Statement[], startMs: number, endMs: number): number {
@@ -67,11 +44,10 @@
 /** Spans in which a server got more than it had stated. */
 function findExcess(statements: readonly Statement[], arrivalsMs: readonly number[]): string[] {
   return arrivalsMs.flatMap((startMs) => {
-    const endMs = startMs + COUNTED_MS;
-    const stated = allowedBetween(statements, startMs - STABLE_WINDOW_MS, endMs);
+    const endMs = startMs + fixtures.COUNTED_MS;
+    const stated = allowedBetween(statements, startMs - fixtures.STABLE_WINDOW_MS, endMs);
     if (stated === Infinity) return [];
-    const allowed =
-      TOLERATED_SHARE * allowedBetween(statements, startMs, endMs) + TOLERATED_REQUESTS;
+    const allowed = fixtures.mostWithinLimit(allowedBetween(statements, startMs, endMs));
     const arrived = arrivalsMs.filter((atMs) => atMs >= startMs && atMs < endMs).length;
     return arrived > allowed ? [`${arrived} requests, ${allowed} allowed`] : [];
   });
--- a/playground/src/usersPlatform/__tests__/serverStatements.test.ts
+++ b/playground/src/usersPlatform/__tests__/serverStatements.test.ts
@@ -4,13 +4,8 @@
 import * as wait from '../../harness/wait.js';
 import * as fleet from '../fleet.js';
 import * as objectStore from '../objectStore.js';
+import * as fixtures from './fixtures.js';
 
-/** Time from the first statement of a limit until it must be kept. */
-const STABLE_WINDOW_MS = 3_000;
-/** Span in which the requests of a limited server are counted. */
-const COUNTED_MS = 4_000;
-/** Requests beyond one and a half times the limit that a server may get in that span. */
-const EXTRA_REQUESTS = 5;
 /** Time from an answer that says that the server leaves until no request may reach it. */
 const DRAIN_PERIOD_MS = 2_000;
 const CALL_INTERVAL_MS = 8;
@@ -18,34 +13,17 @@
 const MIN_SHARE = 0.2;
 const STATED_LIMIT = 17.5;
 
-const configuration = {
-  version: 1,
-  routes: {
-    'r-view': {
-      host: 'shop.example',
-      path_prefix: '/view/',
-      kind: 'safe',
-      service: 'shop',
-      timeout_ms: 700,
-      target_latency_ms: 300,
-      priority: 2,
-      max_attempts: 2,
-    },
-  },
-  services: { shop: { health_path: '/health', max_connections: 130 } },
-  limits: {
-    max_header_bytes: 16_384,
-    max_body_bytes: 1_048_576,
-    header_timeout_ms: 3_000,
-    idle_timeout_ms: 15_000,
-  },
-};
+const configuration = fixtures.configurationOf(1, {
+  'r-view': fixtures.route('/view/', { target_latency_ms: 300, priority: 2, max_attempts: 2 }),
+});
 
 /** Largest number of times in any span of `COUNTED_MS` that begins at `fromMs` or later. */
 function mostInSpan(timesMs: readonly number[], fromMs: number): number {
   const counted = timesMs.filter((atMs) => atMs >= fromMs);
   return counted.reduce((most, startMs) => {
-    const inSpan = counted.filter((atMs) => atMs >= startMs && atMs < startMs + COUNTED_MS);
+    const inSpan = counted.filter(
+      (atMs) => atMs >= startMs && atMs < startMs + fixtures.COUNTED_MS,
+    );
     return Math.max(most, inSpan.length);
   }, 0);
 }
@@ -99,9 +77,9 @@
   it('keeps the requests of a server within its limit, and serves the rest elsewhere', async () => {
     first.app.statedLimit = String(STATED_LIMIT);
     const statedMs = performance.now();
-    const answers = await callAll(STABLE_WINDOW_MS + COUNTED_MS + 500);
-    const most = mostInSpan(arrivalsMs, statedMs + STABLE_WINDOW_MS);
-    const allowed = (1.5 * STATED_LIMIT * COUNTED_MS) / 1_000 + EXTRA_REQUESTS;
+    const answers = await callAll(fixtures.STABLE_WINDOW_MS + fixtures.COUNTED_MS + 500);
+    const most = mostInSpan(arrivalsMs, statedMs + fixtures.STABLE_WINDOW_MS);
+    const allowed = fixtures.mostWithinLimit((STATED_LIMIT * fixtures.COUNTED_MS) / 1_000);
     assert.ok(most <= allowed, `${most} requests, ${allowed} allowed`);
     assert.ok(most > 0, 'a limited server still serves');
     assert.ok(answers.every(({ status }) => status === 200));
