--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -1,8 +1,8 @@
 /**
  * Admission control for the upstream on a node's host: decides which requests run, wait or are
- * refused, within its slots and the rate that it has stated. Requests that can still be answered within their target latency go first, ordered by
- * priority and then by target time; late ones get the remaining capacity. Requests that cannot be
- * served are refused at once.
+ * refused, within its slots and the rate that it has stated. Requests that can still be answered
+ * within their target latency go first, ordered by priority and then by target time; late ones get
+ * the remaining capacity. Requests that cannot be served are refused at once.
  */
 
 import * as rateLimiter from './rateLimiter.js';
@@ -190,10 +190,12 @@
     return !this.limiter.isLimited || nowMs <= this.lateWaitEndMs(request, waitMs, nowMs);
   }
 
+  /** Part of the deadline that is kept for a refusal. */
   private get reserveMs(): number {
     return this.limiter.isLimited ? RATE_RESERVE_MS : 0;
   }
 
+  /** End of a late request's wait for the rate; fixed when the request is first found to be late. */
   private lateWaitEndMs(request: T, waitMs: number, nowMs: number): number {
     const endMs = this.refuseAtMs.get(request) ?? nowMs + waitMs * MAX_LATE_WAIT_FACTOR;
     this.refuseAtMs.set(request, endMs);
