--- a/packages/mesh/src/limits/__tests__/rateLimiter.test.ts
+++ b/packages/mesh/src/limits/__tests__/rateLimiter.test.ts
@@ -3,7 +3,7 @@
 import * as fc from 'fast-check';
 import * as rateLimiter from '../rateLimiter.js';
 
-/** Span in which the upstream counts, and what it takes in it beyond its limit. */
+/** Span in which the requests are counted, and how far they may exceed the limit in it. */
 const COUNTED_MS = 4_000;
 const TOLERATED_SHARE = 1.5;
 const TOLERATED_REQUESTS = 5;
--- a/packages/mesh/src/limits/rateLimiter.ts
+++ b/packages/mesh/src/limits/rateLimiter.ts
@@ -3,7 +3,7 @@
  * with an allowance for short bursts; the caller passes the time.
  */
 
-/** Requests that may start at once after a pause, as the time in which the rate yields them. */
+/** Allowance for bursts after a pause: the requests that the rate admits in this time. */
 const BURST_MS = 250;
 /**
  * Lowest enforced rate. An upstream states its limit in its answers, so one that gets no requests could not
@@ -20,8 +20,8 @@
   private refilledAtMs = 0;
 
   /**
-   * Sets the rate; null lifts the limit. A new limit starts without an allowance, since the requests of the
-   * moment before count as well for the upstream.
+   * Sets the rate; null lifts the limit. A new limit starts without an allowance, since the upstream has just
+   * received more than it admits.
    */
   setRate(perSecond: number | null, nowMs: number): void {
     this.refill(nowMs);
