refactor(mesh): derive the takeover of the watch from the last beacon and the rank

The turn of each node ahead was kept in a map that the loop over the candidates changed while it read. A node now waits 1 s since the last beacon from any node ahead, and 0.4 s for each further node ahead; the times are the ones before. One case is simpler than it was: a node that has just started counts from its first review, not from when it first saw each candidate.

--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -99,8 +99,8 @@
 
   private readonly beaconReceivedAtMs = new Map<ids.NodeId, number>();
 
-  /** Time at which a node without a recent beacon was found to be the next to watch. */
-  private readonly turnStartedAtMs = new Map<ids.NodeId, number>();
+  /** Time of the first review with nodes ahead; they have had no time for a beacon before. */
+  private firstReviewMs: number | null = null;
 
   private readonly contactListeners: (() => void)[] = [];
 
@@ -128,7 +128,6 @@
   /** Records a beacon: the node watches the store, and the store responds to it. */
   recordBeacon(node: ids.NodeId): void {
     this.beaconReceivedAtMs.set(node, this.options.nowMs());
-    this.turnStartedAtMs.delete(node);
   }
 
   /** Starts or stops watching as the ranking and the beacons of other nodes require; called periodically. */
@@ -156,38 +155,20 @@
   }
 
   /**
-   * Whether a higher-ranked node of the same failure domain has sent a beacon recently, or has its turn to
-   * send the first one. A node that watches goes on until there is a beacon.
+   * Whether a higher-ranked node of the same failure domain has sent a beacon recently, or nodes ahead still
+   * have time for their first one. A node that watches goes on until there is a beacon.
    */
   private hasActiveWatcherAhead(): boolean {
     const { table, watcherCandidates: candidates } = this.options;
+    const nodes = candidates().map(({ node }) => node);
+    const ahead = nodes.slice(0, nodes.indexOf(table.self.node));
+    if (ahead.length === 0) return false;
     const now = this.options.nowMs();
-    let isFirst = true;
-    let isActive = false;
-    for (const { node } of candidates()) {
-      if (node === table.self.node) break;
-      if (isActive) this.turnStartedAtMs.delete(node);
-      else {
-        isActive =
-          this.isBeaconRecent(node, now) || (!this.watching && this.hasTurn(node, isFirst));
-      }
-      isFirst = false;
-    }
-    return isActive;
-  }
-
-  private isBeaconRecent(node: ids.NodeId, nowMs: number): boolean {
-    const receivedAtMs = this.beaconReceivedAtMs.get(node);
-    return receivedAtMs !== undefined && nowMs - receivedAtMs < BEACON_TIMEOUT_MS;
-  }
-
-  /** Whether a node without a recent beacon still has time for its first one. */
-  private hasTurn(node: ids.NodeId, isFirst: boolean): boolean {
-    if (isFirst && this.beaconReceivedAtMs.has(node)) return false;
-    const now = this.options.nowMs();
-    const startedAtMs = this.turnStartedAtMs.get(node) ?? now;
-    this.turnStartedAtMs.set(node, startedAtMs);
-    return now - startedAtMs < (isFirst ? BEACON_TIMEOUT_MS : TAKEOVER_TIMEOUT_MS);
+    this.firstReviewMs ??= now;
+    const beaconsMs = ahead.map((node) => this.beaconReceivedAtMs.get(node) ?? -Infinity);
+    if (this.watching) return now - Math.max(...beaconsMs) < BEACON_TIMEOUT_MS;
+    const turnMs = BEACON_TIMEOUT_MS + (ahead.length - 1) * TAKEOVER_TIMEOUT_MS;
+    return now - Math.max(this.firstReviewMs, ...beaconsMs) < turnMs;
   }
 
   private start(): void {
