--- a/packages/mesh/src/peers/configurationRequests.ts
+++ b/packages/mesh/src/peers/configurationRequests.ts
@@ -31,12 +31,6 @@
   askedMs: number;
 }
 
-interface MissingVersion {
-  version: number;
-  /** Time from which the version may be requested. */
-  dueMs: number;
-}
-
 export interface ConfigurationRequestsOptions {
   activeVersion: () => number;
   nowMs: () => number;
@@ -48,8 +42,8 @@
   /** Nodes that have a newer version than the active one, with their newest advertisement. */
   private readonly sources = new Map<ids.NodeId, Source>();
 
-  /** Advertised versions newer than the active one, oldest first. */
-  private missing: MissingVersion[] = [];
+  /** Time from which each advertised version newer than the active one may be requested. */
+  private readonly dueMs = new Map<number, number>();
 
   constructor(private readonly options: ConfigurationRequestsOptions) {}
 
@@ -61,7 +55,8 @@
     if (source === undefined || version >= source.advertisement.version) {
       this.sources.set(node, { advertisement, askedMs: source?.askedMs ?? -Infinity });
     }
-    this.addMissing({ version, dueMs: this.options.nowMs() + delayMs });
+    const dueMs = this.options.nowMs() + delayMs;
+    this.dueMs.set(version, Math.min(dueMs, this.dueMs.get(version) ?? Infinity));
     this.requestDue();
   }
 
@@ -72,7 +67,7 @@
   requestDue(): void {
     this.discardActive();
     const now = this.options.nowMs();
-    if (this.isAwaitingResponse() || !this.missing.some(({ dueMs }) => dueMs <= now)) return;
+    if (this.isAwaitingResponse() || Math.min(...this.dueMs.values()) > now) return;
     const [source] = [...this.sources.values()].sort(compareSources);
     if (source === undefined) return;
     source.askedMs = now;
@@ -80,20 +75,12 @@
     source.advertisement.request();
   }
 
-  private addMissing({ version, dueMs }: MissingVersion): void {
-    const known = this.missing.find((each) => each.version === version);
-    if (known === undefined) {
-      this.missing.push({ version, dueMs });
-      this.missing.sort((a, b) => a.version - b.version);
-    } else {
-      known.dueMs = Math.min(known.dueMs, dueMs);
-    }
-  }
-
   /** Forgets what the active configuration has made obsolete. */
   private discardActive(): void {
     const active = this.options.activeVersion();
-    this.missing = this.missing.filter(({ version }) => version > active);
+    for (const version of this.dueMs.keys()) {
+      if (version <= active) this.dueMs.delete(version);
+    }
     for (const [node, { advertisement }] of this.sources) {
       if (advertisement.version <= active) this.sources.delete(node);
     }
