refactor(mesh): one comparison of incarnations, one value for a limit

The comparison of id and start time stood three times in LocalUpstream, and a fourth time, as a string key, in the agent. The stated and the published limit always go together.

--- a/packages/mesh/src/membership/localUpstream.ts
+++ b/packages/mesh/src/membership/localUpstream.ts
@@ -1,7 +1,7 @@
 /** Tracks the upstream on this host: its current incarnation, and whether it accepts requests. */
 
 import type { ids } from '@godwittrack/core';
-import type * as members from './members.js';
+import * as members from './members.js';
 
 /** State that an upstream reports to its node, several times a minute. */
 export interface Announcement {
@@ -26,12 +26,18 @@
   hasLeft: boolean;
   /** Monotonic time at which the announcement arrived. */
   announcedAtMs: number;
-  /** Limit that its answers state, in requests per second; null for none. */
-  limitPerSecond: number | null;
+  limit: Limit;
+}
+
+/** Limit of an upstream in requests per second; null for none. */
+interface Limit {
+  stated: number | null;
   /** Limit that other nodes know; differs from the stated one by `MIN_LIMIT_CHANGE` at most. */
-  publishedLimit: number | null;
+  published: number | null;
 }
 
+const NO_LIMIT: Limit = { stated: null, published: null };
+
 /**
  * Time without an announcement of the current incarnation after which another one replaces it even though
  * its reported start time is earlier: the clock of the host may have been set back. Covers two usual
@@ -70,7 +76,8 @@
   /** Null until the first announcement after the start of the node. */
   get state(): members.UpstreamState | null {
     if (this.current === null) return null;
-    const { announcement, hasLeft, publishedLimit: limitPerSecond } = this.current;
+    const { announcement, hasLeft, limit } = this.current;
+    const limitPerSecond = limit.published;
     const { instance, service, version, slots, bornMs } = announcement;
     const leaving = announcement.leaving || hasLeft;
     const accepting = !leaving;
@@ -79,22 +86,19 @@
 
   /** Requests per second that the current incarnation takes; null if it states no limit. */
   get limitPerSecond(): number | null {
-    return this.current?.limitPerSecond ?? null;
+    return this.current?.limit.stated ?? null;
   }
 
   /** Records the limit that an answer of the incarnation states; null lifts it. */
   recordLimit(instance: ids.InstanceId, perSecond: number | null): void {
     if (this.current === null || this.current.announcement.instance !== instance) return;
-    const { publishedLimit } = this.current;
+    const { published } = this.current.limit;
     const isSmallChange =
       perSecond !== null &&
-      publishedLimit !== null &&
-      Math.abs(perSecond - publishedLimit) <= publishedLimit * MIN_LIMIT_CHANGE;
-    this.replace({
-      ...this.current,
-      limitPerSecond: perSecond,
-      publishedLimit: isSmallChange ? publishedLimit : perSecond,
-    });
+      published !== null &&
+      Math.abs(perSecond - published) <= published * MIN_LIMIT_CHANGE;
+    const limit = { stated: perSecond, published: isSmallChange ? published : perSecond };
+    this.replace({ ...this.current, limit });
   }
 
   /** Records that an answer of the incarnation states that it is leaving, as an announcement does. */
@@ -111,15 +115,14 @@
     if (outcome !== 'accepted' && outcome !== 'olderIncarnation') return outcome;
     this.lastRejected = null;
     const current = this.current?.announcement;
-    const isSameIncarnation = current?.instance === next.instance && current.bornMs === next.bornMs;
+    const isSame = members.isSameIncarnation(current, next);
     // An upstream that is leaving does not become available again in the same incarnation.
-    const leaving = next.leaving || (isSameIncarnation && current.leaving);
+    const leaving = next.leaving || (isSame && current!.leaving);
     this.replace({
       announcement: { ...next, leaving },
       hasLeft: false,
       announcedAtMs: this.nowMs(),
-      limitPerSecond: isSameIncarnation ? this.current!.limitPerSecond : null,
-      publishedLimit: isSameIncarnation ? this.current!.publishedLimit : null,
+      limit: isSame ? this.current!.limit : NO_LIMIT,
     });
     return 'accepted';
   }
@@ -129,8 +132,8 @@
     const previous = this.lastRejected;
     this.lastRejected = next;
     const keepsAnnouncing =
-      previous?.instance === next.instance &&
-      previous.bornMs === next.bornMs &&
+      previous !== null &&
+      members.isSameIncarnation(previous, next) &&
       next.sequence > previous.sequence;
     return keepsAnnouncing && this.nowMs() - this.current!.announcedAtMs > ANNOUNCEMENT_TIMEOUT_MS;
   }
@@ -144,7 +147,7 @@
     }
     const current = this.current?.announcement;
     if (current === undefined) return 'accepted';
-    if (current.instance === next.instance && current.bornMs === next.bornMs) {
+    if (members.isSameIncarnation(current, next)) {
       return next.sequence > current.sequence ? 'accepted' : 'lateSequence';
     }
     if (current.bornMs !== null && next.bornMs !== null && next.bornMs < current.bornMs) {
@@ -179,8 +182,7 @@
       announcement,
       hasLeft: false,
       announcedAtMs: this.nowMs(),
-      limitPerSecond,
-      publishedLimit: limitPerSecond,
+      limit: { stated: limitPerSecond, published: limitPerSecond },
     });
   }
 
--- a/packages/mesh/src/membership/members.ts
+++ b/packages/mesh/src/membership/members.ts
@@ -18,6 +18,14 @@
   accepting: boolean;
 }
 
+/** Whether two states are of the same start of an upstream, which may start again under its id. */
+export function isSameIncarnation(
+  a: Pick<UpstreamState, 'instance' | 'bornMs'> | null | undefined,
+  b: Pick<UpstreamState, 'instance' | 'bornMs'> | null | undefined,
+): boolean {
+  return a?.instance === b?.instance && a?.bornMs === b?.bornMs;
+}
+
 /** Address of a node; registered in the platform's store so that nodes discover each other. */
 export interface NodeAddress {
   node: ids.NodeId;
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -7,7 +7,7 @@
 import * as propagation from '../config/propagation.js';
 import * as storeWatcher from '../config/storeWatcher.js';
 import type * as localUpstream from '../membership/localUpstream.js';
-import type * as members from '../membership/members.js';
+import * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import type * as peerNetwork from '../peers/peerNetwork.js';
 import type * as peerServer from '../peers/peerServer.js';
@@ -145,14 +145,15 @@
 
   private subscribe(): void {
     const { upstream, network, config, rollouts, watcher, evidence: recorder, log } = this.parts;
-    let incarnation = '';
+    let previousState: members.UpstreamState | null = null;
     upstream.onChange((state) => {
       log.info('upstream', 'upstream state changed', { ...state });
       this.publishUpstream(state);
-      const current = `${state?.instance} ${state?.version} ${state?.bornMs}`;
-      if (current === incarnation) return;
-      incarnation = current;
-      recorder.reset();
+      const isSame =
+        members.isSameIncarnation(previousState, state) &&
+        previousState?.version === state?.version;
+      if (!isSame) recorder.reset();
+      previousState = state;
     });
     config.onChange(({ cfg }, previous, source) => {
       log.info('config', 'configuration applied', {
