--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -119,7 +119,7 @@
     const position = this.positionOf(request, nowMs);
     const waitMs = this.expectedWaitMs(position, request.estimateMs, nowMs);
     if (!this.canWait(request, waitMs, nowMs, this.lateCount(nowMs))) {
-      return refuse(this.fullReason(position, request.estimateMs, nowMs), waitMs);
+      return refuse(this.fullReason(request, position, waitMs), waitMs);
     }
     if (waitMs > request.maxWaitMs) return refuse(WAIT_TOO_LONG, waitMs);
     this.waiting.splice(position, 0, request);
@@ -175,7 +175,7 @@
         kept.push(request);
       } else {
         const retryAfterMs = clampRetryAfter(waitMs);
-        const reason = this.fullReason(kept.length, request.estimateMs, nowMs);
+        const reason = this.fullReason(request, kept.length, waitMs);
         update.refused.push({ request, reason, retryAfterMs });
       }
     }
@@ -211,9 +211,9 @@
     return Math.max(this.slotWaitMs(ahead, estimateMs), this.limiter.waitMs(ahead, nowMs));
   }
 
-  private fullReason(ahead: number, estimateMs: number, nowMs: number): RefusalReason {
-    const isLimited = this.limiter.waitMs(ahead, nowMs) > this.slotWaitMs(ahead, estimateMs);
-    return isLimited ? LIMIT_REACHED : QUEUE_TOO_LONG;
+  /** Whether a wait is longer than that for a slot, and thus due to the rate. */
+  private fullReason(request: T, ahead: number, waitMs: number): RefusalReason {
+    return waitMs > this.slotWaitMs(ahead, request.estimateMs) ? LIMIT_REACHED : QUEUE_TOO_LONG;
   }
 
   /** Expected wait for a slot, from the rate at which running requests end. */
