test(playground): one copy of the configuration, the routes and the seeds of the fleet tests

fleet.test.ts and callerDisconnects.test.ts held the configuration that fixtures.ts now builds, and both soaks read their seeds in the same way. Assertions, bounds and seeds are unchanged.

--- a/playground/src/usersPlatform/__tests__/callerDisconnects.test.ts
+++ b/playground/src/usersPlatform/__tests__/callerDisconnects.test.ts
@@ -6,32 +6,24 @@
 import type * as application from '../application.js';
 import * as fleet from '../fleet.js';
 import * as objectStore from '../objectStore.js';
+import * as fixtures from './fixtures.js';
 
 /** Larger than a socket's send buffer. */
 const LARGE_BYTES = 256 * 1024;
 
-const SPEC = {
-  version: 1,
-  routes: {
-    'r-font': {
-      host: 'shop.example',
-      path_prefix: '/font/',
-      kind: 'safe',
+const SPEC = fixtures.configurationOf(
+  1,
+  {
+    'r-font': fixtures.route('/font/', {
       service: 'fonts',
       timeout_ms: 30_000,
       target_latency_ms: 300,
       priority: 2,
       max_attempts: 2,
-    },
+    }),
   },
-  services: { fonts: { health_path: '/health', max_connections: 130 } },
-  limits: {
-    max_header_bytes: 16_384,
-    max_body_bytes: 1_048_576,
-    header_timeout_ms: 3_000,
-    idle_timeout_ms: 15_000,
-  },
-};
+  ['fonts'],
+);
 
 function request(id: string): string {
   return [
--- a/playground/src/usersPlatform/__tests__/configurationStorm.test.ts
+++ b/playground/src/usersPlatform/__tests__/configurationStorm.test.ts
@@ -1,5 +1,4 @@
 import * as assert from 'node:assert/strict';
-import process from 'node:process';
 import { describe, it } from 'node:test';
 import * as timers from 'node:timers/promises';
 import * as random from '../../common/random.js';
@@ -9,8 +8,7 @@
 import * as fixtures from './fixtures.js';
 
 /** Seeds played; more by hand, with STORM_SEEDS=50. */
-const SEEDS = Number(process.env.STORM_SEEDS ?? 2);
-const FIRST_SEED = Number(process.env.STORM_FIRST_SEED ?? 1);
+const SEEDS = fixtures.seedsOf('STORM', 2);
 const ZONES = ['z-a', 'z-b'];
 const HOSTS_PER_ZONE = 3;
 const STORM_MS = 9_000;
@@ -79,7 +77,7 @@
     );
   };
 
-  /** Turns nodes of one zone away, most often the ones that watch, then serves them again. */
+  /** Turns one or two nodes of a zone away, then serves them again. */
   const disturb = async () => {
     while (performance.now() < endMs) {
       const zone = rng.pick(ZONES);
@@ -110,10 +108,10 @@
   return missed;
 }
 
-describe('a storm of configurations', { timeout: 60_000 * SEEDS }, () => {
+describe('a storm of configurations', { timeout: 60_000 * SEEDS.length }, () => {
   // A failure domain whose watching node the store turned away answered 404 for new routes until the
   // storm ended.
-  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) {
+  for (const seed of SEEDS) {
     it(`is in force in time on every node in touch, seed ${seed}`, async () => {
       assert.deepEqual(await playStorm(seed), []);
     });
--- a/playground/src/usersPlatform/__tests__/fixtures.ts
+++ b/playground/src/usersPlatform/__tests__/fixtures.ts
@@ -1,4 +1,6 @@
-/** Configurations and bounds for the tests of a fleet on the users' platform. */
+/** Configurations, bounds and seeds for the tests of a fleet on the users' platform. */
+
+import process from 'node:process';
 
 /** Time after which a change must be kept or a node counts as in touch (`stable_window_ms`). */
 export const STABLE_WINDOW_MS = 3_000;
@@ -21,12 +23,17 @@
   };
 }
 
-/** A configuration as the operator writes it, with the service `shop`. */
-export function configurationOf(version: number, routes: Record<string, object>): object {
+/** A configuration as the operator writes it. */
+export function configurationOf(
+  version: number,
+  routes: Record<string, object>,
+  services: readonly string[] = ['shop'],
+): object {
+  const service = { health_path: '/health', max_connections: 130 };
   return {
     version,
     routes,
-    services: { shop: { health_path: '/health', max_connections: 130 } },
+    services: Object.fromEntries(services.map((name) => [name, service])),
     limits: {
       max_header_bytes: 16_384,
       max_body_bytes: 1_048_576,
@@ -35,3 +42,10 @@
     },
   };
 }
+
+/** Seeds of a soak: `NAME_SEEDS` of them from `NAME_FIRST_SEED` on, if these variables are set. */
+export function seedsOf(name: string, count: number): number[] {
+  const length = Number(process.env[`${name}_SEEDS`] ?? count);
+  const firstSeed = Number(process.env[`${name}_FIRST_SEED`] ?? 1);
+  return Array.from({ length }, (_, i) => firstSeed + i);
+}
--- a/playground/src/usersPlatform/__tests__/fleet.test.ts
+++ b/playground/src/usersPlatform/__tests__/fleet.test.ts
@@ -4,35 +4,20 @@
 import * as wait from '../../harness/wait.js';
 import * as fleet from '../fleet.js';
 import * as objectStore from '../objectStore.js';
+import * as fixtures from './fixtures.js';
 
 /** Falls after a stopping node has withdrawn its upstream and before the node has stopped. */
 const AFTER_WITHDRAWAL_MS = 1_700;
 
 function spec(version: number, extraRoutes: object = {}): object {
-  const routeDefaults = {
-    host: 'shop.example',
-    timeout_ms: 700,
-    target_latency_ms: 300,
-    priority: 2,
-    max_attempts: 2,
-  };
-  const service = { health_path: '/health', max_connections: 130 };
-  return {
-    version,
-    routes: {
-      'r-view': { ...routeDefaults, path_prefix: '/view/', kind: 'safe', service: 'shop' },
-      'r-order': { ...routeDefaults, path_prefix: '/order/', kind: 'unsafe', service: 'shop' },
-      'r-font': { ...routeDefaults, path_prefix: '/font/', kind: 'safe', service: 'fonts' },
-      ...extraRoutes,
-    },
-    services: { shop: service, fonts: service },
-    limits: {
-      max_header_bytes: 16_384,
-      max_body_bytes: 1_048_576,
-      header_timeout_ms: 3_000,
-      idle_timeout_ms: 15_000,
-    },
+  const common = { target_latency_ms: 300, priority: 2, max_attempts: 2 };
+  const routes = {
+    'r-view': fixtures.route('/view/', common),
+    'r-order': fixtures.route('/order/', { ...common, kind: 'unsafe' }),
+    'r-font': fixtures.route('/font/', { ...common, service: 'fonts' }),
+    ...extraRoutes,
   };
+  return fixtures.configurationOf(version, routes, ['shop', 'fonts']);
 }
 
 describe("a fleet on the users' platform", () => {
@@ -94,13 +79,7 @@
   });
 
   it('puts a configuration in force on every node, with one watch for each failure domain', async () => {
-    const added = {
-      host: 'shop.example',
-      path_prefix: '/new/',
-      kind: 'safe',
-      service: 'shop',
-      timeout_ms: 700,
-    };
+    const added = fixtures.route('/new/');
     store.write('config', 'main', spec(4, { 'r-new': added }));
     await wait.waitFor('the new route is served everywhere', async () => {
       const answers = await Promise.all(hosts.map((host) => fleet.call(host, '/new/')));
@@ -145,13 +124,7 @@
       'config',
       'main',
       spec(11, {
-        'r-late': {
-          host: 'shop.example',
-          path_prefix: '/late/',
-          kind: 'safe',
-          service: 'shop',
-          timeout_ms: 700,
-        },
+        'r-late': fixtures.route('/late/'),
       }),
     );
     await wait.waitFor('the configuration after the outage is in force', async () => {
@@ -162,13 +135,7 @@
 
   it('applies a change that was lost from both the watch and the event history', async () => {
     store.watchEventsSuppressed = true;
-    const route = {
-      host: 'shop.example',
-      path_prefix: '/unheard/',
-      kind: 'safe',
-      service: 'shop',
-      timeout_ms: 700,
-    };
+    const route = fixtures.route('/unheard/');
     store.write('config', 'main', spec(12, { 'r-unheard': route }));
     store.loseHistoryAndResetWatches();
     await wait.waitFor('the configuration is in force everywhere', async () => {
--- a/playground/src/usersPlatform/__tests__/serverLimits.test.ts
+++ b/playground/src/usersPlatform/__tests__/serverLimits.test.ts
@@ -1,5 +1,4 @@
 import * as assert from 'node:assert/strict';
-import process from 'node:process';
 import { describe, it } from 'node:test';
 import * as timers from 'node:timers/promises';
 import * as random from '../../common/random.js';
@@ -9,8 +8,7 @@
 import * as fixtures from './fixtures.js';
 
 /** Seeds played; more by hand, with LIMIT_SEEDS=50. */
-const SEEDS = Number(process.env.LIMIT_SEEDS ?? 1);
-const FIRST_SEED = Number(process.env.LIMIT_FIRST_SEED ?? 1);
+const SEEDS = fixtures.seedsOf('LIMIT', 1);
 const SERVERS = 3;
 const RUN_MS = 16_000;
 const CALL_INTERVAL_MS = 6;
@@ -112,9 +110,9 @@
   return { excess, counted: arrivalsMs.flat().length };
 }
 
-describe('limits that servers state', { timeout: 60_000 * SEEDS }, () => {
-  // A server in need that named a limit got as many requests as before.
-  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) {
+describe('limits that servers state', { timeout: 60_000 * SEEDS.length }, () => {
+  // A server that stated a limit got as many requests as before.
+  for (const seed of SEEDS) {
     it(`are kept while they change, are taken back and servers start again, seed ${seed}`, async () => {
       const { excess, counted } = await playLimits(seed);
       assert.deepEqual(excess, []);
--- a/playground/src/usersPlatform/__tests__/serverStatements.test.ts
+++ b/playground/src/usersPlatform/__tests__/serverStatements.test.ts
@@ -74,8 +74,7 @@
     return Promise.all(pending);
   }
 
-  // A server in need that named a limit got twice as many requests as it had named, since nothing read
-  // its limit.
+  // A server that stated a limit got more than twice as many requests, since nothing read it.
   it('keeps the requests of a server within its limit, and serves the rest elsewhere', async () => {
     first.app.statedLimit = String(STATED_LIMIT);
     const statedMs = performance.now();
