--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -9,6 +9,7 @@
 import * as meters from '../observability/meters.js';
 import type * as balancer from '../routing/balancer.js';
 import * as exchange from '../routing/exchange.js';
+import * as headerCodec from '../upstream/headerCodec.js';
 
 export const UPSTREAM_ADDRESS = '127.0.0.1:9000';
 
@@ -114,6 +115,47 @@
   return new decisionLog.DecisionLog(logger, () => performance.now(), meters.createMetrics());
 }
 
+export interface LogLine {
+  msg: string;
+  [field: string]: unknown;
+}
+
+/** A log that keeps its lines. */
+export function recordingLog(): { log: decisionLog.DecisionLog; lines: LogLine[] } {
+  const lines: LogLine[] = [];
+  const logger = pino.pino({}, { write: (text) => lines.push(JSON.parse(text) as LogLine) });
+  const nowMs = () => performance.now();
+  return { log: new decisionLog.DecisionLog(logger, nowMs, meters.createMetrics()), lines };
+}
+
+/** Headers of requests and answers: `X-Id` is the id of the request. */
+export class TestHeaders extends headerCodec.HeaderCodec {
+  readCaller(
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ): headerCodec.CallerHeaders {
+    const id = headers['x-id'];
+    return { requestId: typeof id === 'string' ? ids.requestId(id) : null, deadlineMs: null };
+  }
+
+  forwardable(raw: readonly string[]): exchange.FlatHeaders {
+    return [...raw];
+  }
+
+  forUpstream(): exchange.FlatHeaders {
+    return [];
+  }
+
+  readAnswer(headers: exchange.FlatHeaders): headerCodec.AnswerHeaders {
+    const id = headerCodec.headerValue(headers, 'x-id');
+    const requestId = id === null ? null : ids.requestId(id);
+    return { requestId, signed: true, notExecuted: false, leaving: false, limit: { type: 'none' } };
+  }
+
+  returnable(raw: readonly string[]): exchange.FlatHeaders {
+    return [...raw];
+  }
+}
+
 export function forwardedRequest(
   overrides: Partial<exchange.ForwardedRequest> = {},
 ): exchange.ForwardedRequest {
@@ -155,4 +197,8 @@
   release(outcome: exchange.Outcome = exchange.lost('released')): void {
     for (const settle of this.pending.splice(0)) settle(outcome);
   }
+
+  releaseFirst(outcome: exchange.Outcome): void {
+    this.pending.shift()?.(outcome);
+  }
 }
--- a/packages/mesh/src/upstream/__tests__/upstreamConnection.test.ts
+++ b/packages/mesh/src/upstream/__tests__/upstreamConnection.test.ts
@@ -2,36 +2,10 @@
 import * as net from 'node:net';
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import * as timers from 'node:timers/promises';
-import { ids } from '@godwittrack/core';
+import * as fixtures from '../../__tests__/fixtures.js';
 import * as byteBudget from '../../limits/byteBudget.js';
-import type * as exchange from '../../routing/exchange.js';
-import * as headerCodec from '../headerCodec.js';
 import * as upstreamConnection from '../upstreamConnection.js';
 
-class TestHeaders extends headerCodec.HeaderCodec {
-  readCaller(): headerCodec.CallerHeaders {
-    return { requestId: null, deadlineMs: null };
-  }
-
-  forwardable(raw: readonly string[]): exchange.FlatHeaders {
-    return [...raw];
-  }
-
-  forUpstream(): exchange.FlatHeaders {
-    return [];
-  }
-
-  readAnswer(headers: exchange.FlatHeaders): headerCodec.AnswerHeaders {
-    const id = headerCodec.headerValue(headers, 'x-id');
-    const requestId = id === null ? null : ids.requestId(id);
-    return { requestId, signed: true, notExecuted: false, leaving: false, limit: { type: 'none' } };
-  }
-
-  returnable(raw: readonly string[]): exchange.FlatHeaders {
-    return [...raw];
-  }
-}
-
 /** Small, so that an endless body soon exceeds it. */
 const BODY_BUDGET_BYTES = 8 * 1024 * 1024;
 
@@ -62,7 +36,7 @@
     connection = new upstreamConnection.UpstreamConnection(
       '127.0.0.1',
       port,
-      new TestHeaders(),
+      new fixtures.TestHeaders(),
       () => undefined,
       bodyBudget,
     );
@@ -134,7 +108,7 @@
     const unreachable = new upstreamConnection.UpstreamConnection(
       '127.0.0.1',
       port,
-      new TestHeaders(),
+      new fixtures.TestHeaders(),
       () => undefined,
       bodyBudget,
     );
@@ -157,7 +131,7 @@
       const cut = new upstreamConnection.UpstreamConnection(
         '127.0.0.1',
         port,
-        new TestHeaders(),
+        new fixtures.TestHeaders(),
         () => undefined,
         bodyBudget,
       );
