feat(mesh): tell why a link between nodes was lost

The line 'node disconnected' had the detail of the end only, so that a full link, a stalled process and a silent node looked the same. It now has the reason, the time since the last data and the last ping, the pending calls, the bytes that wait in the socket, and the event loop lag of this process.

The lag is the delay of the agent's periodic timer, so it costs no further wake-ups. New metrics: links lost by reason, and the lag as a gauge.

--- a/packages/mesh/src/eventLoop.ts
+++ b/packages/mesh/src/eventLoop.ts
@@ -1,4 +1,4 @@
-/** Helpers for the order in which the event loop polls sockets. */
+/** Helpers for the order in which the event loop polls sockets, and for its delays. */
 
 /**
  * Resolves after the sockets have been polled once more. After a pause of the process, a request and the
@@ -10,3 +10,45 @@
     setImmediate(() => setImmediate(resolve));
   });
 }
+
+/** Highest delay of a periodic timer over its due time, within the last one to two windows. */
+export class LagMeter {
+  private static readonly WINDOW_MS = 1_000;
+
+  /** When the timer should fire next; `Infinity` until it has fired once. */
+  private dueAtMs = Infinity;
+
+  private windowEndsMs = 0;
+
+  private highestInWindowMs = 0;
+
+  private highestInLastWindowMs = 0;
+
+  constructor(
+    private readonly periodMs: number,
+    private readonly nowMs: () => number,
+  ) {}
+
+  /** To be called each time the timer fires. */
+  tick(): void {
+    const now = this.nowMs();
+    const lagMs = this.overdueMs(now);
+    if (now >= this.windowEndsMs) {
+      this.highestInLastWindowMs = this.highestInWindowMs;
+      this.highestInWindowMs = 0;
+      this.windowEndsMs = now + LagMeter.WINDOW_MS;
+    }
+    this.highestInWindowMs = Math.max(this.highestInWindowMs, lagMs);
+    this.dueAtMs = now + this.periodMs;
+  }
+
+  /** Includes the delay of a timer that is overdue now. */
+  get highestMs(): number {
+    const overdueMs = this.overdueMs(this.nowMs());
+    return Math.max(this.highestInLastWindowMs, this.highestInWindowMs, overdueMs);
+  }
+
+  private overdueMs(now: number): number {
+    return Math.max(0, now - this.dueAtMs);
+  }
+}
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -23,6 +23,8 @@
 export const MEMBERS = 'godwittrack_members';
 export const MEMBERS_REACHED = 'godwittrack_members_reached';
 export const LINKS_OPEN = 'godwittrack_links_open';
+export const LINKS_LOST = 'godwittrack_links_lost_total';
+export const EVENT_LOOP_LAG_SECONDS = 'godwittrack_event_loop_lag_seconds';
 export const STORE_WATCHED = 'godwittrack_store_watched';
 export const UPSTREAM_LIMIT = 'godwittrack_upstream_limit';
 export const UPSTREAM_LOAD = 'godwittrack_upstream_load';
@@ -54,6 +56,9 @@
   [MEMBERS]: 'Nodes that are known, this one included.',
   [MEMBERS_REACHED]: 'Nodes that are not known to be out of reach, this one included.',
   [LINKS_OPEN]: 'Links to other nodes that are open, kept ones and those for requests.',
+  [LINKS_LOST]: 'Links to other nodes that were lost or could not be opened, by reason.',
+  [EVENT_LOOP_LAG_SECONDS]:
+    'Highest delay of the periodic timer over its due time in the last one to two seconds.',
   [STORE_WATCHED]: 'Whether this node watches the store and is answered: 1 or 0.',
   [UPSTREAM_LIMIT]:
     'Requests per second that the upstream on this host takes by its own statement; 0 without a limit.',
--- a/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
@@ -1,14 +1,17 @@
 import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
 import { afterEach, describe, it } from 'node:test';
-import { ids } from '@godwittrack/core';
+import { ids, type metrics } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as loopback from '../../__tests__/loopback.js';
 import * as configHolder from '../../config/configHolder.js';
+import * as eventLoop from '../../eventLoop.js';
 import * as members from '../../membership/members.js';
 import * as meters from '../../observability/meters.js';
 import * as rolloutTable from '../../rollouts/rolloutTable.js';
 import * as exchange from '../../routing/exchange.js';
 import * as peerNetwork from '../peerNetwork.js';
+import * as networkAddress from '../../networkAddress.js';
 import * as peerServer from '../peerServer.js';
 
 const MAINTAIN_INTERVAL_MS = 50;
@@ -25,6 +28,8 @@
   config: configHolder.ConfigHolder;
   rollouts: rolloutTable.RolloutTable;
   network: peerNetwork.PeerNetwork;
+  metrics: metrics.Metrics;
+  lines: fixtures.LogLine[];
   restored: members.UpstreamState[];
   stop: () => void;
 }
@@ -32,17 +37,19 @@
 async function startNode(name: string, domain: string, address: string): Promise<Node> {
   const nowMs = () => performance.now();
   const self = { ...fixtures.member(name, null, domain), address };
-  const log = fixtures.silentLog();
+  const { log, lines } = fixtures.recordingLog();
+  const metricsRegistry = meters.createMetrics();
   const table = new members.MemberTable(self);
   const config = new configHolder.ConfigHolder(nowMs);
   const rollouts = new rolloutTable.RolloutTable(log, nowMs);
   const restored: members.UpstreamState[] = [];
   const network = new peerNetwork.PeerNetwork({
+    eventLoopLag: new eventLoop.LagMeter(MAINTAIN_INTERVAL_MS, nowMs),
     table,
     config,
     rollouts,
     log,
-    meters: meters.createMetrics(),
+    meters: metricsRegistry,
     onBeacon: () => {},
     onEvidence: () => {},
     onPreviousUpstream: (upstream) => restored.push(upstream),
@@ -60,7 +67,17 @@
     network.stop();
     server.close();
   };
-  return { self, table, config, rollouts, network, restored, stop };
+  return {
+    self,
+    table,
+    config,
+    rollouts,
+    network,
+    metrics: metricsRegistry,
+    lines,
+    restored,
+    stop,
+  };
 }
 
 describe('PeerNetwork', { timeout: 20_000 }, () => {
@@ -143,6 +160,40 @@
     assert.ok(other.network.linkForRequests(successor.self.node) !== null);
   });
 
+  // Links were closed as lost for 'no sign of life', and nothing told a full link from a stalled process.
+  it('logs the state of a link that was lost, and counts it by reason', async () => {
+    const node = await start('a', 'd1');
+    const address = await loopback.freeAddress();
+    const silent = net.createServer((socket) => socket.resume());
+    await networkAddress.listen(silent, address);
+    const far = { ...fixtures.member('b', null, 'd2'), address };
+    node.network.addNodes([far]);
+    const { signal } = new AbortController();
+    const req = fixtures.forwardedRequest({ semantics: 'repeatable' });
+    const answered = node.network.linkForRequests(far.node)!.send(req, signal);
+    const timer = setInterval(() => node.network.checkLiveness(), MAINTAIN_INTERVAL_MS);
+    const { outcome } = await answered;
+    clearInterval(timer);
+    silent.close();
+    assert.equal(outcome.type, 'lost');
+    const line = node.lines.find(({ msg }) => msg === 'members: node disconnected');
+    assert.ok(line !== undefined);
+    const { reason, detail, sinceDataMs, pendingCalls, unsentBytes, eventLoopLagMs } = line;
+    assert.deepEqual(
+      { reason, detail, sinceDataMs, pendingCalls, unsentBytes, eventLoopLagMs },
+      {
+        reason: 'silent',
+        detail: 'no sign of life',
+        sinceDataMs: null,
+        pendingCalls: 1,
+        unsentBytes: 0,
+        eventLoopLagMs: 0,
+      },
+    );
+    assert.equal(typeof line.sincePingMs, 'number');
+    assert.equal(node.metrics.counter(meters.LINKS_LOST, { reason: 'silent' }), 1);
+  });
+
   it('forwards a member record through relays to a node without a direct link', async () => {
     const first = await start('a', 'd1');
     const second = await start('b', 'd2');
--- a/packages/mesh/src/peers/peerLink.ts
+++ b/packages/mesh/src/peers/peerLink.ts
@@ -38,6 +38,22 @@
   unsentFrame: frames.RequestFrame | null;
 }
 
+export type LossReason =
+  'connectFailed' | 'closed' | 'error' | 'silent' | 'protocolViolation' | 'stopped';
+
+/** State of a link when its connection was closed or could not be opened. */
+export interface LinkLoss {
+  reason: LossReason;
+  detail: string;
+  /** Null if no data has arrived on this connection. */
+  sinceDataMs: number | null;
+  /** Null if no ping was sent on this connection. */
+  sincePingMs: number | null;
+  pendingCalls: number;
+  /** Bytes that this process has not yet handed to the kernel. */
+  unsentBytes: number;
+}
+
 export interface PeerLinkOptions {
   node: ids.NodeId;
   address: string;
@@ -48,7 +64,7 @@
   onConnected: (link: PeerLink) => void;
   /** The node has responded on a new connection, or accepts no more requests. */
   onReachabilityChanged: (link: PeerLink) => void;
-  onDisconnected: (link: PeerLink, detail: string) => void;
+  onDisconnected: (link: PeerLink, loss: LinkLoss) => void;
 }
 
 export class PeerLink extends exchange.Destination {
@@ -72,6 +88,9 @@
 
   private pingedAtMs = 0;
 
+  /** Time of the last data on this connection; unlike `receivedAtMs`, not moved by new requests. */
+  private dataAtMs: number | null = null;
+
   private usedAtMs = performance.now();
 
   private isPersistent: boolean;
@@ -249,7 +268,7 @@
 
   stop(): void {
     this.stopped = true;
-    this.fail('stopped');
+    this.fail('stopped', 'stopped');
   }
 
   /** Closes the link unless requests are pending; the next request opens it again. */
@@ -279,7 +298,7 @@
     const splitter = new frames.FrameSplitter(this.options.address);
     this.socket = socket;
     socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
-      if (!this.connected) this.fail('connect timeout', socket);
+      if (!this.connected) this.fail('connectFailed', 'connect timeout', socket);
     });
     socket.on('connect', () => {
       socket.setTimeout(0);
@@ -293,6 +312,8 @@
       this.retired = false;
       this.receivedAtMs = performance.now();
       this.connectedAtMs = this.receivedAtMs;
+      this.pingedAtMs = this.receivedAtMs;
+      this.dataAtMs = null;
       socket.write(frames.encode(this.options.hello()));
       socket.write(frames.encode({ type: 'ping' }));
       this.writeUnsent();
@@ -301,6 +322,7 @@
     socket.on('data', (chunk) => {
       if (socket !== this.socket) return;
       this.receivedAtMs = performance.now();
+      this.dataAtMs = this.receivedAtMs;
       if (!this.hasResponded) {
         this.hasResponded = true;
         this.failing = false;
@@ -310,11 +332,11 @@
       try {
         for (const frame of splitter.push(chunk)) this.handleFrame(frame);
       } catch (err) {
-        this.fail(String(err), socket);
+        this.fail('protocolViolation', String(err), socket);
       }
     });
-    socket.on('error', (err) => this.fail(err.message, socket));
-    socket.on('close', () => this.fail('connection closed', socket));
+    socket.on('error', (err) => this.fail('error', err.message, socket));
+    socket.on('close', () => this.fail('closed', 'connection closed', socket));
   }
 
   private handleFrame(frame: frames.Frame): void {
@@ -350,8 +372,9 @@
     }
   }
 
-  private fail(detail: string, socket = this.socket): void {
+  private fail(reason: LossReason, detail: string, socket = this.socket): void {
     if (socket === null || socket !== this.socket) return;
+    const loss = this.describeLoss(reason, detail, socket);
     this.socket = null;
     socket.destroy();
     const wasConnected = this.connected;
@@ -366,12 +389,25 @@
       }
     }
     this.pendingCalls.clear();
-    if (wasConnected || !wasFailing) this.options.onDisconnected(this, detail);
+    if (wasConnected || !wasFailing) this.options.onDisconnected(this, loss);
     if (!this.stopped) {
       setTimeout(() => this.connectNow(), this.backoff.nextMs()).unref();
     }
   }
 
+  private describeLoss(reason: LossReason, detail: string, socket: net.Socket): LinkLoss {
+    const now = performance.now();
+    const since = (atMs: number | null) => (atMs === null ? null : Math.round(now - atMs));
+    return {
+      reason: this.connected || reason === 'stopped' ? reason : 'connectFailed',
+      detail,
+      sinceDataMs: this.connected ? since(this.dataAtMs) : null,
+      sincePingMs: this.connected ? since(this.pingedAtMs) : null,
+      pendingCalls: this.pendingCalls.size,
+      unsentBytes: socket.writableLength,
+    };
+  }
+
   /** Checks liveness while requests are pending. Called ten times a second. */
   checkLiveness(): void {
     if (this.pendingCalls.size === 0 || !this.connected) return;
@@ -383,7 +419,7 @@
     const now = performance.now();
     const silentMs = now - this.receivedAtMs;
     if (silentMs > timeoutMs) {
-      this.fail('no sign of life');
+      this.fail('silent', 'no sign of life');
     } else if (silentMs > pingAfterMs && now - this.pingedAtMs > PING_AFTER_MS) {
       this.pingedAtMs = now;
       this.sendFrame({ type: 'ping' });
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -8,6 +8,7 @@
 import * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
 import type * as propagation from '../config/propagation.js';
+import type * as eventLoop from '../eventLoop.js';
 import type * as members from '../membership/members.js';
 import * as memberGossip from '../membership/memberGossip.js';
 import * as neighbours from '../membership/neighbours.js';
@@ -37,6 +38,7 @@
   meters: metrics.Metrics;
   onBeacon: (node: ids.NodeId) => void;
   onEvidence: (report: evidence.EvidenceReport) => void;
+  eventLoopLag: eventLoop.LagMeter;
   /** Another node has sent the upstream state that this node published before a restart. */
   onPreviousUpstream: (upstream: members.UpstreamState) => void;
 }
@@ -447,7 +449,7 @@
   }
 
   private createLink(address: members.NodeAddress): peerLink.PeerLink {
-    const { table, config, rollouts, log } = this.options;
+    const { table, config, rollouts, log, meters: metricsRegistry, eventLoopLag } = this.options;
     const onReachabilityChanged = () => {
       this.reachabilityChanges += 1;
     };
@@ -467,9 +469,14 @@
         this.handleFrame({ from: address, reply: (reply) => link.sendFrame(reply) }, frame),
       onConnected: (link) => log.info('members', 'node connected', { node: link.node }),
       onReachabilityChanged,
-      onDisconnected: (link, detail) => {
+      onDisconnected: (link, loss) => {
         onReachabilityChanged();
-        log.info('members', 'node disconnected', { node: link.node, detail });
+        metricsRegistry.increment(meters.LINKS_LOST, { reason: loss.reason });
+        log.info('members', 'node disconnected', {
+          node: link.node,
+          ...loss,
+          eventLoopLagMs: Math.round(eventLoopLag.highestMs),
+        });
       },
     });
   }
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -6,6 +6,7 @@
 import type * as fleetStore from '../config/fleetStore.js';
 import * as propagation from '../config/propagation.js';
 import * as storeWatcher from '../config/storeWatcher.js';
+import type * as eventLoop from '../eventLoop.js';
 import type * as localUpstream from '../membership/localUpstream.js';
 import * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
@@ -16,7 +17,7 @@
 import type * as rolloutController from '../rollouts/rolloutController.js';
 
 /** Period of the one timer for all periodic work; separate timers would cost more CPU wake-ups. */
-const TICK_MS = 100;
+export const TICK_MS = 100;
 const REVIEW_EVERY_TICKS = 2;
 const EVIDENCE_EVERY_TICKS = 3;
 const BEACON_EVERY_TICKS = storeWatcher.BEACON_INTERVAL_MS / TICK_MS;
@@ -57,6 +58,7 @@
   controller: rolloutController.RolloutController;
   store: fleetStore.FleetStore;
   onEvidence: (report: evidence.EvidenceReport) => void;
+  eventLoopLag: eventLoop.LagMeter;
   log: observability.DecisionLog;
   nowMs: () => number;
 }
@@ -82,7 +84,7 @@
   }
 
   async start(): Promise<void> {
-    const { settings, self, peers, callers, network, nowMs } = this.parts;
+    const { settings, self, peers, callers, network, eventLoopLag, nowMs } = this.parts;
     this.subscribe();
     await Promise.all([peers.listen(self.address), callers.listen(settings.callerAddress)]);
     const startedMs = nowMs();
@@ -90,6 +92,7 @@
     let ticks = 0;
     this.timer = setInterval(() => {
       ticks += 1;
+      eventLoopLag.tick();
       network.checkLiveness();
       if (ticks % REVIEW_EVERY_TICKS === 0) this.review(startedMs);
       if (ticks % EVIDENCE_EVERY_TICKS === 0) this.sendEvidence();
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -8,6 +8,7 @@
 import * as configHolder from '../config/configHolder.js';
 import type * as fleetStore from '../config/fleetStore.js';
 import * as storeWatcher from '../config/storeWatcher.js';
+import * as eventLoop from '../eventLoop.js';
 import * as retryBudget from '../limits/retryBudget.js';
 import * as localUpstream from '../membership/localUpstream.js';
 import * as members from '../membership/members.js';
@@ -111,6 +112,7 @@
     nowMs,
   });
   const onEvidence = (report: evidence.EvidenceReport) => comparison.addReport(report);
+  const eventLoopLag = new eventLoop.LagMeter(agent.TICK_MS, nowMs);
   // The watcher and the network refer to each other.
   let watcher: storeWatcher.StoreWatcher;
   const network = new peerNetwork.PeerNetwork({
@@ -121,6 +123,7 @@
     meters: metricsRegistry,
     onBeacon: (node) => watcher.recordBeacon(node),
     onEvidence,
+    eventLoopLag,
     onPreviousUpstream: (state) => recallUpstream(upstream, state),
   });
   const reachable = () => network.reachable();
@@ -155,6 +158,7 @@
   metricsRegistry.gauge(meters.MEMBERS, () => table.size);
   metricsRegistry.gauge(meters.MEMBERS_REACHED, () => network.reachable().length);
   metricsRegistry.gauge(meters.LINKS_OPEN, () => network.openLinks);
+  metricsRegistry.gauge(meters.EVENT_LOOP_LAG_SECONDS, () => eventLoopLag.highestMs / 1_000);
   metricsRegistry.gauge(meters.STORE_WATCHED, () => Number(watcher.hasStoreContact));
   metricsRegistry.gauge(meters.UPSTREAM_LIMIT, () => upstream.limitPerSecond ?? 0);
   metricsRegistry.gauge(meters.UPSTREAM_LOAD, () => local.load);
@@ -196,6 +200,7 @@
     }),
     store: platform.store,
     onEvidence,
+    eventLoopLag,
     log,
     nowMs,
   };
