feat(mesh): record connections that end before their answer is complete

A caller's connection that ended in the middle of an answer, or while the answer waited to be written, left no trace: the request counted as answered when the answer was queued. Each such request is now counted by who closed the connection, with a line that has its id, its age and the bytes not yet handed to the kernel; those left when the process exits are recorded too.

The wait until an answer is flushed moves from packages/node to core, since both servers for callers use it.

--- a/packages/core/src/callerConnections.ts
+++ b/packages/core/src/callerConnections.ts
@@ -5,6 +5,9 @@
 
 import type * as net from 'node:net';
 
+/** Who closed a connection: a `close` event without `end` or `error` means that this process did. */
+export type ClosedBy = 'caller' | 'node';
+
 export interface TrackedRequest {
   /** Number of unfinished earlier requests on the same connection. */
   readonly ahead: number;
@@ -16,7 +19,7 @@
 
 interface Connection {
   /** Disconnect callbacks, one for each unfinished request. */
-  readonly listeners: Set<() => void>;
+  readonly listeners: Set<(closedBy: ClosedBy) => void>;
   /** Resolves when all requests received so far have ended. */
   allEnded: Promise<void>;
 }
@@ -24,8 +27,8 @@
 export class CallerConnections {
   private readonly connections = new WeakMap<net.Socket, Connection>();
 
-  /** Calls `onDisconnect` once if the caller closes the connection before the request has ended. */
-  track(socket: net.Socket, onDisconnect: () => void): TrackedRequest {
+  /** Calls `onDisconnect` once if the connection is closed before the request has ended. */
+  track(socket: net.Socket, onDisconnect: (closedBy: ClosedBy) => void): TrackedRequest {
     const connection = this.connections.get(socket) ?? this.watchSocket(socket);
     const { listeners, allEnded: turn } = connection;
     const ahead = listeners.size;
@@ -48,15 +51,16 @@
    * connection, so no further response can be delivered.
    */
   private watchSocket(socket: net.Socket): Connection {
-    const connection = { listeners: new Set<() => void>(), allEnded: Promise.resolve() };
+    const listeners = new Set<(closedBy: ClosedBy) => void>();
+    const connection = { listeners, allEnded: Promise.resolve() };
     this.connections.set(socket, connection);
-    const { listeners } = connection;
-    const notifyAll = () => {
+    const notifyAll = (closedBy: ClosedBy) => {
       const callbacks = [...listeners];
       listeners.clear();
-      for (const onDisconnect of callbacks) onDisconnect();
+      for (const onDisconnect of callbacks) onDisconnect(closedBy);
     };
-    for (const event of ['end', 'error', 'close']) socket.once(event, notifyAll);
+    for (const event of ['end', 'error']) socket.once(event, () => notifyAll('caller'));
+    socket.once('close', () => notifyAll('node'));
     return connection;
   }
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * as ids from './ids.js';
 export * as manifest from './manifest.js';
 export * as metrics from './metrics.js';
+export * as outgoing from './outgoing.js';
 export * as placement from './placement.js';
 export * as problems from './problems.js';
 export * as rendezvous from './rendezvous.js';
--- /dev/null
+++ b/packages/mesh/src/callers/__tests__/callerServer.test.ts
@@ -0,0 +1,95 @@
+import * as assert from 'node:assert/strict';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import * as loopback from '../../__tests__/loopback.js';
+import * as meters from '../../observability/meters.js';
+import * as callerFixtures from './callerFixtures.js';
+
+const { LARGE_BYTES, answer } = callerFixtures;
+
+describe('CallerServer', { timeout: 30_000 }, () => {
+  let fixture: callerFixtures.CallerServerFixture;
+  const callers: callerFixtures.Caller[] = [];
+
+  beforeEach(async () => {
+    fixture = await callerFixtures.startCallerServer();
+  });
+
+  afterEach(() => {
+    for (const { socket } of callers.splice(0)) socket.destroy();
+    fixture.server.closeIdle();
+    fixture.upstream.release();
+  });
+
+  function connect(): callerFixtures.Caller {
+    const caller = new callerFixtures.Caller(fixture.address);
+    callers.push(caller);
+    return caller;
+  }
+
+  /** Sends requests on one connection and waits until all have been passed on. */
+  async function pass(caller: callerFixtures.Caller, ...ids: readonly string[]): Promise<void> {
+    const expected = fixture.upstream.received.length + ids.length;
+    caller.send(...ids);
+    await loopback.until(() => fixture.upstream.received.length === expected);
+  }
+
+  const interrupted = (closedBy: string) =>
+    fixture.metrics.counter(meters.INTERRUPTED_ANSWERS, { closedBy });
+
+  function interruptedLine(): object {
+    const message = 'callers: a connection ended before its answer was complete';
+    const line = fixture.lines.find(({ msg }) => msg === message);
+    assert.ok(line !== undefined);
+    const { requestId, closedBy, ahead, hasAnswer } = line;
+    assert.equal(typeof line.ageMs, 'number');
+    return { requestId, closedBy, ahead, hasAnswer, isUnwritten: Number(line.unwrittenBytes) > 0 };
+  }
+
+  // An answer that was cut left no trace, so that it could not be told who had closed the connection.
+  describe('records a connection that ends before its answer is complete', () => {
+    it('if the caller closes it before the answer', async () => {
+      const caller = connect();
+      await pass(caller, '1');
+      caller.socket.destroy();
+      await loopback.until(() => interrupted('caller') === 1);
+      const expected = { requestId: '1', closedBy: 'caller', ahead: 0, hasAnswer: false };
+      assert.deepEqual(interruptedLine(), { ...expected, isUnwritten: false });
+      // The upstream still runs the request.
+      fixture.server.recordUnanswered();
+      assert.deepEqual([interrupted('caller'), interrupted('node')], [1, 0]);
+    });
+
+    it('if the caller resets it while the answer is being written', async () => {
+      const caller = connect();
+      await pass(caller, '1');
+      caller.pauseAtFirstData();
+      fixture.upstream.release(answer('1', Buffer.alloc(LARGE_BYTES)));
+      await loopback.until(() => caller.socket.bytesRead > 0);
+      caller.socket.resetAndDestroy();
+      await loopback.until(() => interrupted('caller') === 1);
+      const expected = { requestId: '1', closedBy: 'caller', ahead: 0, hasAnswer: true };
+      assert.deepEqual(interruptedLine(), { ...expected, isUnwritten: true });
+    });
+
+    it('if this node exits', async () => {
+      const caller = connect();
+      await pass(caller, '1');
+      fixture.server.recordUnanswered();
+      const expected = { requestId: '1', closedBy: 'node', ahead: 0, hasAnswer: false };
+      assert.deepEqual(interruptedLine(), { ...expected, isUnwritten: false });
+      assert.equal(interrupted('node'), 1);
+    });
+
+    it('and no other one', async () => {
+      const caller = connect();
+      await pass(caller, '1');
+      fixture.upstream.release(answer('1', Buffer.alloc(LARGE_BYTES)));
+      await loopback.until(() => caller.answers().length === 1);
+      caller.socket.destroy();
+      const next = connect();
+      await pass(next, '2');
+      fixture.server.recordUnanswered();
+      assert.deepEqual([interrupted('caller'), interrupted('node')], [0, 1]);
+    });
+  });
+});
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -2,7 +2,7 @@
 
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import { callerConnections, ids, type metrics } from '@godwittrack/core';
+import { callerConnections, ids, outgoing, type metrics } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
 import type * as observability from '../observability/decisionLog.js';
@@ -45,6 +45,17 @@
   retryAfterMs?: number;
 }
 
+/** A request whose answer has not been handed to the kernel completely. */
+interface OpenAnswer {
+  requestId: ids.RequestId | null;
+  arrivedMs: number;
+  /** Number of unfinished earlier requests on the same connection. */
+  ahead: number;
+  res: http.ServerResponse;
+  /** Whether the connection has ended before the answer was complete. */
+  isInterrupted: boolean;
+}
+
 export class CallerServer {
   private readonly server: http.Server;
 
@@ -54,6 +65,8 @@
 
   private inFlight = 0;
 
+  private readonly openAnswers = new Set<OpenAnswer>();
+
   private requestSequence = 1;
 
   private readonly attemptAge: attemptAge.AttemptAge;
@@ -124,10 +137,15 @@
     const arrivedMs = this.options.nowMs();
     const controller = new AbortController();
     let disconnectedMs: number | null = null;
-    const pipelineEntry = this.connections.track(req.socket, () => {
+    const { requestId } = this.options.codec.readCaller(req.headers);
+    const openAnswer = { requestId, arrivedMs, ahead: 0, res, isInterrupted: false };
+    const pipelineEntry = this.connections.track(req.socket, (closedBy) => {
       disconnectedMs = this.options.nowMs();
+      this.recordInterrupted(openAnswer, closedBy);
       controller.abort();
     });
+    openAnswer.ahead = pipelineEntry.ahead;
+    this.openAnswers.add(openAnswer);
     try {
       const outcome = await this.answer(req, arrivedMs, controller.signal);
       // Answers are written in the order of their requests. Node stops reading a connection while
@@ -139,33 +157,53 @@
       if (!res.headersSent) this.writeLocalReply(req, res, localReply(502, 'internal failure'));
     } finally {
       this.inFlight -= 1;
+      if (disconnectedMs !== null) this.recordDisconnect(openAnswer, disconnectedMs);
+      await outgoing.waitUntilFlushed(res, controller.signal);
       pipelineEntry.end();
-      if (disconnectedMs !== null)
-        this.recordDisconnect(req, pipelineEntry.ahead, arrivedMs, disconnectedMs);
+      this.openAnswers.delete(openAnswer);
     }
   }
 
   /** A small age means that the caller had disconnected before its request was read. */
   private recordDisconnect(
-    req: http.IncomingMessage,
-    ahead: number,
-    arrivedMs: number,
+    { requestId, arrivedMs, ahead }: OpenAnswer,
     disconnectedMs: number,
   ): void {
-    const { codec, log, meters: registry, nowMs } = this.options;
+    const { log, meters: registry, nowMs } = this.options;
     const ageMs = disconnectedMs - arrivedMs;
     const workedOnMs = nowMs() - disconnectedMs;
     const labels = { position: ahead === 0 ? 'first' : 'behind' };
     registry.observeMs(meters.LEFT_AGE_SECONDS, ageMs, labels);
     registry.observeMs(meters.LEFT_WORK_SECONDS, workedOnMs, labels);
-    const requestId = codec.readCaller(req.headers).requestId ?? 'none';
-    log.decision('callers', requestId, 'the caller disconnected before its answer was written', {
+    const message = 'the caller disconnected before its answer was written';
+    log.decision('callers', requestId ?? 'none', message, {
       ahead,
       ageMs: Math.round(ageMs),
       workedOnMs: Math.round(workedOnMs),
     });
   }
 
+  /** Records the requests that get no complete answer because the process exits. */
+  recordUnanswered(): void {
+    for (const openAnswer of this.openAnswers) this.recordInterrupted(openAnswer, 'node');
+  }
+
+  private recordInterrupted(openAnswer: OpenAnswer, closedBy: callerConnections.ClosedBy): void {
+    if (openAnswer.isInterrupted) return;
+    openAnswer.isInterrupted = true;
+    const { requestId, arrivedMs, ahead, res } = openAnswer;
+    const { log, meters: registry, nowMs } = this.options;
+    registry.increment(meters.INTERRUPTED_ANSWERS, { closedBy });
+    const message = 'a connection ended before its answer was complete';
+    log.decision('callers', requestId ?? 'none', message, {
+      closedBy,
+      ahead,
+      ageMs: Math.round(nowMs() - arrivedMs),
+      hasAnswer: res.headersSent,
+      unwrittenBytes: res.writableLength,
+    });
+  }
+
   private async answer(
     req: http.IncomingMessage,
     arrivedMs: number,
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -9,6 +9,7 @@
 export const RETURNING_REQUESTS = 'godwittrack_returning_requests_total';
 export const LEFT_AGE_SECONDS = 'godwittrack_left_age_seconds';
 export const LEFT_WORK_SECONDS = 'godwittrack_left_work_seconds';
+export const INTERRUPTED_ANSWERS = 'godwittrack_interrupted_answers_total';
 export const CANCELS = 'godwittrack_cancels_total';
 export const UPSTREAM_REQUESTS = 'godwittrack_upstream_requests_total';
 export const UPSTREAM_SECONDS = 'godwittrack_upstream_seconds';
@@ -40,6 +41,8 @@
     'Age of requests when their caller closed its connection, by place on the connection.',
   [LEFT_WORK_SECONDS]:
     'Time for which requests were under way after their caller had left, by place on the connection.',
+  [INTERRUPTED_ANSWERS]:
+    'Requests whose connection ended before their answer was complete, by who closed it.',
   [CANCELS]: 'Requests at the upstream on this host that were cancelled, by how far they had come.',
   [UPSTREAM_REQUESTS]: 'Requests for the upstream on this host, by outcome.',
   [UPSTREAM_SECONDS]: 'Time of requests at the upstream on this host, by route.',
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -132,6 +132,7 @@
     this.parts.watcher.stop();
     network.stop();
     peers.close();
+    callers.recordUnanswered();
     log.info('agent', 'stopped', {
       afterMs: Math.round(nowMs() - stopRequestedMs),
       inFlight: callers.inFlightCount,
--- a/packages/node/src/requests/callerServer.ts
+++ b/packages/node/src/requests/callerServer.ts
@@ -3,7 +3,7 @@
 import * as crypto from 'node:crypto';
 import * as http from 'node:http';
 import { once } from 'node:events';
-import { callerConnections, failures } from '@godwittrack/core';
+import { callerConnections, failures, outgoing } from '@godwittrack/core';
 import type { configuration, metrics } from '@godwittrack/core';
 import type { requests } from '@godwittrack/protocol';
 import type * as configStore from '../config/configStore.js';
@@ -14,7 +14,6 @@
 import type * as dispatcher from './dispatcher.js';
 import * as exchange from './exchange.js';
 import * as httpFailures from './httpFailures.js';
-import * as outgoing from './outgoing.js';
 import * as refusals from './refusals.js';
 import * as requestPath from './requestPath.js';
 import * as replayBody from './replayBody.js';
--- a/packages/node/src/requests/forwardServer.ts
+++ b/packages/node/src/requests/forwardServer.ts
@@ -2,14 +2,13 @@
 
 import * as http from 'node:http';
 import type { Socket } from 'node:net';
-import { failures } from '@godwittrack/core';
+import { failures, outgoing } from '@godwittrack/core';
 import { requests } from '@godwittrack/protocol';
 import * as constants from '../constants.js';
 import type * as logging from '../logging.js';
 import * as exchange from './exchange.js';
 import * as frames from './frames.js';
 import * as incomingBody from './incomingBody.js';
-import * as outgoing from './outgoing.js';
 import * as refusals from './refusals.js';
 
 /** Longer than peers keep idle connections, so that the peers close them first. */
--- a/packages/node/src/requests/httpClient.ts
+++ b/packages/node/src/requests/httpClient.ts
@@ -1,10 +1,9 @@
 /** HTTP client shared by the upstream client and the forwarding between nodes. */
 
 import * as http from 'node:http';
-import { failures } from '@godwittrack/core';
+import { failures, outgoing } from '@godwittrack/core';
 import type { requests } from '@godwittrack/protocol';
 import * as exchange from './exchange.js';
-import * as outgoing from './outgoing.js';
 
 /**
  * Several times the round-trip time between regions; a host that is down does not answer at all.
