fix(mesh): send large frames between nodes in pieces, within a bound per host

Cause: an answer was one frame, written whole (90 KB on average, 540 KB at most). Pongs, small answers and gossip of the host waited behind it, on this connection and, in the link of the host, on all others. After 650 ms without data the other node closed the connection, lost what had nearly arrived, and its requests were sent again: more bytes for the same link, so the state kept itself up. Class: a timeout that measures the length of a queue and takes it for the death of the other side.

Fix: frames of more than 16 KB are sent in pieces that the receiver acknowledges. One scheduler of the node bounds the pieces under way for the whole host and for each connection, so what a small frame can wait for is bounded too. Pieces are taken from the frames in turn. The bound rests on acknowledgements, since a completed write may still wait in a buffer of the kernel. A connection that does not acknowledge is left out of the sum, so receivers that are cut off do not block the others.

What may now overtake a large frame: a cancel removes a request that has not left completely, and it is refused truly; a request whose outcome has not left completely counts as running for goAway; configurations keep their order on a connection, so that a delta finds its base.

--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -7,6 +7,7 @@
 import type * as members from '../membership/members.js';
 import * as decisionLog from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
+import * as uplinkScheduler from '../peers/uplinkScheduler.js';
 import type * as balancer from '../routing/balancer.js';
 import * as exchange from '../routing/exchange.js';
 import * as headerCodec from '../upstream/headerCodec.js';
@@ -156,6 +157,10 @@
   }
 }
 
+export function uplink(): uplinkScheduler.UplinkScheduler {
+  return new uplinkScheduler.UplinkScheduler(() => performance.now());
+}
+
 export function forwardedRequest(
   overrides: Partial<exchange.ForwardedRequest> = {},
 ): exchange.ForwardedRequest {
--- a/packages/mesh/src/peers/__tests__/peerLink.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerLink.test.ts
@@ -22,6 +22,7 @@
     node: ids.nodeId('b'),
     address,
     isPersistent,
+    uplink: fixtures.uplink(),
     hello: () => ({
       type: 'hello',
       from,
@@ -47,6 +48,7 @@
     destination = new fixtures.HeldDestination();
     server = new peerServer.PeerServer({
       destination,
+      uplink: fixtures.uplink(),
       selfRecord: () => RECORD,
       onFrame: () => {},
       onProtocolViolation: () => {},
@@ -101,6 +103,7 @@
   async function listen(address: string): Promise<void> {
     server = new peerServer.PeerServer({
       destination,
+      uplink: fixtures.uplink(),
       selfRecord: () => RECORD,
       onFrame: () => {},
       onProtocolViolation: () => {},
--- a/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
@@ -43,11 +43,13 @@
   const config = new configHolder.ConfigHolder(nowMs);
   const rollouts = new rolloutTable.RolloutTable(log, nowMs);
   const restored: members.UpstreamState[] = [];
+  const uplink = fixtures.uplink();
   const network = new peerNetwork.PeerNetwork({
     eventLoopLag: new eventLoop.LagMeter(MAINTAIN_INTERVAL_MS, nowMs),
     table,
     config,
     rollouts,
+    uplink,
     log,
     meters: metricsRegistry,
     onBeacon: () => {},
@@ -56,6 +58,7 @@
   });
   const server = new peerServer.PeerServer({
     destination: new RefusingDestination(),
+    uplink,
     selfRecord: () => self,
     onFrame: (session, frame) => network.receive(session, frame),
     onProtocolViolation: (detail) => assert.fail(detail),
--- a/packages/mesh/src/peers/__tests__/peerServer.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerServer.test.ts
@@ -32,14 +32,17 @@
   let server: peerServer.PeerServer;
   let address: string;
   const sockets: net.Socket[] = [];
+  const violations: string[] = [];
 
   beforeEach(async () => {
     destination = new fixtures.HeldDestination();
+    violations.length = 0;
     server = new peerServer.PeerServer({
       destination,
+      uplink: fixtures.uplink(),
       selfRecord: () => fixtures.member('b'),
       onFrame: () => {},
-      onProtocolViolation: () => {},
+      onProtocolViolation: (detail) => violations.push(detail),
     });
     address = await loopback.freeAddress();
     await server.listen(address);
@@ -122,4 +125,44 @@
     await loopback.until(() => destination.received.length === 2);
     assert.deepEqual(destination.cancelled, []);
   });
+
+  describe('a frame in pieces', () => {
+    const bytes = Buffer.alloc(frames.PIECE_BYTES);
+    const piece = { type: 'piece', transfer: 1, last: false, bytes } as const;
+    const malformed: Record<string, frames.Frame[]> = {
+      'a piece of an unknown transfer': [{ ...piece, transfer: 2 }],
+      'a piece that is too large': [{ ...piece, bytes: Buffer.alloc(frames.PIECE_BYTES + 1) }],
+      'pieces that are no frame': [{ ...piece, last: true }],
+      'the end of an unknown transfer': [{ type: 'dropTransfer', transfer: 1 }],
+      'an acknowledgement of nothing': [{ type: 'pieceAck', bytes: 1 }],
+    };
+    for (const [name, sent] of Object.entries(malformed)) {
+      it(`closes the connection after ${name}`, async () => {
+        const socket = await connect();
+        socket.resume();
+        socket.write(Buffer.concat(sent.map(frames.encode)));
+        await loopback.until(() => socket.destroyed);
+        assert.match(violations.join(), /protocolViolation/);
+        assert.equal(violations.length, 1);
+      });
+    }
+
+    it('is handled once it is complete, and each piece is acknowledged', async () => {
+      const socket = await connect();
+      const splitter = new frames.FrameSplitter('b');
+      const replies: frames.Frame[] = [];
+      socket.on('data', (chunk: Buffer) => replies.push(...splitter.push(chunk)));
+      const message = frames.withoutLength(request(1));
+      const [head, tail] = [message.subarray(0, 10), message.subarray(10)];
+      socket.write(frames.encode({ ...piece, bytes: head }));
+      await loopback.until(() => replies.length === 1);
+      assert.deepEqual(received(), []);
+      socket.write(frames.encode({ ...piece, bytes: tail, last: true }));
+      await loopback.until(() => replies.length === 2 && received().length === 1);
+      assert.deepEqual(replies, [
+        { type: 'pieceAck', bytes: head.length },
+        { type: 'pieceAck', bytes: tail.length },
+      ]);
+    });
+  });
 });
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -14,6 +14,8 @@
 import type * as exchange from '../routing/exchange.js';
 
 export const MAX_FRAME_BYTES = 80 * 1024 * 1024;
+/** Larger frames are sent in pieces of at most this size; 13 ms at 10 Mbit/s. */
+export const PIECE_BYTES = 16 * 1024;
 const LENGTH_BYTES = 4;
 
 /** First frame on a connection. */
@@ -65,7 +67,13 @@
   /** Sent by a node that does not know the rollouts yet. */
   | { type: 'stateSummaryRequest' }
   | { type: 'rollouts'; states: phases.RolloutState[] }
-  | { type: 'evidence'; report: evidence.EvidenceReport };
+  | { type: 'evidence'; report: evidence.EvidenceReport }
+  /** Part of a large frame; the frame is complete with the `last` piece of its transfer. */
+  | { type: 'piece'; transfer: number; last: boolean; bytes: Buffer }
+  /** Number of bytes in pieces that have arrived since the previous acknowledgement. */
+  | { type: 'pieceAck'; bytes: number }
+  /** No more pieces of a transfer will follow; those that have arrived are void. */
+  | { type: 'dropTransfer'; transfer: number };
 
 /** A frame type is encoded as its index in this list, so the order must not change. */
 const FRAME_TYPES: readonly Frame['type'][] = [
@@ -90,6 +98,9 @@
   'stateSummary',
   'stateSummaryRequest',
   'misdirected',
+  'piece',
+  'pieceAck',
+  'dropTransfer',
 ];
 
 /** Shared, since each new encoder allocates a buffer. */
@@ -104,6 +115,11 @@
   return framed;
 }
 
+/** The part of an encoded frame that `decode` reads. */
+export function withoutLength(encoded: Buffer): Buffer {
+  return encoded.subarray(LENGTH_BYTES);
+}
+
 function pack(frame: Frame): unknown[] {
   const code = FRAME_TYPES.indexOf(frame.type);
   switch (frame.type) {
@@ -113,6 +129,12 @@
       return [code, frame.id, ...packDelivery(frame.delivery)];
     case 'members':
       return [code, frame.members.map(packMember)];
+    case 'piece':
+      return [code, frame.transfer, frame.last, frame.bytes];
+    case 'pieceAck':
+      return [code, frame.bytes];
+    case 'dropTransfer':
+      return [code, frame.transfer];
     default: {
       const { type, ...fields } = frame;
       return [code, fields];
@@ -121,7 +143,7 @@
 }
 
 /** @throws protocolViolation */
-function decode(message: Uint8Array, peer: string): Frame {
+export function decode(message: Uint8Array, peer: string): Frame {
   try {
     const [code, first, ...rest] = decoder.decode(message) as [number, unknown, ...unknown[]];
     const type = FRAME_TYPES[code];
@@ -131,6 +153,9 @@
     }
     if (type === 'members') return { type, members: (first as unknown[][]).map(unpackMember) };
     if (type === 'outcome') return { type, id: first as number, delivery: unpackDelivery(rest) };
+    if (type === 'piece') return unpackPiece(first, rest);
+    if (type === 'pieceAck') return { type, bytes: toCount(first) };
+    if (type === 'dropTransfer') return { type, transfer: toCount(first) };
     if (type === undefined) throw new Error(`type code ${code}`);
     return { type, ...(first as object) } as Frame;
   } catch (err) {
@@ -138,6 +163,16 @@
   }
 }
 
+function unpackPiece(transfer: unknown, [last, bytes]: unknown[]): Frame {
+  if (typeof last !== 'boolean' || !(bytes instanceof Uint8Array)) throw new Error('bad piece');
+  return { type: 'piece', transfer: toCount(transfer), last, bytes: toBuffer(bytes) };
+}
+
+function toCount(value: unknown): number {
+  if (!Number.isSafeInteger(value) || (value as number) <= 0) throw new Error('bad count');
+  return value as number;
+}
+
 function packMember(member: members.Member): unknown[] {
   const { node, address, domain, region, sequence, upstream } = member;
   if (upstream === null) return [node, address, domain, region, sequence];
--- a/packages/mesh/src/peers/peerLink.ts
+++ b/packages/mesh/src/peers/peerLink.ts
@@ -8,7 +8,9 @@
 import { backoff, type ids } from '@godwittrack/core';
 import * as exchange from '../routing/exchange.js';
 import * as networkAddress from '../networkAddress.js';
+import * as framedConnection from './framedConnection.js';
 import * as frames from './frames.js';
+import type * as uplinkScheduler from './uplinkScheduler.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const RECONNECT_INITIAL_MS = 100;
@@ -34,8 +36,10 @@
 interface PendingCall {
   resolve: (delivery: exchange.Delivery) => void;
   removeAbortListener: () => void;
-  /** The request frame; null once it has been written. */
+  /** The request frame until the link is open. */
   unsentFrame: frames.RequestFrame | null;
+  /** The request frame if it is sent in pieces. */
+  transfer: uplinkScheduler.Transfer | null;
 }
 
 export type LossReason =
@@ -60,6 +64,7 @@
   hello: () => frames.Hello;
   /** Whether the link stays open when idle. */
   isPersistent: boolean;
+  uplink: uplinkScheduler.UplinkScheduler;
   onFrame: (link: PeerLink, frame: frames.Frame) => void;
   onConnected: (link: PeerLink) => void;
   /** The node has responded on a new connection, or accepts no more requests. */
@@ -70,6 +75,9 @@
 export class PeerLink extends exchange.Destination {
   private socket: net.Socket | null = null;
 
+  /** Frames on `socket`. */
+  private connection: framedConnection.FramedConnection | null = null;
+
   private connected = false;
 
   /** Whether data has arrived on this connection. A frozen node accepts connections but sends nothing. */
@@ -145,9 +153,10 @@
     return this.connected;
   }
 
-  /** Whether the link was opened on demand and has no pending requests. */
+  /** Whether the link was opened on demand and has no pending requests or transfers. */
   get isIdle(): boolean {
-    return this.connected && !this.isPersistent && this.pendingCalls.size === 0;
+    if (!this.connected || this.isPersistent || this.pendingCalls.size > 0) return false;
+    return !this.connection!.isTransferring;
   }
 
   get lastUsedMs(): number {
@@ -167,12 +176,12 @@
 
   /** Sends a frame; dropped while the link is not connected. */
   sendFrame(frame: frames.Frame): void {
-    if (this.connected) this.write(frames.encode(frame));
+    if (this.connected) this.connection!.send(frame);
   }
 
   /** Sends a frame that was encoded once for several nodes. */
-  sendEncoded(bytes: Buffer): void {
-    if (this.connected) this.write(bytes);
+  sendEncoded(bytes: Buffer, type: frames.Frame['type']): void {
+    if (this.connected) this.connection!.sendEncoded(bytes, type);
   }
 
   /** Opens the link if it is closed and not waiting for a reconnect. */
@@ -196,13 +205,13 @@
       const removeAbortListener = () => signal.removeEventListener('abort', cancel);
       if (this.pendingCalls.size === 0) this.receivedAtMs = performance.now();
       const frame: frames.RequestFrame = { type: 'request', id, sentMs: 0, req };
-      const call: PendingCall = { resolve, removeAbortListener, unsentFrame: frame };
+      const call = { resolve, removeAbortListener, unsentFrame: frame, transfer: null };
       this.pendingCalls.set(id, call);
       if (this.mayWrite(req)) {
         this.writeCall(call);
       } else {
         this.open();
-        setTimeout(() => this.refuseUnsent(id, 'peerUnreachable'), OPEN_TIMEOUT_MS).unref();
+        setTimeout(() => this.refuseUnopened(id), OPEN_TIMEOUT_MS).unref();
       }
     });
   }
@@ -214,11 +223,7 @@
   maintain(isMonitored: boolean): void {
     const now = performance.now();
     if (!this.connected) return;
-    if (
-      !this.isPersistent &&
-      this.pendingCalls.size === 0 &&
-      now - this.usedAtMs > IDLE_TIMEOUT_MS
-    ) {
+    if (this.isIdle && now - this.usedAtMs > IDLE_TIMEOUT_MS) {
       this.closeIfIdle();
       return;
     }
@@ -239,7 +244,8 @@
     const { unsentFrame } = call;
     if (unsentFrame === null) return;
     call.unsentFrame = null;
-    this.write(frames.encode({ ...unsentFrame, sentMs: Math.round(performance.now()) }));
+    const sentMs = Math.round(performance.now());
+    call.transfer = this.connection!.send({ ...unsentFrame, sentMs });
   }
 
   private writeUnsent(): void {
@@ -248,18 +254,20 @@
     }
   }
 
-  private write(bytes: Buffer): void {
-    this.socket!.write(bytes);
-  }
-
   private cancel(id: number): void {
     if (!this.refuseUnsent(id, 'cancelled')) this.sendFrame({ type: 'cancel', id });
   }
 
-  /** @returns false if the request has already been written and may run */
+  /** Refuses a request that still waits for the link to open. */
+  private refuseUnopened(id: number): void {
+    if (this.pendingCalls.get(id)?.unsentFrame != null) this.refuseUnsent(id, 'peerUnreachable');
+  }
+
+  /** @returns false if the request has been written completely and may run */
   private refuseUnsent(id: number, reason: string): boolean {
     const call = this.pendingCalls.get(id);
-    if (call === undefined || call.unsentFrame === null) return false;
+    if (call === undefined) return false;
+    if (call.unsentFrame === null && !call.transfer?.cancel()) return false;
     this.pendingCalls.delete(id);
     call.removeAbortListener();
     call.resolve({ outcome: exchange.refused(reason, UNREACHABLE_RETRY_AFTER_MS), report: null });
@@ -274,11 +282,12 @@
   /** Closes the link unless requests are pending; the next request opens it again. */
   closeIfIdle(): void {
     if (this.pendingCalls.size > 0) return;
-    const { socket } = this;
+    const { connection } = this;
     this.socket = null;
+    this.connection = null;
     this.connected = false;
     this.downSinceMs = performance.now();
-    socket?.end();
+    connection?.end();
   }
 
   /** Connects without waiting for the back-off delay, for example when the node has just connected here. */
@@ -295,8 +304,10 @@
       keepAlive: true,
       keepAliveInitialDelay: 2_000,
     });
-    const splitter = new frames.FrameSplitter(this.options.address);
+    const { uplink } = this.options;
+    const connection = new framedConnection.FramedConnection(socket, this.options.address, uplink);
     this.socket = socket;
+    this.connection = connection;
     socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
       if (!this.connected) this.fail('connectFailed', 'connect timeout', socket);
     });
@@ -314,6 +325,7 @@
       this.connectedAtMs = this.receivedAtMs;
       this.pingedAtMs = this.receivedAtMs;
       this.dataAtMs = null;
+      // Not in pieces, since the hello must be the first frame.
       socket.write(frames.encode(this.options.hello()));
       socket.write(frames.encode({ type: 'ping' }));
       this.writeUnsent();
@@ -330,7 +342,7 @@
         this.options.onReachabilityChanged(this);
       }
       try {
-        for (const frame of splitter.push(chunk)) this.handleFrame(frame);
+        for (const frame of connection.receive(chunk)) this.handleFrame(frame);
       } catch (err) {
         this.fail('protocolViolation', String(err), socket);
       }
@@ -365,6 +377,7 @@
     for (const [id, call] of this.pendingCalls) {
       if (!running.has(id)) {
         this.pendingCalls.delete(id);
+        call.transfer?.cancel();
         call.removeAbortListener();
         const outcome = exchange.refused('nodeStopped', STOPPED_RETRY_AFTER_MS);
         call.resolve({ outcome, report: null });
@@ -375,8 +388,9 @@
   private fail(reason: LossReason, detail: string, socket = this.socket): void {
     if (socket === null || socket !== this.socket) return;
     const loss = this.describeLoss(reason, detail, socket);
+    this.connection!.destroy();
     this.socket = null;
-    socket.destroy();
+    this.connection = null;
     const wasConnected = this.connected;
     const wasFailing = this.failing;
     this.connected = false;
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -8,7 +8,7 @@
 import * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
 import type * as propagation from '../config/propagation.js';
-import type * as eventLoop from '../eventLoop.js';
+import * as eventLoop from '../eventLoop.js';
 import type * as members from '../membership/members.js';
 import * as memberGossip from '../membership/memberGossip.js';
 import * as neighbours from '../membership/neighbours.js';
@@ -20,6 +20,7 @@
 import * as frames from './frames.js';
 import * as peerLink from './peerLink.js';
 import type * as peerServer from './peerServer.js';
+import type * as uplinkScheduler from './uplinkScheduler.js';
 
 /** Time after which an unreachable node of the own failure domain is removed from the whole fleet. */
 const REMOVE_AFTER_MS = 30_000;
@@ -34,6 +35,7 @@
   table: members.MemberTable;
   config: configHolder.ConfigHolder;
   rollouts: rolloutTable.RolloutTable;
+  uplink: uplinkScheduler.UplinkScheduler;
   log: observability.DecisionLog;
   meters: metrics.Metrics;
   onBeacon: (node: ids.NodeId) => void;
@@ -158,8 +160,9 @@
   /** Sends a frame to the own failure domain and, if this node is a relay, to the relays of the others. */
   broadcast(frame: frames.Frame, { domain, remoteRelays: toRelays }: propagation.Scope): void {
     const bytes = frames.encode(frame);
-    if (domain) this.sendToAll(this.neighbours.domainPeers, bytes);
-    if (toRelays) this.sendToAll(this.neighbours.remoteRelays, bytes);
+    const send = ({ node }: members.Member) => this.links.get(node)?.sendEncoded(bytes, frame.type);
+    if (domain) this.neighbours.domainPeers.forEach(send);
+    if (toRelays) this.neighbours.remoteRelays.forEach(send);
   }
 
   /**
@@ -180,9 +183,12 @@
     this.broadcast(this.stateSummary(), { domain: this.neighbours.isRelay, remoteRelays: true });
   }
 
-  /** Checks the liveness of nodes with pending requests. Called ten times a second. */
+  /** Checks the liveness of nodes with pending requests or transfers. Called ten times a second. */
   checkLiveness(): void {
     for (const link of this.links.values()) link.checkLiveness();
+    const { uplink } = this.options;
+    // Acknowledgements may have arrived during a pause of this process.
+    if (uplink.hasPending) void eventLoop.nextPoll().then(() => uplink.advance());
   }
 
   /**
@@ -362,10 +368,6 @@
     else config.offer(configuration.applyDelta(base, delta), this.sourceOf(sender));
   }
 
-  private sendToAll(nodes: readonly members.Member[], bytes: Buffer): void {
-    for (const { node } of nodes) this.links.get(node)?.sendEncoded(bytes);
-  }
-
   private isReachable(node: ids.NodeId): boolean {
     if (node === this.options.table.self.node) return true;
     const link = this.links.get(node);
@@ -457,6 +459,7 @@
       node: address.node,
       address: address.address,
       isPersistent: this.neighbours.persistent.has(address.node),
+      uplink: this.options.uplink,
       hello: () => ({
         type: 'hello',
         from: table.self,
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -5,8 +5,10 @@
 import * as eventLoop from '../eventLoop.js';
 import * as networkAddress from '../networkAddress.js';
 import * as exchange from '../routing/exchange.js';
-import * as frames from './frames.js';
+import * as framedConnection from './framedConnection.js';
+import type * as frames from './frames.js';
 import * as transitDelay from './transitDelay.js';
+import type * as uplinkScheduler from './uplinkScheduler.js';
 
 /** Retry delay sent with refusals of a stopping node. */
 const STOPPING_RETRY_AFTER_MS = 50;
@@ -19,32 +21,63 @@
 
 export interface PeerServerOptions {
   destination: exchange.Destination;
+  uplink: uplinkScheduler.UplinkScheduler;
   /** Member record of this node. */
   selfRecord: () => members.Member;
   onFrame: (session: PeerSession, frame: frames.Frame) => void;
   onProtocolViolation: (detail: string) => void;
 }
 
+/** A request from another node until its outcome has been written completely. */
+interface RunningRequest {
+  controller: AbortController;
+  /** The outcome while it is sent in pieces. */
+  transfer: uplinkScheduler.Transfer | null;
+}
+
 class Session implements PeerSession {
   hello: frames.Hello | null = null;
 
-  readonly running = new Map<number, AbortController>();
+  readonly running = new Map<number, RunningRequest>();
 
   readonly transitDelay = new transitDelay.TransitDelay();
 
   /** Whether the other node was told that no more requests are accepted. */
   goAwaySent = false;
 
-  constructor(readonly socket: net.Socket) {}
+  constructor(private readonly connection: framedConnection.FramedConnection) {}
 
   /** Closes the connection and aborts its requests, since the other node no longer reads responses. */
   abort(): void {
-    this.socket.destroy();
-    for (const controller of this.running.values()) controller.abort();
+    this.connection.destroy();
+    for (const { controller } of this.running.values()) controller.abort();
+  }
+
+  /** @throws protocolViolation */
+  receive(chunk: Buffer): frames.Frame[] {
+    return this.connection.receive(chunk);
   }
 
   sendFrame(frame: frames.Frame): void {
-    if (!this.socket.destroyed) this.socket.write(frames.encode(frame));
+    this.connection.send(frame);
+  }
+
+  sendOutcome(id: number, delivery: exchange.Delivery): void {
+    const onSent = () => this.running.delete(id);
+    const transfer = this.connection.send({ type: 'outcome', id, delivery }, onSent);
+    const running = this.running.get(id);
+    if (running !== undefined) running.transfer = transfer;
+  }
+
+  /** Stops a request, or the transfer of its outcome, which the other node no longer reads. */
+  cancel(id: number): void {
+    const running = this.running.get(id);
+    if (running === undefined) return;
+    if (running.transfer === null) {
+      running.controller.abort();
+    } else if (running.transfer.cancel()) {
+      this.sendOutcome(id, { outcome: exchange.lost('cancelled'), report: null });
+    }
   }
 }
 
@@ -63,7 +96,7 @@
     return networkAddress.listen(this.server, address);
   }
 
-  /** Number of requests from other nodes in progress. */
+  /** Number of requests from other nodes in progress, including those whose outcome is being sent. */
   get runningCount(): number {
     let count = 0;
     for (const session of this.sessions) count += session.running.size;
@@ -89,16 +122,17 @@
 
   close(): void {
     this.server.close();
-    for (const session of this.sessions) session.socket.destroy();
+    for (const session of this.sessions) session.abort();
   }
 
   private accept(socket: net.Socket): void {
-    const session = new Session(socket);
+    const { uplink } = this.options;
+    const peer = `${socket.remoteAddress}`;
+    const session = new Session(new framedConnection.FramedConnection(socket, peer, uplink));
     this.sessions.add(session);
-    const splitter = new frames.FrameSplitter(`${socket.remoteAddress}`);
     socket.on('data', (chunk) => {
       try {
-        for (const frame of splitter.push(chunk)) this.handleFrame(session, frame);
+        for (const frame of session.receive(chunk)) this.handleFrame(session, frame);
       } catch (err) {
         this.options.onProtocolViolation(String(err));
         socket.destroy();
@@ -118,7 +152,7 @@
         void this.serve(session, frame);
         break;
       case 'cancel':
-        session.running.get(frame.id)?.abort();
+        session.cancel(frame.id);
         break;
       case 'ping':
         session.sendFrame({ type: 'pong' });
@@ -154,16 +188,15 @@
     );
     if (this.refusesNew) {
       const outcome = exchange.refused('nodeStopping', STOPPING_RETRY_AFTER_MS);
-      session.sendFrame({ type: 'outcome', id, delivery: { outcome, report: null } });
+      session.sendOutcome(id, { outcome, report: null });
       return;
     }
     const controller = new AbortController();
-    session.running.set(id, controller);
+    session.running.set(id, { controller, transfer: null });
     await eventLoop.nextPoll();
     const delivery = controller.signal.aborted
       ? { outcome: exchange.cancelled(), report: null }
       : await this.options.destination.send(req, controller.signal);
-    session.running.delete(id);
     if (
       delivery.outcome.type === 'refused' &&
       exchange.STALE_STATE_REASONS.has(delivery.outcome.reason)
@@ -171,7 +204,7 @@
       // The sender has an outdated record of this node and would send more requests based on it.
       session.sendFrame({ type: 'members', members: [this.options.selfRecord()] });
     }
-    session.sendFrame({ type: 'outcome', id, delivery });
+    session.sendOutcome(id, delivery);
   }
 }
 
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -16,6 +16,7 @@
 import * as meters from '../observability/meters.js';
 import * as peerNetwork from '../peers/peerNetwork.js';
 import * as peerServer from '../peers/peerServer.js';
+import * as uplinkScheduler from '../peers/uplinkScheduler.js';
 import * as evidence from '../rollouts/evidence.js';
 import * as rolloutTable from '../rollouts/rolloutTable.js';
 import * as rolloutController from '../rollouts/rolloutController.js';
@@ -115,10 +116,12 @@
   const eventLoopLag = new eventLoop.LagMeter(agent.TICK_MS, nowMs);
   // The watcher and the network refer to each other.
   let watcher: storeWatcher.StoreWatcher;
+  const uplink = new uplinkScheduler.UplinkScheduler(nowMs);
   const network = new peerNetwork.PeerNetwork({
     table,
     config,
     rollouts,
+    uplink,
     log,
     meters: metricsRegistry,
     onBeacon: (node) => watcher.recordBeacon(node),
@@ -174,6 +177,7 @@
     network,
     peers: new peerServer.PeerServer({
       destination: local,
+      uplink,
       selfRecord: () => self,
       onFrame: (session, frame) => network.receive(session, frame),
       onProtocolViolation: (detail) =>
