fix(mesh): count a request as in flight until its answer has left the process

Callers of a stopping node lost large answers in the middle. A request counted as ended when its answer was queued on the socket. With no request left, the stop closed the idle connections, and Node takes a connection for idle as soon as the answer has been queued: it destroyed the connection with the rest of the answer in it, and nothing was left for the 150 ms before the exit.

A request is now in flight until its answer has been handed to the kernel completely, so the stop waits for it within the grace period.

Ruled out: that the 150 ms are too short. The connection is destroyed before they begin.

Both tests fail on the code before: agentStop.test.ts, a caller that reads on 4 s after the stop request gets `[]` instead of an answer of 16,777,216 bytes; callerServer.test.ts, inFlightCount `0 !== 1` while the answer is unwritten.

--- a/packages/mesh/src/callers/__tests__/callerServer.test.ts
+++ b/packages/mesh/src/callers/__tests__/callerServer.test.ts
@@ -33,6 +33,19 @@
     await loopback.until(() => fixture.upstream.received.length === expected);
   }
 
+  // An answer counted as given when it was queued, and a stopping node cut it.
+  it('counts a request as in flight until its answer has been handed to the kernel', async () => {
+    const caller = connect();
+    await pass(caller, '1');
+    caller.pauseAtFirstData();
+    fixture.upstream.release(answer('1', Buffer.alloc(LARGE_BYTES)));
+    await loopback.until(() => caller.socket.bytesRead > 0);
+    assert.equal(fixture.server.inFlightCount, 1);
+    caller.socket.resume();
+    await loopback.until(() => caller.answers().length === 1);
+    await loopback.until(() => fixture.server.inFlightCount === 0);
+  });
+
   const interrupted = (closedBy: string) =>
     fixture.metrics.counter(meters.INTERRUPTED_ANSWERS, { closedBy });
 
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -63,8 +63,6 @@
 
   private refusesRequests = false;
 
-  private inFlight = 0;
-
   private readonly openAnswers = new Set<OpenAnswer>();
 
   private requestSequence = 1;
@@ -112,8 +110,9 @@
     return networkAddress.listen(this.server, address, { backlog: LISTEN_BACKLOG });
   }
 
+  /** Requests whose answers have not been handed to the kernel completely. */
   get inFlightCount(): number {
-    return this.inFlight;
+    return this.openAnswers.size;
   }
 
   /** From now on, each answer closes its connection. */
@@ -133,7 +132,6 @@
   }
 
   private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-    this.inFlight += 1;
     const arrivedMs = this.options.nowMs();
     const controller = new AbortController();
     let disconnectedMs: number | null = null;
@@ -156,7 +154,6 @@
       this.options.log.warn('callers', 'a request failed unexpectedly', { err: String(err) });
       if (!res.headersSent) this.writeLocalReply(req, res, localReply(502, 'internal failure'));
     } finally {
-      this.inFlight -= 1;
       if (disconnectedMs !== null) this.recordDisconnect(openAnswer, disconnectedMs);
       await outgoing.waitUntilFlushed(res, controller.signal);
       pipelineEntry.end();
--- /dev/null
+++ b/packages/mesh/src/process/__tests__/agentStop.test.ts
@@ -0,0 +1,134 @@
+import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import { backoff, ids } from '@godwittrack/core';
+import * as fixtures from '../../__tests__/fixtures.js';
+import * as loopback from '../../__tests__/loopback.js';
+import * as callerFixtures from '../../callers/__tests__/callerFixtures.js';
+import type * as configuration from '../../config/configuration.js';
+import * as fleetStore from '../../config/fleetStore.js';
+import type * as members from '../../membership/members.js';
+import * as networkAddress from '../../networkAddress.js';
+import * as meters from '../../observability/meters.js';
+import type * as phases from '../../rollouts/phases.js';
+import * as wiring from '../wiring.js';
+
+const GRACE_MS = 6_000;
+/** Time after the stop request at which slow readers read on; well within the grace period. */
+const READ_ON_AFTER_MS = 4_000;
+
+class ConstantResource<T> extends fleetStore.Watchable<T> {
+  constructor(private readonly value: T) {
+    super();
+  }
+
+  read(): Promise<fleetStore.ReadResult<T>> {
+    return Promise.resolve({ cursor: 1, value: this.value });
+  }
+
+  async watch(
+    cursor: fleetStore.Cursor,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<fleetStore.ReadResult<T>> {
+    await backoff.sleep(waitMs, signal);
+    return { cursor, value: null };
+  }
+}
+
+class ConstantStore extends fleetStore.FleetStore {
+  readonly configuration = new ConstantResource<configuration.Configuration>(
+    fixtures.configurationOf(1, [
+      fixtures.route('r', { timeoutMs: 30_000, targetLatencyMs: 30_000 }),
+    ]),
+  );
+
+  readonly rollouts = new ConstantResource<phases.RolloutRecord[]>([]);
+
+  recordRollout(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
+  registerNode(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  listNodes(): Promise<members.NodeAddress[]> {
+    return Promise.resolve([]);
+  }
+
+  unregisterNode(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+describe('a node that stops', { timeout: 30_000 }, () => {
+  let upstream: http.Server;
+  let mesh: wiring.MeshNode;
+  let callerAddress: string;
+  let peerAddress: string;
+  let stopped: Promise<void> | null;
+  let sockets: net.Socket[];
+
+  beforeEach(async () => {
+    stopped = null;
+    sockets = [];
+    upstream = http.createServer((req, res) => {
+      res.setHeader('X-Id', String(req.headers['x-id']));
+      res.end(Buffer.alloc(callerFixtures.LARGE_BYTES));
+    });
+    const upstreamAddress = await loopback.freeAddress();
+    await networkAddress.listen(upstream, upstreamAddress);
+    callerAddress = await loopback.freeAddress();
+    peerAddress = await loopback.freeAddress();
+    const metricsRegistry = meters.createMetrics();
+    mesh = wiring.createMeshNode(
+      {
+        self: { ...fixtures.member('b', null), address: peerAddress },
+        service: ids.serviceName('shop'),
+        callerAddress,
+        upstreamAddress,
+        graceMs: GRACE_MS,
+        retryRatio: 0.2,
+        retryExtra: 64,
+      },
+      { store: new ConstantStore(), codec: new fixtures.TestHeaders() },
+      fixtures.silentLog(),
+      metricsRegistry,
+    );
+    await mesh.agent.start();
+    mesh.upstream.announce(fixtures.announcement({ address: upstreamAddress }));
+    await loopback.until(() => mesh.agent.ready);
+  });
+
+  afterEach(async () => {
+    for (const socket of sockets) socket.destroy();
+    await (stopped ?? mesh.agent.stop());
+    upstream.close();
+    upstream.closeAllConnections();
+  });
+
+  /** Asks the node to stop while the reader does not read, and lets it read on later. */
+  async function stopBefore(reader: net.Socket): Promise<void> {
+    await loopback.until(() => reader.bytesRead > 0);
+    stopped = mesh.agent.stop();
+    await timers.setTimeout(READ_ON_AFTER_MS);
+    reader.resume();
+  }
+
+  // Large answers were cut at the end of the stop while their caller was still reading them.
+  it('delivers the answer to a caller that reads it slowly', async () => {
+    const caller = new callerFixtures.Caller(callerAddress);
+    sockets.push(caller.socket);
+    caller.pauseAtFirstData();
+    caller.send('1');
+    await stopBefore(caller.socket);
+    await loopback.until(() => caller.isClosed || caller.answers().length === 1);
+    assert.deepEqual(
+      caller.answers().map(({ id, bodyBytes }) => ({ id, bodyBytes })),
+      [{ id: '1', bodyBytes: callerFixtures.LARGE_BYTES }],
+    );
+  });
+});
