fix(mesh): answer all pipelined requests before a draining node closes

Callers that pipeline lost all but the first answer when their node drained. Each answer of a draining node closed its connection, also when later requests of the same connection had already been passed on to upstreams; their answers were never written. Requests that arrived while the last answer was being written were passed on too.

Now the first answer after the drain begins marks the connection as closing. The requests received until then are answered in order, only the last answer announces the close, and requests behind them are not passed on, so that the caller can send them again.

--- a/packages/core/src/__tests__/callerConnections.test.ts
+++ b/packages/core/src/__tests__/callerConnections.test.ts
@@ -40,6 +40,16 @@
     assert.deepEqual(disconnected, ['own']);
   });
 
+  it('tells which request is the last one on its connection', () => {
+    const first = track('first');
+    assert.ok(first.isLast);
+    const second = track('second');
+    assert.deepEqual([first.isLast, second.isLast], [false, true]);
+    first.end();
+    second.end();
+    assert.equal(second.isLast, true);
+  });
+
   it('resolves the turns of requests in order of arrival', async () => {
     const turns: string[] = [];
     const requests = ['first', 'second', 'third'].map((name) => {
--- a/packages/core/src/callerConnections.ts
+++ b/packages/core/src/callerConnections.ts
@@ -13,6 +13,8 @@
   readonly ahead: number;
   /** Resolves when all earlier requests on the connection have ended. */
   readonly turn: Promise<void>;
+  /** Whether no later request has been received on the same connection. */
+  readonly isLast: boolean;
   /** Marks the request as ended. */
   end(): void;
 }
@@ -20,6 +22,8 @@
 interface Connection {
   /** Disconnect callbacks, one for each unfinished request. */
   readonly listeners: Set<(closedBy: ClosedBy) => void>;
+  /** Number of requests received so far. */
+  received: number;
   /** Resolves when all requests received so far have ended. */
   allEnded: Promise<void>;
 }
@@ -32,6 +36,8 @@
     const connection = this.connections.get(socket) ?? this.watchSocket(socket);
     const { listeners, allEnded: turn } = connection;
     const ahead = listeners.size;
+    connection.received += 1;
+    const position = connection.received;
     listeners.add(onDisconnect);
     let resolve: () => void;
     const ended = new Promise<void>((settle) => {
@@ -42,7 +48,14 @@
       listeners.delete(onDisconnect);
       resolve();
     };
-    return { ahead, turn, end };
+    return {
+      ahead,
+      turn,
+      get isLast() {
+        return connection.received === position;
+      },
+      end,
+    };
   }
 
   /**
@@ -52,7 +65,7 @@
    */
   private watchSocket(socket: net.Socket): Connection {
     const listeners = new Set<(closedBy: ClosedBy) => void>();
-    const connection = { listeners, allEnded: Promise.resolve() };
+    const connection = { listeners, received: 0, allEnded: Promise.resolve() };
     this.connections.set(socket, connection);
     const notifyAll = (closedBy: ClosedBy) => {
       const callbacks = [...listeners];
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -71,6 +71,9 @@
 
   private readonly connections = new callerConnections.CallerConnections();
 
+  /** Connections that close after the last request that was received so far. */
+  private readonly closing = new WeakSet<net.Socket>();
+
   /** Connections on which a request was answered. */
   private readonly answered = new WeakSet<net.Socket>();
 
@@ -132,6 +135,8 @@
   }
 
   private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    // The caller sends a request behind the last answer again on another connection.
+    if (this.closing.has(req.socket)) return;
     const arrivedMs = this.options.nowMs();
     const controller = new AbortController();
     let disconnectedMs: number | null = null;
@@ -149,10 +154,13 @@
       // Answers are written in the order of their requests. Node stops reading a connection while
       // large answers wait to be written, and would then not notice that the caller closes it.
       await pipelineEntry.turn;
-      if (!controller.signal.aborted) this.write(req, res, outcome);
+      if (!controller.signal.aborted) this.write(req, res, outcome, pipelineEntry);
     } catch (err) {
       this.options.log.warn('callers', 'a request failed unexpectedly', { err: String(err) });
-      if (!res.headersSent) this.writeLocalReply(req, res, localReply(502, 'internal failure'));
+      if (!res.headersSent) {
+        const reply = localReply(502, 'internal failure');
+        this.writeLocalReply(req, res, reply, pipelineEntry);
+      }
     } finally {
       if (disconnectedMs !== null) this.recordDisconnect(openAnswer, disconnectedMs);
       await outgoing.waitUntilFlushed(res, controller.signal);
@@ -306,25 +314,27 @@
     req: http.IncomingMessage,
     res: http.ServerResponse,
     outcome: exchange.Outcome | LocalReply,
+    pipelineEntry: callerConnections.TrackedRequest,
   ): void {
     if (outcome.type === 'localReply') {
-      this.writeLocalReply(req, res, outcome);
+      this.writeLocalReply(req, res, outcome, pipelineEntry);
     } else if (outcome.type === 'answer') {
       const { status, headers, body } = outcome;
-      this.prepareConnection(req, res);
+      const connectionHeaders = this.prepareConnection(req, res, pipelineEntry);
       res.sendDate = false;
       res.writeHead(status, [
         ...headers,
         'Content-Length',
         String(body.length),
-        ...this.closeHeaders(),
+        ...connectionHeaders,
       ]);
       res.end(body);
     } else if (outcome.type === 'refused') {
       const { reason, retryAfterMs } = outcome;
-      this.writeLocalReply(req, res, localReply(503, `not run: ${reason}`, retryAfterMs));
+      const reply = localReply(503, `not run: ${reason}`, retryAfterMs);
+      this.writeLocalReply(req, res, reply, pipelineEntry);
     } else {
-      this.writeLocalReply(req, res, localReply(502, outcome.detail));
+      this.writeLocalReply(req, res, localReply(502, outcome.detail), pipelineEntry);
     }
   }
 
@@ -332,9 +342,10 @@
     req: http.IncomingMessage,
     res: http.ServerResponse,
     reply: LocalReply,
+    pipelineEntry: callerConnections.TrackedRequest,
   ): void {
     const { status, message, retryAfterMs } = reply;
-    this.prepareConnection(req, res);
+    const connectionHeaders = this.prepareConnection(req, res, pipelineEntry);
     const headers = [
       'Content-Type',
       'text/plain',
@@ -342,18 +353,22 @@
       String(Buffer.byteLength(message)),
     ];
     if (retryAfterMs !== undefined) headers.push('Retry-After', (retryAfterMs / 1_000).toFixed(3));
-    res.writeHead(status, [...headers, ...this.closeHeaders()]);
+    res.writeHead(status, [...headers, ...connectionHeaders]);
     res.end(message);
   }
 
-  private prepareConnection(req: http.IncomingMessage, res: http.ServerResponse): void {
+  /** @returns the headers that announce whether the connection closes after this answer */
+  private prepareConnection(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    { isLast }: callerConnections.TrackedRequest,
+  ): string[] {
+    const { socket } = req;
     // The unread rest of a body would be parsed as the next request.
     if (!req.complete) res.shouldKeepAlive = false;
-    this.answered.add(req.socket);
-  }
-
-  private closeHeaders(): string[] {
-    return this.draining ? ['Connection', 'close'] : [];
+    if (this.draining || !req.complete) this.closing.add(socket);
+    this.answered.add(socket);
+    return this.closing.has(socket) && isLast ? ['Connection', 'close'] : [];
   }
 }
 
