fix(mesh): answer the requests before a malformed one on the same connection

A caller whose connection carried a malformed request behind valid ones got `400 Bad Request` in the place of the answer to its first request, and then the connection was closed, although the valid requests had been passed on. The handler of parse errors wrote its answer at once and ended the connection. The same handler serves the timeout of slow headers.

While earlier requests are unfinished nothing is written any more; the connection closes after the last of their answers. Without such requests the malformed one is answered as before.

The test in callerServer.test.ts fails on the code before: status 400 without an id instead of 200 for the requests 1 and 2.

--- a/packages/core/src/callerConnections.ts
+++ b/packages/core/src/callerConnections.ts
@@ -58,6 +58,11 @@
     };
   }
 
+  /** Whether the connection has unfinished requests. */
+  isInUse(socket: net.Socket): boolean {
+    return (this.connections.get(socket)?.listeners.size ?? 0) > 0;
+  }
+
   /**
    * Listens on the socket itself, because only the first pending response of a connection emits
    * `close`. A half-close by the caller (`end`) counts as a disconnect: the server then closes the
--- a/packages/mesh/src/callers/__tests__/callerServer.test.ts
+++ b/packages/mesh/src/callers/__tests__/callerServer.test.ts
@@ -90,6 +90,34 @@
     });
   });
 
+  // The answer to the malformed request was written in the place of an earlier request's answer.
+  it('answers the requests before a malformed one, and closes after the last', async () => {
+    const caller = connect();
+    await pass(caller, '1', '2');
+    caller.socket.write('malformed\r\n\r\n');
+    const logged = 'callers: a connection sent a malformed request';
+    await loopback.until(() => caller.isClosed || fixture.lines.some(({ msg }) => msg === logged));
+    for (const id of ['1', '2']) fixture.upstream.releaseFirst(answer(id, Buffer.from(id)));
+    await loopback.until(() => caller.isClosed);
+    assert.deepEqual(
+      caller.answers().map(({ status, id }) => ({ status, id })),
+      [
+        { status: 200, id: '1' },
+        { status: 200, id: '2' },
+      ],
+    );
+  });
+
+  it('answers a malformed request with 400 on a connection without other requests', async () => {
+    const caller = connect();
+    caller.socket.write('malformed\r\n\r\n');
+    await loopback.until(() => caller.isClosed);
+    assert.deepEqual(
+      caller.answers().map(({ status }) => status),
+      [400],
+    );
+  });
+
   const interrupted = (closedBy: string) =>
     fixture.metrics.counter(meters.INTERRUPTED_ANSWERS, { closedBy });
 
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -26,6 +26,12 @@
 /** Retry delay stated while the process is about to exit. */
 const STOPPING_RETRY_MS = 50;
 
+/** Status lines of answers to requests that cannot be parsed. */
+const MALFORMED = {
+  headersTooLarge: '431 Request Header Fields Too Large',
+  other: '400 Bad Request',
+} as const;
+
 export interface CallerServerOptions {
   config: configHolder.ConfigHolder;
   dispatcher: dispatcher.Dispatcher;
@@ -89,18 +95,7 @@
       void this.serve(req, res);
     });
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-      this.options.log.warn('callers', 'closed a connection after a client error', {
-        code: err.code,
-      });
-      if (socket.writable && err.code === 'HPE_HEADER_OVERFLOW') {
-        socket.end(
-          'HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n',
-        );
-      } else if (socket.writable && err.code !== 'ECONNRESET') {
-        socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
-      } else {
-        socket.destroy();
-      }
+      this.handleClientError(err, socket as net.Socket);
     });
     options.config.onChange(({ cfg }) => {
       this.server.keepAliveTimeout = cfg.limits.idleTimeoutMs + TIMEOUT_SLACK_MS;
@@ -166,7 +161,25 @@
       await outgoing.waitUntilFlushed(res, controller.signal);
       pipelineEntry.end();
       this.openAnswers.delete(openAnswer);
+      if (this.closing.has(req.socket) && pipelineEntry.isLast) req.socket.destroySoon();
+    }
+  }
+
+  /** Handles malformed requests, slow headers and broken connections. */
+  private handleClientError({ code }: NodeJS.ErrnoException, socket: net.Socket): void {
+    if (this.closing.has(socket)) return;
+    if (!socket.writable || code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    this.options.log.warn('callers', 'a connection sent a malformed request', { code });
+    if (this.connections.isInUse(socket)) {
+      // Anything written now would be taken for the answer to an earlier request.
+      this.closing.add(socket);
+      return;
     }
+    const status = code === 'HPE_HEADER_OVERFLOW' ? MALFORMED.headersTooLarge : MALFORMED.other;
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
   }
 
   /** A small age means that the caller had disconnected before its request was read. */
