fix(mesh): refuse requests that arrive when a node is about to exit

A request that came in the last moments of a stop was passed on to an upstream, and its connection ended without an answer when the process exited 150 ms later. Closing the idle connections leaves those open that have had no request yet: Node counts them as active from the moment of their acceptance.

From then on requests are refused with 503, and the process waits within the grace period until these refusals have been written.

The test in callerServer.test.ts fails on the code before: the request is passed on (`2 !== 1` requests at the upstream).

--- a/packages/mesh/src/callers/__tests__/callerServer.test.ts
+++ b/packages/mesh/src/callers/__tests__/callerServer.test.ts
@@ -118,6 +118,22 @@
     );
   });
 
+  // Node does not count a connection as idle before its first request. Such a request was passed on just
+  // before the process exited.
+  it('refuses a request that arrives after the idle connections were closed', async () => {
+    const caller = connect();
+    await loopback.until(() => !caller.socket.connecting);
+    await pass(connect(), 'earlier');
+    fixture.server.closeIdle();
+    caller.send('1');
+    await loopback.until(() => caller.isClosed || fixture.upstream.received.length > 1);
+    assert.equal(fixture.upstream.received.length, 1);
+    assert.deepEqual(
+      caller.answers().map(({ status, closesConnection }) => ({ status, closesConnection })),
+      [{ status: 503, closesConnection: true }],
+    );
+  });
+
   const interrupted = (closedBy: string) =>
     fixture.metrics.counter(meters.INTERRUPTED_ANSWERS, { closedBy });
 
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -123,8 +123,13 @@
     this.refusesRequests = true;
   }
 
-  /** Accepts no new connections and closes idle ones. */
+  /**
+   * Accepts no new connections and closes idle ones. A connection that was accepted without a request stays
+   * open; its first request is refused.
+   */
   closeIdle(): void {
+    this.draining = true;
+    this.refusesRequests = true;
     this.server.close();
     this.server.closeIdleConnections();
   }
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -34,7 +34,7 @@
 /** Fraction of the grace period after which the process stops even if requests are in flight. */
 const STOP_BY_SHARE = 0.91;
 const STOP_POLL_MS = 50;
-/** Time for the last responses to be flushed from the socket buffers. */
+/** Time for the last frames and refusals to be written. */
 const FLUSH_MS = 150;
 
 export interface AgentSettings {
@@ -127,6 +127,8 @@
     peers.sendGoAway();
     callers.closeIdle();
     await backoff.sleep(FLUSH_MS);
+    const exitByMs = stopByMs + FLUSH_MS;
+    while (nowMs() < exitByMs && callers.inFlightCount > 0) await backoff.sleep(STOP_POLL_MS);
     this.abort.abort();
     if (this.timer !== null) clearInterval(this.timer);
     this.parts.watcher.stop();
