fix(mesh): wait for unsent outcomes to other nodes before a node exits

Callers got 502 for requests that had run when the node beside the upstream stopped. A request from another node counted as ended before its outcome frame had left the process, so the node exited 150 ms after the last one, with large outcomes still queued behind a slow reader or a slow link.

The stop now also waits, within the grace period, for outcomes that have not been handed to the kernel. The frame that announces the end lists these requests as well, so that they are never taken as not run, whatever the order in which frames are sent.

agentStop.test.ts fails on the code before: the other node, which reads on 4 s after the stop request, has no outcome (`outcome?.type === 'answer'` is false).

--- a/packages/mesh/src/peers/__tests__/linksUnderLoad.test.ts
+++ b/packages/mesh/src/peers/__tests__/linksUnderLoad.test.ts
@@ -179,12 +179,12 @@
     // A request that may run only once must not be reported as not run while its answer is on the way.
     it('still counts as a running request when the node stops, and is delivered', async () => {
       const { outcome } = await answerPartly();
-      assert.equal(server.runningCount, 1);
+      assert.deepEqual([server.runningCount, server.hasUnsentOutcomes], [0, true]);
       server.sendGoAway();
       relay.isPaused = false;
       const answer = await outcome;
       assert.equal(answer.type === 'answer' && answer.body.length, LARGE_BYTES);
-      assert.equal(server.runningCount, 0);
+      assert.equal(server.hasUnsentOutcomes, false);
     });
 
     it('is lost if the connection breaks', async () => {
@@ -197,8 +197,9 @@
     it('is dropped when the request is cancelled', async () => {
       const controller = new AbortController();
       const { link, outcome } = await answerPartly(controller.signal);
+      assert.equal(server.hasUnsentOutcomes, true);
       controller.abort();
-      await loopback.until(() => server.runningCount === 0);
+      await loopback.until(() => !server.hasUnsentOutcomes);
       relay.isPaused = false;
       assert.deepEqual(await outcome, exchange.lost('cancelled'));
       assert.equal((await send(link, { target: '/next' })).type, 'answer');
--- a/packages/mesh/src/peers/__tests__/peerServer.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerServer.test.ts
@@ -5,9 +5,13 @@
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as loopback from '../../__tests__/loopback.js';
 import * as networkAddress from '../../networkAddress.js';
+import * as framedConnection from '../framedConnection.js';
 import * as frames from '../frames.js';
 import * as peerServer from '../peerServer.js';
 
+/** More than the kernel buffers of both ends of a loopback connection hold. */
+const LARGE_BYTES = 16 * 1024 * 1024;
+
 function request(id: number): Buffer {
   const req = fixtures.forwardedRequest({
     requestId: ids.requestId(`q-${id}`),
@@ -61,6 +65,14 @@
     return socket;
   }
 
+  /** Reads frames like another node, which acknowledges those that come in pieces. */
+  function readFrames(socket: net.Socket): frames.Frame[] {
+    const connection = new framedConnection.FramedConnection(socket, 'b', fixtures.uplink());
+    const incoming: frames.Frame[] = [];
+    socket.on('data', (chunk: Buffer) => incoming.push(...connection.receive(chunk)));
+    return incoming;
+  }
+
   function received(): string[] {
     return destination.received.map(({ requestId }) => requestId);
   }
@@ -102,6 +114,41 @@
     assert.equal(answer.delivery.outcome.reason, 'cancelled');
   });
 
+  // A stopping node exited while outcomes were still waiting to be written.
+  it('has unsent outcomes until they have been handed to the kernel', async () => {
+    const socket = await connect();
+    readFrames(socket);
+    socket.once('data', () => socket.pause());
+    socket.write(request(1));
+    await loopback.until(() => destination.received.length === 1);
+    assert.equal(server.hasUnsentOutcomes, false);
+    const body = Buffer.alloc(LARGE_BYTES);
+    destination.release({ type: 'answer', status: 200, headers: [], body, serviceMs: 1 });
+    await loopback.until(() => socket.bytesRead > 0);
+    assert.deepEqual([server.runningCount, server.hasUnsentOutcomes], [0, true]);
+    socket.resume();
+    await loopback.until(() => !server.hasUnsentOutcomes);
+  });
+
+  // A request whose outcome comes after the frame would count as not run, and would be sent again.
+  it('lists a request with an unsent outcome when it stops accepting requests', async () => {
+    const socket = await connect();
+    const incoming = readFrames(socket);
+    socket.once('data', () => socket.pause());
+    socket.write(request(7));
+    await loopback.until(() => destination.received.length === 1);
+    const body = Buffer.alloc(LARGE_BYTES);
+    destination.release({ type: 'answer', status: 200, headers: [], body, serviceMs: 1 });
+    await loopback.until(() => socket.bytesRead > 0);
+    server.sendGoAway();
+    socket.resume();
+    await loopback.until(() => incoming.length === 2);
+    assert.deepEqual(
+      incoming.find(({ type }) => type === 'goAway'),
+      { type: 'goAway', running: [7] },
+    );
+  });
+
   // Requests of a connection that the other node had abandoned without closing it kept running.
   it('cancels the requests of an earlier connection when the node reconnects', async () => {
     const silent = await connect();
--- a/packages/mesh/src/peers/__tests__/uplinkScheduler.test.ts
+++ b/packages/mesh/src/peers/__tests__/uplinkScheduler.test.ts
@@ -21,7 +21,8 @@
   });
 
   function open(name: string): uplinkScheduler.UplinkChannel {
-    return scheduler.openChannel((frame) => {
+    return scheduler.openChannel((frame, onFlushed) => {
+      onFlushed?.();
       const label = `${name}${frame.transfer}`;
       if (frame.type === 'dropTransfer') dropped.push(label);
       else written.push(frame.last ? `${label} last` : label);
@@ -100,10 +101,10 @@
     it('reports a frame as sent with its last piece', () => {
       const a = open('a');
       let sent = 0;
-      const onSent = () => {
+      const onFlushed = () => {
         sent += 1;
       };
-      const transfer = a.enqueue(pieces(3), { onSent });
+      const transfer = a.enqueue(pieces(3), { onFlushed });
       assert.deepEqual([sent, transfer.isSent], [0, false]);
       a.acknowledge(PIECE_BYTES, 'a');
       assert.deepEqual([sent, transfer.isSent], [1, true]);
--- a/packages/mesh/src/peers/framedConnection.ts
+++ b/packages/mesh/src/peers/framedConnection.ts
@@ -25,7 +25,9 @@
   ) {
     this.splitter = new frames.FrameSplitter(peer);
     this.pieces = new reassembler.Reassembler(peer);
-    this.channel = uplink.openChannel((frame) => this.write(frames.encode(frame)));
+    this.channel = uplink.openChannel((frame, onFlushed) => {
+      this.write(frames.encode(frame), onFlushed);
+    });
   }
 
   /** Whether frames are being sent in pieces and the receiver acknowledges them. */
@@ -34,26 +36,29 @@
     return queuedBytes + outstandingBytes > 0 && !isStalled;
   }
 
+  get isWritable(): boolean {
+    return this.socket.writable;
+  }
+
   /**
-   * Sends a frame; `onSent` is called when it has been written, perhaps before this function returns.
+   * Sends a frame; `onFlushed` is called when it has been handed to the kernel completely.
    * @returns the transfer if the frame is sent in pieces
    */
-  send(frame: frames.Frame, onSent?: () => void): uplinkScheduler.Transfer | null {
-    if (this.socket.destroyed) return null;
-    return this.sendEncoded(frames.encode(frame), frame.type, onSent);
+  send(frame: frames.Frame, onFlushed?: () => void): uplinkScheduler.Transfer | null {
+    if (!this.isWritable) return null;
+    return this.sendEncoded(frames.encode(frame), frame.type, onFlushed);
   }
 
   sendEncoded(
     bytes: Buffer,
     type: frames.Frame['type'],
-    onSent?: () => void,
+    onFlushed?: () => void,
   ): uplinkScheduler.Transfer | null {
     const isOrdered = ORDERED_TYPES.has(type);
     if (bytes.length > frames.PIECE_BYTES || (isOrdered && this.channel.hasOrdered)) {
-      return this.channel.enqueue(frames.withoutLength(bytes), { isOrdered, onSent });
+      return this.channel.enqueue(frames.withoutLength(bytes), { isOrdered, onFlushed });
     }
-    this.write(bytes);
-    onSent?.();
+    this.write(bytes, onFlushed);
     return null;
   }
 
@@ -93,7 +98,7 @@
     this.socket.destroy();
   }
 
-  private write(bytes: Buffer): void {
-    if (!this.socket.destroyed) this.socket.write(bytes);
+  private write(bytes: Buffer, onFlushed?: () => void): void {
+    if (this.isWritable) this.socket.write(bytes, onFlushed);
   }
 }
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -49,7 +49,7 @@
   | { type: 'misdirected'; node: ids.NodeId }
   | { type: 'cancel'; id: number }
   | { type: 'outcome'; id: number; delivery: exchange.Delivery }
-  /** The sender accepts no more requests; those with the ids in `running` are still in progress. */
+  /** The sender accepts no more requests; an outcome follows for those with the ids in `running`. */
   | { type: 'goAway'; running: number[] }
   | { type: 'ping' }
   | { type: 'pong' }
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -28,17 +28,16 @@
   onProtocolViolation: (detail: string) => void;
 }
 
-/** A request from another node until its outcome has been written completely. */
-interface RunningRequest {
-  controller: AbortController;
-  /** The outcome while it is sent in pieces. */
-  transfer: uplinkScheduler.Transfer | null;
-}
-
 class Session implements PeerSession {
   hello: frames.Hello | null = null;
 
-  readonly running = new Map<number, RunningRequest>();
+  readonly running = new Map<number, AbortController>();
+
+  /**
+   * Ended requests whose outcome has not been handed to the kernel completely, with the transfer of an
+   * outcome that is sent in pieces.
+   */
+  readonly unsentOutcomes = new Map<number, uplinkScheduler.Transfer | null>();
 
   readonly transitDelay = new transitDelay.TransitDelay();
 
@@ -50,7 +49,7 @@
   /** Closes the connection and aborts its requests, since the other node no longer reads responses. */
   abort(): void {
     this.connection.destroy();
-    for (const { controller } of this.running.values()) controller.abort();
+    for (const controller of this.running.values()) controller.abort();
   }
 
   /** @throws protocolViolation */
@@ -63,19 +62,17 @@
   }
 
   sendOutcome(id: number, delivery: exchange.Delivery): void {
-    const onSent = () => this.running.delete(id);
-    const transfer = this.connection.send({ type: 'outcome', id, delivery }, onSent);
-    const running = this.running.get(id);
-    if (running !== undefined) running.transfer = transfer;
+    if (!this.connection.isWritable) return;
+    this.unsentOutcomes.set(id, null);
+    const onFlushed = () => this.unsentOutcomes.delete(id);
+    const transfer = this.connection.send({ type: 'outcome', id, delivery }, onFlushed);
+    if (this.unsentOutcomes.has(id)) this.unsentOutcomes.set(id, transfer);
   }
 
   /** Stops a request, or the transfer of its outcome, which the other node no longer reads. */
   cancel(id: number): void {
-    const running = this.running.get(id);
-    if (running === undefined) return;
-    if (running.transfer === null) {
-      running.controller.abort();
-    } else if (running.transfer.cancel()) {
+    this.running.get(id)?.abort();
+    if (this.unsentOutcomes.get(id)?.cancel()) {
       this.sendOutcome(id, { outcome: exchange.lost('cancelled'), report: null });
     }
   }
@@ -96,27 +93,34 @@
     return networkAddress.listen(this.server, address);
   }
 
-  /** Number of requests from other nodes in progress, including those whose outcome is being sent. */
+  /** Number of requests from other nodes in progress. */
   get runningCount(): number {
     let count = 0;
     for (const session of this.sessions) count += session.running.size;
     return count;
   }
 
+  /** Whether outcomes for other nodes have not been handed to the kernel completely. */
+  get hasUnsentOutcomes(): boolean {
+    return [...this.sessions].some((session) => session.unsentOutcomes.size > 0);
+  }
+
   /** Refuses new requests from other nodes; those in progress continue. */
   refuseNew(): void {
     this.refusesNew = true;
   }
 
   /**
-   * Stops accepting connections and tells other nodes which requests are in progress. All others have not
-   * run and will not run, so the senders do not have to count them as lost when the connections close.
+   * Stops accepting connections and tells other nodes which requests are in progress or have an outcome that
+   * is not sent yet. All others have not run and will not run, so the senders do not have to count them as
+   * lost when the connections close.
    */
   sendGoAway(): void {
     this.server.close();
     for (const session of this.sessions) {
       session.goAwaySent = true;
-      session.sendFrame({ type: 'goAway', running: [...session.running.keys()] });
+      const running = [...session.running.keys(), ...session.unsentOutcomes.keys()];
+      session.sendFrame({ type: 'goAway', running });
     }
   }
 
@@ -192,11 +196,12 @@
       return;
     }
     const controller = new AbortController();
-    session.running.set(id, { controller, transfer: null });
+    session.running.set(id, controller);
     await eventLoop.nextPoll();
     const delivery = controller.signal.aborted
       ? { outcome: exchange.cancelled(), report: null }
       : await this.options.destination.send(req, controller.signal);
+    session.running.delete(id);
     if (
       delivery.outcome.type === 'refused' &&
       exchange.STALE_STATE_REASONS.has(delivery.outcome.reason)
--- a/packages/mesh/src/peers/uplinkScheduler.ts
+++ b/packages/mesh/src/peers/uplinkScheduler.ts
@@ -17,13 +17,16 @@
 /** Busy time over which the rate of the link is averaged. */
 const RATE_WINDOW_MS = 2_000;
 
+/** Writes a frame at once; `onFlushed` is called when the kernel has it. */
+type WriteFrame = (frame: TransferFrame, onFlushed?: () => void) => void;
+
 type TransferFrame = Extract<frames.Frame, { type: 'piece' | 'dropTransfer' }>;
 
 export interface TransferOptions {
   /** Whether the frame must not overtake earlier ordered frames of its connection. */
   isOrdered?: boolean;
-  /** Called when the last piece has been written. */
-  onSent?: () => void;
+  /** Called when the last piece has been handed to the kernel. */
+  onFlushed?: () => void;
 }
 
 /** A large frame that is sent in pieces. */
@@ -80,7 +83,7 @@
 
   constructor(
     private readonly scheduler: UplinkScheduler,
-    private readonly write: (frame: TransferFrame) => void,
+    private readonly write: WriteFrame,
   ) {}
 
   get hasOrdered(): boolean {
@@ -137,7 +140,8 @@
     const start = transfer.writtenBytes;
     const bytes = transfer.message.subarray(start, start + frames.PIECE_BYTES);
     transfer.writtenBytes += bytes.length;
-    this.write({ type: 'piece', transfer: transfer.id, last: transfer.isSent, bytes });
+    const onFlushed = transfer.isSent ? transfer.options.onFlushed : undefined;
+    this.write({ type: 'piece', transfer: transfer.id, last: transfer.isSent, bytes }, onFlushed);
     return bytes.length;
   }
 
@@ -172,7 +176,7 @@
   constructor(private readonly nowMs: () => number) {}
 
   /** Registers a connection; `write` must write the frame at once. */
-  openChannel(write: (frame: TransferFrame) => void): UplinkChannel {
+  openChannel(write: WriteFrame): UplinkChannel {
     return new UplinkChannel(this, write);
   }
 
@@ -291,7 +295,6 @@
     this.queued -= bytes;
     if (transfer.isSent) {
       this.remove(transfer);
-      transfer.options.onSent?.();
     } else {
       this.ring.splice(this.ring.indexOf(transfer), 1);
       this.ring.push(transfer);
--- a/packages/mesh/src/process/__tests__/agentStop.test.ts
+++ b/packages/mesh/src/process/__tests__/agentStop.test.ts
@@ -12,7 +12,10 @@
 import type * as members from '../../membership/members.js';
 import * as networkAddress from '../../networkAddress.js';
 import * as meters from '../../observability/meters.js';
+import * as framedConnection from '../../peers/framedConnection.js';
+import * as frames from '../../peers/frames.js';
 import type * as phases from '../../rollouts/phases.js';
+import type * as exchange from '../../routing/exchange.js';
 import * as wiring from '../wiring.js';
 
 const GRACE_MS = 6_000;
@@ -131,4 +134,37 @@
       [{ id: '1', bodyBytes: callerFixtures.LARGE_BYTES }],
     );
   });
+
+  // Large outcomes were cut at the end of the stop, and the other node answered 502 for requests that had run.
+  it('delivers the outcome to another node that reads it slowly', async () => {
+    const peer = net.connect(networkAddress.parse(peerAddress));
+    sockets.push(peer);
+    const connection = new framedConnection.FramedConnection(peer, 'b', fixtures.uplink());
+    const outcomes: exchange.Outcome[] = [];
+    let isClosed = false;
+    peer.on('data', (chunk) => {
+      for (const frame of connection.receive(chunk)) {
+        if (frame.type === 'outcome') outcomes.push(frame.delivery.outcome);
+      }
+    });
+    peer.on('error', () => {
+      isClosed = true;
+    });
+    peer.on('close', () => {
+      isClosed = true;
+    });
+    peer.once('data', () => peer.pause());
+    const req = fixtures.forwardedRequest({
+      instance: ids.instanceId('i-1'),
+      headers: ['Host', 'host.example', 'X-Id', 'q'],
+      targetLeftMs: 30_000,
+      deadlineLeftMs: 30_000,
+    });
+    peer.write(frames.encode({ type: 'request', id: 1, sentMs: 0, req }));
+    await stopBefore(peer);
+    await loopback.until(() => isClosed || outcomes.length === 1);
+    const [outcome] = outcomes;
+    assert.ok(outcome?.type === 'answer');
+    assert.equal(outcome.body.length, callerFixtures.LARGE_BYTES);
+  });
 });
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -120,7 +120,7 @@
     callers.drain();
     const refuseAtMs = stopRequestedMs + settings.graceMs * REFUSE_AFTER_SHARE;
     const stopByMs = stopRequestedMs + settings.graceMs * STOP_BY_SHARE;
-    while (nowMs() < stopByMs && (callers.inFlightCount > 0 || peers.runningCount > 0)) {
+    while (nowMs() < stopByMs && (this.hasUnsentAnswers || peers.runningCount > 0)) {
       if (nowMs() > refuseAtMs) callers.refuseNew();
       await backoff.sleep(STOP_POLL_MS);
     }
@@ -128,7 +128,7 @@
     callers.closeIdle();
     await backoff.sleep(FLUSH_MS);
     const exitByMs = stopByMs + FLUSH_MS;
-    while (nowMs() < exitByMs && callers.inFlightCount > 0) await backoff.sleep(STOP_POLL_MS);
+    while (nowMs() < exitByMs && this.hasUnsentAnswers) await backoff.sleep(STOP_POLL_MS);
     this.abort.abort();
     if (this.timer !== null) clearInterval(this.timer);
     this.parts.watcher.stop();
@@ -141,6 +141,12 @@
     });
   }
 
+  /** Whether this process holds answers, or has yet to give them, that would be lost if it exited now. */
+  private get hasUnsentAnswers(): boolean {
+    const { callers, peers } = this.parts;
+    return callers.inFlightCount > 0 || peers.hasUnsentOutcomes;
+  }
+
   private review(startedMs: number): void {
     const { watcher, controller, network, nowMs } = this.parts;
     // Until the list of nodes is known, this node cannot tell whether another one watches the store.
