fix(mesh): end the connections to other nodes before closing them

Callers got 502 for requests whose outcome the stopping node had already handed to the kernel. The node closed its connections while their last bytes were on the way. Other nodes keep sending pings and updates; data that arrives at a closed socket resets the connection, and the reset discards what has not been delivered.

The test in peerServer.test.ts fails if the connections are closed at once, as before: with one ping after the close no outcome arrives (`[]`).

--- a/packages/mesh/src/peers/__tests__/peerServer.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerServer.test.ts
@@ -11,6 +11,8 @@
 
 /** More than the kernel buffers of both ends of a loopback connection hold. */
 const LARGE_BYTES = 16 * 1024 * 1024;
+/** What the kernel buffers of a loopback connection hold, but not the one of the receiver alone. */
+const BUFFERED_BYTES = 512 * 1024;
 
 function request(id: number): Buffer {
   const req = fixtures.forwardedRequest({
@@ -130,6 +132,33 @@
     await loopback.until(() => !server.hasUnsentOutcomes);
   });
 
+  // A ping that arrived at a closed connection reset it, and the rest of an outcome was lost on the way.
+  it('ends a connection without losing an outcome that the other node has not read yet', async () => {
+    const socket = await connect();
+    const splitter = new frames.FrameSplitter('b');
+    const incoming: frames.Frame[] = [];
+    socket.on('data', (chunk: Buffer) => incoming.push(...splitter.push(chunk)));
+    // A reset is told by the frames that are missing.
+    socket.on('error', () => socket.destroy());
+    socket.once('data', () => socket.pause());
+    socket.write(request(1));
+    await loopback.until(() => destination.received.length === 1);
+    const body = Buffer.alloc(BUFFERED_BYTES);
+    destination.release({ type: 'answer', status: 200, headers: [], body, serviceMs: 1 });
+    await loopback.until(() => socket.bytesRead > 0 && !server.hasUnsentOutcomes);
+    server.endSessions();
+    await new Promise((resolve) => {
+      socket.write(frames.encode({ type: 'ping' }), resolve);
+    });
+    socket.resume();
+    await loopback.until(() => socket.destroyed);
+    assert.deepEqual(
+      incoming.map(({ type }) => type),
+      ['outcome'],
+    );
+    await loopback.until(() => !server.hasOpenSessions);
+  });
+
   // A request whose outcome comes after the frame would count as not run, and would be sent again.
   it('lists a request with an unsent outcome when it stops accepting requests', async () => {
     const socket = await connect();
--- a/packages/mesh/src/peers/peerServer.ts
+++ b/packages/mesh/src/peers/peerServer.ts
@@ -46,6 +46,11 @@
 
   constructor(private readonly connection: framedConnection.FramedConnection) {}
 
+  /** Closes the connection after its last frame. */
+  end(): void {
+    this.connection.end();
+  }
+
   /** Closes the connection and aborts its requests, since the other node no longer reads responses. */
   abort(): void {
     this.connection.destroy();
@@ -124,6 +129,18 @@
     }
   }
 
+  /**
+   * Ends the connections after their last frame. The other nodes close their side when they have read
+   * everything; closing first could reset a connection and discard what is still on the way.
+   */
+  endSessions(): void {
+    for (const session of this.sessions) session.end();
+  }
+
+  get hasOpenSessions(): boolean {
+    return this.sessions.size > 0;
+  }
+
   close(): void {
     this.server.close();
     for (const session of this.sessions) session.abort();
