fix(mesh): let callers read the last answer before their connection closes

Callers that pipeline lost an answer that their node had written completely. After an answer with `Connection: close` Node closes the socket at once. A request that the caller had already sent behind it then arrived at a closed socket and reset the connection, and the reset discarded what the caller had not received yet.

The connection is now closed in one direction after its last answer, and what still arrives is read and dropped until the caller closes it too, at most 5 s. Closing the idle connections leaves it alone, and a stopping node waits for the callers up to a second, within the grace period.

The test in callerServer.test.ts fails on the code before: no answer (`[]`) instead of one of 524,288 bytes.

--- a/packages/mesh/src/callers/__tests__/callerFixtures.ts
+++ b/packages/mesh/src/callers/__tests__/callerFixtures.ts
@@ -20,6 +20,9 @@
 /** More than the kernel buffers of both ends of a loopback connection hold. */
 export const LARGE_BYTES = 16 * 1024 * 1024;
 
+/** What the kernel buffers of a loopback connection hold, but not the one of the receiver alone. */
+export const BUFFERED_BYTES = 512 * 1024;
+
 export interface CallerServerFixture {
   server: callerServer.CallerServer;
   /** Holds the requests that are passed on. */
--- a/packages/mesh/src/callers/__tests__/callerServer.test.ts
+++ b/packages/mesh/src/callers/__tests__/callerServer.test.ts
@@ -4,7 +4,7 @@
 import * as meters from '../../observability/meters.js';
 import * as callerFixtures from './callerFixtures.js';
 
-const { LARGE_BYTES, answer } = callerFixtures;
+const { BUFFERED_BYTES, LARGE_BYTES, answer } = callerFixtures;
 
 describe('CallerServer', { timeout: 30_000 }, () => {
   let fixture: callerFixtures.CallerServerFixture;
@@ -90,6 +90,30 @@
     });
   });
 
+  // The closed connection was reset by the next request, and the rest of the answer was lost on the way.
+  it('delivers an answer that closes the connection although another request follows', async () => {
+    const caller = connect();
+    await pass(caller, '1');
+    fixture.server.drain();
+    caller.pauseAtFirstData();
+    fixture.upstream.release(answer('1', Buffer.alloc(BUFFERED_BYTES)));
+    await loopback.until(() => caller.socket.bytesRead > 0 && fixture.server.inFlightCount === 0);
+    fixture.server.closeIdle();
+    await new Promise((resolve) => {
+      caller.socket.write(callerFixtures.request('2'), resolve);
+    });
+    assert.equal(fixture.server.hasEndingConnections, true);
+    caller.socket.resume();
+    await loopback.until(() => caller.isClosed);
+    assert.deepEqual(
+      caller.answers().map(({ id, bodyBytes }) => ({ id, bodyBytes })),
+      [{ id: '1', bodyBytes: BUFFERED_BYTES }],
+    );
+    caller.socket.end();
+    await loopback.until(() => !fixture.server.hasEndingConnections);
+    assert.equal(fixture.upstream.received.length, 1);
+  });
+
   // The answer to the malformed request was written in the place of an earlier request's answer.
   it('answers the requests before a malformed one, and closes after the last', async () => {
     const caller = connect();
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -19,6 +19,8 @@
 const DEFAULT_IDLE_MS = 20_000;
 /** Limit of the HTTP parser; the configured limit, which may be lower, is checked afterwards. */
 const MAX_HEADER_BYTES = 256 * 1024;
+/** Time for a caller to read its last answer and to close its connection. */
+const ENDING_TIMEOUT_MS = 5_000;
 /** Backlog of connections to accept; large, since callers may open one per request. */
 const LISTEN_BACKLOG = 1_024;
 /** Retry delay stated while there is no configuration. */
@@ -80,6 +82,11 @@
   /** Connections that close after the last request that was received so far. */
   private readonly closing = new WeakSet<net.Socket>();
 
+  private readonly sockets = new Set<net.Socket>();
+
+  /** Connections that are closed in one direction. */
+  private readonly ending = new Set<net.Socket>();
+
   /** Connections on which a request was answered. */
   private readonly answered = new WeakSet<net.Socket>();
 
@@ -91,6 +98,9 @@
       noDelay: true,
     });
     this.server.keepAliveTimeout = DEFAULT_IDLE_MS;
+    // Node's own method, which `close` calls too, would destroy connections that are ending.
+    this.server.closeIdleConnections = () => this.destroyIdle();
+    this.server.on('connection', (socket) => this.accept(socket));
     this.server.on('request', (req, res) => {
       void this.serve(req, res);
     });
@@ -113,6 +123,11 @@
     return this.openAnswers.size;
   }
 
+  /** Whether connections that this node has closed wait for their callers to close them too. */
+  get hasEndingConnections(): boolean {
+    return this.ending.size > 0;
+  }
+
   /** From now on, each answer closes its connection. */
   drain(): void {
     this.draining = true;
@@ -136,7 +151,11 @@
 
   private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     // The caller sends a request behind the last answer again on another connection.
-    if (this.closing.has(req.socket)) return;
+    if (this.closing.has(req.socket)) {
+      // Node stops reading when a request follows an unsent answer, and would miss that the caller closes.
+      setImmediate(() => req.socket.emit('drain'));
+      return;
+    }
     const arrivedMs = this.options.nowMs();
     const controller = new AbortController();
     let disconnectedMs: number | null = null;
@@ -166,7 +185,37 @@
       await outgoing.waitUntilFlushed(res, controller.signal);
       pipelineEntry.end();
       this.openAnswers.delete(openAnswer);
-      if (this.closing.has(req.socket) && pipelineEntry.isLast) req.socket.destroySoon();
+      if (this.closing.has(req.socket) && pipelineEntry.isLast) this.end(req.socket);
+    }
+  }
+
+  private accept(socket: net.Socket): void {
+    this.sockets.add(socket);
+    socket.once('close', () => {
+      this.sockets.delete(socket);
+      this.ending.delete(socket);
+    });
+    // Called by Node after the last answer on a connection.
+    socket.destroySoon = () => this.end(socket);
+  }
+
+  /**
+   * Closes the connection in one direction, and drops what still arrives until the caller has closed it too.
+   * Data that arrives at a closed socket resets the connection and discards what has not been delivered.
+   */
+  private end(socket: net.Socket): void {
+    if (socket.destroyed || this.ending.has(socket)) return;
+    this.closing.add(socket);
+    this.ending.add(socket);
+    socket.end();
+    const timer = setTimeout(() => socket.destroy(), ENDING_TIMEOUT_MS).unref();
+    socket.once('close', () => clearTimeout(timer));
+  }
+
+  private destroyIdle(): void {
+    for (const socket of this.sockets) {
+      const isIdle = this.answered.has(socket) && !this.connections.isInUse(socket);
+      if (isIdle && !this.ending.has(socket)) socket.destroy();
     }
   }
 
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -36,8 +36,8 @@
 const STOP_POLL_MS = 50;
 /** Time for the last frames and refusals to be written. */
 const FLUSH_MS = 150;
-/** Time for other nodes to read the last outcomes and to close their connections. */
-const SESSION_CLOSE_TIMEOUT_MS = 1_000;
+/** Time for callers and other nodes to read the last answers and to close their connections. */
+const CLOSE_TIMEOUT_MS = 1_000;
 
 export interface AgentSettings {
   /** Listen address for callers on this host. */
@@ -132,8 +132,10 @@
     const exitByMs = stopByMs + FLUSH_MS;
     while (nowMs() < exitByMs && this.hasUnsentAnswers) await backoff.sleep(STOP_POLL_MS);
     peers.endSessions();
-    const closeByMs = Math.min(exitByMs, nowMs() + SESSION_CLOSE_TIMEOUT_MS);
-    while (nowMs() < closeByMs && peers.hasOpenSessions) await backoff.sleep(STOP_POLL_MS);
+    const closeByMs = Math.min(exitByMs, nowMs() + CLOSE_TIMEOUT_MS);
+    while (nowMs() < closeByMs && (peers.hasOpenSessions || callers.hasEndingConnections)) {
+      await backoff.sleep(STOP_POLL_MS);
+    }
     this.abort.abort();
     if (this.timer !== null) clearInterval(this.timer);
     this.parts.watcher.stop();
