test(playground): restore the stand-in of the store from a copy

The stand-in sends Store-Era in all its answers. restore() takes it away for a moment and brings it back from a copy: the era rises by one, revisions are given out again, a new watch from a revision that it does not have gets 410. Watches that wait are cut, or go on waiting after their old revision. It returns the writes of operators that were lost, so that a test writes them again.

--- a/playground/src/usersPlatform/objectStore.ts
+++ b/playground/src/usersPlatform/objectStore.ts
@@ -2,6 +2,7 @@
 
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 
 export interface StoredObject {
   metadata: {
@@ -36,6 +37,31 @@
   setFault(fault: Fault): void;
 }
 
+/** What becomes of watches that wait while the store is restored. */
+export type WaitingWatches = 'cut' | 'kept';
+
+export interface RestoreOptions {
+  /** Age of the copy when the store goes away. */
+  copyAgeMs: number;
+  /** Time for which each request is answered with a reset. */
+  awayMs: number;
+  waitingWatches: WaitingWatches;
+}
+
+/** A write of an operator. */
+export interface OperatorWrite {
+  kind: string;
+  name: string;
+  spec: unknown;
+}
+
+/** Objects of the store as of one revision. Objects are replaced, never changed in place. */
+interface Copy {
+  atMs: number;
+  revision: number;
+  objects: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
+}
+
 /** Faults and waiting watches of the clients of one address. */
 class GateState {
   fault: Fault = 'none';
@@ -71,7 +97,7 @@
   /** Number of requests by method and kind, such as `GET config`. */
   readonly calls = new Map<string, number>();
 
-  private readonly objects = new Map<string, Map<string, StoredObject>>();
+  private objects = new Map<string, Map<string, StoredObject>>();
 
   private events: Event[] = [];
 
@@ -81,8 +107,19 @@
 
   private readonly changeListeners = new Set<() => void>();
 
+  private era = 1;
+
+  private isAway = false;
+
+  /** State before the first change and after each one, oldest first. */
+  private readonly copies: Copy[] = [this.takeCopy()];
+
+  private readonly operatorWrites: (OperatorWrite & { atMs: number })[] = [];
+
   private readonly mainGate = new GateState();
 
+  private readonly gates: GateState[] = [this.mainGate];
+
   private readonly servers: http.Server[] = [];
 
   /** Fault of the main address. */
@@ -100,6 +137,7 @@
 
   async openGate(): Promise<StoreGate> {
     const gate = new GateState();
+    this.gates.push(gate);
     const address = await this.listen(gate);
     return {
       address,
@@ -131,6 +169,7 @@
   /** Writes the spec of an object unconditionally, as an operator does. */
   write(kind: string, name: string, spec: unknown): void {
     this.put(kind, name, { spec });
+    this.operatorWrites.push({ kind, name, spec, atMs: performance.now() });
   }
 
   read(kind: string, name: string): StoredObject | undefined {
@@ -154,6 +193,28 @@
     this.mainGate.resetWatches();
   }
 
+  /**
+   * Takes the store away and brings it back from a copy. Revisions given out since the copy are given out
+   * again. @returns the writes of operators that were lost, oldest first, once the store is back
+   */
+  async restore({ copyAgeMs, awayMs, waitingWatches }: RestoreOptions): Promise<OperatorWrite[]> {
+    const copiedMs = performance.now() - copyAgeMs;
+    const copy = this.copies.findLast(({ atMs }) => atMs <= copiedMs) ?? this.copies[0]!;
+    this.isAway = true;
+    if (waitingWatches === 'cut') for (const gate of this.gates) gate.resetWatches();
+    await timers.setTimeout(awayMs);
+    this.copies.splice(this.copies.indexOf(copy) + 1);
+    const lost = this.operatorWrites.filter(({ atMs }) => atMs > copiedMs);
+    this.operatorWrites.splice(this.operatorWrites.length - lost.length);
+    this.objects = new Map([...copy.objects].map(([kind, objects]) => [kind, new Map(objects)]));
+    this.events = this.events.filter(({ revision }) => revision <= copy.revision);
+    this.revision = copy.revision;
+    this.oldestRevision = Math.min(this.oldestRevision, copy.revision);
+    this.era += 1;
+    this.isAway = false;
+    return lost.map(({ kind, name, spec }) => ({ kind, name, spec }));
+  }
+
   private async serve(
     gate: GateState,
     req: http.IncomingMessage,
@@ -162,7 +223,7 @@
     const chunks: Buffer[] = [];
     for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk);
     if (gate.fault === 'silent') return;
-    if (gate.fault === 'reset') {
+    if (gate.fault === 'reset' || this.isAway) {
       req.socket.resetAndDestroy();
       return;
     }
@@ -171,11 +232,16 @@
     const reply = gate.fault === 'busy' ? { status: 503, body: {} } : await this.answer(request);
     gate.watchSockets.delete(req.socket);
     if (req.socket.destroyed) return;
+    if (this.isAway) {
+      req.socket.resetAndDestroy();
+      return;
+    }
     if (gate.fault === 'loseAnswers') {
       req.socket.destroy();
       return;
     }
-    res.writeHead(reply.status, { 'Content-Type': 'application/json' });
+    const headers = { 'Content-Type': 'application/json', 'Store-Era': String(this.era) };
+    res.writeHead(reply.status, headers);
     res.end(JSON.stringify(reply.body));
   }
 
@@ -220,6 +286,8 @@
   private async watch(kind: string, query: URLSearchParams): Promise<Reply> {
     const since = Number(query.get('watch'));
     const deadlineMs = performance.now() + Number(query.get('wait_ms') ?? 0);
+    // A watch that was waiting during a restore goes on waiting after its revision.
+    if (since > this.revision) return { status: 410, body: {} };
     while (true) {
       if (since < this.oldestRevision) return { status: 410, body: {} };
       const events = this.watchEventsSuppressed
@@ -260,9 +328,15 @@
   private record(kind: string, object: StoredObject, deleted: boolean): void {
     if (deleted) this.revision += 1;
     this.events.push({ kind, revision: this.revision, object, deleted });
+    this.copies.push(this.takeCopy());
     this.notifyChange();
   }
 
+  private takeCopy(): Copy {
+    const objects = new Map([...this.objects].map(([kind, each]) => [kind, new Map(each)]));
+    return { atMs: performance.now(), revision: this.revision, objects };
+  }
+
   private notifyChange(): void {
     for (const listener of this.changeListeners) listener();
   }
