fix(mesh): read the store again in full when it was restored from a copy

Callers got 404 for a route that the operator had added after the store had been restored from a copy, although the store answered.

Cause: cursors of watches were bare revisions. A restored store gives revisions out again, so a watch that outlived the restore waited after a revision of the lost history, and the new version had been given a lower one. Nothing read the header Store-Era, which rises with each restore.

Fix: a position in the store is the era, then the revision. StoreEra knows the newest era seen; the client of the store reports the era of each answer there and fails answers of an older era (storeEraOutdated). On a rise the watched resources are read again. A store without the header is of era 0.

Ruled out: connections that are cut; the same test with the watches cut passed before.

The configurations of the storm test move to fixtures.ts, unchanged.

--- a/packages/core/src/failures.ts
+++ b/packages/core/src/failures.ts
@@ -31,6 +31,8 @@
   | { type: 'objectConflict'; kind: string; name: string; currentVersion: number | null }
   | { type: 'objectTooLarge'; kind: string; name: string; bytes: number; limitBytes: number }
   | { type: 'watchExpired'; since: number }
+  /** The store has since been restored from a copy; the call may have been executed before. */
+  | { type: 'storeEraOutdated'; operation: string; era: number; newestEra: number | null }
   | { type: 'hashMismatch'; expected: string; actual: string }
   | { type: 'incompleteConfiguration'; version: number; missing: string[] }
   | { type: 'olderVersion'; held: number; offered: number }
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -29,6 +29,8 @@
 export type InstanceId = Branded<string, 'InstanceId'>;
 /** Distinguishes successive runs of the same node; a later run has a higher value. */
 export type Incarnation = Branded<number, 'Incarnation'>;
+/** Rises each time the platform's store is restored from a copy; 0 for a store that has no eras. */
+export type StoreEra = Branded<number, 'StoreEra'>;
 
 export const nodeId = (value: string) => value as NodeId;
 export const regionName = (value: string) => value as RegionName;
@@ -43,6 +45,7 @@
 export const idempotencyKey = (value: string) => value as IdempotencyKey;
 export const instanceId = (value: string) => value as InstanceId;
 export const incarnation = (value: number) => value as Incarnation;
+export const storeEra = (value: number) => value as StoreEra;
 
 /** Version held by a node that has no configuration yet. */
 export const NO_CONFIG = configVersion(0);
--- a/packages/mesh/src/config/__tests__/storeWatcher.test.ts
+++ b/packages/mesh/src/config/__tests__/storeWatcher.test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
-import { failures, type ids } from '@godwittrack/core';
+import { failures, ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as loopback from '../../__tests__/loopback.js';
 import * as members from '../../membership/members.js';
@@ -21,12 +21,15 @@
 
   calls = 0;
 
+  reads = 0;
+
   private fail: ((err: Error) => void) | null = null;
 
   read(): Promise<fleetStore.ReadResult<number>> {
     this.calls += 1;
+    this.reads += 1;
     return this.accepting
-      ? Promise.resolve({ cursor: 1, value: 1 })
+      ? Promise.resolve({ cursor: { era: ids.storeEra(1), revision: 1 }, value: 1 })
       : Promise.reject(SwitchableStore.failure());
   }
 
@@ -157,6 +160,23 @@
     assert.equal(watching.hasStoreContact, false);
   });
 
+  // A watch that outlived a restore of the store waited for changes after a revision of the lost history.
+  it('reads the resources again in full on request, without waiting for the watch', async () => {
+    const store = new SwitchableStore();
+    const watching = createWatcher(first, store);
+    watching.updateRole();
+    await loopback.until(() => store.calls === 2);
+    watching.readAgain();
+    await loopback.until(() => store.reads === 2);
+    assert.equal(watching.hasStoreContact, true);
+  });
+
+  it('reads nothing again while another node watches', () => {
+    const store = new SwitchableStore();
+    createWatcher(second, store).readAgain();
+    assert.equal(store.calls, 0);
+  });
+
   it('reports contact to the store at once', async () => {
     const watching = createWatcher(first, new SwitchableStore());
     let contacts = 0;
--- a/packages/mesh/src/config/fleetStore.ts
+++ b/packages/mesh/src/config/fleetStore.ts
@@ -3,9 +3,11 @@
 import type * as configuration from './configuration.js';
 import type * as members from '../membership/members.js';
 import type * as phases from '../rollouts/phases.js';
+import type * as storeEra from './storeEra.js';
+import type * as storePosition from './storePosition.js';
 
-/** Revision of the store up to which a resource was read; watches continue from there. */
-export type Cursor = number;
+/** Position in the store up to which a resource was read; watches continue from there. */
+export type Cursor = storePosition.StorePosition;
 
 export interface ReadResult<T> {
   cursor: Cursor;
@@ -17,15 +19,21 @@
 export abstract class Watchable<T> {
   abstract read(signal: AbortSignal): Promise<ReadResult<T>>;
 
-  /** Waits up to `waitMs` for a change after `cursor`; the value is null if there was none. */
+  /**
+   * Waits up to `waitMs` for a change after `cursor`; the value is null if there was none. Fails with
+   * `watchExpired` if the store has lost the history since `cursor` or is of another era.
+   */
   abstract watch(cursor: Cursor, waitMs: number, signal: AbortSignal): Promise<ReadResult<T>>;
 }
 
 /**
- * Calls fail with `platformUnavailable`, `platformOverloaded` or `watchExpired`. The adapter logs objects
- * that cannot be decoded and leaves them out.
+ * Calls fail with `platformUnavailable`, `platformOverloaded`, `watchExpired` or `storeEraOutdated`. The
+ * adapter logs objects that cannot be decoded and leaves them out.
  */
 export abstract class FleetStore {
+  /** The adapter reports the era of each answer here, and fails answers of older eras. */
+  abstract readonly era: storeEra.StoreEra;
+
   abstract readonly configuration: Watchable<configuration.Configuration>;
 
   abstract readonly rollouts: Watchable<phases.RolloutRecord[]>;
--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -148,8 +148,15 @@
     else this.stop();
   }
 
+  /** Reads the watched resources again in full, since the store no longer holds what was read from it. */
+  readAgain(): void {
+    if (!this.watching) return;
+    this.abortLoops();
+    this.start();
+  }
+
   stop(): void {
-    for (const loop of this.watchLoops.splice(0)) loop.abort();
+    this.abortLoops();
     this.failing.clear();
     this.watching = false;
   }
@@ -171,6 +178,10 @@
     return now - Math.max(this.firstReviewMs, ...beaconsMs) < turnMs;
   }
 
+  private abortLoops(): void {
+    for (const loop of this.watchLoops.splice(0)) loop.abort();
+  }
+
   private start(): void {
     for (const resource of this.resources) {
       const controller = new AbortController();
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -27,6 +27,7 @@
 export const LINKS_LOST = 'godwittrack_links_lost_total';
 export const EVENT_LOOP_LAG_SECONDS = 'godwittrack_event_loop_lag_seconds';
 export const STORE_WATCHED = 'godwittrack_store_watched';
+export const STORE_ERA = 'godwittrack_store_era';
 export const UPSTREAM_LIMIT = 'godwittrack_upstream_limit';
 export const UPSTREAM_LOAD = 'godwittrack_upstream_load';
 
@@ -63,6 +64,8 @@
   [EVENT_LOOP_LAG_SECONDS]:
     'Highest delay of the periodic timer over its due time in the last one to two seconds.',
   [STORE_WATCHED]: 'Whether this node watches the store and is answered: 1 or 0.',
+  [STORE_ERA]:
+    'Newest era of the store that is known; it rises when the store is restored from a copy.',
   [UPSTREAM_LIMIT]:
     'Requests per second that the upstream on this host takes by its own statement; 0 without a limit.',
   [UPSTREAM_LOAD]: 'Requests running or waiting at the upstream on this host.',
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -164,6 +164,7 @@
 
   private subscribe(): void {
     const { upstream, network, config, rollouts, watcher, evidence: recorder, log } = this.parts;
+    const { store } = this.parts;
     let previousState: members.UpstreamState | null = null;
     upstream.onChange((state) => {
       log.info('upstream', 'upstream state changed', { ...state });
@@ -188,6 +189,7 @@
       network.broadcast({ type: 'rollouts', states: [state] }, propagation.scopeOf(origin));
     });
     watcher.onContact(() => this.sendBeacon());
+    store.era.onRise(() => watcher.readAgain());
     recorder.onFailureThreshold((state, reason) => {
       rollouts.advance(state.service, state.version, 'rolledBack', reason);
     });
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -163,6 +163,7 @@
   metricsRegistry.gauge(meters.LINKS_OPEN, () => network.openLinks);
   metricsRegistry.gauge(meters.EVENT_LOOP_LAG_SECONDS, () => eventLoopLag.highestMs / 1_000);
   metricsRegistry.gauge(meters.STORE_WATCHED, () => Number(watcher.hasStoreContact));
+  metricsRegistry.gauge(meters.STORE_ERA, () => platform.store.era.current ?? 0);
   metricsRegistry.gauge(meters.UPSTREAM_LIMIT, () => upstream.limitPerSecond ?? 0);
   metricsRegistry.gauge(meters.UPSTREAM_LOAD, () => local.load);
   rollouts.onChange(({ phase }) => metricsRegistry.increment(meters.ROLLOUT_PHASES, { phase }));
--- a/playground/src/usersPlatform/__tests__/configurationStorm.test.ts
+++ b/playground/src/usersPlatform/__tests__/configurationStorm.test.ts
@@ -15,11 +15,7 @@
 /** Versions come at intervals between these, shorter than the delay of requests to other domains. */
 const MIN_INTERVAL_MS = 200;
 const MAX_INTERVAL_MS = 300;
-/** Time from the write of a version until every node in touch with the store must serve it. */
-const CONFIG_APPLY_MS = 2_000;
 const FAULTS: objectStore.Fault[] = ['busy', 'reset', 'silent'];
-/** Routes in a configuration; the one of each version is removed after that many versions. */
-const ROUTES = 24;
 const PAUSE_MS = 700;
 
 interface StormHost {
@@ -29,20 +25,12 @@
   servedSinceMs: number;
 }
 
-function configurationOf(version: number): object {
-  const routes: Record<string, object> = {};
-  for (let each = Math.max(1, version - ROUTES + 1); each <= version; each += 1) {
-    routes[`r-${each}`] = fixtures.route(`/v${each}/`);
-  }
-  return fixtures.configurationOf(version, routes);
-}
-
 /** Plays one storm. @returns what was not served in time */
 async function playStorm(seed: number): Promise<string[]> {
   const rng = new random.Random(seed);
   const store = new objectStore.ObjectStoreStandIn();
   await store.start();
-  store.write('config', 'main', configurationOf(1));
+  store.write('config', 'main', fixtures.versionWithRoutes(1));
   const hosts: StormHost[] = [];
   for (const zone of ZONES) {
     for (let i = 0; i < HOSTS_PER_ZONE; i += 1) {
@@ -53,7 +41,7 @@
     }
   }
   const serves = async ({ host }: StormHost, version: number) => {
-    const { status } = await fleet.call(host, `/v${version}/`);
+    const { status } = await fleet.call(host, fixtures.pathOfVersion(version));
     return status !== 404;
   };
   await wait.waitFor('each node serves', async () => {
@@ -65,7 +53,7 @@
   const checks: Promise<void>[] = [];
   const endMs = performance.now() + STORM_MS;
   const checkLater = async (version: number) => {
-    await timers.setTimeout(CONFIG_APPLY_MS);
+    await timers.setTimeout(fixtures.CONFIG_APPLY_MS);
     const now = performance.now();
     const inTouch = hosts.filter(
       ({ servedSinceMs }) => now - servedSinceMs > fixtures.STABLE_WINDOW_MS,
@@ -98,7 +86,7 @@
   };
   const disturbing = disturb();
   for (let version = 2; performance.now() < endMs; version += 1) {
-    store.write('config', 'main', configurationOf(version));
+    store.write('config', 'main', fixtures.versionWithRoutes(version));
     checks.push(checkLater(version));
     await timers.setTimeout(rng.integer(MIN_INTERVAL_MS, MAX_INTERVAL_MS));
   }
--- a/playground/src/usersPlatform/__tests__/fixtures.ts
+++ b/playground/src/usersPlatform/__tests__/fixtures.ts
@@ -4,6 +4,8 @@
 
 /** Time after which a change must be kept or a node counts as in touch (`stable_window_ms`). */
 export const STABLE_WINDOW_MS = 3_000;
+/** Time from the write of a version until every node in touch with the store must serve it. */
+export const CONFIG_APPLY_MS = 2_000;
 /** Span in which the requests of a limited server are counted. */
 export const COUNTED_MS = 4_000;
 
@@ -43,6 +45,20 @@
   };
 }
 
+/** A configuration that adds a route of its own to those of the versions before it. */
+export function versionWithRoutes(version: number, routeCount = 24): object {
+  const routes: Record<string, object> = {};
+  for (let each = Math.max(1, version - routeCount + 1); each <= version; each += 1) {
+    routes[`r-${each}`] = route(pathOfVersion(each));
+  }
+  return configurationOf(version, routes);
+}
+
+/** Path of the route that a version of `versionWithRoutes` adds. */
+export function pathOfVersion(version: number): string {
+  return `/v${version}/`;
+}
+
 /** Seeds of a soak: `NAME_SEEDS` of them from `NAME_FIRST_SEED` on, if these variables are set. */
 export function seedsOf(name: string, count: number): number[] {
   const length = Number(process.env[`${name}_SEEDS`] ?? count);
--- /dev/null
+++ b/playground/src/usersPlatform/__tests__/restoredStore.test.ts
@@ -0,0 +1,100 @@
+import * as assert from 'node:assert/strict';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import * as timers from 'node:timers/promises';
+import * as wait from '../../harness/wait.js';
+import * as fleet from '../fleet.js';
+import * as objectStore from '../objectStore.js';
+import * as fixtures from './fixtures.js';
+
+const AWAY_MS = 300;
+/** Time until the operator writes again what a restored store has lost. */
+const REWRITE_AFTER_MS = 1_000;
+/** Longest wait of one watch for the configuration, after which a watch that survived ends. */
+const CONFIG_WATCH_MS = 4_000;
+
+describe('a store restored from a copy', { timeout: 120_000 }, () => {
+  let store: objectStore.ObjectStoreStandIn;
+  let address: string;
+  let hosts: fleet.Host[];
+  let copiedMs: number;
+
+  beforeEach(async () => {
+    store = new objectStore.ObjectStoreStandIn();
+    address = await store.start();
+    store.write('config', 'main', fixtures.versionWithRoutes(1));
+    hosts = [];
+  });
+
+  afterEach(async () => {
+    await Promise.all(hosts.map((host) => host.stop()));
+    store.stop();
+  });
+
+  async function start(
+    name: string,
+    zone: string,
+    options: Partial<fleet.HostOptions> = {},
+  ): Promise<fleet.Host> {
+    const host = await fleet.startHost(address, { name, zone, service: 'shop', ...options });
+    hosts.push(host);
+    return host;
+  }
+
+  /** The store will be restored from a copy of this moment. */
+  function markCopy(): void {
+    copiedMs = performance.now();
+  }
+
+  function restore(
+    waitingWatches: objectStore.WaitingWatches = 'cut',
+  ): Promise<objectStore.OperatorWrite[]> {
+    const copyAgeMs = performance.now() - copiedMs;
+    return store.restore({ copyAgeMs, awayMs: AWAY_MS, waitingWatches });
+  }
+
+  function writeAgain(lost: readonly objectStore.OperatorWrite[]): void {
+    for (const { kind, name, spec } of lost) store.write(kind, name, spec);
+  }
+
+  function writeVersion(version: number): void {
+    store.write('config', 'main', fixtures.versionWithRoutes(version));
+  }
+
+  async function serves(host: fleet.Host, version: number): Promise<boolean> {
+    const { status } = await fleet.call(host, fixtures.pathOfVersion(version));
+    return status === 200;
+  }
+
+  async function allServe(version: number, timeoutMs?: number): Promise<void> {
+    const description = `version ${version} is served everywhere`;
+    await wait.waitFor(
+      description,
+      async () => (await Promise.all(hosts.map((host) => serves(host, version)))).every(Boolean),
+      timeoutMs,
+    );
+  }
+
+  describe('and a configuration written after that', () => {
+    // A watch that outlived the restore went on waiting after its old revision. The new version had been
+    // given a lower one, so its routes answered 404 until the version after it.
+    for (const [waitingWatches, inForceMs] of [
+      ['cut', fixtures.CONFIG_APPLY_MS],
+      ['kept', CONFIG_WATCH_MS + fixtures.CONFIG_APPLY_MS],
+    ] as const) {
+      it(`is in force in time with the waiting watches ${waitingWatches}`, async () => {
+        await start('a-1', 'z-a');
+        await start('b-1', 'z-b');
+        await allServe(1);
+        markCopy();
+        for (const version of [2, 3, 4]) writeVersion(version);
+        await allServe(4);
+        const lost = await restore(waitingWatches);
+        await timers.setTimeout(REWRITE_AFTER_MS);
+        writeAgain(lost.slice(-1));
+        writeVersion(5);
+        await allServe(5, inForceMs);
+        await allServe(4, 0);
+      });
+    }
+  });
+});
--- a/playground/src/usersPlatform/fleet.ts
+++ b/playground/src/usersPlatform/fleet.ts
@@ -1,7 +1,7 @@
 /** Starts mesh nodes with stand-ins for their application servers and the users' object store. */
 
 import * as http from 'node:http';
-import { meters, networkAddress, wiring } from '@godwittrack/mesh';
+import { meters, networkAddress, storeEra, wiring } from '@godwittrack/mesh';
 import {
   controlServer,
   headers,
@@ -56,8 +56,9 @@
   });
   const metrics = meters.createMetrics();
   const log = wiring.createLog(name, metrics);
-  const client = new objectClient.ObjectClient(storeAddress, metrics);
-  const store = new objectFleetStore.ObjectFleetStore(client, log, metrics);
+  const era = new storeEra.StoreEra(log);
+  const client = new objectClient.ObjectClient(storeAddress, metrics, era);
+  const store = new objectFleetStore.ObjectFleetStore(client, era, log, metrics);
   const codec = new headers.PlatformHeaderCodec();
   const mesh = wiring.createMeshNode(resolved.mesh, { store, codec }, log, metrics);
   const listeners = new controlServer.ControlServer(mesh);
