fix(mesh): rank rollout orders by the era of the store, then the revision

An order that an operator gave after the store had been restored from a copy was held for good: no traffic for its version, no status.

Cause: orders of a service were ranked by the revision alone. The restored store gives revisions out again, so the new order had a lower one than the order that the nodes remembered.

Fix: RolloutRecord and RolloutState carry a position of the store, so an order of a newer era comes after all older ones. An order that is given again with a known target keeps its phase: a version that was rolled back gets no traffic. On the wire the era is a further field; states of nodes that send none are of era 0.

Until the operator has written again, an order in the copy that had been replaced counts as the newest; it has traffic where it has upstreams.

The tests of the rollout table name positions instead of revisions; the one that merges states in any order draws eras too.

--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -1,8 +1,10 @@
 import * as assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { failures } from '@godwittrack/core';
+import * as msgpack from '@msgpack/msgpack';
+import { failures, ids } from '@godwittrack/core';
 import * as fc from 'fast-check';
 import * as fixtures from '../../__tests__/fixtures.js';
+import type * as phases from '../../rollouts/phases.js';
 import * as frames from '../frames.js';
 
 const REQUEST: frames.Frame = {
@@ -16,6 +18,15 @@
   }),
 };
 
+const ROLLOUT: phases.RolloutState = {
+  service: ids.serviceName('shop'),
+  target: ids.versionName('v2'),
+  durationMs: 9_000,
+  phase: 'canary',
+  orderPosition: { era: ids.storeEra(2), revision: 16 },
+  reason: null,
+};
+
 const FRAMES: frames.Frame[] = [
   REQUEST,
   {
@@ -24,6 +35,13 @@
   },
   { type: 'ping' },
   { type: 'cancel', id: 7 },
+  { type: 'rollouts', states: [ROLLOUT] },
+  {
+    type: 'stateSummary',
+    configVersion: 4,
+    rollouts: [ROLLOUT],
+    rolloutsKnown: true,
+  },
   { type: 'configFull', cfg: fixtures.configurationOf(3, [fixtures.route('r')]) },
   {
     type: 'outcome',
@@ -71,6 +89,19 @@
     );
   });
 
+  it('of a release that knows no eras have rollouts of era 0', () => {
+    const { orderPosition, ...state } = ROLLOUT;
+    const packed = { states: [{ ...state, orderRevision: 16 }] };
+    const framed = frames.encode({ type: 'rollouts', states: [] });
+    const [code] = msgpack.decode(framed.subarray(4)) as [number];
+    const message = msgpack.encode([code, packed]);
+    const length = Buffer.alloc(4);
+    length.writeUInt32BE(message.length);
+    const read = new frames.FrameSplitter('peer').push(Buffer.concat([length, message]));
+    const expected = { ...state, orderPosition: { era: 0, revision: orderPosition.revision } };
+    assert.deepEqual(read, [{ type: 'rollouts', states: [expected] }]);
+  });
+
   it('of random bytes fail with a protocol violation and nothing else', () => {
     fc.assert(
       fc.property(fc.uint8Array({ maxLength: 200 }), (noise) => {
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -5,7 +5,7 @@
  */
 
 import * as msgpack from '@msgpack/msgpack';
-import { failures, type ids } from '@godwittrack/core';
+import { failures, ids } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
 import type * as members from '../membership/members.js';
 import type * as memberGossip from '../membership/memberGossip.js';
@@ -135,6 +135,13 @@
       return [code, frame.bytes];
     case 'dropTransfer':
       return [code, frame.transfer];
+    case 'rollouts':
+      return [code, { states: frame.states.map(packRollout) }];
+    case 'hello':
+    case 'stateSummary': {
+      const { type, ...fields } = frame;
+      return [code, { ...fields, rollouts: frame.rollouts.map(packRollout) }];
+    }
     default: {
       const { type, ...fields } = frame;
       return [code, fields];
@@ -157,7 +164,11 @@
     if (type === 'pieceAck') return { type, bytes: toCount(first) };
     if (type === 'dropTransfer') return { type, transfer: toCount(first) };
     if (type === undefined) throw new Error(`type code ${code}`);
-    return { type, ...(first as object) } as Frame;
+    const fields = { type, ...(first as object) } as Frame;
+    if (fields.type === 'rollouts') return { ...fields, states: unpackRollouts(fields.states) };
+    if (fields.type === 'hello' || fields.type === 'stateSummary')
+      return { ...fields, rollouts: unpackRollouts(fields.rollouts) };
+    return fields;
   } catch (err) {
     throw failures.toError({ type: 'protocolViolation', peer, detail: String(err) });
   }
@@ -201,6 +212,23 @@
   return { node, address, domain, region, sequence, upstream } as members.Member;
 }
 
+/** Nodes of earlier releases know the revision of an order only, and send no era. */
+type PackedRollout = Omit<phases.RolloutState, 'orderPosition'> & {
+  orderRevision: number;
+  orderEra?: ids.StoreEra;
+};
+
+function packRollout({ orderPosition, ...state }: phases.RolloutState): PackedRollout {
+  return { ...state, orderRevision: orderPosition.revision, orderEra: orderPosition.era };
+}
+
+function unpackRollouts(states: unknown): phases.RolloutState[] {
+  return (states as PackedRollout[]).map(({ orderRevision, orderEra, ...state }) => ({
+    ...state,
+    orderPosition: { era: orderEra ?? ids.storeEra(0), revision: orderRevision },
+  }));
+}
+
 function packRequest(req: exchange.ForwardedRequest): unknown[] {
   return [
     req.requestId,
--- a/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
+++ b/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
@@ -3,6 +3,7 @@
 import { ids } from '@godwittrack/core';
 import * as fc from 'fast-check';
 import * as fixtures from '../../__tests__/fixtures.js';
+import * as storePosition from '../../config/storePosition.js';
 import * as evidence from '../evidence.js';
 import * as phases from '../phases.js';
 import * as rolloutTable from '../rolloutTable.js';
@@ -16,14 +17,18 @@
   return new rolloutTable.RolloutTable(fixtures.silentLog(), () => 0);
 }
 
+function at(revision: number, era = 1): storePosition.StorePosition {
+  return { era: ids.storeEra(era), revision };
+}
+
 function stateOf(overrides: Partial<phases.RolloutState>): phases.RolloutState {
-  return { ...ORDER, phase: 'held', orderRevision: 1, reason: null, ...overrides };
+  return { ...ORDER, phase: 'held', orderPosition: at(1), reason: null, ...overrides };
 }
 
 describe('RolloutTable', () => {
   it('gives an ordered version no traffic before its first phase', () => {
     const subject = createTable();
-    subject.applyRecord({ ...ORDER, recorded: null, revision: 1 });
+    subject.applyRecord({ ...ORDER, recorded: null, position: at(1) });
     assert.deepEqual(subject.trafficSplit('shop'), { target: 'v2', share: 0 });
   });
 
@@ -44,9 +49,14 @@
 
   it('never serves a version again that was rolled back, also after a newer order', () => {
     const subject = createTable();
-    subject.applyRecord({ ...ORDER, recorded: null, revision: 1 });
+    subject.applyRecord({ ...ORDER, recorded: null, position: at(1) });
     subject.advance(SHOP, V2, 'rolledBack', 'failures');
-    subject.applyRecord({ ...ORDER, target: ids.versionName('v3'), recorded: null, revision: 2 });
+    subject.applyRecord({
+      ...ORDER,
+      target: ids.versionName('v3'),
+      recorded: null,
+      position: at(2),
+    });
     assert.equal(subject.mayServe('shop', 'v2'), false);
     assert.equal(subject.trafficSplit('shop').target, 'v3');
   });
@@ -54,7 +64,7 @@
   it('prefers the final record of the store to the phase that a node decided', () => {
     const subject = createTable();
     subject.merge([stateOf({ phase: 'rolledBack', reason: 'failures' })], 'domain');
-    subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 3 });
+    subject.applyRecord({ ...ORDER, recorded: 'completed', position: at(3) });
     assert.equal(subject.mayServe('shop', 'v2'), true);
   });
 
@@ -65,54 +75,80 @@
     // then served the version before it.
     it('keeps the newer order when a state of an older one arrives later', () => {
       const subject = createTable();
-      subject.applyRecord({ ...ORDER, target: V3, recorded: 'completed', revision: 9 });
-      const older = stateOf({ phase: 'rolledBack', orderRevision: 7, reason: 'failures' });
+      subject.applyRecord({ ...ORDER, target: V3, recorded: 'completed', position: at(9) });
+      const older = stateOf({ phase: 'rolledBack', orderPosition: at(7), reason: 'failures' });
       subject.merge([older], 'remote');
       assert.deepEqual(subject.trafficSplit('shop'), { target: 'v3', share: 1 });
     });
 
     it('follows a version that is ordered again', () => {
       const subject = createTable();
-      subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 2 });
-      subject.applyRecord({ ...ORDER, target: V3, recorded: 'completed', revision: 5 });
-      subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 8 });
+      subject.applyRecord({ ...ORDER, recorded: 'completed', position: at(2) });
+      subject.applyRecord({ ...ORDER, target: V3, recorded: 'completed', position: at(5) });
+      subject.applyRecord({ ...ORDER, recorded: 'completed', position: at(8) });
       assert.equal(subject.trafficSplit('shop').target, 'v2');
     });
 
+    // A store restored from a copy gives out revisions again; an order given after that stayed behind the
+    // one before for good, since its revision was lower.
+    it('follows an order given after the store was restored, whatever its revision', () => {
+      const subject = createTable();
+      subject.applyRecord({ ...ORDER, recorded: 'running', position: at(21, 1) });
+      subject.applyRecord({ ...ORDER, target: V3, recorded: null, position: at(16, 2) });
+      assert.equal(subject.trafficSplit('shop').target, 'v3');
+      const late = stateOf({ phase: 'canary', orderPosition: at(22, 1) });
+      subject.merge([late], 'remote');
+      assert.equal(subject.trafficSplit('shop').target, 'v3');
+    });
+
+    it('keeps the phase of an order that is given again after the store was restored', () => {
+      const subject = createTable();
+      subject.applyRecord({ ...ORDER, recorded: null, position: at(9, 1) });
+      subject.advance(SHOP, V2, 'rolledBack', 'failures');
+      subject.applyRecord({ ...ORDER, recorded: null, position: at(6, 2) });
+      assert.equal(subject.mayServe('shop', 'v2'), false);
+      assert.equal(subject.trafficSplit('shop').share, 0);
+    });
+
     it('tells listeners when another order becomes the newest without a new phase', () => {
       const subject = createTable();
-      subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 2 });
-      subject.applyRecord({ ...ORDER, target: V3, recorded: 'completed', revision: 5 });
+      subject.applyRecord({ ...ORDER, recorded: 'completed', position: at(2) });
+      subject.applyRecord({ ...ORDER, target: V3, recorded: 'completed', position: at(5) });
       const targets: string[] = [];
       subject.onChange(({ target }) => targets.push(target));
-      subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 8 });
-      subject.applyRecord({ ...ORDER, recorded: 'completed', revision: 9 });
+      subject.applyRecord({ ...ORDER, recorded: 'completed', position: at(8) });
+      subject.applyRecord({ ...ORDER, recorded: 'completed', position: at(9) });
       assert.deepEqual(targets, ['v2']);
     });
 
     it('has the same newest order in whatever order states arrive', () => {
       const arrival = fc.record({
         target: fc.constantFrom('v2', 'v3', 'v4'),
-        orderRevision: fc.integer({ min: 1, max: 20 }),
+        orderPosition: fc.record({
+          era: fc.integer({ min: 0, max: 2 }).map(ids.storeEra),
+          revision: fc.integer({ min: 1, max: 20 }),
+        }),
       });
       // An order has one target, so a revision belongs to one.
       const arrivals = fc.uniqueArray(arrival, {
         minLength: 1,
         maxLength: 6,
-        selector: ({ orderRevision }) => orderRevision,
+        selector: ({ orderPosition }) => `${orderPosition.era}.${orderPosition.revision}`,
       });
       fc.assert(
         fc.property(arrivals, (received) => {
           const subject = createTable();
-          for (const { target, orderRevision } of received) {
+          for (const { target, orderPosition } of received) {
             const state = {
               target: ids.versionName(target),
               phase: 'completed' as const,
-              orderRevision,
+              orderPosition,
             };
             subject.merge([stateOf(state)], 'remote');
           }
-          const newest = received.reduce((a, b) => (a.orderRevision > b.orderRevision ? a : b));
+          const newest = received.reduce((a, b) =>
+            storePosition.compare(a.orderPosition, b.orderPosition) > 0 ? a : b,
+          );
           assert.equal(subject.trafficSplit('shop').target, newest.target);
         }),
       );
--- a/packages/mesh/src/rollouts/phases.ts
+++ b/packages/mesh/src/rollouts/phases.ts
@@ -4,6 +4,7 @@
  */
 
 import type { ids } from '@godwittrack/core';
+import type * as storePosition from '../config/storePosition.js';
 
 export const PHASES = ['held', 'canary', 'pulse', 'full', 'completed', 'rolledBack'] as const;
 export type Phase = (typeof PHASES)[number];
@@ -23,17 +24,17 @@
 export interface RolloutRecord extends RolloutOrder {
   /** Null until a phase has been recorded for this target. */
   recorded: RecordedPhase | null;
-  /** Revision of the stored object; the next update is conditional on it. */
-  revision: number;
+  /** Position of the last change of the stored object; the next update is conditional on it. */
+  position: storePosition.StorePosition;
 }
 
 export interface RolloutState extends RolloutOrder {
   phase: Phase;
   /**
-   * A revision of the stored order. Each service has one stored order, so of two rollouts of a
-   * service the newer one has the higher revision.
+   * A position of the stored order. Each service has one stored order, so of two rollouts of a
+   * service the newer one has the later position.
    */
-  orderRevision: number;
+  orderPosition: storePosition.StorePosition;
   /** Why the version was rolled back; null in all other phases. */
   reason: string | null;
 }
--- a/packages/mesh/src/rollouts/rolloutTable.ts
+++ b/packages/mesh/src/rollouts/rolloutTable.ts
@@ -5,6 +5,7 @@
 
 import type { ids } from '@godwittrack/core';
 import type * as propagation from '../config/propagation.js';
+import * as storePosition from '../config/storePosition.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as phases from './phases.js';
 
@@ -59,7 +60,7 @@
     for (const entry of this.rollouts.values()) {
       if (
         entry.state.service === service &&
-        (newest === null || entry.state.orderRevision > newest.state.orderRevision)
+        (newest === null || isLaterOrder(entry.state, newest.state))
       ) {
         newest = entry;
       }
@@ -71,8 +72,8 @@
   applyRecord(record: phases.RolloutRecord): void {
     const phase =
       record.recorded === null || record.recorded === 'running' ? 'held' : record.recorded;
-    const { service, target, durationMs, revision: orderRevision } = record;
-    this.apply({ service, target, durationMs, phase, orderRevision, reason: null }, 'store');
+    const { service, target, durationMs, position: orderPosition } = record;
+    this.apply({ service, target, durationMs, phase, orderPosition, reason: null }, 'store');
   }
 
   merge(states: readonly phases.RolloutState[], origin: propagation.Origin): void {
@@ -118,14 +119,14 @@
     const { state: current } = entry;
     const phase = mergePhases(current.phase, next.phase, origin === 'store');
     const isNewPhase = phase !== current.phase;
-    const isLaterOrder = next.orderRevision > current.orderRevision;
-    if (!isNewPhase && !isLaterOrder) return;
+    const isLater = isLaterOrder(next, current);
+    if (!isNewPhase && !isLater) return;
     const newestBefore = this.newest(next.service);
     entry.state = {
       ...current,
       phase,
       reason: isNewPhase ? next.reason : current.reason,
-      orderRevision: isLaterOrder ? next.orderRevision : current.orderRevision,
+      orderPosition: isLater ? next.orderPosition : current.orderPosition,
     };
     if (isNewPhase || this.newest(next.service) !== newestBefore) this.notify(entry.state, origin);
   }
@@ -136,6 +137,10 @@
   }
 }
 
+function isLaterOrder(a: phases.RolloutState, b: phases.RolloutState): boolean {
+  return storePosition.compare(a.orderPosition, b.orderPosition) > 0;
+}
+
 /** Keeps a final phase, except that a final phase from the store replaces one that nodes decided. */
 function mergePhases(current: phases.Phase, next: phases.Phase, fromStore: boolean): phases.Phase {
   if (phases.isFinal(current)) return fromStore && phases.isFinal(next) ? next : current;
--- a/playground/src/usersPlatform/__tests__/restoredStore.test.ts
+++ b/playground/src/usersPlatform/__tests__/restoredStore.test.ts
@@ -74,6 +74,9 @@
     );
   }
 
+  const rolloutStatus = () =>
+    store.read('rollouts', 'shop')?.status as { state: string; target_version: string } | null;
+
   describe('and a configuration written after that', () => {
     // A watch that outlived the restore went on waiting after its old revision. The new version had been
     // given a lower one, so its routes answered 404 until the version after it.
@@ -97,4 +100,36 @@
       });
     }
   });
+
+  describe('and a rollout', () => {
+    const order = (target: string) => ({
+      service: 'shop',
+      target_version: target,
+      duration_s: 4,
+    });
+
+    // The revision of the new order was lower than that of the order before the restore, so it was held
+    // for good.
+    it('carries out an order given after that', async () => {
+      const stable = await start('a-1', 'z-a');
+      await allServe(1);
+      markCopy();
+      for (const version of [2, 3, 4]) writeVersion(version);
+      store.write('rollouts', 'shop', order('v2'));
+      await wait.waitFor('the first order is running', () => rolloutStatus()?.state === 'running');
+      const lost = await restore();
+      writeAgain(lost.filter(({ kind }) => kind === 'config').slice(-1));
+      store.write('rollouts', 'shop', order('v3'));
+      await start('b-1', 'z-b', { version: 'v3' });
+      await wait.waitFor(
+        'the second order is completed',
+        async () => {
+          await fleet.call(stable, fixtures.pathOfVersion(1));
+          return rolloutStatus()?.state === 'completed';
+        },
+        30_000,
+      );
+      assert.equal(rolloutStatus()!.target_version, 'v3');
+    });
+  });
 });
