fix(mesh): record a rollout's phase again on an order that is given again

An operator who wrote an order again after the store had been restored from a copy waited for its verdict for good.

Cause: the leader of a rollout remembered a phase as recorded, whatever became of the stored order, and took a missing order as recorded too. A completed phase was never written again at all. The write is conditional on a revision, which after a restore can belong to another change.

Fix: a phase counts as recorded for the position of the order to which it was written. A later position of the order, also one of a newer era, makes the leader read and record again; the table tells the other nodes when the order was read in a newer era, since the leader need not watch the store. A write that is answered in another era than that of the order is not counted, and the order is read again. A completed phase is recorded again only after the version has been the newest, without traffic to others, for as long as before its first record: at "completed" the other servers stop. For the same reason the time in the full phase counts from when the order is the newest.

Evidence: "records a verdict again on an order that is given again" failed on the code before: "timed out after 10000 ms: the verdict is recorded again".

--- a/packages/mesh/src/config/fleetStore.ts
+++ b/packages/mesh/src/config/fleetStore.ts
@@ -40,12 +40,13 @@
 
   /**
    * Records the phase of a rollout, unless the stored rollout has changed since it was read.
-   * @returns false on a concurrent write; read the rollout again in this case
+   * @returns the position of the write; null on a concurrent write, or if the store was restored from a
+   *   copy since the rollout was read. Read the rollout again in these cases.
    */
   abstract recordRollout(
     record: phases.RolloutRecord,
     outcome: phases.RecordedPhase,
-  ): Promise<boolean>;
+  ): Promise<storePosition.StorePosition | null>;
 
   abstract registerNode(address: members.NodeAddress): Promise<void>;
 
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -184,8 +184,8 @@
       if (previous === null && source.origin !== 'store') return;
       network.announceConfiguration(cfg, previous, propagation.scopeOf(source.origin));
     });
-    rollouts.onChange((state, origin) => {
-      recorder.enterPhase(state.phase);
+    rollouts.onChange((state, origin, isRepeated) => {
+      if (!isRepeated) recorder.enterPhase(state.phase);
       network.broadcast({ type: 'rollouts', states: [state] }, propagation.scopeOf(origin));
     });
     watcher.onContact(() => this.sendBeacon());
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -166,7 +166,9 @@
   metricsRegistry.gauge(meters.STORE_ERA, () => platform.store.era.current ?? 0);
   metricsRegistry.gauge(meters.UPSTREAM_LIMIT, () => upstream.limitPerSecond ?? 0);
   metricsRegistry.gauge(meters.UPSTREAM_LOAD, () => local.load);
-  rollouts.onChange(({ phase }) => metricsRegistry.increment(meters.ROLLOUT_PHASES, { phase }));
+  rollouts.onChange(({ phase }, _origin, isRepeated) => {
+    if (!isRepeated) metricsRegistry.increment(meters.ROLLOUT_PHASES, { phase });
+  });
   const parts: agent.AgentParts = {
     settings,
     self,
--- /dev/null
+++ b/packages/mesh/src/rollouts/__tests__/rolloutController.test.ts
@@ -0,0 +1,179 @@
+import * as assert from 'node:assert/strict';
+import { beforeEach, describe, it } from 'node:test';
+import * as timers from 'node:timers/promises';
+import { ids } from '@godwittrack/core';
+import * as fixtures from '../../__tests__/fixtures.js';
+import * as fleetStore from '../../config/fleetStore.js';
+import * as storeEra from '../../config/storeEra.js';
+import type * as storePosition from '../../config/storePosition.js';
+import * as members from '../../membership/members.js';
+import type * as phases from '../phases.js';
+import * as rolloutController from '../rolloutController.js';
+import * as rolloutTable from '../rolloutTable.js';
+import * as versionComparison from '../versionComparison.js';
+
+const SHOP = ids.serviceName('shop');
+const V2 = ids.versionName('v2');
+const TICK_MS = 500;
+/** Longer than a version must have served alone before it is recorded as completed. */
+const ALONE_MS = 3_000;
+
+function at(revision: number, era: number): storePosition.StorePosition {
+  return { era: ids.storeEra(era), revision };
+}
+
+/** Holds one rollout; writes count only if they are answered in the era of the record. */
+class SingleRolloutStore extends fleetStore.FleetStore {
+  readonly era = new storeEra.StoreEra(fixtures.silentLog());
+
+  readonly configuration = null as never;
+
+  stored: phases.RolloutRecord | null = null;
+
+  answerEra = 1;
+
+  reads = 0;
+
+  readonly written: phases.RecordedPhase[] = [];
+
+  readonly rollouts = {
+    read: () => {
+      this.reads += 1;
+      const value = this.stored === null ? [] : [{ ...this.stored }];
+      return Promise.resolve({ cursor: at(0, this.answerEra), value });
+    },
+    watch: () => assert.fail('not watched'),
+  };
+
+  recordRollout(
+    record: phases.RolloutRecord,
+    outcome: phases.RecordedPhase,
+  ): Promise<storePosition.StorePosition | null> {
+    this.written.push(outcome);
+    if (record.position.era !== this.answerEra) return Promise.resolve(null);
+    const position = at(record.position.revision + 1, this.answerEra);
+    this.stored = { ...record, recorded: outcome, position };
+    return Promise.resolve(position);
+  }
+
+  registerNode = () => assert.fail('not registered');
+
+  listNodes = () => assert.fail('not listed');
+
+  unregisterNode = () => assert.fail('not unregistered');
+}
+
+describe('RolloutController', () => {
+  const self = fixtures.member('a', { version: V2 });
+  let now: number;
+  let store: SingleRolloutStore;
+  let rollouts: rolloutTable.RolloutTable;
+  let controller: rolloutController.RolloutController;
+
+  function order(
+    position: storePosition.StorePosition,
+    recorded: phases.RecordedPhase | null = null,
+  ): phases.RolloutRecord {
+    return { service: SHOP, target: V2, durationMs: 10_000, recorded, position };
+  }
+
+  beforeEach(() => {
+    now = 10_000;
+    store = new SingleRolloutStore();
+    const log = fixtures.silentLog();
+    rollouts = new rolloutTable.RolloutTable(log, () => now);
+    controller = new rolloutController.RolloutController({
+      table: new members.MemberTable(self),
+      reachable: () => [self],
+      rollouts,
+      comparison: new versionComparison.VersionComparison(),
+      store,
+      log,
+      nowMs: () => now,
+    });
+  });
+
+  async function tick(times = 1): Promise<void> {
+    for (let i = 0; i < times; i += 1) {
+      now += TICK_MS;
+      controller.tick();
+      await timers.setImmediate();
+      await timers.setImmediate();
+    }
+  }
+
+  /** Reads the stored rollout, as the node that watches the store does. */
+  function give(record: phases.RolloutRecord): void {
+    store.stored = record;
+    rollouts.applyRecord(record);
+  }
+
+  async function rollBack(): Promise<void> {
+    give(order(at(7, 1)));
+    rollouts.advance(SHOP, V2, 'rolledBack', 'failures');
+    await tick();
+    assert.equal(store.stored!.recorded, 'rolledBack');
+  }
+
+  it('records a verdict once', async () => {
+    await rollBack();
+    rollouts.applyRecord(store.stored!);
+    const { reads } = store;
+    await tick(4);
+    assert.equal(store.reads, reads);
+  });
+
+  describe('after the store was restored from a copy', () => {
+    // The verdict was remembered as recorded although the store had lost it.
+    it('records a verdict again', async () => {
+      await rollBack();
+      store.answerEra = 2;
+      give(order(at(5, 2), 'running'));
+      await tick();
+      assert.equal(store.stored!.recorded, 'rolledBack');
+      assert.equal(rollouts.mayServe('shop', 'v2'), false);
+    });
+
+    it('records a verdict again on an order that had been missing', async () => {
+      await rollBack();
+      store.answerEra = 2;
+      store.stored = null;
+      await tick(4);
+      give(order(at(6, 2)));
+      await tick();
+      assert.equal(store.stored!.recorded, 'rolledBack');
+    });
+
+    it('records a completed rollout again', async () => {
+      give(order(at(7, 1), 'completed'));
+      await tick();
+      store.answerEra = 2;
+      give(order(at(5, 2), 'running'));
+      await tick(ALONE_MS / TICK_MS);
+      assert.equal(store.stored!.recorded, 'completed');
+    });
+
+    it('does not count a write that the restored store took', async () => {
+      give(order(at(7, 1)));
+      rollouts.advance(SHOP, V2, 'rolledBack', 'failures');
+      store.answerEra = 2;
+      await tick();
+      assert.deepEqual(store.written, ['rolledBack']);
+      store.stored = order(at(7, 2));
+      await tick();
+      assert.equal(store.stored.recorded, 'rolledBack');
+    });
+  });
+
+  // Recorded at once, the servers of the other versions would stop with requests under way.
+  it('records a completed order that is given again only after it has served alone', async () => {
+    give(order(at(7, 1), 'completed'));
+    give({ ...order(at(9, 1), 'completed'), target: ids.versionName('v3') });
+    await tick(ALONE_MS / TICK_MS);
+    give(order(at(12, 1)));
+    await tick();
+    assert.equal(store.stored!.recorded, null);
+    await tick(ALONE_MS / TICK_MS);
+    assert.equal(store.stored!.recorded, 'completed');
+  });
+});
--- a/packages/mesh/src/rollouts/rolloutController.ts
+++ b/packages/mesh/src/rollouts/rolloutController.ts
@@ -6,6 +6,7 @@
 
 import { failures, type ids, rendezvous } from '@godwittrack/core';
 import type * as fleetStore from '../config/fleetStore.js';
+import * as storePosition from '../config/storePosition.js';
 import type * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as phases from './phases.js';
@@ -39,17 +40,28 @@
   nowMs: () => number;
 }
 
+/** A phase that the store holds, or that it need not hold since it has no such order. */
+interface Recorded {
+  phase: phases.RecordedPhase;
+  /** An order with a later position may have been given again without the phase. */
+  position: storePosition.StorePosition;
+}
+
 interface Progress {
   phase: phases.Phase;
+  /** Time since which the rollout is the newest of its service and in this phase. */
   sinceMs: number;
   recording: boolean;
-  recorded: phases.RecordedPhase | null;
+  recorded: Recorded | null;
   nextRecordMs: number;
 }
 
 export class RolloutController {
   private readonly progress = new Map<string, Progress>();
 
+  /** Target of the newest rollout of each service that this node leads. */
+  private readonly targets = new Map<ids.ServiceName, ids.VersionName>();
+
   /** Leader of each service, cached with the array of reachable nodes that it was chosen from. */
   private readonly leaders = new Map<
     string,
@@ -81,6 +93,10 @@
     const newest = this.options.rollouts.newest(service)!;
     const { state } = newest;
     const progress = this.progressOf(state);
+    if (this.targets.get(service) !== state.target) {
+      this.targets.set(service, state.target);
+      progress.sinceMs = this.options.nowMs();
+    }
     if (!phases.isFinal(state.phase)) {
       const next = this.nextPhase(state, newest.learnedAtMs, progress.sinceMs);
       if (next !== null) {
@@ -92,6 +108,8 @@
       }
     } else if (state.phase === 'rolledBack') {
       this.tryRecord(state, 'rolledBack', progress);
+    } else if (this.hasServedAlone(state, progress.sinceMs)) {
+      this.tryRecord(state, 'completed', progress);
     }
   }
 
@@ -125,6 +143,12 @@
     }
   }
 
+  /** Whether other versions have had no traffic for long enough to be stopped. */
+  private hasServedAlone(state: phases.RolloutState, sinceMs: number): boolean {
+    if (this.options.nowMs() - sinceMs <= FULL_PHASE_MS) return false;
+    return this.countUpstreams(state).target > 0;
+  }
+
   private countUpstreams(state: phases.RolloutState): { target: number; stable: number } {
     const counts = { target: 0, stable: 0 };
     for (const { upstream } of this.options.table.all()) {
@@ -160,12 +184,13 @@
     progress: Progress,
   ): void {
     const now = this.options.nowMs();
-    if (progress.recorded === outcome || progress.recording || now < progress.nextRecordMs) return;
+    if (progress.recording || now < progress.nextRecordMs) return;
+    if (isRecorded(progress.recorded, outcome, state.orderPosition)) return;
     progress.recording = true;
     progress.nextRecordMs = now + RECORD_RETRY_MS;
     this.writeRecord(state, outcome)
-      .then((recorded) => {
-        if (recorded) progress.recorded = outcome;
+      .then((position) => {
+        if (position !== null) progress.recorded = { phase: outcome, position };
       })
       .catch((err: unknown) => {
         this.options.log.info('rollouts', 'failed to record a rollout phase', {
@@ -180,25 +205,28 @@
       });
   }
 
-  /** Reads the stored rollout first, so that a final record or a newer order is never overwritten. */
+  /**
+   * Reads the stored rollout first, so that a final record or a newer order is never overwritten.
+   * @returns position of the stored rollout with the phase; null if it was not recorded
+   */
   private async writeRecord(
     state: phases.RolloutState,
     outcome: phases.RecordedPhase,
-  ): Promise<boolean> {
+  ): Promise<storePosition.StorePosition | null> {
     const { store, rollouts, log } = this.options;
     const { value } = await store.rollouts.read(AbortSignal.timeout(RECORD_TIMEOUT_MS));
     const record = value?.find(
       ({ service, target }) => service === state.service && target === state.target,
     );
-    if (record === undefined) return true;
+    if (record === undefined) return state.orderPosition;
     rollouts.applyRecord(record);
-    if (phases.isFinal(record.recorded) || record.recorded === outcome) return true;
+    if (phases.isFinal(record.recorded) || record.recorded === outcome) return record.position;
     const written = await store.recordRollout(record, outcome);
     log.info(
       'rollouts',
-      written
+      written !== null
         ? 'recorded a rollout phase'
-        : 'rollout phase not recorded: the stored rollout was changed or deleted',
+        : 'rollout phase not recorded: the stored rollout was changed, deleted or restored',
       {
         service: state.service,
         target: state.target,
@@ -206,8 +234,17 @@
         reason: state.reason,
       },
     );
-    if (written && outcome === 'completed')
+    if (written !== null && outcome === 'completed')
       rollouts.advance(state.service, state.target, 'completed', null);
     return written;
   }
 }
+
+function isRecorded(
+  recorded: Recorded | null,
+  phase: phases.RecordedPhase,
+  orderPosition: storePosition.StorePosition,
+): boolean {
+  if (recorded === null || recorded.phase !== phase) return false;
+  return storePosition.compare(orderPosition, recorded.position) <= 0;
+}
--- a/packages/mesh/src/rollouts/rolloutTable.ts
+++ b/packages/mesh/src/rollouts/rolloutTable.ts
@@ -9,7 +9,12 @@
 import type * as observability from '../observability/decisionLog.js';
 import * as phases from './phases.js';
 
-type Listener = (state: phases.RolloutState, origin: propagation.Origin) => void;
+/** @param isRepeated whether only the order was read again, from a restored store */
+type Listener = (
+  state: phases.RolloutState,
+  origin: propagation.Origin,
+  isRepeated: boolean,
+) => void;
 
 interface RolloutEntry {
   state: phases.RolloutState;
@@ -113,7 +118,7 @@
     const entry = this.rollouts.get(key);
     if (entry === undefined) {
       this.rollouts.set(key, { state: next, learnedAtMs: this.nowMs() });
-      this.notify(next, origin);
+      this.notify(next, origin, false);
       return;
     }
     const { state: current } = entry;
@@ -128,12 +133,21 @@
       reason: isNewPhase ? next.reason : current.reason,
       orderPosition: isLater ? next.orderPosition : current.orderPosition,
     };
-    if (isNewPhase || this.newest(next.service) !== newestBefore) this.notify(entry.state, origin);
+    if (isNewPhase || this.newest(next.service) !== newestBefore)
+      this.notify(entry.state, origin, false);
+    // The node that leads the rollout records the phase again, and need not watch the store itself.
+    else if (next.orderPosition.era > current.orderPosition.era)
+      this.notify(entry.state, origin, true);
   }
 
-  private notify(state: phases.RolloutState, origin: propagation.Origin): void {
-    this.log.info('rollouts', 'a rollout has a new phase', { ...state, origin });
-    for (const listener of this.listeners) listener(state, origin);
+  private notify(
+    state: phases.RolloutState,
+    origin: propagation.Origin,
+    isRepeated: boolean,
+  ): void {
+    const message = isRepeated ? 'a rollout was read again' : 'a rollout has a new phase';
+    this.log.info('rollouts', message, { ...state, origin });
+    for (const listener of this.listeners) listener(state, origin, isRepeated);
   }
 }
 
--- a/playground/src/usersPlatform/__tests__/restoredStore.test.ts
+++ b/playground/src/usersPlatform/__tests__/restoredStore.test.ts
@@ -131,5 +131,34 @@
       );
       assert.equal(rolloutStatus()!.target_version, 'v3');
     });
+
+    // The node that leads the rollout remembered that it had recorded the verdict, which the store had
+    // lost, so the operator waited for it for good.
+    it('records a verdict again on an order that is given again', async () => {
+      const stable = await start('a-1', 'z-a');
+      await allServe(1);
+      markCopy();
+      store.write('rollouts', 'shop', order('v2'));
+      const bad = await start('b-1', 'z-b', { version: 'v2' });
+      bad.app.handler = (_req, res) => {
+        res.writeHead(500);
+        res.end('bad');
+      };
+      await wait.waitFor('the version is rolled back', async () => {
+        await Promise.all(Array.from({ length: 20 }, () => fleet.call(stable, '/v1/')));
+        return rolloutStatus()?.state === 'rolled_back';
+      });
+      const seen = bad.app.received.length;
+      const lost = await restore();
+      assert.equal(store.read('rollouts', 'shop'), undefined);
+      await timers.setTimeout(REWRITE_AFTER_MS);
+      writeAgain(lost);
+      assert.equal(rolloutStatus(), null);
+      await wait.waitFor('the verdict is recorded again', async () => {
+        await fleet.call(stable, fixtures.pathOfVersion(1));
+        return rolloutStatus()?.state === 'rolled_back';
+      });
+      assert.equal(bad.app.received.length, seen);
+    });
   });
 });
