fix(mesh): write the entries of nodes again after the store was restored

A node that started after the store had been restored from a copy did not find the nodes whose entries were lost, and they did not find it.

Cause: a node wrote its entry and listed the others once, at its start. Most nodes make no call to the store after that, so they could not see its era.

On a rise each node writes its entry and lists the nodes again, after a random part of a second, with the back-off of a join. It writes first, so of two nodes that join at the same time at least one sees the other.

--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -36,11 +36,13 @@
   { type: 'ping' },
   { type: 'cancel', id: 7 },
   { type: 'rollouts', states: [ROLLOUT] },
+  { type: 'beacon', configVersion: 4, storeEra: ids.storeEra(2) },
   {
     type: 'stateSummary',
     configVersion: 4,
     rollouts: [ROLLOUT],
     rolloutsKnown: true,
+    storeEra: null,
   },
   { type: 'configFull', cfg: fixtures.configurationOf(3, [fixtures.route('r')]) },
   {
--- a/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
@@ -5,6 +5,7 @@
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as loopback from '../../__tests__/loopback.js';
 import * as configHolder from '../../config/configHolder.js';
+import * as storeEra from '../../config/storeEra.js';
 import * as eventLoop from '../../eventLoop.js';
 import * as members from '../../membership/members.js';
 import * as meters from '../../observability/meters.js';
@@ -27,6 +28,7 @@
   table: members.MemberTable;
   config: configHolder.ConfigHolder;
   rollouts: rolloutTable.RolloutTable;
+  era: storeEra.StoreEra;
   network: peerNetwork.PeerNetwork;
   metrics: metrics.Metrics;
   lines: fixtures.LogLine[];
@@ -42,6 +44,7 @@
   const table = new members.MemberTable(self);
   const config = new configHolder.ConfigHolder(nowMs);
   const rollouts = new rolloutTable.RolloutTable(log, nowMs);
+  const era = new storeEra.StoreEra(log);
   const restored: members.UpstreamState[] = [];
   const uplink = fixtures.uplink();
   const network = new peerNetwork.PeerNetwork({
@@ -50,6 +53,7 @@
     config,
     rollouts,
     uplink,
+    storeEra: era,
     log,
     meters: metricsRegistry,
     onBeacon: () => {},
@@ -75,6 +79,7 @@
     table,
     config,
     rollouts,
+    era,
     network,
     metrics: metricsRegistry,
     lines,
@@ -128,6 +133,22 @@
     assert.deepEqual(far.config.current!.cfg, cfg);
   });
 
+  // Only one node of a failure domain watches the store. The others did not learn that it had lost their
+  // entries, so nodes that started later did not find them.
+  it('tells nodes without contact to the store its era', async () => {
+    const watching = await start('a', 'd1');
+    const other = await start('b', 'd1');
+    watching.era.observe(ids.storeEra(3), { origin: 'store', name: 'store' });
+    other.network.addNodes([watching.self]);
+    await loopback.until(() => other.era.current === 3);
+    const sources: configHolder.Source[] = [];
+    other.era.onRise((source) => sources.push(source));
+    watching.era.observe(ids.storeEra(4), { origin: 'store', name: 'store' });
+    watching.network.announceState({ domain: true, remoteRelays: false });
+    await loopback.until(() => other.era.current === 4);
+    assert.deepEqual(sources, [{ origin: 'domain', name: 'node a' }]);
+  });
+
   it('lets a restarted node continue its sequence, and restores its upstream state', async () => {
     const other = await start('a', 'd1');
     const address = await loopback.freeAddress();
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -18,6 +18,9 @@
 export const PIECE_BYTES = 16 * 1024;
 const LENGTH_BYTES = 4;
 
+/** Newest era of the store that the sender knows of; nodes of earlier releases send none. */
+type KnownEra = ids.StoreEra | null;
+
 /** First frame on a connection. */
 export interface Hello {
   type: 'hello';
@@ -29,6 +32,7 @@
   rollouts: phases.RolloutState[];
   /** Whether `rollouts` is complete. */
   rolloutsKnown: boolean;
+  storeEra?: KnownEra;
 }
 
 export interface RequestFrame {
@@ -56,13 +60,14 @@
   | { type: 'configDelta'; delta: configuration.ConfigurationDelta }
   | { type: 'configFull'; cfg: configuration.Configuration }
   | { type: 'configRequest'; heldVersion: number }
-  | { type: 'beacon'; configVersion: number }
+  | { type: 'beacon'; configVersion: number; storeEra?: KnownEra }
   /** State of the sender; relays send it periodically so that lost updates are repaired. */
   | {
       type: 'stateSummary';
       configVersion: number;
       rollouts: phases.RolloutState[];
       rolloutsKnown: boolean;
+      storeEra?: KnownEra;
     }
   /** Sent by a node that does not know the rollouts yet. */
   | { type: 'stateSummaryRequest' }
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -8,6 +8,7 @@
 import * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
 import type * as propagation from '../config/propagation.js';
+import type * as storeEra from '../config/storeEra.js';
 import * as eventLoop from '../eventLoop.js';
 import type * as members from '../membership/members.js';
 import * as memberGossip from '../membership/memberGossip.js';
@@ -36,6 +37,7 @@
   config: configHolder.ConfigHolder;
   rollouts: rolloutTable.RolloutTable;
   uplink: uplinkScheduler.UplinkScheduler;
+  storeEra: storeEra.StoreEra;
   log: observability.DecisionLog;
   meters: metrics.Metrics;
   onBeacon: (node: ids.NodeId) => void;
@@ -165,6 +167,11 @@
     if (toRelays) this.neighbours.remoteRelays.forEach(send);
   }
 
+  /** Sends the versions that this node knows of, such as the era of the store. */
+  announceState(scope: propagation.Scope): void {
+    this.broadcast(this.stateSummary(), scope);
+  }
+
   /**
    * Maintains the links, removes unreachable nodes, sends due digests and repeats configuration requests.
    * Called several times a second.
@@ -180,7 +187,7 @@
     if (now - this.digestsSentMs < DIGEST_INTERVAL_MS) return;
     this.digestsSentMs = now;
     this.gossip.sendDigests();
-    this.broadcast(this.stateSummary(), { domain: this.neighbours.isRelay, remoteRelays: true });
+    this.announceState({ domain: this.neighbours.isRelay, remoteRelays: true });
   }
 
   /** Checks the liveness of nodes with pending requests or transfers. Called ten times a second. */
@@ -200,7 +207,7 @@
     previous: configuration.Configuration | null,
     scope: propagation.Scope,
   ): void {
-    const version: frames.Frame = { type: 'beacon', configVersion: cfg.version };
+    const version = this.beacon();
     this.broadcast(version, { domain: false, remoteRelays: scope.remoteRelays });
     if (!scope.domain) return;
     const inDomain = { domain: true, remoteRelays: false };
@@ -226,7 +233,7 @@
 
   private handleHello(
     sender: Sender,
-    { from, rollouts, rolloutsKnown, configVersion }: frames.Hello,
+    { from, rollouts, rolloutsKnown, configVersion, storeEra: era }: frames.Hello,
   ): void {
     const { table } = this.options;
     this.addNodes([from]);
@@ -243,6 +250,7 @@
       this.gossip.apply(sender.from, from);
     }
     this.links.get(from.node)?.connectNow();
+    this.observeEra(sender, era);
     this.options.rollouts.merge(rollouts, this.originOf(from));
     if (rolloutsKnown) this.options.rollouts.markSynced();
     this.onVersionAdvertised(sender, configVersion);
@@ -269,6 +277,7 @@
         break;
       case 'beacon':
         onBeacon(sender.from.node);
+        this.observeEra(sender, frame.storeEra);
         this.onVersionAdvertised(sender, frame.configVersion);
         // A joining node does not read the rollouts from the store itself if another node watches it.
         if (!rollouts.isSynced) sender.reply({ type: 'stateSummaryRequest' });
@@ -277,6 +286,7 @@
         sender.reply(this.stateSummary());
         break;
       case 'stateSummary':
+        this.observeEra(sender, frame.storeEra);
         rollouts.merge(frame.rollouts, this.originOf(sender.from));
         if (frame.rolloutsKnown) rollouts.markSynced();
         this.onVersionAdvertised(sender, frame.configVersion);
@@ -311,13 +321,24 @@
     if (upstream !== null) restoreUpstream(upstream);
   }
 
+  /** Frame by which this node tells the versions that it holds, with the sign that the store answers it. */
+  beacon(): frames.Frame {
+    const { config, storeEra: era } = this.options;
+    return { type: 'beacon', configVersion: config.version, storeEra: era.current };
+  }
+
+  private observeEra(sender: Sender, era: ids.StoreEra | null | undefined): void {
+    if (era != null) this.options.storeEra.observe(era, this.sourceOf(sender));
+  }
+
   private stateSummary(): frames.Frame {
-    const { config, rollouts } = this.options;
+    const { config, rollouts, storeEra: era } = this.options;
     return {
       type: 'stateSummary',
       configVersion: config.version,
       rollouts: rollouts.states(),
       rolloutsKnown: rollouts.isSynced,
+      storeEra: era.current,
     };
   }
 
@@ -451,7 +472,8 @@
   }
 
   private createLink(address: members.NodeAddress): peerLink.PeerLink {
-    const { table, config, rollouts, log, meters: metricsRegistry, eventLoopLag } = this.options;
+    const { table, config, rollouts, storeEra: era, eventLoopLag, log } = this.options;
+    const { meters: metricsRegistry } = this.options;
     const onReachabilityChanged = () => {
       this.reachabilityChanges += 1;
     };
@@ -467,6 +489,7 @@
         configVersion: config.version,
         rollouts: rollouts.states(),
         rolloutsKnown: rollouts.isSynced,
+        storeEra: era.current,
       }),
       onFrame: (link, frame) =>
         this.handleFrame({ from: address, reply: (reply) => link.sendFrame(reply) }, frame),
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -25,6 +25,8 @@
 const JOIN_TIMEOUT_MS = 700;
 const REGISTER_RETRY_INITIAL_MS = 100;
 const REGISTER_RETRY_MAX_MS = 1_500;
+/** Time over which the nodes spread their writes to a store that was restored from a copy. */
+const JOIN_AGAIN_SPREAD_MS = 1_000;
 /** Time between a stop request and draining: callers move to other nodes within two readiness checks. */
 const DRAIN_AFTER_MS = 2_250;
 /** Time between a stop request and telling other nodes to send no more requests to the local upstream. */
@@ -62,6 +64,8 @@
   onEvidence: (report: evidence.EvidenceReport) => void;
   eventLoopLag: eventLoop.LagMeter;
   log: observability.DecisionLog;
+  /** In [0, 1). */
+  random: () => number;
   nowMs: () => number;
 }
 
@@ -76,7 +80,8 @@
 
   private timer: NodeJS.Timeout | null = null;
 
-  private readonly abort = new AbortController();
+  /** Ends the current `join`, when another one begins or the node stops. */
+  private joining = new AbortController();
 
   constructor(private readonly parts: AgentParts) {}
 
@@ -90,7 +95,7 @@
     this.subscribe();
     await Promise.all([peers.listen(self.address), callers.listen(settings.callerAddress)]);
     const startedMs = nowMs();
-    void this.join();
+    void this.join(0);
     let ticks = 0;
     this.timer = setInterval(() => {
       ticks += 1;
@@ -136,7 +141,7 @@
     while (nowMs() < closeByMs && (peers.hasOpenSessions || callers.hasEndingConnections)) {
       await backoff.sleep(STOP_POLL_MS);
     }
-    this.abort.abort();
+    this.joining.abort();
     if (this.timer !== null) clearInterval(this.timer);
     this.parts.watcher.stop();
     network.stop();
@@ -189,7 +194,11 @@
       network.broadcast({ type: 'rollouts', states: [state] }, propagation.scopeOf(origin));
     });
     watcher.onContact(() => this.sendBeacon());
-    store.era.onRise(() => watcher.readAgain());
+    store.era.onRise(({ origin }) => {
+      network.announceState(propagation.scopeOf(origin));
+      watcher.readAgain();
+      this.joinAgain();
+    });
     recorder.onFailureThreshold((state, reason) => {
       rollouts.advance(state.service, state.version, 'rolledBack', reason);
     });
@@ -205,11 +214,10 @@
   }
 
   private sendBeacon(): void {
-    const { watcher, network, config } = this.parts;
+    const { watcher, network } = this.parts;
     // A stopping node keeps watching but sends no beacons, so that the next node takes over.
     if (this.stopping || !watcher.hasStoreContact) return;
-    const beacon = { type: 'beacon', configVersion: config.version } as const;
-    network.broadcast(beacon, { domain: true, remoteRelays: false });
+    network.broadcast(network.beacon(), { domain: true, remoteRelays: false });
   }
 
   /** Sends the response counts of the local upstream to the leader of a running rollout. */
@@ -237,10 +245,21 @@
     else network.sendFrame(leader, { type: 'evidence', report });
   }
 
+  /** A restored store may have lost the entries of this node and of nodes that joined since the copy. */
+  private joinAgain(): void {
+    if (this.stopping) return;
+    void this.join(this.joined ? this.parts.random() * JOIN_AGAIN_SPREAD_MS : 0);
+  }
+
   /** Registers this node in the store and reads the list of nodes; retries until that succeeds. */
-  private async join(): Promise<void> {
+  private async join(delayMs: number): Promise<void> {
     const { self, store, network, log, watcher } = this.parts;
-    const { signal } = this.abort;
+    this.joining.abort();
+    this.joining = new AbortController();
+    const { signal } = this.joining;
+    await backoff.sleep(delayMs, signal);
+    // A stopping node may have removed its entry.
+    if (this.stopping) return;
     const delays = new backoff.Backoff({
       initialMs: REGISTER_RETRY_INITIAL_MS,
       maxMs: REGISTER_RETRY_MAX_MS,
@@ -248,8 +267,10 @@
     let hasLoggedFailure = false;
     while (!signal.aborted) {
       try {
+        // Of two nodes that join at the same time, at least one sees the other in the list.
         await store.registerNode(self);
         const nodes = await store.listNodes();
+        if (signal.aborted) return;
         network.addNodes(nodes);
         this.joined = true;
         watcher.updateRole();
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -122,6 +122,7 @@
     config,
     rollouts,
     uplink,
+    storeEra: platform.store.era,
     log,
     meters: metricsRegistry,
     onBeacon: (node) => watcher.recordBeacon(node),
@@ -209,6 +210,7 @@
     onEvidence,
     eventLoopLag,
     log,
+    random: nextRandom,
     nowMs,
   };
   const reload = (next: MeshSettings) => {
--- a/playground/src/usersPlatform/__tests__/restoredStore.test.ts
+++ b/playground/src/usersPlatform/__tests__/restoredStore.test.ts
@@ -11,6 +11,7 @@
 const REWRITE_AFTER_MS = 1_000;
 /** Longest wait of one watch for the configuration, after which a watch that survived ends. */
 const CONFIG_WATCH_MS = 4_000;
+const NODE_KIND = 'godwittrack-nodes';
 
 describe('a store restored from a copy', { timeout: 120_000 }, () => {
   let store: objectStore.ObjectStoreStandIn;
@@ -161,4 +162,23 @@
       assert.equal(bad.app.received.length, seen);
     });
   });
+
+  describe('without the entries of running nodes', () => {
+    beforeEach(async () => {
+      markCopy();
+      await start('a-1', 'z-a');
+      await start('a-2', 'z-a');
+      writeVersion(2);
+      await allServe(2);
+    });
+
+    // Nodes wrote their entries once, at their start, so nodes that started later did not find them.
+    it('gets them again', async () => {
+      await restore();
+      assert.equal(store.read(NODE_KIND, 'a-1'), undefined);
+      await wait.waitFor('the entries are back', () =>
+        hosts.every(({ name }) => store.read(NODE_KIND, name) !== undefined),
+      );
+    });
+  });
 });
