fix(mesh): ask another failure domain at once while on the first configuration

A node that starts between the restore of the store and the operator's next write reads an older configuration than one in force elsewhere.

Fix: a node that still holds its first configuration asks at once, as one that holds none does.

--- a/packages/mesh/src/config/configHolder.ts
+++ b/packages/mesh/src/config/configHolder.ts
@@ -48,6 +48,11 @@
     return this.active?.cfg.version ?? 0;
   }
 
+  /** Whether no configuration has replaced another one here; a restored store may have returned an old one. */
+  get isInitial(): boolean {
+    return this.recent.length <= 1;
+  }
+
   /** @returns null for versions that were never active here or are no longer kept */
   find(version: number): configuration.Configuration | null {
     return this.recent.find((cfg) => cfg.version === version) ?? null;
--- a/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
@@ -33,6 +33,8 @@
   metrics: metrics.Metrics;
   lines: fixtures.LogLine[];
   restored: members.UpstreamState[];
+  /** Ends the periodic work, which sends delayed requests and repeats advertisements. */
+  stopMaintaining: () => void;
   stop: () => void;
 }
 
@@ -69,8 +71,9 @@
   });
   await server.listen(address);
   const timer = setInterval(() => network.maintain(), MAINTAIN_INTERVAL_MS);
+  const stopMaintaining = () => clearInterval(timer);
   const stop = () => {
-    clearInterval(timer);
+    stopMaintaining();
     network.stop();
     server.close();
   };
@@ -84,6 +87,7 @@
     metrics: metricsRegistry,
     lines,
     restored,
+    stopMaintaining,
     stop,
   };
 }
@@ -119,6 +123,20 @@
     });
   });
 
+  // A node that was the first of its failure domain and had read an old configuration from a restored store
+  // waited for its own domain before it asked for the newer one.
+  it('asks another failure domain at once while it holds its first configuration', async () => {
+    const running = await start('a', 'd1');
+    const cfg = fixtures.configurationOf(5, [fixtures.route('r')]);
+    running.config.offer(cfg, { origin: 'store', name: 'store' });
+    const starting = await start('b', 'd2');
+    for (const node of [running, starting]) node.stopMaintaining();
+    const old = fixtures.configurationOf(3, []);
+    starting.config.offer(old, { origin: 'store', name: 'store' });
+    starting.network.addNodes([running.self]);
+    await loopback.until(() => starting.config.version === 5);
+  });
+
   it('delivers a configuration to another failure domain that received only its version', async () => {
     const watching = await start('a', 'd1');
     const far = await start('b', 'd2');
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -367,8 +367,8 @@
       sender.reply({ type: 'configRequest', heldVersion: config.version });
     };
     this.newestAdvertised = Math.max(this.newestAdvertised, version);
-    const isNear = origin === 'domain' || config.current === null;
-    const delayMs = isNear ? 0 : configurationRequests.REMOTE_REQUEST_DELAY_MS;
+    const isUrgent = origin === 'domain' || config.isInitial;
+    const delayMs = isUrgent ? 0 : configurationRequests.REMOTE_REQUEST_DELAY_MS;
     this.configRequests.onAdvertised({ node: sender.from.node, version, delayMs, request });
   }
 
--- a/playground/src/usersPlatform/__tests__/restoredStore.test.ts
+++ b/playground/src/usersPlatform/__tests__/restoredStore.test.ts
@@ -180,5 +180,14 @@
         hosts.every(({ name }) => store.read(NODE_KIND, name) !== undefined),
       );
     });
+
+    // A node that started before the operator had written again read an old configuration and an empty list
+    // of nodes. Routes that had long been in force answered 404 there.
+    it('does not leave a node that starts then, alone in its failure domain, with an old version', async () => {
+      await restore();
+      const starting = await start('b-1', 'z-b');
+      await wait.waitFor('the starting node serves the newest version', () => serves(starting, 2));
+      assert.equal((store.read('config', 'main')!.spec as { version: number }).version, 1);
+    });
   });
 });
