--- a/packages/mesh/src/process/__tests__/agentStop.test.ts
+++ b/packages/mesh/src/process/__tests__/agentStop.test.ts
@@ -9,6 +9,8 @@
 import * as callerFixtures from '../../callers/__tests__/callerFixtures.js';
 import type * as configuration from '../../config/configuration.js';
 import * as fleetStore from '../../config/fleetStore.js';
+import * as storeEra from '../../config/storeEra.js';
+import type * as storePosition from '../../config/storePosition.js';
 import type * as members from '../../membership/members.js';
 import * as networkAddress from '../../networkAddress.js';
 import * as meters from '../../observability/meters.js';
@@ -22,13 +24,15 @@
 /** Time after the stop request at which slow readers read on; well within the grace period. */
 const READ_ON_AFTER_MS = 4_000;
 
+const POSITION = { era: ids.storeEra(0), revision: 1 };
+
 class ConstantResource<T> extends fleetStore.Watchable<T> {
   constructor(private readonly value: T) {
     super();
   }
 
   read(): Promise<fleetStore.ReadResult<T>> {
-    return Promise.resolve({ cursor: 1, value: this.value });
+    return Promise.resolve({ cursor: POSITION, value: this.value });
   }
 
   async watch(
@@ -42,6 +46,8 @@
 }
 
 class ConstantStore extends fleetStore.FleetStore {
+  readonly era = new storeEra.StoreEra(fixtures.silentLog());
+
   readonly configuration = new ConstantResource<configuration.Configuration>(
     fixtures.configurationOf(1, [
       fixtures.route('r', { timeoutMs: 30_000, targetLatencyMs: 30_000 }),
@@ -50,8 +56,8 @@
 
   readonly rollouts = new ConstantResource<phases.RolloutRecord[]>([]);
 
-  recordRollout(): Promise<boolean> {
-    return Promise.resolve(true);
+  recordRollout(): Promise<storePosition.StorePosition> {
+    return Promise.resolve(POSITION);
   }
 
   registerNode(): Promise<void> {
