perf(mesh): deflate large configuration frames and encode each configuration once

At the start of a fleet one node of each failure domain sends the full configuration to each of about 18 other nodes over an uplink of 7 to 10 Mbit/s, and everything else of its host waits behind these bytes.

Frames of configurations and deltas from 4 KB on are sent as `deflated`: the code of the new frame type and the compressed message. Only configuration frames may be wrapped. The inflated size is bounded by MAX_FRAME_BYTES; whatever is cut short, changed, not deflated, nested or larger is a protocolViolation. The encoded frame of a full configuration is kept with the configuration, so that it is packed and deflated once however many nodes request it. Requests and answers of callers stay as they are.

The test's configuration of 800 routes takes 9,447 bytes on the wire instead of 148,309.

Before the change the new tests failed: "take less than a quarter of their plain size (configFull)" with "148309 of 148315 bytes", the same for configDelta with "138948 of 138955 bytes", and "are encoded once for all receivers" with "Values have same structure but are not reference-equal". The tests of malformed frames need the new frame type and were not run before it: without it, they do not end.

--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -1,9 +1,11 @@
 import * as assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import * as zlib from 'node:zlib';
 import * as msgpack from '@msgpack/msgpack';
 import { failures, ids } from '@godwittrack/core';
 import * as fc from 'fast-check';
 import * as fixtures from '../../__tests__/fixtures.js';
+import * as configuration from '../../config/configuration.js';
 import type * as phases from '../../rollouts/phases.js';
 import * as frames from '../frames.js';
 
@@ -74,6 +76,19 @@
   },
 ];
 
+function decodeOne(bytes: Buffer): frames.Frame {
+  const [frame, ...others] = new frames.FrameSplitter('peer').push(bytes);
+  assert.ok(frame !== undefined && others.length === 0);
+  return frame;
+}
+
+function addLength(message: Uint8Array): Buffer {
+  const framed = Buffer.alloc(4 + message.length);
+  framed.writeUInt32BE(message.length);
+  framed.set(message, 4);
+  return framed;
+}
+
 describe('frames', () => {
   it('are decoded as they were encoded, however the bytes are split into chunks', () => {
     const bytes = Buffer.concat(FRAMES.map(frames.encode));
@@ -107,15 +122,127 @@
   it('of random bytes fail with a protocol violation and nothing else', () => {
     fc.assert(
       fc.property(fc.uint8Array({ maxLength: 200 }), (noise) => {
-        const framed = Buffer.alloc(4 + noise.length);
-        framed.writeUInt32BE(noise.length);
-        framed.set(noise, 4);
         try {
-          new frames.FrameSplitter('peer').push(framed);
+          new frames.FrameSplitter('peer').push(addLength(noise));
         } catch (err) {
           assert.ok(failures.is(err, 'protocolViolation'));
         }
       }),
     );
   });
+
+  // Guards against uncompressed configurations: at the start of a fleet, those that one node sent to the
+  // others of its failure domain occupied its uplink for seconds.
+  describe('of configurations', () => {
+    const names = Array.from({ length: 800 }, (_, i) => `route-${(i * 7_919).toString(36)}`);
+    const cfg = fixtures.configurationOf(
+      9,
+      names.map((name) => fixtures.route(name)),
+    );
+    const base = fixtures.configurationOf(8, []);
+    const full: frames.Frame = { type: 'configFull', cfg };
+    const delta: frames.Frame = {
+      type: 'configDelta',
+      delta: configuration.createDelta(base, cfg),
+    };
+    const DEFLATED_CODE = msgpackArray(frames.encode(full))[0];
+
+    function msgpackArray(framed: Buffer): unknown[] {
+      return msgpack.decode(framed.subarray(4)) as unknown[];
+    }
+
+    function assertViolation(framed: Buffer): void {
+      assert.throws(
+        () => new frames.FrameSplitter('peer').push(framed),
+        (err) => failures.is(err, 'protocolViolation'),
+      );
+    }
+
+    const wrap = (deflated: unknown) => addLength(msgpack.encode([DEFLATED_CODE, deflated]));
+
+    for (const frame of [full, delta]) {
+      it(`take less than a quarter of their plain size (${frame.type})`, () => {
+        const { type, ...fields } = frame;
+        const plainBytes = msgpack.encode([type, fields]).length;
+        const encoded = frames.encode(frame);
+        assert.ok(encoded.length * 4 < plainBytes, `${encoded.length} of ${plainBytes} bytes`);
+        assert.deepEqual(decodeOne(encoded), frame);
+      });
+    }
+
+    it('are decoded as they were encoded, below and above the size from which they are deflated', () => {
+      const text = fc.string({ unit: 'binary', maxLength: 400 });
+      fc.assert(
+        fc.property(fc.array(text, { maxLength: 40 }), (paths) => {
+          const routes = paths.map((pathPrefix, i) => fixtures.route(`r${i}`, { pathPrefix }));
+          const any: frames.Frame = {
+            type: 'configFull',
+            cfg: fixtures.configurationOf(1, routes),
+          };
+          assert.deepEqual(decodeOne(frames.encode(any)), any);
+        }),
+      );
+    });
+
+    // Guards against packing and deflating the same configuration for each node that requests it.
+    it('are encoded once for all receivers', () => {
+      assert.equal(frames.encode(full), frames.encode({ type: 'configFull', cfg }));
+      const other = fixtures.configurationOf(9, [fixtures.route('other')]);
+      assert.deepEqual(decodeOne(frames.encode({ type: 'configFull', cfg: other })), {
+        type: 'configFull',
+        cfg: other,
+      });
+    });
+
+    describe('that are malformed', () => {
+      const deflated = msgpackArray(frames.encode(full))[1] as Uint8Array;
+
+      it('are refused if they are cut short', () => {
+        fc.assert(
+          fc.property(fc.integer({ min: 0, max: deflated.length - 1 }), (length) => {
+            assertViolation(wrap(deflated.subarray(0, length)));
+          }),
+        );
+      });
+
+      it('are refused if a changed byte makes a difference', () => {
+        const change = fc.record({
+          at: fc.integer({ min: 0, max: deflated.length - 1 }),
+          by: fc.integer({ min: 1, max: 255 }),
+        });
+        fc.assert(
+          fc.property(change, ({ at, by }) => {
+            const changed = Buffer.from(deflated);
+            changed[at]! ^= by;
+            let read: frames.Frame = full;
+            try {
+              read = decodeOne(wrap(changed));
+            } catch (err) {
+              assert.ok(failures.is(err, 'protocolViolation'));
+            }
+            assert.deepEqual(read, full);
+          }),
+        );
+      });
+
+      it('are refused if they are not deflated', () => {
+        fc.assert(
+          fc.property(fc.uint8Array({ maxLength: 200 }), (noise) => assertViolation(wrap(noise))),
+        );
+        for (const value of [null, 7, 'text', {}, [1]]) assertViolation(wrap(value));
+      });
+
+      it('are refused if they inflate to more than the largest frame', () => {
+        const bomb = zlib.deflateSync(Buffer.alloc(frames.MAX_FRAME_BYTES + 1));
+        assertViolation(wrap(bomb));
+      });
+
+      it('are refused if they hold a frame of another type', () => {
+        const nested = msgpack.encode([DEFLATED_CODE, deflated]);
+        assertViolation(wrap(zlib.deflateSync(nested)));
+        const ping = frames.encode({ type: 'ping' }).subarray(4);
+        assertViolation(wrap(zlib.deflateSync(ping)));
+      });
+    });
+  });
 });
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -1,9 +1,11 @@
 /**
  * Wire format of messages between nodes: a length of four bytes, big endian, followed by a MessagePack array
  * that begins with a type code. Requests, outcomes and member records are encoded by field position to keep
- * frames small, since traffic between failure domains is billed by volume.
+ * frames small, since traffic between failure domains is billed by volume. Large configuration frames are
+ * wrapped in a `deflated` frame, which holds the compressed array.
  */
 
+import * as zlib from 'node:zlib';
 import * as msgpack from '@msgpack/msgpack';
 import { failures, ids } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
@@ -17,6 +19,8 @@
 /** Larger frames are sent in pieces of at most this size; 13 ms at 10 Mbit/s. */
 export const PIECE_BYTES = 16 * 1024;
 const LENGTH_BYTES = 4;
+/** Configuration frames larger than this are compressed; smaller ones fit into a few packets anyway. */
+const MIN_DEFLATED_BYTES = 4 * 1024;
 
 /** Newest era of the store that the sender knows of; nodes of earlier releases send none. */
 type KnownEra = ids.StoreEra | null;
@@ -81,7 +85,7 @@
   | { type: 'dropTransfer'; transfer: number };
 
 /** A frame type is encoded as its index in this list, so the order must not change. */
-const FRAME_TYPES: readonly Frame['type'][] = [
+const FRAME_TYPES: readonly (Frame['type'] | 'deflated')[] = [
   'hello',
   'request',
   'members',
@@ -106,14 +110,41 @@
   'piece',
   'pieceAck',
   'dropTransfer',
+  'deflated',
 ];
+/** Frame types that may be wrapped in a `deflated` frame. */
+const DEFLATED_TYPES: ReadonlySet<string | undefined> = new Set(['configFull', 'configDelta']);
 
 /** Shared, since each new encoder allocates a buffer. */
 const encoder = new msgpack.Encoder({ ignoreUndefined: true });
 const decoder = new msgpack.Decoder();
 
+/**
+ * Encoded frames of full configurations, which are immutable. Many nodes request the same one at the start of
+ * a fleet.
+ */
+const encodedConfigurations = new WeakMap<configuration.Configuration, Buffer>();
+
+/** The result may be shared with other callers and must not be modified. */
 export function encode(frame: Frame): Buffer {
+  if (frame.type !== 'configFull') return encodeAnew(frame);
+  let encoded = encodedConfigurations.get(frame.cfg);
+  if (encoded === undefined) {
+    encoded = encodeAnew(frame);
+    encodedConfigurations.set(frame.cfg, encoded);
+  }
+  return encoded;
+}
+
+function encodeAnew(frame: Frame): Buffer {
   const message = encoder.encodeSharedRef(pack(frame));
+  const isDeflated = DEFLATED_TYPES.has(frame.type) && message.length >= MIN_DEFLATED_BYTES;
+  if (!isDeflated) return addLength(message);
+  const code = FRAME_TYPES.indexOf('deflated');
+  return addLength(encoder.encodeSharedRef([code, zlib.deflateSync(message)]));
+}
+
+function addLength(message: Uint8Array): Buffer {
   const framed = Buffer.allocUnsafe(LENGTH_BYTES + message.length);
   framed.writeUInt32BE(message.length, 0);
   framed.set(message, LENGTH_BYTES);
@@ -157,23 +188,7 @@
 /** @throws protocolViolation */
 export function decode(message: Uint8Array, peer: string): Frame {
   try {
-    const [code, first, ...rest] = decoder.decode(message) as [number, unknown, ...unknown[]];
-    const type = FRAME_TYPES[code];
-    if (type === 'request') {
-      const [sentMs, ...fields] = rest;
-      return { type, id: first as number, sentMs: sentMs as number, req: unpackRequest(fields) };
-    }
-    if (type === 'members') return { type, members: (first as unknown[][]).map(unpackMember) };
-    if (type === 'outcome') return { type, id: first as number, delivery: unpackDelivery(rest) };
-    if (type === 'piece') return unpackPiece(first, rest);
-    if (type === 'pieceAck') return { type, bytes: toCount(first) };
-    if (type === 'dropTransfer') return { type, transfer: toCount(first) };
-    if (type === undefined) throw new Error(`type code ${code}`);
-    const fields = { type, ...(first as object) } as Frame;
-    if (fields.type === 'rollouts') return { ...fields, states: unpackRollouts(fields.states) };
-    if (fields.type === 'hello' || fields.type === 'stateSummary')
-      return { ...fields, rollouts: unpackRollouts(fields.rollouts) };
-    return fields;
+    return unpack(decoder.decode(message));
   } catch (err) {
     throw failures.toError({ type: 'protocolViolation', peer, detail: String(err) });
   }
@@ -189,6 +204,35 @@
   return value as number;
 }
 
+function unpack(fields: unknown): Frame {
+  const [code, first, ...rest] = fields as [number, unknown, ...unknown[]];
+  const type = FRAME_TYPES[code];
+  if (type === 'request') {
+    const [sentMs, ...others] = rest;
+    return { type, id: first as number, sentMs: sentMs as number, req: unpackRequest(others) };
+  }
+  if (type === 'members') return { type, members: (first as unknown[][]).map(unpackMember) };
+  if (type === 'outcome') return { type, id: first as number, delivery: unpackDelivery(rest) };
+  if (type === 'deflated') return unpackDeflated(first as Uint8Array);
+  if (type === 'piece') return unpackPiece(first, rest);
+  if (type === 'pieceAck') return { type, bytes: toCount(first) };
+  if (type === 'dropTransfer') return { type, transfer: toCount(first) };
+  if (type === undefined) throw new Error(`type code ${code}`);
+  const frame = { type, ...(first as object) } as Frame;
+  if (frame.type === 'rollouts') return { ...frame, states: unpackRollouts(frame.states) };
+  if (frame.type === 'hello' || frame.type === 'stateSummary')
+    return { ...frame, rollouts: unpackRollouts(frame.rollouts) };
+  return frame;
+}
+
+function unpackDeflated(deflated: Uint8Array): Frame {
+  const message = zlib.inflateSync(deflated, { maxOutputLength: MAX_FRAME_BYTES });
+  const fields = decoder.decode(message) as [number, ...unknown[]];
+  const type = FRAME_TYPES[fields[0]];
+  if (!DEFLATED_TYPES.has(type)) throw new Error(`a deflated frame of type ${type}`);
+  return unpack(fields);
+}
+
 function packMember(member: members.Member): unknown[] {
   const { node, address, domain, region, sequence, upstream } = member;
   if (upstream === null) return [node, address, domain, region, sequence];
