feat(mesh): count the wait for the uplink in the choice of an upstream

Callers of large answers were served late or not at all, and so were small calls to the same upstreams. 8 of 76 hosts serve answers of 90 KB; callers prefer their own failure domain, so in a domain with a single such host its uplink got nearly twice the bytes that it carries, while hosts of the neighbour domain had room. Neither the load report nor the balancer knew of the uplink.

A load report now states how long an answer of the host waits for its uplink. UpstreamStats keeps that per node, less the time since, and the balancer adds it to the expected time of requests whose answers are larger than MAX_WHOLE_FRAME_BYTES, so that it counts against the target, the deadline and in the score. Smaller answers overtake the large ones and are not affected. A route whose answers a node has not seen counts as large.

Reports alone do not suffice: a node sends about one such request a second, so its reports are old, and many nodes see the same idle uplink at once. The host therefore checks each offer itself, with the large answers that are at work there: it refuses as `waitTooLong`, with a new report, what waits longer than the second-best candidate allows, and as `noTimeLeft` what cannot be sent before the deadline. Downloads that the uplink makes late also queue for slots behind requests that are in time.

--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -60,6 +60,7 @@
     limitPerSecond: null,
     load: 0,
     serviceMs: 100,
+    transferWaitMs: 0,
     failureShare: 0,
     hasOpenLink: true,
   } as const;
@@ -179,6 +180,7 @@
     deadlineLeftMs: 400,
     estimateMs: 30,
     maxWaitMs: Infinity,
+    fromOtherHost: true,
     ...overrides,
   };
 }
--- a/packages/mesh/src/limits/__tests__/admissionQueue.test.ts
+++ b/packages/mesh/src/limits/__tests__/admissionQueue.test.ts
@@ -19,6 +19,7 @@
     targetAtMs: nowMs + 3 * SERVICE_MS,
     deadlineAtMs: nowMs + 8 * SERVICE_MS,
     estimateMs: SERVICE_MS,
+    transferWaitMs: 0,
     maxWaitMs: Infinity,
     ...overrides,
   };
@@ -160,6 +161,28 @@
       assert.equal(queue.offer(createRequest('w', 0, { maxWaitMs: SERVICE_MS }), 0).type, 'wait');
     });
 
+    // Guards against answers that wait for a crowded uplink although their sender knows an idle one.
+    it('counts the wait for the uplink against the limit of the sender, with free slots too', () => {
+      const transferWaitMs = SERVICE_MS;
+      const limited = createRequest('limited', 0, { transferWaitMs, maxWaitMs: SERVICE_MS - 1 });
+      assert.deepEqual(queue.offer(limited, 0), {
+        type: 'refuse',
+        reason: 'waitTooLong',
+        retryAfterMs: SERVICE_MS,
+      });
+      const accepted = createRequest('accepted', 0, { transferWaitMs, maxWaitMs: SERVICE_MS });
+      assert.equal(queue.offer(accepted, 0).type, 'run');
+    });
+
+    it('refuses at once what the uplink cannot send before the deadline of the caller', () => {
+      const overrides = { deadlineAtMs: 2 * SERVICE_MS, transferWaitMs: 2 * SERVICE_MS };
+      assert.deepEqual(queue.offer(createRequest('late', 0, overrides), 0), {
+        type: 'refuse',
+        reason: 'noTimeLeft',
+        retryAfterMs: SERVICE_MS,
+      });
+    });
+
     it('refuses everything while the upstream takes no work', () => {
       queue.setSlots(0);
       const decision = queue.offer(createRequest('a', 0), 0);
@@ -188,6 +211,17 @@
       assert.deepEqual(started, ['sooner', 'urgent']);
     });
 
+    // Guards against downloads that the uplink makes late, and that go before calls that are in time.
+    it('counts requests that the uplink makes late as late', () => {
+      const [first] = fillSlots();
+      queue.offer(createRequest('late', 0, { transferWaitMs: 2 * SERVICE_MS }), 0);
+      queue.offer(createRequest('onTime', 0, { priority: 3 }), 0);
+      assert.deepEqual(
+        queue.release(first!, 10).started.map(({ name }) => name),
+        ['onTime'],
+      );
+    });
+
     it('lets late requests run only when no other waits', () => {
       const [first] = fillSlots();
       queue.offer(createRequest('late', 0, { targetAtMs: 0 }), 0);
--- a/packages/mesh/src/limits/__tests__/targetMargin.test.ts
+++ b/packages/mesh/src/limits/__tests__/targetMargin.test.ts
@@ -56,6 +56,7 @@
       targetAtMs: trueTargetMs - marginOf(MEAN_MS, TARGET_MS),
       deadlineAtMs: arrivesAt + DEADLINE_MS,
       estimateMs: MEAN_MS,
+      transferWaitMs: 0,
       maxWaitMs: Infinity,
       workMs: exponential(MEAN_MS),
     };
--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -16,7 +16,9 @@
   deadlineAtMs: number;
   /** Expected service time. */
   estimateMs: number;
-  /** Longest wait that the sender accepts; for a longer one, it has a better candidate. */
+  /** Expected wait of the answer for the uplink of the host. */
+  transferWaitMs: number;
+  /** Longest wait for a slot and the uplink that the sender accepts; beyond it, it has a better candidate. */
   maxWaitMs: number;
 }
 
@@ -105,9 +107,11 @@
 
   offer(request: T, nowMs: number): Decision {
     if (this.slots === 0) return refuse('notAccepting', MIN_RETRY_AFTER_MS);
-    if (nowMs + request.estimateMs > request.deadlineAtMs) {
-      return refuse('noTimeLeft', MIN_RETRY_AFTER_MS);
-    }
+    const { transferWaitMs } = request;
+    const missingMs = nowMs + timeToAnswerMs(request) - request.deadlineAtMs;
+    // Only the wait for the uplink is shorter a moment later.
+    if (missingMs > 0) return refuse('noTimeLeft', Math.min(missingMs, transferWaitMs));
+    if (transferWaitMs > request.maxWaitMs) return refuse(WAIT_TOO_LONG, transferWaitMs);
     if (
       this.running.size < this.slots &&
       this.waiting.length === 0 &&
@@ -121,7 +125,7 @@
     if (!this.canWait(request, waitMs, nowMs, this.lateCount(nowMs))) {
       return refuse(this.fullReason(request, position, waitMs), waitMs);
     }
-    if (waitMs > request.maxWaitMs) return refuse(WAIT_TOO_LONG, waitMs);
+    if (waitMs + transferWaitMs > request.maxWaitMs) return refuse(WAIT_TOO_LONG, waitMs);
     this.waiting.splice(position, 0, request);
     return { type: 'wait' };
   }
@@ -147,7 +151,7 @@
     this.waiting.sort((a, b) => this.compare(a, b, nowMs));
     while (this.running.size < this.slots && this.waiting.length > 0) {
       const next = this.waiting[0]!;
-      if (nowMs + this.reserveMs + next.estimateMs > next.deadlineAtMs) {
+      if (nowMs + this.reserveMs + timeToAnswerMs(next) > next.deadlineAtMs) {
         update.refused.push({
           request: next,
           reason: 'noTimeLeft',
@@ -184,7 +188,7 @@
 
   private canWait(request: T, waitMs: number, nowMs: number, lateBefore: number): boolean {
     const reserveMs = 2 * this.reserveMs;
-    if (nowMs + waitMs + reserveMs + request.estimateMs > request.deadlineAtMs) return false;
+    if (nowMs + waitMs + reserveMs + timeToAnswerMs(request) > request.deadlineAtMs) return false;
     if (!isLate(request, nowMs, waitMs)) return true;
     if (lateBefore >= Math.ceil(this.slots * MAX_LATE_WAITING_SHARE)) return false;
     return !this.limiter.isLimited || nowMs <= this.lateWaitEndMs(request, waitMs, nowMs);
@@ -241,7 +245,12 @@
 }
 
 function isLate(request: AdmissionRequest, nowMs: number, waitMs: number): boolean {
-  return nowMs + waitMs + request.estimateMs > request.targetAtMs;
+  return nowMs + waitMs + timeToAnswerMs(request) > request.targetAtMs;
+}
+
+/** Expected time from the start of a request until its answer is sent. */
+function timeToAnswerMs({ estimateMs, transferWaitMs }: AdmissionRequest): number {
+  return estimateMs + transferWaitMs;
 }
 
 function clampRetryAfter(waitMs: number): number {
--- a/packages/mesh/src/peers/__tests__/framedConnection.test.ts
+++ b/packages/mesh/src/peers/__tests__/framedConnection.test.ts
@@ -4,12 +4,13 @@
 import { failures, ids } from '@godwittrack/core';
 import * as fc from 'fast-check';
 import * as fixtures from '../../__tests__/fixtures.js';
+import * as eventLoop from '../../eventLoop.js';
 import * as framedConnection from '../framedConnection.js';
 import * as frames from '../frames.js';
 import * as reassembler from '../reassembler.js';
 import * as uplinkScheduler from '../uplinkScheduler.js';
 
-const { PIECE_BYTES } = frames;
+const { MAX_WHOLE_FRAME_BYTES: PIECE_BYTES } = frames;
 
 /** One end of a connection whose sent bytes wait until the test delivers them. */
 class End {
@@ -120,13 +121,15 @@
     assert.deepEqual(exchangeAll(from, to, [1_000]).map(idOf), [2]);
   });
 
-  it('reports a frame as sent once its last piece is written', () => {
+  it('reports a frame as flushed once its last piece is written', async () => {
     const [from, to] = [new End(), new End()];
     const sent: string[] = [];
     from.connection.send(outcome(1, 4 * PIECE_BYTES), () => sent.push('large'));
     from.connection.send({ type: 'pong' }, () => sent.push('small'));
+    await eventLoop.nextPoll();
     assert.deepEqual(sent, ['small']);
     exchangeAll(from, to, [1_000]);
+    await eventLoop.nextPoll();
     assert.deepEqual(sent, ['small', 'large']);
   });
 });
--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -58,7 +58,7 @@
         body: Buffer.from('x'),
         serviceMs: 4,
       },
-      report: { load: 3, averageServiceMs: 40 },
+      report: { load: 3, averageServiceMs: 40, transferWaitMs: 0 },
     },
   },
   {
@@ -66,7 +66,7 @@
     id: 8,
     delivery: {
       outcome: { type: 'refused', reason: 'queueTooLong', retryAfterMs: 50, reachedUpstream: true },
-      report: null,
+      report: { load: 9, averageServiceMs: null, transferWaitMs: 350 },
     },
   },
   {
--- a/packages/mesh/src/peers/__tests__/peerServer.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerServer.test.ts
@@ -206,11 +206,13 @@
   });
 
   describe('a frame in pieces', () => {
-    const bytes = Buffer.alloc(frames.PIECE_BYTES);
+    const bytes = Buffer.alloc(frames.MAX_WHOLE_FRAME_BYTES);
     const piece = { type: 'piece', transfer: 1, last: false, bytes } as const;
     const malformed: Record<string, frames.Frame[]> = {
       'a piece of an unknown transfer': [{ ...piece, transfer: 2 }],
-      'a piece that is too large': [{ ...piece, bytes: Buffer.alloc(frames.PIECE_BYTES + 1) }],
+      'a piece that is too large': [
+        { ...piece, bytes: Buffer.alloc(frames.MAX_WHOLE_FRAME_BYTES + 1) },
+      ],
       'pieces that are no frame': [{ ...piece, last: true }],
       'the end of an unknown transfer': [{ type: 'dropTransfer', transfer: 1 }],
       'an acknowledgement of nothing': [{ type: 'pieceAck', bytes: 1 }],
--- a/packages/mesh/src/peers/__tests__/uplinkScheduler.test.ts
+++ b/packages/mesh/src/peers/__tests__/uplinkScheduler.test.ts
@@ -4,7 +4,7 @@
 import * as frames from '../frames.js';
 import * as uplinkScheduler from '../uplinkScheduler.js';
 
-const { PIECE_BYTES } = frames;
+const { MAX_WHOLE_FRAME_BYTES: PIECE_BYTES } = frames;
 
 describe('UplinkScheduler', () => {
   let now: number;
--- a/packages/mesh/src/peers/framedConnection.ts
+++ b/packages/mesh/src/peers/framedConnection.ts
@@ -55,7 +55,7 @@
     onFlushed?: () => void,
   ): uplinkScheduler.Transfer | null {
     const isOrdered = ORDERED_TYPES.has(type);
-    if (bytes.length > frames.PIECE_BYTES || (isOrdered && this.channel.hasOrdered)) {
+    if (bytes.length > frames.MAX_WHOLE_FRAME_BYTES || (isOrdered && this.channel.hasOrdered)) {
       return this.channel.enqueue(frames.withoutLength(bytes), { isOrdered, onFlushed });
     }
     this.write(bytes, onFlushed);
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -16,8 +16,10 @@
 import type * as exchange from '../routing/exchange.js';
 
 export const MAX_FRAME_BYTES = 80 * 1024 * 1024;
-/** Larger frames are sent in pieces of at most this size; 13 ms at 10 Mbit/s. */
-export const PIECE_BYTES = 16 * 1024;
+/**
+ * Larger frames are sent in pieces of at most this size, and smaller ones overtake them; 13 ms at 10 Mbit/s.
+ */
+export const MAX_WHOLE_FRAME_BYTES = 16 * 1024;
 const LENGTH_BYTES = 4;
 /** Configuration frames larger than this are compressed; smaller ones fit into a few packets anyway. */
 const MIN_DEFLATED_BYTES = 4 * 1024;
@@ -316,6 +318,7 @@
     deadlineLeftMs,
     estimateMs,
     maxWaitMs: maxWaitMs ?? Infinity,
+    fromOtherHost: true,
   } as exchange.ForwardedRequest;
 }
 
@@ -324,10 +327,7 @@
 const LOST = 2;
 
 function packDelivery({ outcome, report }: exchange.Delivery): unknown[] {
-  const load =
-    report === null
-      ? null
-      : [report.load, report.averageServiceMs === null ? -1 : Math.round(report.averageServiceMs)];
+  const load = report === null ? null : packReport(report);
   switch (outcome.type) {
     case 'answer': {
       const { status, headers, body, serviceMs } = outcome;
@@ -344,7 +344,7 @@
 }
 
 function unpackDelivery([kind, load, ...rest]: unknown[]): exchange.Delivery {
-  const report = unpackReport(load as [number, number] | null);
+  const report = unpackReport(load as PackedReport | null);
   if (kind === ANSWER) {
     const [status, headers, body, serviceMs] = rest;
     const answer = { type: 'answer', status, headers, body: toBuffer(body), serviceMs };
@@ -357,10 +357,24 @@
   return { outcome: { type: 'lost', detail: String(rest[0]) }, report };
 }
 
-function unpackReport(packed: [number, number] | null): exchange.LoadReport | null {
+/** Load, average service time or -1, and the wait for the uplink unless there is none. */
+type PackedReport = [number, number, number?];
+
+function packReport(report: exchange.LoadReport): PackedReport {
+  const averageServiceMs = Math.round(report.averageServiceMs ?? -1);
+  const transferWaitMs = Math.round(report.transferWaitMs);
+  if (transferWaitMs === 0) return [report.load, averageServiceMs];
+  return [report.load, averageServiceMs, transferWaitMs];
+}
+
+function unpackReport(packed: PackedReport | null): exchange.LoadReport | null {
   if (packed === null) return null;
-  const [load, averageServiceMs] = packed;
-  return { load, averageServiceMs: averageServiceMs < 0 ? null : averageServiceMs };
+  const [load, averageServiceMs, transferWaitMs = 0] = packed;
+  return {
+    load,
+    averageServiceMs: averageServiceMs < 0 ? null : averageServiceMs,
+    transferWaitMs,
+  };
 }
 
 function toBuffer(bytes: unknown): Buffer {
--- a/packages/mesh/src/peers/reassembler.ts
+++ b/packages/mesh/src/peers/reassembler.ts
@@ -26,7 +26,7 @@
   add({ transfer, last, bytes }: Piece): frames.Frame | null {
     const chunks = this.incomplete.get(transfer) ?? this.start(transfer);
     this.heldBytes += bytes.length;
-    if (bytes.length === 0 || bytes.length > frames.PIECE_BYTES)
+    if (bytes.length === 0 || bytes.length > frames.MAX_WHOLE_FRAME_BYTES)
       this.reject(`a piece of ${bytes.length} bytes`);
     if (this.heldBytes > this.maxHeldBytes) this.reject(`${this.heldBytes} bytes in pieces`);
     if (!last) {
--- a/packages/mesh/src/peers/uplinkScheduler.ts
+++ b/packages/mesh/src/peers/uplinkScheduler.ts
@@ -138,7 +138,7 @@
       this.startedBytes += transfer.message.length;
     }
     const start = transfer.writtenBytes;
-    const bytes = transfer.message.subarray(start, start + frames.PIECE_BYTES);
+    const bytes = transfer.message.subarray(start, start + frames.MAX_WHOLE_FRAME_BYTES);
     transfer.writtenBytes += bytes.length;
     const onFlushed = transfer.isSent ? transfer.options.onFlushed : undefined;
     this.write({ type: 'piece', transfer: transfer.id, last: transfer.isSent, bytes }, onFlushed);
@@ -201,10 +201,10 @@
     return this.queued > 0 || this.awaiting.size > 0;
   }
 
-  /** Estimated time until bytes queued now would have left this host; 0 if they need not wait. */
-  backlogMs(): number {
+  /** Estimated time until what is queued, and `moreBytes`, will have left this host; 0 if none need wait. */
+  backlogMs(moreBytes = 0): number {
     this.measure();
-    let ready = this.queued;
+    let ready = this.queued + moreBytes;
     for (const { isStalled, queuedBytes } of this.awaiting) if (isStalled) ready -= queuedBytes;
     if (ready <= 0 || this.busyBytes === 0) return 0;
     return ((ready + this.countedBytes) * this.busyMs) / this.busyBytes;
@@ -326,5 +326,5 @@
 }
 
 function nextPieceBytes({ unwrittenBytes }: Transfer): number {
-  return Math.min(unwrittenBytes, frames.PIECE_BYTES);
+  return Math.min(unwrittenBytes, frames.MAX_WHOLE_FRAME_BYTES);
 }
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -102,6 +102,7 @@
     rollouts.isRollingOut(service, version),
   );
   const upstream = new localUpstream.LocalUpstream(settings.upstreamAddress);
+  const uplink = new uplinkScheduler.UplinkScheduler(nowMs);
   const local = new localDestination.LocalDestination({
     upstream,
     pool: new upstreamPool.UpstreamPool(settings.upstreamAddress, platform.codec),
@@ -110,13 +111,13 @@
     meters: metricsRegistry,
     evidence: recorder,
     mayServe: (service, version) => rollouts.mayServe(service, version),
+    transferWaitMs: (bytes) => uplink.backlogMs(bytes),
     nowMs,
   });
   const onEvidence = (report: evidence.EvidenceReport) => comparison.addReport(report);
   const eventLoopLag = new eventLoop.LagMeter(agent.TICK_MS, nowMs);
   // The watcher and the network refer to each other.
   let watcher: storeWatcher.StoreWatcher;
-  const uplink = new uplinkScheduler.UplinkScheduler(nowMs);
   const network = new peerNetwork.PeerNetwork({
     table,
     config,
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -32,7 +32,7 @@
     this.received.push(req);
     return Promise.resolve({
       outcome: this.script.shift() ?? OK,
-      report: { load: 0, averageServiceMs: null },
+      report: { load: 0, averageServiceMs: null, transferWaitMs: 0 },
     });
   }
 }
--- a/packages/mesh/src/routing/__tests__/routing.test.ts
+++ b/packages/mesh/src/routing/__tests__/routing.test.ts
@@ -9,6 +9,7 @@
 import * as balancer from '../balancer.js';
 import * as routeTable from '../routeTable.js';
 import * as trafficSplitter from '../trafficSplitter.js';
+import * as upstreamStats from '../upstreamStats.js';
 
 describe('RouteTable', () => {
   const table = new routeTable.RouteTable(
@@ -133,6 +134,8 @@
   const far = (overrides: Partial<balancer.Candidate> = {}) =>
     fixtures.candidate('far', { distance: 'remote', ...overrides });
 
+  const download = { transferBytes: 90_000, targetLeftMs: 1_139, deadlineLeftMs: 3_000 };
+
   it('stays in the own failure domain while there is room', () => {
     assert.equal(choose([far({ load: 0 }), near({ load: 9 })]), 'near');
   });
@@ -162,6 +165,21 @@
     assert.equal(choose(crowded, { transferBytes: 90_000, targetLeftMs: 200 }), 'far');
   });
 
+  // Guards against hosts whose uplink is overloaded while those of a neighbour domain have room.
+  it('weighs the wait for the uplink against the distance, the target and the deadline', () => {
+    const crowded = (transferWaitMs: number) => [far(), near({ transferWaitMs })];
+    assert.equal(choose(crowded(500), download), 'near');
+    assert.equal(choose(crowded(900), download), 'far');
+    assert.equal(choose(crowded(500), { ...download, targetLeftMs: 400 }), 'far');
+    assert.equal(choose([near({ transferWaitMs: 2_950 })], download), null);
+  });
+
+  it('lets an answer wait for a near uplink as long as no farther one is better', () => {
+    const waitOf = (transferWaitMs: number) =>
+      new balancer.Balancer(() => 0).choose([near({ transferWaitMs }), far()], download)!.maxWaitMs;
+    assert.equal(waitOf(100), waitOf(0));
+  });
+
   it('still uses a failing upstream where there is no other', () => {
     assert.equal(choose([near({ failureShare: 0.9 })]), 'near');
   });
@@ -170,3 +188,19 @@
     assert.equal(choose([near()], { deadlineLeftMs: 50 }), null);
   });
 });
+
+describe('UpstreamStats', () => {
+  // Guards against old reports that keep requests away from an uplink that is idle again.
+  it('shrinks a reported wait for the uplink by the time that has passed', () => {
+    let now = 1_000;
+    const stats = new upstreamStats.UpstreamStats(() => now);
+    const node = ids.nodeId('a');
+    assert.equal(stats.transferWaitMs(node), 0);
+    const report = { load: 0, averageServiceMs: null, transferWaitMs: 300 };
+    stats.recordReport(node, ids.routeName('r'), report, 0);
+    now += 100;
+    assert.equal(stats.transferWaitMs(node), 200);
+    now += 250;
+    assert.equal(stats.transferWaitMs(node), 0);
+  });
+});
--- a/packages/mesh/src/routing/__tests__/spreadOfWork.test.ts
+++ b/packages/mesh/src/routing/__tests__/spreadOfWork.test.ts
@@ -95,6 +95,7 @@
       const report = {
         load: server.queue.runningCount + server.queue.waitingCount,
         averageServiceMs: null,
+        transferWaitMs: 0,
       };
       stats.recordReport(candidate.node, ROUTE, report, 0);
       if (decision.type === 'run') start(server, offered);
@@ -113,6 +114,7 @@
       targetAtMs: now + TARGET_MS,
       deadlineAtMs: now + 5_000,
       estimateMs: MEAN_MS,
+      transferWaitMs: 0,
       maxWaitMs: Infinity,
       workMs: -MEAN_MS * Math.log(1 - next()),
     });
--- a/packages/mesh/src/routing/balancer.ts
+++ b/packages/mesh/src/routing/balancer.ts
@@ -13,6 +13,8 @@
   load: number;
   /** Average service time of the route's requests at this upstream. */
   serviceMs: number;
+  /** Wait of the answer for the uplink of the host; 0 for answers that are small enough to overtake others. */
+  transferWaitMs: number;
   /** Share of recent requests there that failed, 0 to 1. */
   failureShare: number;
   /** False if a link to the node must be opened first. */
@@ -68,7 +70,7 @@
   candidate: Candidate;
   /** Expected time until the answer, from now. */
   expectedMs: number;
-  /** Longest wait for a slot before the second-best candidate is better; Infinity if none. */
+  /** Longest wait for a slot and the uplink before the second-best candidate is better; Infinity if none. */
   maxWaitMs: number;
 }
 
@@ -98,7 +100,7 @@
       }
     }
     if (best === null) return null;
-    const maxWaitMs = expectedWaitMs(best) + nextScore - bestScore;
+    const maxWaitMs = expectedWaitMs(best) + best.transferWaitMs + nextScore - bestScore;
     return { candidate: best, expectedMs: bestExpectedMs, maxWaitMs };
   }
 
@@ -118,14 +120,16 @@
   return DISTANCE_COST_MS[distance] + DISTANCE_COST_MS_PER_KB[distance] * kilobytes;
 }
 
-/** Expected time until the answer: network round trip, wait for a slot, and service time. */
+/** Expected time until the answer: network round trip, waits for a slot and the uplink, and service time. */
 export function expectedAnswerMs(candidate: Candidate): number {
-  const { serviceMs: meanMs, distance, hasOpenLink: isConnected } = candidate;
+  const { serviceMs: meanMs, distance, hasOpenLink: isConnected, transferWaitMs } = candidate;
   const usage = Math.min(1, candidate.load / Math.max(1, candidate.slots));
   const roundTripMs = ROUND_TRIP_MS[distance] * (isConnected ? 1 : 2);
-  return roundTripMs + expectedWaitMs(candidate) + meanMs * (1 + FULL_SLOWDOWN * usage * usage);
+  const waitMs = expectedWaitMs(candidate) + transferWaitMs;
+  return roundTripMs + waitMs + meanMs * (1 + FULL_SLOWDOWN * usage * usage);
 }
 
+/** Expected wait for a slot. */
 function expectedWaitMs(candidate: Candidate): number {
   const capacity = capacityOf(candidate);
   const queued = Math.max(0, candidate.load + 1 - capacity);
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -247,12 +247,20 @@
       limitPerSecond: upstream!.limitPerSecond,
       load: (this.outstanding.get(node) ?? 0) + stats.loadFromOthers(node),
       serviceMs: stats.serviceMsAt(node, route, routeAverageMs),
+      transferWaitMs: this.transferWaitMs(node, route),
       failureShare: stats.failureShare(node),
       hasOpenLink: node === table.self.node || isConnected(node),
     };
   }
 
-  /** Longest wait for a slot at the candidate; beyond it, the request is offered elsewhere. */
+  /** Expected wait of the answer for the uplink of the node's host; small answers overtake large ones. */
+  private transferWaitMs(node: ids.NodeId, route: ids.RouteName): number {
+    const { upstreamStats: stats, table } = this.options;
+    const waits = node !== table.self.node && stats.hasLargeAnswers(route);
+    return waits ? stats.transferWaitMs(node) : 0;
+  }
+
+  /** Longest wait for a slot and the uplink at the candidate; beyond it, the request is offered elsewhere. */
   private maxWait({ candidate, maxWaitMs }: balancer.Choice, progress: Progress): number {
     const acceptsAnyWait = progress.offers >= MAX_OFFERS || progress.probed.has(candidate.node);
     return acceptsAnyWait ? Infinity : Math.max(MIN_ACCEPTED_WAIT_MS, maxWaitMs);
@@ -276,7 +284,12 @@
     }
     const ownRequests = (this.outstanding.get(node) ?? 0) + 1;
     this.outstanding.set(node, ownRequests);
-    const forwarded = this.toForwardedRequest(req, member.upstream, this.maxWait(choice, progress));
+    const forwarded = this.toForwardedRequest(
+      req,
+      node,
+      member.upstream,
+      this.maxWait(choice, progress),
+    );
     const { outcome, report } = await destination.send(forwarded, signal);
     const remaining = this.outstanding.get(node)! - 1;
     this.outstanding.set(node, remaining);
@@ -337,6 +350,7 @@
 
   private toForwardedRequest(
     req: CallerRequest,
+    node: ids.NodeId,
     upstream: members.UpstreamState,
     maxWaitMs: number,
   ): exchange.ForwardedRequest {
@@ -357,6 +371,7 @@
       deadlineLeftMs: req.deadlineAtMs - now,
       estimateMs: this.options.upstreamStats.averageServiceMs(route.name, route.targetLatencyMs),
       maxWaitMs,
+      fromOtherHost: node !== this.options.table.self.node,
     };
   }
 }
--- a/packages/mesh/src/routing/exchange.ts
+++ b/packages/mesh/src/routing/exchange.ts
@@ -25,8 +25,10 @@
   deadlineLeftMs: number;
   /** Service time that the sender expects. */
   estimateMs: number;
-  /** Longest wait for a slot that the sender accepts; beyond it, it prefers another node. */
+  /** Longest wait for a slot and the uplink that the sender accepts; beyond it, it prefers another node. */
   maxWaitMs: number;
+  /** Whether another host has sent it, so that the answer crosses the uplink of the upstream's host. */
+  fromOtherHost: boolean;
 }
 
 export interface Answer {
@@ -68,6 +70,8 @@
   load: number;
   /** Average service time of the route at this upstream; null before the first sample. */
   averageServiceMs: number | null;
+  /** Time after which the uplink of the host will have sent all answers handed over so far. */
+  transferWaitMs: number;
 }
 
 export interface Delivery {
--- a/packages/mesh/src/routing/upstreamStats.ts
+++ b/packages/mesh/src/routing/upstreamStats.ts
@@ -2,6 +2,7 @@
 
 import type { ids } from '@godwittrack/core';
 import * as admissionQueue from '../limits/admissionQueue.js';
+import * as frames from '../peers/frames.js';
 import type * as exchange from './exchange.js';
 
 /** Weight of the newest sample in a moving average. */
@@ -93,6 +94,8 @@
   loadFromOthers: TimedValue;
   /** Average service time at the upstream, by route. */
   averageServiceMs: Map<ids.RouteName, TimedValue>;
+  /** Wait of a large answer for the uplink of the node's host. */
+  transferWait: TimedValue;
   fullBackoffs: Map<ids.RouteName, FullBackoff>;
 }
 
@@ -114,6 +117,12 @@
     return this.answerSizes.get(route)?.value ?? 0;
   }
 
+  /** Whether answers to the route wait for the uplink of a host. Unknown sizes count as large. */
+  hasLargeAnswers(route: ids.RouteName): boolean {
+    const bytes = this.answerSizes.get(route)?.value ?? Infinity;
+    return bytes > frames.MAX_WHOLE_FRAME_BYTES;
+  }
+
   /** Service time at one upstream; converges to `routeAverageMs` while no report of it comes in. */
   serviceMsAt(node: ids.NodeId, route: ids.RouteName, routeAverageMs: number): number {
     const atNode = this.nodes.get(node)?.averageServiceMs.get(route);
@@ -128,6 +137,13 @@
     return load.value * 0.5 ** ((this.nowMs() - load.atMs) / LOAD_HALF_LIFE_MS);
   }
 
+  /** Wait of a large answer for the uplink of a node's host; 0 without a recent report. */
+  transferWaitMs(node: ids.NodeId): number {
+    const wait = this.nodes.get(node)?.transferWait;
+    if (wait === undefined) return 0;
+    return Math.max(0, wait.value - (this.nowMs() - wait.atMs));
+  }
+
   /** @returns time until a node that was full may be asked again; 0 if it may be asked now */
   fullBackoffMs(node: ids.NodeId, route: ids.RouteName, targetLeftMs: number): number {
     const backoff = this.nodes.get(node)?.fullBackoffs.get(route);
@@ -174,6 +190,7 @@
     const stats = this.statsOf(node);
     const atMs = this.nowMs();
     stats.loadFromOthers = { value: Math.max(0, report.load - ownRequests), atMs };
+    stats.transferWait = { value: report.transferWaitMs, atMs };
     if (report.averageServiceMs !== null)
       stats.averageServiceMs.set(route, { value: report.averageServiceMs, atMs });
   }
@@ -192,13 +209,13 @@
     let stats = this.nodes.get(node);
     if (stats === undefined) {
       const atMs = this.nowMs();
-      const loadFromOthers = { value: 0, atMs };
       stats = {
         failures: 0,
         successes: 0,
         decayedAtMs: atMs,
-        loadFromOthers,
+        loadFromOthers: { value: 0, atMs },
         averageServiceMs: new Map(),
+        transferWait: { value: 0, atMs },
         fullBackoffs: new Map(),
       };
       this.nodes.set(node, stats);
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -6,6 +6,7 @@
 import type * as localUpstream from '../membership/localUpstream.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
+import * as frames from '../peers/frames.js';
 import * as exchange from '../routing/exchange.js';
 import type * as evidence from '../rollouts/evidence.js';
 import * as upstreamStats from '../routing/upstreamStats.js';
@@ -26,6 +27,8 @@
   arrivedMs: number;
   req: exchange.ForwardedRequest;
   signal: AbortSignal;
+  /** Expected size of the answer, as far as it waits for the uplink. */
+  uplinkBytes: number;
   settle: (outcome: exchange.Outcome) => void;
 }
 
@@ -38,6 +41,8 @@
   evidence: evidence.EvidenceRecorder;
   /** False for versions that were rolled back. */
   mayServe: (service: string, version: string) => boolean;
+  /** Time after which the uplink of this host will have sent all answers handed over, and `bytes` more. */
+  transferWaitMs: (bytes: number) => number;
   nowMs: () => number;
 }
 
@@ -46,6 +51,11 @@
 
   private readonly serviceTimes = new upstreamStats.RouteAverages();
 
+  private readonly answerSizes = new upstreamStats.RouteAverages();
+
+  /** Expected size of the large answers to running requests of other hosts. */
+  private expectedBytes = 0;
+
   private connectFailures = 0;
 
   private downUntilMs = 0;
@@ -61,6 +71,7 @@
         options.pool.clear();
         this.connectFailures = 0;
         this.serviceTimes.clear();
+        this.answerSizes.clear();
       }
       this.queue.setSlots(state?.slots ?? 0);
       this.applyLimit();
@@ -76,7 +87,9 @@
     return new Promise((resolve) => {
       const settle = (outcome: exchange.Outcome) => {
         const averageMs = this.serviceTimes.get(req.route)?.value ?? null;
-        resolve({ outcome, report: { load: this.load, averageServiceMs: averageMs } });
+        const transferWaitMs = this.options.transferWaitMs(this.expectedBytes);
+        const report = { load: this.load, averageServiceMs: averageMs, transferWaitMs };
+        resolve({ outcome, report });
       };
       const reason = this.refusalReason(req);
       if (reason !== null) {
@@ -107,10 +120,12 @@
     const serviceTime = this.serviceTimes.get(req.route);
     const estimateMs = serviceTime?.value ?? req.estimateMs;
     const { targetLeftMs } = req;
+    const uplinkBytes = this.uplinkBytes(req);
+    const transferWaitMs = uplinkBytes === 0 ? 0 : this.options.transferWaitMs(this.expectedBytes);
     const marginMs = targetMargin.targetMargin(
       estimateMs,
       serviceTime?.deviation ?? null,
-      targetLeftMs,
+      targetLeftMs - transferWaitMs,
     );
     const entry: QueueEntry = {
       arrivedMs: now,
@@ -121,6 +136,8 @@
       targetAtMs: now + targetLeftMs - marginMs,
       deadlineAtMs: now + req.deadlineLeftMs,
       estimateMs,
+      transferWaitMs,
+      uplinkBytes,
       maxWaitMs: req.maxWaitMs,
     };
     const decision = this.queue.offer(entry, now);
@@ -140,9 +157,17 @@
     }
   }
 
+  /** Expected size of an answer that waits for the uplink; 0 for small ones, which overtake the others. */
+  private uplinkBytes({ fromOtherHost, route }: exchange.ForwardedRequest): number {
+    const bytes = this.answerSizes.get(route)?.value ?? 0;
+    return fromOtherHost && bytes > frames.MAX_WHOLE_FRAME_BYTES ? bytes : 0;
+  }
+
   private async run(entry: QueueEntry): Promise<void> {
     const startedMs = this.options.nowMs();
+    this.expectedBytes += entry.uplinkBytes;
     const outcome = await this.sendToUpstream(entry, startedMs);
+    this.expectedBytes -= entry.uplinkBytes;
     const endedMs = this.options.nowMs();
     this.recordOutcome(entry, outcome, endedMs - startedMs);
     this.applyUpdate(this.queue.release(entry, endedMs));
@@ -238,6 +263,7 @@
     registry.observeMs(meters.WAIT_SECONDS, this.options.nowMs() - ms - entry.arrivedMs, labels);
     if (outcome.type === 'answer' && outcome.status < 500) {
       this.serviceTimes.add(req.route, ms);
+      this.answerSizes.add(req.route, outcome.body.length);
     }
     const cancelled = entry.signal.aborted || outcome.type === 'refused';
     if (state !== null && state.instance === req.instance && !cancelled) {
