test(playground): servers of the restored-store tests answer in a fixed time

The soak is about the store, so its good servers take 40 ms; the check and its bounds are as they were.

--- a/playground/src/usersPlatform/__tests__/fixtures.ts
+++ b/playground/src/usersPlatform/__tests__/fixtures.ts
@@ -1,11 +1,15 @@
 /** Configurations, bounds and seeds for the tests of a fleet on the users' platform. */
 
 import process from 'node:process';
+import * as timers from 'node:timers/promises';
+import type * as application from '../application.js';
 
 /** Time after which a change must be kept or a node counts as in touch (`stable_window_ms`). */
 export const STABLE_WINDOW_MS = 3_000;
 /** Time from the write of a version until every node in touch with the store must serve it. */
 export const CONFIG_APPLY_MS = 2_000;
+/** Response time of servers whose versions are compared by it, above the jitter of a busy machine. */
+const SERVICE_MS = 40;
 /** Span in which the requests of a limited server are counted. */
 export const COUNTED_MS = 4_000;
 
@@ -59,6 +63,12 @@
   return `/v${version}/`;
 }
 
+/** Answers each request after the same time. */
+export const answerSteadily: application.ApplicationStandIn['handler'] = async (_req, res) => {
+  await timers.setTimeout(SERVICE_MS);
+  res.end('steady');
+};
+
 /** Seeds of a soak: `NAME_SEEDS` of them from `NAME_FIRST_SEED` on, if these variables are set. */
 export function seedsOf(name: string, count: number): number[] {
   const length = Number(process.env[`${name}_SEEDS`] ?? count);
--- a/playground/src/usersPlatform/__tests__/restoredStoreSoak.test.ts
+++ b/playground/src/usersPlatform/__tests__/restoredStoreSoak.test.ts
@@ -95,6 +95,7 @@
     const name = `${zone}-${this.started}-${this.seed}`;
     const options = { name, service: 'shop', zone, version };
     const host = await fleet.startHost(this.address, options);
+    host.app.handler = fixtures.answerSteadily;
     this.hosts.push({ host, startedMs: performance.now() });
     return host;
   }
