fix(mesh): end a request whose body cannot be parsed

A caller that broke off an upload, or sent a malformed chunk, left its request and its connection behind: the request was never answered and counted as in flight for good, so each later stop lasted until its time limit. Node reports a parse error in the body, but ends neither the request nor the connection.

The reading of the body now ends with the parse error, and with the caller's side of the connection; the request is answered 400 in its turn.

All three tests fail on the code before: "test did not finish before its parent and was cancelled".

--- a/packages/mesh/src/callers/__tests__/callerServer.test.ts
+++ b/packages/mesh/src/callers/__tests__/callerServer.test.ts
@@ -142,6 +142,47 @@
     );
   });
 
+  describe('a request whose body cannot be read', () => {
+    const post = 'POST /r/body HTTP/1.1\r\nHost: host.example\r\nX-Id: body\r\n';
+    const badChunk = `${post}Transfer-Encoding: chunked\r\n\r\nZZ\r\nabc`;
+
+    // Node reports the parse error, and ends neither the request nor its connection.
+    it('is answered with 400 and closes its connection', async () => {
+      const caller = connect();
+      caller.socket.write(badChunk);
+      await loopback.until(() => caller.isClosed);
+      assert.deepEqual(
+        caller.answers().map(({ status }) => status),
+        [400],
+      );
+      await loopback.until(() => fixture.server.inFlightCount === 0);
+      assert.equal(fixture.upstream.received.length, 0);
+    });
+
+    it('is answered after the requests before it', async () => {
+      const caller = connect();
+      await pass(caller, '1');
+      caller.socket.write(badChunk);
+      const logged = 'callers: a connection sent a malformed request';
+      await loopback.until(() => fixture.lines.some(({ msg }) => msg === logged));
+      fixture.upstream.releaseFirst(answer('1', Buffer.from('1')));
+      await loopback.until(() => caller.isClosed);
+      assert.deepEqual(
+        caller.answers().map(({ status }) => status),
+        [200, 400],
+      );
+    });
+
+    // The unfinished request counted as in flight for good, and each stop waited for it.
+    it('ends if its caller leaves during the upload', async () => {
+      const caller = connect();
+      caller.socket.write(`${post}Content-Length: 100\r\n\r\nabc`);
+      await loopback.until(() => fixture.server.inFlightCount === 1);
+      caller.socket.end();
+      await loopback.until(() => fixture.server.inFlightCount === 0 && caller.isClosed);
+    });
+  });
+
   // Node does not count a connection as idle before its first request. Such a request was passed on just
   // before the process exited.
   it('refuses a request that arrives after the idle connections were closed', async () => {
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -87,6 +87,9 @@
   /** Connections that are closed in one direction. */
   private readonly ending = new Set<net.Socket>();
 
+  /** Ends the reading of a body on a connection, with what has arrived of it. */
+  private readonly bodyReads = new WeakMap<net.Socket, () => void>();
+
   /** Connections on which a request was answered. */
   private readonly answered = new WeakSet<net.Socket>();
 
@@ -165,6 +168,7 @@
       disconnectedMs = this.options.nowMs();
       this.recordInterrupted(openAnswer, closedBy);
       controller.abort();
+      this.endBodyRead(req.socket);
     });
     openAnswer.ahead = pipelineEntry.ahead;
     this.openAnswers.add(openAnswer);
@@ -230,6 +234,7 @@
     if (this.connections.isInUse(socket)) {
       // Anything written now would be taken for the answer to an earlier request.
       this.closing.add(socket);
+      this.endBodyRead(socket);
       return;
     }
     const status = code === 'HPE_HEADER_OVERFLOW' ? MALFORMED.headersTooLarge : MALFORMED.other;
@@ -292,9 +297,9 @@
     }
     const { limits } = current.cfg;
     if (headerBytes(req) > limits.maxHeaderBytes) return localReply(431, 'headers too large');
-    const body = await readBody(req, limits.maxBodyBytes);
+    const body = await this.readBody(req, limits.maxBodyBytes);
     if (body === null) return localReply(413, 'body too large');
-    if (!req.complete) return exchange.lost('the request ended early');
+    if (!req.complete) return localReply(400, 'the request ended early');
     await eventLoop.nextPoll();
     if (signal.aborted) return exchange.cancelled();
     const route = current.routes.find(req.headers.host ?? '', req.url ?? '/');
@@ -317,6 +322,38 @@
     return this.dispatchWithTimeout(callerRequest, limitMs, signal);
   }
 
+  /** @returns null if the body is larger than `limitBytes` */
+  private async readBody(req: http.IncomingMessage, limitBytes: number): Promise<Buffer | null> {
+    if (Number(req.headers['content-length'] ?? 0) > limitBytes) return null;
+    if (
+      req.headers['content-length'] === undefined &&
+      req.headers['transfer-encoding'] === undefined
+    ) {
+      return Buffer.alloc(0);
+    }
+    return new Promise((resolve) => {
+      const chunks: Buffer[] = [];
+      let bytes = 0;
+      const settle = (body: Buffer | null) => {
+        this.bodyReads.delete(req.socket);
+        resolve(body);
+      };
+      const end = () => settle(Buffer.concat(chunks));
+      // After a parse error, Node ends neither the request nor its connection.
+      this.bodyReads.set(req.socket, end);
+      req.on('data', (chunk: Buffer) => {
+        chunks.push(chunk);
+        bytes += chunk.length;
+        if (bytes > limitBytes) settle(null);
+      });
+      for (const event of ['end', 'close', 'error']) req.on(event, end);
+    });
+  }
+
+  private endBodyRead(socket: net.Socket): void {
+    this.bodyReads.get(socket)?.();
+  }
+
   /** Estimated time that the caller spent on earlier attempts; it retries on new connections. */
   private earlierAttemptsMs(
     socket: net.Socket,
@@ -454,26 +491,3 @@
   for (const part of req.rawHeaders) bytes += part.length + 2;
   return bytes;
 }
-
-/** @returns null if the body is larger than `limitBytes` */
-async function readBody(req: http.IncomingMessage, limitBytes: number): Promise<Buffer | null> {
-  if (Number(req.headers['content-length'] ?? 0) > limitBytes) return null;
-  if (
-    req.headers['content-length'] === undefined &&
-    req.headers['transfer-encoding'] === undefined
-  ) {
-    return Buffer.alloc(0);
-  }
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    req.on('data', (chunk: Buffer) => {
-      chunks.push(chunk);
-      bytes += chunk.length;
-      if (bytes > limitBytes) resolve(null);
-    });
-    req.on('end', () => resolve(Buffer.concat(chunks)));
-    req.on('close', () => resolve(Buffer.concat(chunks)));
-    req.on('error', () => resolve(Buffer.concat(chunks)));
-  });
-}
