fix(mesh): forget an outdated rate of the uplink, and do not measure it over a pause

A rate that had been measured too low, for example over a pause of the process, kept large answers of other hosts away; then the uplink was never saturated again, and the rate never measured again. Found in the review.

A single step of the busy time is bounded now, and a rate without a measurement for 5 s counts as unknown.

--- a/packages/mesh/src/peers/__tests__/uplinkScheduler.test.ts
+++ b/packages/mesh/src/peers/__tests__/uplinkScheduler.test.ts
@@ -240,6 +240,24 @@
       assert.equal(scheduler.backlogMs(), 0);
     });
 
+    it('is not measured over a pause of this process', () => {
+      const channels = ['a', 'b', 'c'].map(open);
+      saturate(channels, 10);
+      const before = scheduler.backlogMs();
+      now += 60_000;
+      assert.ok(scheduler.backlogMs() < 10 * before, `${scheduler.backlogMs()}`);
+    });
+
+    // A rate that was measured too low kept large answers away, and was then never measured again.
+    it('is 0 again when the link has not been saturated for a while', () => {
+      const channels = ['a', 'b', 'c'].map(open);
+      saturate(channels, 50);
+      for (const channel of channels) channel.close();
+      assert.ok(scheduler.backlogMs(PIECE_BYTES) > 0);
+      now += uplinkScheduler.RATE_MAX_AGE_MS + 1;
+      assert.equal(scheduler.backlogMs(PIECE_BYTES), 0);
+    });
+
     it('leaves out what waits for a stalled connection', () => {
       const channels = ['a', 'b', 'c'].map(open);
       saturate(channels, 50);
--- a/packages/mesh/src/peers/uplinkScheduler.ts
+++ b/packages/mesh/src/peers/uplinkScheduler.ts
@@ -16,6 +16,10 @@
 export const STALLED_AFTER_MS = 300;
 /** Busy time over which the rate of the link is averaged. */
 const RATE_WINDOW_MS = 2_000;
+/** Longest busy time counted at once; a longer one is a pause of this process. */
+const MAX_BUSY_STEP_MS = 200;
+/** Time without a measurement after which the rate counts as unknown. */
+export const RATE_MAX_AGE_MS = 5_000;
 
 /** Writes a frame at once; `onFlushed` is called when the kernel has it. */
 type WriteFrame = (frame: TransferFrame, onFlushed?: () => void) => void;
@@ -173,6 +177,9 @@
 
   private measuredAtMs = 0;
 
+  /** Time at which the link was last saturated. */
+  private saturatedAtMs = -Infinity;
+
   constructor(private readonly nowMs: () => number) {}
 
   /** Registers a connection; `write` must write the frame at once. */
@@ -314,7 +321,13 @@
   /** Adds the time since the last call to the busy time if the link was saturated. */
   private measure(): void {
     const now = this.nowMs();
-    if (this.isSaturated) this.busyMs += now - this.measuredAtMs;
+    if (this.isSaturated) {
+      this.busyMs += Math.min(MAX_BUSY_STEP_MS, now - this.measuredAtMs);
+      this.saturatedAtMs = now;
+    } else if (now - this.saturatedAtMs > RATE_MAX_AGE_MS) {
+      this.busyMs = 0;
+      this.busyBytes = 0;
+    }
     this.measuredAtMs = now;
   }
 
