fix(mesh): count a large answer in the load report that comes with it

The expected bytes of an answer were deducted before its report was made, and the answer itself is queued for the uplink after it. So the report that reached a sender with a large answer left that answer out.

The test fails on the code before: 0 instead of 16,385 bytes.

--- a/packages/mesh/src/upstream/__tests__/localDestination.test.ts
+++ b/packages/mesh/src/upstream/__tests__/localDestination.test.ts
@@ -25,8 +25,10 @@
   let server: net.Server;
   let pool: upstreamPool.UpstreamPool;
   let subject: localDestination.LocalDestination;
+  let transferWaitMs: (bytes: number) => number;
 
   beforeEach(async () => {
+    transferWaitMs = () => TRANSFER_WAIT_MS;
     server = net.createServer((socket) => {
       socket.on('data', (chunk) => socket.write(answerTo(String(chunk))));
     });
@@ -45,7 +47,7 @@
       meters: meters.createMetrics(),
       evidence: new evidence.EvidenceRecorder(() => false),
       mayServe: () => true,
-      transferWaitMs: () => TRANSFER_WAIT_MS,
+      transferWaitMs: (bytes) => transferWaitMs(bytes),
       nowMs: () => performance.now(),
     });
     upstream.announce(fixtures.announcement({ address }));
@@ -76,6 +78,14 @@
     assert.equal(report?.transferWaitMs, TRANSFER_WAIT_MS);
   });
 
+  // The report that came with a large answer left that answer out, so the sender chose the host again.
+  it('counts an answer in the report that comes with it', async () => {
+    await send(LARGE);
+    transferWaitMs = (bytes) => bytes;
+    const { report } = await send(LARGE);
+    assert.equal(report?.transferWaitMs, frames.MAX_WHOLE_FRAME_BYTES + 1);
+  });
+
   // Guards against senders with an old report: all of them choose the host whose uplink was idle then.
   it('refuses a large answer that the uplink delays beyond the limit of the sender', async () => {
     // The size of the answers is known from the first one.
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -167,11 +167,12 @@
     const startedMs = this.options.nowMs();
     this.expectedBytes += entry.uplinkBytes;
     const outcome = await this.sendToUpstream(entry, startedMs);
-    this.expectedBytes -= entry.uplinkBytes;
     const endedMs = this.options.nowMs();
     this.recordOutcome(entry, outcome, endedMs - startedMs);
     this.applyUpdate(this.queue.release(entry, endedMs));
     entry.settle(outcome);
+    // From here on the answer is in the backlog of the uplink.
+    this.expectedBytes -= entry.uplinkBytes;
   }
 
   private async sendToUpstream(entry: QueueEntry, startedMs: number): Promise<exchange.Outcome> {
