fix(mesh): a stopping node does not register again after it has removed its entry

A join that was being repeated when the node was asked to stop, or whose write was under way, could bring the node's entry back after its removal; other nodes then knew a node that does not exist. Since a restored store makes all nodes join again, this became more likely.

A stop ends the repetition, and removes the entry after a write under way. The test fails on the code before: the last write is 'registered'.

--- a/packages/mesh/src/process/__tests__/agentStop.test.ts
+++ b/packages/mesh/src/process/__tests__/agentStop.test.ts
@@ -3,7 +3,7 @@
 import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import { afterEach, beforeEach, describe, it } from 'node:test';
-import { backoff, ids } from '@godwittrack/core';
+import { backoff, failures, ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as loopback from '../../__tests__/loopback.js';
 import * as callerFixtures from '../../callers/__tests__/callerFixtures.js';
@@ -60,8 +60,16 @@
     return Promise.resolve(POSITION);
   }
 
+  /** Whether the entry of a node cannot be written. */
+  isDown = false;
+
+  readonly writes: ('registered' | 'refused' | 'unregistered')[] = [];
+
   registerNode(): Promise<void> {
-    return Promise.resolve();
+    this.writes.push(this.isDown ? 'refused' : 'registered');
+    if (!this.isDown) return Promise.resolve();
+    const failure = { type: 'platformUnavailable', operation: 'POST', detail: 'down' } as const;
+    return Promise.reject(failures.toError(failure));
   }
 
   listNodes(): Promise<members.NodeAddress[]> {
@@ -69,6 +77,7 @@
   }
 
   unregisterNode(): Promise<void> {
+    this.writes.push('unregistered');
     return Promise.resolve();
   }
 }
@@ -76,6 +85,7 @@
 describe('a node that stops', { timeout: 30_000 }, () => {
   let upstream: http.Server;
   let mesh: wiring.MeshNode;
+  let store: ConstantStore;
   let callerAddress: string;
   let peerAddress: string;
   let stopped: Promise<void> | null;
@@ -93,6 +103,7 @@
     callerAddress = await loopback.freeAddress();
     peerAddress = await loopback.freeAddress();
     const metricsRegistry = meters.createMetrics();
+    store = new ConstantStore();
     mesh = wiring.createMeshNode(
       {
         self: { ...fixtures.member('b', null), address: peerAddress },
@@ -103,7 +114,7 @@
         retryRatio: 0.2,
         retryExtra: 64,
       },
-      { store: new ConstantStore(), codec: new fixtures.TestHeaders() },
+      { store, codec: new fixtures.TestHeaders() },
       fixtures.silentLog(),
       metricsRegistry,
     );
@@ -127,6 +138,20 @@
     reader.resume();
   }
 
+  // A registration that was repeated during the stop brought the entry of a node back after its removal.
+  it('does not register again after it has removed its entry', async () => {
+    for (const era of [0, 1]) {
+      store.isDown = era > 0;
+      store.era.observe(ids.storeEra(era), { origin: 'store', name: 'store' });
+    }
+    await loopback.until(() => store.writes.includes('refused'));
+    mesh.upstream.leave(ids.instanceId('i-1'), null);
+    stopped = mesh.agent.stop();
+    store.isDown = false;
+    await stopped;
+    assert.equal(store.writes.at(-1), 'unregistered');
+  });
+
   // Large answers were cut at the end of the stop while their caller was still reading them.
   it('delivers the answer to a caller that reads it slowly', async () => {
     const caller = new callerFixtures.Caller(callerAddress);
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -83,6 +83,9 @@
   /** Ends the current `join`, when another one begins or the node stops. */
   private joining = new AbortController();
 
+  /** Resolves when the last call of `join` has ended. */
+  private joinEnded: Promise<void> = Promise.resolve();
+
   constructor(private readonly parts: AgentParts) {}
 
   /** Whether callers should send new requests to this node; reported to readiness probes. */
@@ -95,7 +98,7 @@
     this.subscribe();
     await Promise.all([peers.listen(self.address), callers.listen(settings.callerAddress)]);
     const startedMs = nowMs();
-    void this.join(0);
+    this.joinEnded = this.join(0);
     let ticks = 0;
     this.timer = setInterval(() => {
       ticks += 1;
@@ -111,14 +114,11 @@
   async stop(): Promise<void> {
     if (this.stopping) return;
     this.stopping = true;
-    const { log, network, callers, settings, nowMs, peers, self, store } = this.parts;
+    const { log, network, callers, settings, nowMs, peers, self } = this.parts;
     const stopRequestedMs = nowMs();
     log.info('agent', 'stop requested', { inFlight: callers.inFlightCount });
-    if (self.upstream === null || !self.upstream.accepting) {
-      store.unregisterNode(self).catch((err: unknown) => {
-        log.info('agent', 'failed to unregister the node', { failure: failures.fromError(err) });
-      });
-    }
+    this.joining.abort();
+    if (self.upstream === null || !self.upstream.accepting) void this.unregister();
     await backoff.sleep(WITHDRAW_AFTER_MS);
     this.withdrawn = true;
     this.publishUpstream(self.upstream);
@@ -141,7 +141,6 @@
     while (nowMs() < closeByMs && (peers.hasOpenSessions || callers.hasEndingConnections)) {
       await backoff.sleep(STOP_POLL_MS);
     }
-    this.joining.abort();
     if (this.timer !== null) clearInterval(this.timer);
     this.parts.watcher.stop();
     network.stop();
@@ -245,10 +244,22 @@
     else network.sendFrame(leader, { type: 'evidence', report });
   }
 
+  /** Removes the entry of this node from the store, after a write of it that is under way. */
+  private async unregister(): Promise<void> {
+    const { store, self, log } = this.parts;
+    await this.joinEnded;
+    try {
+      await store.unregisterNode(self);
+    } catch (err) {
+      log.info('agent', 'failed to unregister the node', { failure: failures.fromError(err) });
+    }
+  }
+
   /** A restored store may have lost the entries of this node and of nodes that joined since the copy. */
   private joinAgain(): void {
     if (this.stopping) return;
-    void this.join(this.joined ? this.parts.random() * JOIN_AGAIN_SPREAD_MS : 0);
+    const delayMs = this.joined ? this.parts.random() * JOIN_AGAIN_SPREAD_MS : 0;
+    this.joinEnded = Promise.all([this.joinEnded, this.join(delayMs)]).then(() => undefined);
   }
 
   /** Registers this node in the store and reads the list of nodes; retries until that succeeds. */
