--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -25,6 +25,9 @@
 export const MEMBERS_REACHED = 'godwittrack_members_reached';
 export const LINKS_OPEN = 'godwittrack_links_open';
 export const LINKS_LOST = 'godwittrack_links_lost_total';
+export const UPLINK_QUEUED_BYTES = 'godwittrack_uplink_queued_bytes';
+export const UPLINK_OUTSTANDING_BYTES = 'godwittrack_uplink_outstanding_bytes';
+export const UPLINK_STALLED_LINKS = 'godwittrack_uplink_stalled_links';
 export const EVENT_LOOP_LAG_SECONDS = 'godwittrack_event_loop_lag_seconds';
 export const STORE_WATCHED = 'godwittrack_store_watched';
 export const STORE_ERA = 'godwittrack_store_era';
@@ -61,6 +64,10 @@
   [MEMBERS_REACHED]: 'Nodes that are not known to be out of reach, this one included.',
   [LINKS_OPEN]: 'Links to other nodes that are open, kept ones and those for requests.',
   [LINKS_LOST]: 'Links to other nodes that were lost or could not be opened, by reason.',
+  [UPLINK_QUEUED_BYTES]: 'Bytes of large frames that wait for the uplink of this host.',
+  [UPLINK_OUTSTANDING_BYTES]:
+    'Bytes of large frames that were sent and that other nodes have not acknowledged.',
+  [UPLINK_STALLED_LINKS]: 'Connections to other nodes that do not acknowledge large frames.',
   [EVENT_LOOP_LAG_SECONDS]:
     'Highest delay of the periodic timer over its due time in the last one to two seconds.',
   [STORE_WATCHED]: 'Whether this node watches the store and is answered: 1 or 0.',
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -163,6 +163,9 @@
   metricsRegistry.gauge(meters.MEMBERS, () => table.size);
   metricsRegistry.gauge(meters.MEMBERS_REACHED, () => network.reachable().length);
   metricsRegistry.gauge(meters.LINKS_OPEN, () => network.openLinks);
+  metricsRegistry.gauge(meters.UPLINK_QUEUED_BYTES, () => uplink.queuedBytes);
+  metricsRegistry.gauge(meters.UPLINK_OUTSTANDING_BYTES, () => uplink.outstandingBytes);
+  metricsRegistry.gauge(meters.UPLINK_STALLED_LINKS, () => uplink.stalledConnections);
   metricsRegistry.gauge(meters.EVENT_LOOP_LAG_SECONDS, () => eventLoopLag.highestMs / 1_000);
   metricsRegistry.gauge(meters.STORE_WATCHED, () => Number(watcher.hasStoreContact));
   metricsRegistry.gauge(meters.STORE_ERA, () => platform.store.era.current ?? 0);
