--- a/packages/mesh/src/peers/__tests__/linksUnderLoad.test.ts
+++ b/packages/mesh/src/peers/__tests__/linksUnderLoad.test.ts
@@ -54,7 +54,7 @@
     address = await relay.listen();
     timer = setInterval(() => {
       for (const link of links) link.checkLiveness();
-      uplink.advance();
+      uplink.markStalled();
     }, LIVENESS_INTERVAL_MS);
   });
 
--- a/packages/mesh/src/peers/__tests__/uplinkScheduler.test.ts
+++ b/packages/mesh/src/peers/__tests__/uplinkScheduler.test.ts
@@ -121,10 +121,10 @@
       open1.enqueue(pieces(1));
       assert.equal(open1.outstandingBytes, 0);
       now = uplinkScheduler.STALLED_AFTER_MS;
-      scheduler.advance();
+      scheduler.markStalled();
       assert.equal(open1.outstandingBytes, 0);
       now += 1;
-      scheduler.advance();
+      scheduler.markStalled();
       assert.equal(scheduler.stalledConnections, 2);
       assert.equal(open1.outstandingBytes, PIECE_BYTES);
       open1.acknowledge(PIECE_BYTES, 'c');
@@ -138,7 +138,7 @@
       const a = open('a');
       a.enqueue(pieces(1));
       now = uplinkScheduler.STALLED_AFTER_MS + 1;
-      scheduler.advance();
+      scheduler.markStalled();
       a.enqueue(pieces(1));
       assert.deepEqual(written, ['a1 last']);
       a.acknowledge(PIECE_BYTES, 'a');
@@ -150,7 +150,7 @@
       a.enqueue(pieces(10));
       for (let i = 0; i < 5; i += 1) {
         now += uplinkScheduler.STALLED_AFTER_MS;
-        scheduler.advance();
+        scheduler.markStalled();
         assert.equal(scheduler.stalledConnections, 0);
         a.acknowledge(PIECE_BYTES, 'a');
       }
@@ -178,7 +178,7 @@
       const [a, b] = [open('a'), open('b')];
       a.enqueue(pieces(2));
       now = uplinkScheduler.STALLED_AFTER_MS + 1;
-      scheduler.advance();
+      scheduler.markStalled();
       a.close();
       assert.equal(scheduler.stalledConnections, 0);
       for (const channel of [b, open('c'), open('d')]) channel.enqueue(pieces(2));
@@ -264,7 +264,7 @@
       for (const channel of channels) channel.close();
       open('d').enqueue(pieces(20));
       now += uplinkScheduler.STALLED_AFTER_MS + 1;
-      scheduler.advance();
+      scheduler.markStalled();
       assert.equal(scheduler.backlogMs(), 0);
     });
 
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -17,7 +17,8 @@
 
 export const MAX_FRAME_BYTES = 80 * 1024 * 1024;
 /**
- * Larger frames are sent in pieces of at most this size, and smaller ones overtake them; 13 ms at 10 Mbit/s.
+ * Larger frames are sent in pieces of at most this size, and smaller ones overtake them. A piece bounds what
+ * a small frame waits for on a slow link.
  */
 export const MAX_WHOLE_FRAME_BYTES = 16 * 1024;
 const LENGTH_BYTES = 4;
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -195,7 +195,7 @@
     for (const link of this.links.values()) link.checkLiveness();
     const { uplink } = this.options;
     // Acknowledgements may have arrived during a pause of this process.
-    if (uplink.hasPending) void eventLoop.nextPoll().then(() => uplink.advance());
+    if (uplink.hasPending) void eventLoop.nextPoll().then(() => uplink.markStalled());
   }
 
   /**
--- a/packages/mesh/src/peers/uplinkScheduler.ts
+++ b/packages/mesh/src/peers/uplinkScheduler.ts
@@ -8,7 +8,7 @@
 import { failures } from '@godwittrack/core';
 import * as frames from './frames.js';
 
-/** Largest number of unacknowledged bytes of the whole host; 50 ms at 10 Mbit/s. */
+/** Largest number of unacknowledged bytes of the whole host; bounds the delay of small frames. */
 export const MAX_HOST_BYTES = 64 * 1024;
 /** The same for one connection, so that one slow receiver leaves room for the others. */
 export const MAX_CONNECTION_BYTES = 32 * 1024;
@@ -217,8 +217,8 @@
     return ((ready + this.countedBytes) * this.busyMs) / this.busyBytes;
   }
 
-  /** Leaves out connections that make no progress. Called several times a second. */
-  advance(): void {
+  /** Leaves connections that make no progress out of the bound of the host. Called several times a second. */
+  markStalled(): void {
     const now = this.nowMs();
     for (const channel of this.awaiting) {
       if (!channel.isStalled && now - channel.progressAtMs > STALLED_AFTER_MS) {
--- a/playground/src/usersPlatform/__tests__/fixtures.ts
+++ b/playground/src/usersPlatform/__tests__/fixtures.ts
@@ -8,7 +8,7 @@
 export const STABLE_WINDOW_MS = 3_000;
 /** Time from the write of a version until every node in touch with the store must serve it. */
 export const CONFIG_APPLY_MS = 2_000;
-/** Response time of servers whose versions are compared by it, above the jitter of a busy machine. */
+/** Response time of servers whose versions are compared by their response times. */
 const SERVICE_MS = 40;
 /** Span in which the requests of a limited server are counted. */
 export const COUNTED_MS = 4_000;
