test(playground): the copy of a restored store has a fixed time

The age of the copy was computed in the test and turned into a time again in the stand-in, so a pause between the two moved the copy past the order that was written right after it. The stand-in now takes the time of the copy itself; a write counts as part of it only if it came before.

--- a/playground/src/usersPlatform/__tests__/restoredStore.test.ts
+++ b/playground/src/usersPlatform/__tests__/restoredStore.test.ts
@@ -49,8 +49,7 @@
   function restore(
     waitingWatches: objectStore.WaitingWatches = 'cut',
   ): Promise<objectStore.OperatorWrite[]> {
-    const copyAgeMs = performance.now() - copiedMs;
-    return store.restore({ copyAgeMs, awayMs: AWAY_MS, waitingWatches });
+    return store.restore({ copiedMs, awayMs: AWAY_MS, waitingWatches });
   }
 
   function writeAgain(lost: readonly objectStore.OperatorWrite[]): void {
--- a/playground/src/usersPlatform/__tests__/restoredStoreSoak.test.ts
+++ b/playground/src/usersPlatform/__tests__/restoredStoreSoak.test.ts
@@ -150,7 +150,7 @@
       this.isRewriting = true;
       this.restores += 1;
       const lost = await this.store.restore({
-        copyAgeMs: this.rng.integer(0, MAX_COPY_AGE_MS),
+        copiedMs: performance.now() - this.rng.integer(0, MAX_COPY_AGE_MS),
         awayMs: this.rng.integer(0, MAX_AWAY_MS),
         waitingWatches,
       });
--- a/playground/src/usersPlatform/objectStore.ts
+++ b/playground/src/usersPlatform/objectStore.ts
@@ -41,8 +41,8 @@
 export type WaitingWatches = 'cut' | 'kept';
 
 export interface RestoreOptions {
-  /** Age of the copy when the store goes away. */
-  copyAgeMs: number;
+  /** Monotonic time of the copy; it holds what was written before. */
+  copiedMs: number;
   /** Time for which each request is answered with a reset. */
   awayMs: number;
   waitingWatches: WaitingWatches;
@@ -197,14 +197,13 @@
    * Takes the store away and brings it back from a copy. Revisions given out since the copy are given out
    * again. @returns the writes of operators that were lost, oldest first, once the store is back
    */
-  async restore({ copyAgeMs, awayMs, waitingWatches }: RestoreOptions): Promise<OperatorWrite[]> {
-    const copiedMs = performance.now() - copyAgeMs;
-    const copy = this.copies.findLast(({ atMs }) => atMs <= copiedMs) ?? this.copies[0]!;
+  async restore({ copiedMs, awayMs, waitingWatches }: RestoreOptions): Promise<OperatorWrite[]> {
+    const copy = this.copies.findLast(({ atMs }) => atMs < copiedMs) ?? this.copies[0]!;
     this.isAway = true;
     if (waitingWatches === 'cut') for (const gate of this.gates) gate.resetWatches();
     await timers.setTimeout(awayMs);
     this.copies.splice(this.copies.indexOf(copy) + 1);
-    const lost = this.operatorWrites.filter(({ atMs }) => atMs > copiedMs);
+    const lost = this.operatorWrites.filter(({ atMs }) => atMs >= copiedMs);
     this.operatorWrites.splice(this.operatorWrites.length - lost.length);
     this.objects = new Map([...copy.objects].map(([kind, objects]) => [kind, new Map(objects)]));
     this.events = this.events.filter(({ revision }) => revision <= copy.revision);
