fix(mesh): a stopping node answers what is open, and passes on only the time it has left

A stopping node passes requests on with the time until the end of its stop as their deadline, so the host of an upstream refuses what it cannot send in time, and callers get a true refusal at once. What is still open at that time gets 504 while the connection is still there.

--- a/packages/mesh/src/callers/__tests__/callerServer.test.ts
+++ b/packages/mesh/src/callers/__tests__/callerServer.test.ts
@@ -142,6 +142,23 @@
     );
   });
 
+  // A stopping node exited while answers were still queued at the upstream's host; their callers got nothing.
+  it('answers the requests that are open when a stop ends', async () => {
+    const caller = connect();
+    await pass(caller, '1');
+    fixture.server.answerBy(performance.now());
+    await loopback.until(() => caller.answers().length === 1);
+    assert.equal(caller.answers()[0]!.status, 504);
+  });
+
+  it('passes requests on with no more time than the stop has left', async () => {
+    const leftMs = 15_000;
+    fixture.server.answerBy(performance.now() + leftMs);
+    await pass(connect(), '1');
+    const { deadlineLeftMs } = fixture.upstream.received[0]!;
+    assert.ok(deadlineLeftMs > 0 && deadlineLeftMs <= leftMs, `${deadlineLeftMs}`);
+  });
+
   describe('a request whose body cannot be read', () => {
     const post = 'POST /r/body HTTP/1.1\r\nHost: host.example\r\nX-Id: body\r\n';
     const badChunk = `${post}Transfer-Encoding: chunked\r\n\r\nZZ\r\nabc`;
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -71,6 +71,12 @@
 
   private refusesRequests = false;
 
+  /** Monotonic time by which each request must be answered, since the process exits soon after. */
+  private answerByMs = Infinity;
+
+  /** Aborted at `answerByMs`. */
+  private readonly abandoned = new AbortController();
+
   private readonly openAnswers = new Set<OpenAnswer>();
 
   private requestSequence = 1;
@@ -131,6 +137,12 @@
     return this.ending.size > 0;
   }
 
+  /** Answers requests that are still open at the given monotonic time, with 504, and later ones in time. */
+  answerBy(atMs: number): void {
+    this.answerByMs = atMs;
+    setTimeout(() => this.abandoned.abort(), atMs - this.options.nowMs()).unref();
+  }
+
   /** From now on, each answer closes its connection. */
   drain(): void {
     this.draining = true;
@@ -305,7 +317,11 @@
     const route = current.routes.find(req.headers.host ?? '', req.url ?? '/');
     if (route === null) return localReply(404, 'no route');
     const caller = this.options.codec.readCaller(req.headers);
-    const limitMs = Math.min(route.timeoutMs, caller.deadlineMs ?? Infinity);
+    const limitMs = Math.min(
+      route.timeoutMs,
+      caller.deadlineMs ?? Infinity,
+      Math.max(0, this.answerByMs - arrivedMs),
+    );
     const ageMs = this.earlierAttemptsMs(req.socket, route, caller.deadlineMs);
     this.requestSequence += 1;
     const callerRequest: dispatcher.CallerRequest = {
@@ -380,14 +396,18 @@
     const abortDispatch = () => controller.abort();
     signal.addEventListener('abort', abortDispatch, { once: true });
     let timer: NodeJS.Timeout | undefined;
+    let abandon = () => {};
     const timeout = new Promise<LocalReply>((resolve) => {
       timer = setTimeout(() => resolve(localReply(504, 'timeout')), limitMs);
+      abandon = () => resolve(localReply(504, 'this node stops'));
+      this.abandoned.signal.addEventListener('abort', abandon, { once: true });
     });
     const outcome = await Promise.race([
       this.options.dispatcher.dispatch(req, controller.signal),
       timeout,
     ]);
     clearTimeout(timer);
+    this.abandoned.signal.removeEventListener('abort', abandon);
     if (outcome.type === 'localReply') {
       controller.abort();
       this.options.log.decision('callers', req.requestId, 'a request timed out', {
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -117,6 +117,8 @@
     const { log, network, callers, settings, nowMs, peers, self } = this.parts;
     const stopRequestedMs = nowMs();
     log.info('agent', 'stop requested', { inFlight: callers.inFlightCount });
+    const stopByMs = stopRequestedMs + settings.graceMs * STOP_BY_SHARE;
+    callers.answerBy(stopByMs);
     this.joining.abort();
     if (self.upstream === null || !self.upstream.accepting) void this.unregister();
     await backoff.sleep(WITHDRAW_AFTER_MS);
@@ -126,7 +128,6 @@
     peers.refuseNew();
     callers.drain();
     const refuseAtMs = stopRequestedMs + settings.graceMs * REFUSE_AFTER_SHARE;
-    const stopByMs = stopRequestedMs + settings.graceMs * STOP_BY_SHARE;
     while (nowMs() < stopByMs && (this.hasUnsentAnswers || peers.runningCount > 0)) {
       if (nowMs() > refuseAtMs) callers.refuseNew();
       await backoff.sleep(STOP_POLL_MS);
