refactor(mesh): closing of caller connections in a class of its own

The caller server kept three sets of sockets beside its requests. Their rules, to end a connection in one direction and to leave ending ones alone, are one job. Behaviour is the same.

--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -13,14 +13,13 @@
 import * as eventLoop from '../eventLoop.js';
 import * as networkAddress from '../networkAddress.js';
 import * as attemptAge from './attemptAge.js';
+import * as connectionCloser from './connectionCloser.js';
 
 /** Added to the configured timeouts, so that callers may reuse a connection until their end. */
 const TIMEOUT_SLACK_MS = 2_000;
 const DEFAULT_IDLE_MS = 20_000;
 /** Limit of the HTTP parser; the configured limit, which may be lower, is checked afterwards. */
 const MAX_HEADER_BYTES = 256 * 1024;
-/** Time for a caller to read its last answer and to close its connection. */
-const ENDING_TIMEOUT_MS = 5_000;
 /** Backlog of connections to accept; large, since callers may open one per request. */
 const LISTEN_BACKLOG = 1_024;
 /** Retry delay stated while there is no configuration. */
@@ -85,13 +84,9 @@
 
   private readonly connections = new callerConnections.CallerConnections();
 
-  /** Connections that close after the last request that was received so far. */
-  private readonly closing = new WeakSet<net.Socket>();
-
-  private readonly sockets = new Set<net.Socket>();
-
-  /** Connections that are closed in one direction. */
-  private readonly ending = new Set<net.Socket>();
+  private readonly closer = new connectionCloser.ConnectionCloser(
+    (socket) => this.answered.has(socket) && !this.connections.isInUse(socket),
+  );
 
   /** Ends the reading of a body on a connection, with what has arrived of it. */
   private readonly bodyReads = new WeakMap<net.Socket, () => void>();
@@ -108,8 +103,8 @@
     });
     this.server.keepAliveTimeout = DEFAULT_IDLE_MS;
     // Node's own method, which `close` calls too, would destroy connections that are ending.
-    this.server.closeIdleConnections = () => this.destroyIdle();
-    this.server.on('connection', (socket) => this.accept(socket));
+    this.server.closeIdleConnections = () => this.closer.destroyIdle();
+    this.server.on('connection', (socket) => this.closer.add(socket));
     this.server.on('request', (req, res) => {
       void this.serve(req, res);
     });
@@ -134,7 +129,7 @@
 
   /** Whether connections that this node has closed wait for their callers to close them too. */
   get hasEndingConnections(): boolean {
-    return this.ending.size > 0;
+    return this.closer.hasEnding;
   }
 
   /** Answers requests that are still open at the given monotonic time, with 504, and later ones in time. */
@@ -166,7 +161,7 @@
 
   private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     // The caller sends a request behind the last answer again on another connection.
-    if (this.closing.has(req.socket)) {
+    if (this.closer.isClosing(req.socket)) {
       // Node stops reading when a request follows an unsent answer, and would miss that the caller closes.
       setImmediate(() => req.socket.emit('drain'));
       return;
@@ -201,43 +196,13 @@
       await outgoing.waitUntilFlushed(res, controller.signal);
       pipelineEntry.end();
       this.openAnswers.delete(openAnswer);
-      if (this.closing.has(req.socket) && pipelineEntry.isLast) this.end(req.socket);
-    }
-  }
-
-  private accept(socket: net.Socket): void {
-    this.sockets.add(socket);
-    socket.once('close', () => {
-      this.sockets.delete(socket);
-      this.ending.delete(socket);
-    });
-    // Called by Node after the last answer on a connection.
-    socket.destroySoon = () => this.end(socket);
-  }
-
-  /**
-   * Closes the connection in one direction, and drops what still arrives until the caller has closed it too.
-   * Data that arrives at a closed socket resets the connection and discards what has not been delivered.
-   */
-  private end(socket: net.Socket): void {
-    if (socket.destroyed || this.ending.has(socket)) return;
-    this.closing.add(socket);
-    this.ending.add(socket);
-    socket.end();
-    const timer = setTimeout(() => socket.destroy(), ENDING_TIMEOUT_MS).unref();
-    socket.once('close', () => clearTimeout(timer));
-  }
-
-  private destroyIdle(): void {
-    for (const socket of this.sockets) {
-      const isIdle = this.answered.has(socket) && !this.connections.isInUse(socket);
-      if (isIdle && !this.ending.has(socket)) socket.destroy();
+      if (this.closer.isClosing(req.socket) && pipelineEntry.isLast) this.closer.end(req.socket);
     }
   }
 
   /** Handles malformed requests, slow headers and broken connections. */
   private handleClientError({ code }: NodeJS.ErrnoException, socket: net.Socket): void {
-    if (this.closing.has(socket)) return;
+    if (this.closer.isClosing(socket)) return;
     if (!socket.writable || code === 'ECONNRESET') {
       socket.destroy();
       return;
@@ -245,7 +210,7 @@
     this.options.log.warn('callers', 'a connection sent a malformed request', { code });
     if (this.connections.isInUse(socket)) {
       // Anything written now would be taken for the answer to an earlier request.
-      this.closing.add(socket);
+      this.closer.markClosing(socket);
       this.endBodyRead(socket);
       return;
     }
@@ -490,9 +455,9 @@
     const { socket } = req;
     // The unread rest of a body would be parsed as the next request.
     if (!req.complete) res.shouldKeepAlive = false;
-    if (this.draining || !req.complete) this.closing.add(socket);
+    if (this.draining || !req.complete) this.closer.markClosing(socket);
     this.answered.add(socket);
-    return this.closing.has(socket) && isLast ? ['Connection', 'close'] : [];
+    return this.closer.isClosing(socket) && isLast ? ['Connection', 'close'] : [];
   }
 }
 
