perf(mesh): read a request's id and wait for the end of a stop without work per request

The id of each request was read from its headers twice, once only for log lines that most requests never need; it is read there now. Each dispatch added a listener to one signal shared by all, whose cost grows with the requests in flight; a set of callbacks does the same. Behaviour is the same.

--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -54,7 +54,6 @@
 
 /** A request whose answer has not been handed to the kernel completely. */
 interface OpenAnswer {
-  requestId: ids.RequestId | null;
   arrivedMs: number;
   /** Number of unfinished earlier requests on the same connection. */
   ahead: number;
@@ -73,8 +72,8 @@
   /** Monotonic time by which each request must be answered, since the process exits soon after. */
   private answerByMs = Infinity;
 
-  /** Aborted at `answerByMs`. */
-  private readonly abandoned = new AbortController();
+  /** Ends each request that waits for its dispatch; called at `answerByMs`. */
+  private readonly abandonWaiting = new Set<() => void>();
 
   private readonly openAnswers = new Set<OpenAnswer>();
 
@@ -135,7 +134,10 @@
   /** Answers requests that are still open at the given monotonic time, with 504, and later ones in time. */
   answerBy(atMs: number): void {
     this.answerByMs = atMs;
-    setTimeout(() => this.abandoned.abort(), atMs - this.options.nowMs()).unref();
+    const abandonAll = () => {
+      for (const abandon of this.abandonWaiting) abandon();
+    };
+    setTimeout(abandonAll, atMs - this.options.nowMs()).unref();
   }
 
   /** From now on, each answer closes its connection. */
@@ -169,8 +171,7 @@
     const arrivedMs = this.options.nowMs();
     const controller = new AbortController();
     let disconnectedMs: number | null = null;
-    const { requestId } = this.options.codec.readCaller(req.headers);
-    const openAnswer = { requestId, arrivedMs, ahead: 0, res, isInterrupted: false };
+    const openAnswer = { arrivedMs, ahead: 0, res, isInterrupted: false };
     const pipelineEntry = this.connections.track(req.socket, (closedBy) => {
       disconnectedMs = this.options.nowMs();
       this.recordInterrupted(openAnswer, closedBy);
@@ -219,10 +220,7 @@
   }
 
   /** A small age means that the caller had disconnected before its request was read. */
-  private recordDisconnect(
-    { requestId, arrivedMs, ahead }: OpenAnswer,
-    disconnectedMs: number,
-  ): void {
+  private recordDisconnect({ arrivedMs, ahead, res }: OpenAnswer, disconnectedMs: number): void {
     const { log, meters: registry, nowMs } = this.options;
     const ageMs = disconnectedMs - arrivedMs;
     const workedOnMs = nowMs() - disconnectedMs;
@@ -230,13 +228,17 @@
     registry.observeMs(meters.LEFT_AGE_SECONDS, ageMs, labels);
     registry.observeMs(meters.LEFT_WORK_SECONDS, workedOnMs, labels);
     const message = 'the caller disconnected before its answer was written';
-    log.decision('callers', requestId ?? 'none', message, {
+    log.decision('callers', this.requestIdOf(res), message, {
       ahead,
       ageMs: Math.round(ageMs),
       workedOnMs: Math.round(workedOnMs),
     });
   }
 
+  private requestIdOf({ req }: http.ServerResponse): string {
+    return this.options.codec.readCaller(req.headers).requestId ?? 'none';
+  }
+
   /** Records the requests that get no complete answer because the process exits. */
   recordUnanswered(): void {
     for (const openAnswer of this.openAnswers) this.recordInterrupted(openAnswer, 'node');
@@ -245,11 +247,11 @@
   private recordInterrupted(openAnswer: OpenAnswer, closedBy: callerConnections.ClosedBy): void {
     if (openAnswer.isInterrupted) return;
     openAnswer.isInterrupted = true;
-    const { requestId, arrivedMs, ahead, res } = openAnswer;
+    const { arrivedMs, ahead, res } = openAnswer;
     const { log, meters: registry, nowMs } = this.options;
     registry.increment(meters.INTERRUPTED_ANSWERS, { closedBy });
     const message = 'a connection ended before its answer was complete';
-    log.decision('callers', requestId ?? 'none', message, {
+    log.decision('callers', this.requestIdOf(res), message, {
       closedBy,
       ahead,
       ageMs: Math.round(nowMs() - arrivedMs),
@@ -365,14 +367,14 @@
     const timeout = new Promise<LocalReply>((resolve) => {
       timer = setTimeout(() => resolve(localReply(504, 'timeout')), limitMs);
       abandon = () => resolve(localReply(504, 'this node stops'));
-      this.abandoned.signal.addEventListener('abort', abandon, { once: true });
+      this.abandonWaiting.add(abandon);
     });
     const outcome = await Promise.race([
       this.options.dispatcher.dispatch(req, controller.signal),
       timeout,
     ]);
     clearTimeout(timer);
-    this.abandoned.signal.removeEventListener('abort', abandon);
+    this.abandonWaiting.delete(abandon);
     if (outcome.type === 'localReply') {
       controller.abort();
       this.options.log.decision('callers', req.requestId, 'a request timed out', {
