--- a/packages/mesh/src/peers/uplinkScheduler.ts
+++ b/packages/mesh/src/peers/uplinkScheduler.ts
@@ -91,8 +91,7 @@
   ) {}
 
   get hasOrdered(): boolean {
-    for (const { options } of this.transfers) if (options.isOrdered) return true;
-    return false;
+    return this.firstOrdered !== null;
   }
 
   /** Queues an encoded frame, given without its length. */
@@ -129,7 +128,7 @@
   admits(transfer: Transfer): boolean {
     if (this.isStalled) return false;
     if (this.outstandingBytes + nextPieceBytes(transfer) > MAX_CONNECTION_BYTES) return false;
-    if (transfer.options.isOrdered && !this.isFirstOrdered(transfer)) return false;
+    if (transfer.options.isOrdered && transfer !== this.firstOrdered) return false;
     const isStarted = transfer.id > 0 || this.startedBytes === 0;
     return isStarted || this.startedBytes + transfer.message.length <= frames.MAX_FRAME_BYTES;
   }
@@ -149,9 +148,9 @@
     return bytes.length;
   }
 
-  private isFirstOrdered(transfer: Transfer): boolean {
-    for (const each of this.transfers) if (each.options.isOrdered) return each === transfer;
-    return false;
+  private get firstOrdered(): Transfer | null {
+    for (const transfer of this.transfers) if (transfer.options.isOrdered) return transfer;
+    return null;
   }
 }
 
