refactor(mesh): one loop that waits during a stop

Three loops polled until a condition or a time limit. New requests are refused from the same time on as before, or as soon as nothing is open, just before the idle connections are closed, which refuses them too.

--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -128,20 +128,18 @@
     peers.refuseNew();
     callers.drain();
     const refuseAtMs = stopRequestedMs + settings.graceMs * REFUSE_AFTER_SHARE;
-    while (nowMs() < stopByMs && (this.hasUnsentAnswers || peers.runningCount > 0)) {
-      if (nowMs() > refuseAtMs) callers.refuseNew();
-      await backoff.sleep(STOP_POLL_MS);
-    }
+    const isBusy = () => this.hasUnsentAnswers || peers.runningCount > 0;
+    await this.waitWhile(isBusy, refuseAtMs);
+    callers.refuseNew();
+    await this.waitWhile(isBusy, stopByMs);
     peers.sendGoAway();
     callers.closeIdle();
     await backoff.sleep(FLUSH_MS);
     const exitByMs = stopByMs + FLUSH_MS;
-    while (nowMs() < exitByMs && this.hasUnsentAnswers) await backoff.sleep(STOP_POLL_MS);
+    await this.waitWhile(() => this.hasUnsentAnswers, exitByMs);
     peers.endSessions();
     const closeByMs = Math.min(exitByMs, nowMs() + CLOSE_TIMEOUT_MS);
-    while (nowMs() < closeByMs && (peers.hasOpenSessions || callers.hasEndingConnections)) {
-      await backoff.sleep(STOP_POLL_MS);
-    }
+    await this.waitWhile(() => peers.hasOpenSessions || callers.hasEndingConnections, closeByMs);
     if (this.timer !== null) clearInterval(this.timer);
     this.parts.watcher.stop();
     network.stop();
@@ -153,6 +151,10 @@
     });
   }
 
+  private async waitWhile(condition: () => boolean, untilMs: number): Promise<void> {
+    while (this.parts.nowMs() < untilMs && condition()) await backoff.sleep(STOP_POLL_MS);
+  }
+
   /** Whether this process holds answers, or has yet to give them, that would be lost if it exited now. */
   private get hasUnsentAnswers(): boolean {
     const { callers, peers } = this.parts;
