--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -7,6 +7,7 @@
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as configuration from '../../config/configuration.js';
 import type * as phases from '../../rollouts/phases.js';
+import * as frameSplitter from '../frameSplitter.js';
 import * as frames from '../frames.js';
 
 const REQUEST: frames.Frame = {
@@ -77,7 +78,7 @@
 ];
 
 function decodeOne(bytes: Buffer): frames.Frame {
-  const [frame, ...others] = new frames.FrameSplitter('peer').push(bytes);
+  const [frame, ...others] = new frameSplitter.FrameSplitter('peer').push(bytes);
   assert.ok(frame !== undefined && others.length === 0);
   return frame;
 }
@@ -94,7 +95,7 @@
     const bytes = Buffer.concat(FRAMES.map(frames.encode));
     fc.assert(
       fc.property(fc.array(fc.integer({ min: 1, max: 60 }), { minLength: 1 }), (sizes) => {
-        const splitter = new frames.FrameSplitter('peer');
+        const splitter = new frameSplitter.FrameSplitter('peer');
         const read: frames.Frame[] = [];
         for (let at = 0, i = 0; at < bytes.length; i += 1) {
           const size = sizes[i % sizes.length]!;
@@ -114,7 +115,7 @@
     const message = msgpack.encode([code, packed]);
     const length = Buffer.alloc(4);
     length.writeUInt32BE(message.length);
-    const read = new frames.FrameSplitter('peer').push(Buffer.concat([length, message]));
+    const read = new frameSplitter.FrameSplitter('peer').push(Buffer.concat([length, message]));
     const expected = { ...state, orderPosition: { era: 0, revision: orderPosition.revision } };
     assert.deepEqual(read, [{ type: 'rollouts', states: [expected] }]);
   });
@@ -123,7 +124,7 @@
     fc.assert(
       fc.property(fc.uint8Array({ maxLength: 200 }), (noise) => {
         try {
-          new frames.FrameSplitter('peer').push(addLength(noise));
+          new frameSplitter.FrameSplitter('peer').push(addLength(noise));
         } catch (err) {
           assert.ok(failures.is(err, 'protocolViolation'));
         }
@@ -153,7 +154,7 @@
 
     function assertViolation(framed: Buffer): void {
       assert.throws(
-        () => new frames.FrameSplitter('peer').push(framed),
+        () => new frameSplitter.FrameSplitter('peer').push(framed),
         (err) => failures.is(err, 'protocolViolation'),
       );
     }
--- a/packages/mesh/src/peers/__tests__/peerLink.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerLink.test.ts
@@ -5,6 +5,7 @@
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as loopback from '../../__tests__/loopback.js';
 import * as exchange from '../../routing/exchange.js';
+import * as frameSplitter from '../frameSplitter.js';
 import * as frames from '../frames.js';
 import * as peerLink from '../peerLink.js';
 import * as peerServer from '../peerServer.js';
@@ -180,7 +181,7 @@
 describe('frames', () => {
   it('of type goAway carry the ids of the requests in progress', () => {
     const goAway = { type: 'goAway', running: [3, 9] } as const;
-    const [decoded] = new frames.FrameSplitter('n').push(
+    const [decoded] = new frameSplitter.FrameSplitter('n').push(
       frames.encode({ ...goAway, running: [3, 9] }),
     );
     assert.deepEqual(decoded, goAway);
--- a/packages/mesh/src/peers/__tests__/peerServer.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerServer.test.ts
@@ -6,6 +6,7 @@
 import * as loopback from '../../__tests__/loopback.js';
 import * as networkAddress from '../../networkAddress.js';
 import * as framedConnection from '../framedConnection.js';
+import * as frameSplitter from '../frameSplitter.js';
 import * as frames from '../frames.js';
 import * as peerServer from '../peerServer.js';
 
@@ -108,7 +109,7 @@
 
   it('responds to a request that was cancelled before it ran', async () => {
     const socket = await connect();
-    const splitter = new frames.FrameSplitter('b');
+    const splitter = new frameSplitter.FrameSplitter('b');
     const answers: frames.Frame[] = [];
     socket.on('data', (chunk: Buffer) => answers.push(...splitter.push(chunk)));
     socket.write(Buffer.concat([request(1), frames.encode({ type: 'cancel', id: 1 })]));
@@ -137,7 +138,7 @@
   // A ping that arrived at a closed connection reset it, and the rest of an outcome was lost on the way.
   it('ends a connection without losing an outcome that the other node has not read yet', async () => {
     const socket = await connect();
-    const splitter = new frames.FrameSplitter('b');
+    const splitter = new frameSplitter.FrameSplitter('b');
     const incoming: frames.Frame[] = [];
     socket.on('data', (chunk: Buffer) => incoming.push(...splitter.push(chunk)));
     // A reset is told by the frames that are missing.
@@ -230,7 +231,7 @@
 
     it('is handled once it is complete, and each piece is acknowledged', async () => {
       const socket = await connect();
-      const splitter = new frames.FrameSplitter('b');
+      const splitter = new frameSplitter.FrameSplitter('b');
       const replies: frames.Frame[] = [];
       socket.on('data', (chunk: Buffer) => replies.push(...splitter.push(chunk)));
       const message = frames.withoutLength(request(1));
--- a/packages/mesh/src/peers/framedConnection.ts
+++ b/packages/mesh/src/peers/framedConnection.ts
@@ -4,6 +4,7 @@
  */
 
 import type * as stream from 'node:stream';
+import * as frameSplitter from './frameSplitter.js';
 import * as frames from './frames.js';
 import * as reassembler from './reassembler.js';
 import type * as uplinkScheduler from './uplinkScheduler.js';
@@ -12,7 +13,7 @@
 const ORDERED_TYPES: ReadonlySet<frames.Frame['type']> = new Set(['configFull', 'configDelta']);
 
 export class FramedConnection {
-  private readonly splitter: frames.FrameSplitter;
+  private readonly splitter: frameSplitter.FrameSplitter;
 
   private readonly pieces: reassembler.Reassembler;
 
@@ -23,7 +24,7 @@
     private readonly peer: string,
     uplink: uplinkScheduler.UplinkScheduler,
   ) {
-    this.splitter = new frames.FrameSplitter(peer);
+    this.splitter = new frameSplitter.FrameSplitter(peer);
     this.pieces = new reassembler.Reassembler(peer);
     this.channel = uplink.openChannel((frame, onFlushed) => {
       this.write(frames.encode(frame), onFlushed);
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -21,7 +21,7 @@
  * a small frame waits for on a slow link.
  */
 export const MAX_WHOLE_FRAME_BYTES = 16 * 1024;
-const LENGTH_BYTES = 4;
+export const LENGTH_BYTES = 4;
 /** Configuration frames larger than this are compressed; smaller ones fit into a few packets anyway. */
 const MIN_DEFLATED_BYTES = 4 * 1024;
 
@@ -382,40 +382,3 @@
   if (!(bytes instanceof Uint8Array)) return Buffer.alloc(0);
   return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 }
-
-/** Splits a byte stream into frames. */
-export class FrameSplitter {
-  private chunks: Buffer[] = [];
-
-  private bufferedBytes = 0;
-
-  /** Number of bytes that must be buffered before the next frame can be decoded. */
-  private neededBytes = LENGTH_BYTES;
-
-  constructor(private readonly peer: string) {}
-
-  /** @throws protocolViolation */
-  push(chunk: Buffer): Frame[] {
-    this.chunks.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes < this.neededBytes) return [];
-    let buffered = this.chunks.length === 1 ? chunk : Buffer.concat(this.chunks);
-    const frames: Frame[] = [];
-    this.neededBytes = LENGTH_BYTES;
-    while (buffered.length >= LENGTH_BYTES) {
-      const length = buffered.readUInt32BE(0);
-      if (length > MAX_FRAME_BYTES) {
-        const detail = `a frame of ${length} bytes`;
-        throw failures.toError({ type: 'protocolViolation', peer: this.peer, detail });
-      }
-      this.neededBytes = LENGTH_BYTES + length;
-      if (buffered.length < this.neededBytes) break;
-      frames.push(decode(buffered.subarray(LENGTH_BYTES, this.neededBytes), this.peer));
-      buffered = buffered.subarray(this.neededBytes);
-      this.neededBytes = LENGTH_BYTES;
-    }
-    this.chunks = buffered.length === 0 ? [] : [buffered];
-    this.bufferedBytes = buffered.length;
-    return frames;
-  }
-}
