feat(mesh): tell the end of an upstream from a lost answer, and log what it ran

The log did not tell whether the same request was running each time an upstream ended: its lines bear the id of an attempt, and an end looks like a lost answer. When the upstream closes a connection without an answer, its node now opens another one (kept for later requests): if that is refused, or another incarnation has taken over, the upstream has ended. Each running request is then logged with its fingerprint (method, host, target, caller, body). Routing is unchanged.

--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -32,6 +32,11 @@
 /** Rises each time the platform's store is restored from a copy; 0 for a store that has no eras. */
 export type StoreEra = Branded<number, 'StoreEra'>;
 
+/** Identifies requests with the same method, host, target, caller and body, whatever their ids. */
+export type RequestFingerprint = Branded<string, 'RequestFingerprint'>;
+/** Identifies the end of one run of an upstream process. */
+export type UpstreamEndId = Branded<string, 'UpstreamEndId'>;
+
 export const nodeId = (value: string) => value as NodeId;
 export const regionName = (value: string) => value as RegionName;
 export const domainName = (value: string) => value as DomainName;
@@ -45,6 +50,8 @@
 export const idempotencyKey = (value: string) => value as IdempotencyKey;
 export const instanceId = (value: string) => value as InstanceId;
 export const incarnation = (value: number) => value as Incarnation;
+export const requestFingerprint = (value: string) => value as RequestFingerprint;
+export const upstreamEndId = (value: string) => value as UpstreamEndId;
 export const storeEra = (value: number) => value as StoreEra;
 
 /** Version held by a node that has no configuration yet. */
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -32,6 +32,7 @@
 export const STORE_WATCHED = 'godwittrack_store_watched';
 export const STORE_ERA = 'godwittrack_store_era';
 export const UPSTREAM_LIMIT = 'godwittrack_upstream_limit';
+export const UPSTREAM_ENDS = 'godwittrack_upstream_ends_total';
 export const UPSTREAM_LOAD = 'godwittrack_upstream_load';
 
 const HELP: Record<string, string> = {
@@ -75,6 +76,7 @@
     'Newest era of the store that is known; it rises when the store is restored from a copy.',
   [UPSTREAM_LIMIT]:
     'Requests per second that the upstream on this host takes by its own statement; 0 without a limit.',
+  [UPSTREAM_ENDS]: 'Ends of the upstream on this host while it ran requests.',
   [UPSTREAM_LOAD]: 'Requests running or waiting at the upstream on this host.',
 };
 
--- /dev/null
+++ b/packages/mesh/src/quarantine/requestFingerprint.ts
@@ -0,0 +1,38 @@
+/**
+ * Fingerprints of requests. Requests that differ only in their ids, deadlines and other headers have the
+ * same one. It consists of a key, which is cheap to compute, and a hash of the body.
+ */
+
+import * as crypto from 'node:crypto';
+import { ids } from '@godwittrack/core';
+import type * as exchange from '../routing/exchange.js';
+import * as headerCodec from '../upstream/headerCodec.js';
+
+export type IdentifiedRequest = Pick<
+  exchange.ForwardedRequest,
+  'method' | 'target' | 'headers' | 'body' | 'callerService'
+>;
+
+/** Characters of a hash in base64url, 6 bits each. */
+const HASH_LENGTH = 14;
+
+function hash(content: string | Buffer): string {
+  return crypto.createHash('sha256').update(content).digest('base64url').slice(0, HASH_LENGTH);
+}
+
+/** Key of all requests that differ only in the content of their bodies. */
+export function keyOf({ method, target, headers, body, callerService }: IdentifiedRequest): string {
+  const host = headerCodec.headerValue(headers, 'host')?.toLowerCase() ?? '';
+  return hash(JSON.stringify([method, host, target, callerService, body.length]));
+}
+
+export function fingerprintOf(
+  req: IdentifiedRequest,
+  key: string = keyOf(req),
+): ids.RequestFingerprint {
+  return ids.requestFingerprint(req.body.length === 0 ? key : `${key}.${hash(req.body)}`);
+}
+
+export function keyIn(fingerprint: ids.RequestFingerprint): string {
+  return fingerprint.slice(0, HASH_LENGTH);
+}
--- /dev/null
+++ b/packages/mesh/src/upstream/endDetector.ts
@@ -0,0 +1,46 @@
+/** Tells the end of the upstream's process from the loss of single connections. */
+
+import { ids } from '@godwittrack/core';
+import * as members from '../membership/members.js';
+import type * as upstreamConnection from './upstreamConnection.js';
+
+export type Incarnation = Pick<members.UpstreamState, 'instance' | 'bornMs'>;
+
+/** An incarnation ends only once, so all nodes give its end the same id. */
+export function endIdOf({ instance, bornMs }: Incarnation): ids.UpstreamEndId {
+  return ids.upstreamEndId(`${instance}/${bornMs ?? ''}`);
+}
+
+export interface EndDetectorOptions {
+  /** State of the upstream as last announced. */
+  current: () => members.UpstreamState | null;
+  /** Opens another connection to the upstream. */
+  probe: () => Promise<upstreamConnection.OpenResult>;
+}
+
+export class EndDetector {
+  /** The probe that is under way; losses at the same time share it. */
+  private probing: Promise<upstreamConnection.OpenResult> | null = null;
+
+  constructor(private readonly options: EndDetectorOptions) {}
+
+  /**
+   * Called when the upstream has closed a connection without answering the request on it.
+   * @returns the end of the incarnation that had the request; null if it still runs or was leaving
+   */
+  async findEnd(incarnation: Incarnation): Promise<ids.UpstreamEndId | null> {
+    const { current } = this.options;
+    const isReplaced = () =>
+      current() !== null && !members.isSameIncarnation(current(), incarnation);
+    if (!isReplaced()) {
+      if (current()?.leaving) return null;
+      this.probing ??= this.options.probe().finally(() => {
+        this.probing = null;
+      });
+      const result = await this.probing;
+      // Another incarnation may have taken over during the probe.
+      if (result !== 'refused' && !isReplaced()) return null;
+    }
+    return endIdOf(incarnation);
+  }
+}
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -10,6 +10,8 @@
 import * as exchange from '../routing/exchange.js';
 import type * as evidence from '../rollouts/evidence.js';
 import * as upstreamStats from '../routing/upstreamStats.js';
+import * as requestFingerprint from '../quarantine/requestFingerprint.js';
+import * as endDetector from './endDetector.js';
 import type * as headerCodec from './headerCodec.js';
 import type * as upstreamConnection from './upstreamConnection.js';
 import type * as upstreamPool from './upstreamPool.js';
@@ -23,6 +25,9 @@
 /** Interval of the checks for waiting requests that can no longer be served. */
 const ADVANCE_INTERVAL_MS = 25;
 
+/** Characters of a request target in the log. */
+const MAX_LOGGED_TARGET = 200;
+
 interface QueueEntry extends admissionQueue.AdmissionRequest {
   arrivedMs: number;
   req: exchange.ForwardedRequest;
@@ -56,6 +61,11 @@
   /** Expected size of the large answers to running requests of other hosts. */
   private expectedBytes = 0;
 
+  private readonly endDetector: endDetector.EndDetector;
+
+  /** End of the upstream that was last recorded. */
+  private lastEnd: ids.UpstreamEndId | null = null;
+
   private connectFailures = 0;
 
   private downUntilMs = 0;
@@ -64,6 +74,10 @@
 
   constructor(private readonly options: LocalDestinationOptions) {
     super();
+    this.endDetector = new endDetector.EndDetector({
+      current: () => options.upstream.state,
+      probe: () => options.pool.probe(),
+    });
     let instance: string | null = null;
     options.upstream.onChange((state) => {
       if (state !== null && state.instance !== instance) {
@@ -180,6 +194,7 @@
     const { pool } = this.options;
     const reason = this.refusalReason(req);
     if (reason !== null) return exchange.refused(reason, RETRY_AFTER_MS);
+    const incarnation = this.options.upstream.state!;
     const connection = pool.acquire(req.semantics);
     const deadlineLeftMs = entry.deadlineAtMs - startedMs;
     const onAbort = () => {
@@ -197,9 +212,32 @@
     clearTimeout(timer);
     signal.removeEventListener('abort', onAbort);
     pool.release(connection);
+    if (raw.type === 'broken' && raw.closedBy === 'upstream') {
+      const end = await this.endDetector.findEnd(incarnation);
+      if (end !== null) this.recordEnd(req, end);
+    }
     return this.toOutcome(req, raw, this.options.nowMs() - startedMs);
   }
 
+  private recordEnd(req: exchange.ForwardedRequest, end: ids.UpstreamEndId): void {
+    if (end !== this.lastEnd) this.options.meters.increment(meters.UPSTREAM_ENDS, {});
+    this.lastEnd = end;
+    const { method, target, callerService, route } = req;
+    this.options.log.decision(
+      'upstream',
+      req.requestId,
+      'the upstream ended while it ran a request',
+      {
+        end,
+        fingerprint: requestFingerprint.fingerprintOf(req),
+        method,
+        target: target.slice(0, MAX_LOGGED_TARGET),
+        callerService,
+        route,
+      },
+    );
+  }
+
   private countCancel(stage: 'waiting' | 'running' | 'kept'): void {
     this.options.meters.increment(meters.CANCELS, { stage });
   }
--- a/packages/mesh/src/upstream/upstreamConnection.ts
+++ b/packages/mesh/src/upstream/upstreamConnection.ts
@@ -43,7 +43,12 @@
   /** Nothing was written to the upstream, so the request has not been run. */
   | { type: 'unsent'; detail: string }
   /** The connection closed before the answer was complete; the request may have been run. */
-  | { type: 'broken'; detail: string };
+  | { type: 'broken'; detail: string; closedBy: ClosedBy };
+
+export type ClosedBy = 'node' | 'upstream';
+
+/** Result of opening a connection. */
+export type OpenResult = 'open' | 'refused' | 'failed';
 
 interface PendingRequest {
   requestId: string;
@@ -62,6 +67,11 @@
 }
 
 export class UpstreamConnection {
+  /** Settles when the connection is open or cannot be opened. */
+  readonly opened: Promise<OpenResult>;
+
+  private settleOpened: (result: OpenResult) => void = () => {};
+
   private readonly socket: net.Socket;
 
   private readonly parser: httpParser.HTTPParserJS;
@@ -76,7 +86,7 @@
 
   private keepAliveMs = DEFAULT_KEEP_ALIVE_MS;
 
-  private idleSinceMs = 0;
+  private idleSinceMs = performance.now();
 
   private closeDetail = 'connection closed';
 
@@ -90,6 +100,9 @@
     private readonly onClose: (connection: UpstreamConnection) => void,
     private readonly bodyBudget: byteBudget.ByteBudget,
   ) {
+    this.opened = new Promise((resolve) => {
+      this.settleOpened = resolve;
+    });
     this.socket = net.connect({ host, port, noDelay: true, allowHalfOpen: true });
     this.socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
       if (!this.connected) this.close('connect timeout');
@@ -97,10 +110,14 @@
     this.socket.on('connect', () => {
       this.connected = true;
       this.socket.setTimeout(0);
+      this.settleOpened('open');
+    });
+    this.socket.on('error', (err: NodeJS.ErrnoException) => {
+      this.settleOpened(err.code === 'ECONNREFUSED' ? 'refused' : 'failed');
+      this.close(err.message, 'upstream');
     });
-    this.socket.on('error', (err) => this.close(err.message));
     this.socket.on('end', () => this.handleEnd());
-    this.socket.on('close', () => this.close('connection closed'));
+    this.socket.on('close', () => this.close('connection closed', 'upstream'));
     this.parser = this.createParser();
     this.socket.on('data', (chunk) => this.read(chunk));
   }
@@ -227,20 +244,21 @@
   private handleEnd(): void {
     if (this.closed) return;
     if (this.incoming === null || !this.incoming.isForPending) {
-      this.close('connection ended');
+      this.close('connection ended', 'upstream');
       return;
     }
     this.socket.write(RESET_PROBE, (err) => {
       if (this.closed) return;
-      if (err) this.close(`answer cut short: ${err.message}`);
-      else if (this.parser.finish() instanceof Error) this.close('answer cut short');
-      else this.close('connection ended');
+      if (err) this.close(`answer cut short: ${err.message}`, 'upstream');
+      else if (this.parser.finish() instanceof Error) this.close('answer cut short', 'upstream');
+      else this.close('connection ended', 'upstream');
     });
   }
 
-  private close(detail: string): void {
+  private close(detail: string, closedBy: ClosedBy = 'node'): void {
     if (this.closed) return;
     this.closed = true;
+    this.settleOpened('failed');
     this.closeDetail = detail;
     this.socket.destroy();
     this.releaseIncoming();
@@ -249,7 +267,7 @@
     if (pending !== null) {
       const unsent = !this.connected;
       if (unsent) pending.settle({ type: 'unsent', detail });
-      else pending.settle({ type: 'broken', detail });
+      else pending.settle({ type: 'broken', detail, closedBy });
     }
     this.onClose(this);
   }
--- a/packages/mesh/src/upstream/upstreamPool.ts
+++ b/packages/mesh/src/upstream/upstreamPool.ts
@@ -44,6 +44,14 @@
     if (connection.reusable) this.idle.push(connection);
   }
 
+  /** Opens a connection and keeps it as an idle one. */
+  async probe(): Promise<upstreamConnection.OpenResult> {
+    const connection = this.connect();
+    const result = await connection.opened;
+    this.release(connection);
+    return result;
+  }
+
   /** Closes idle connections, for example when another incarnation took over the address. */
   clear(): void {
     const { idle } = this;
