test(playground): requests that end the servers that run them

A soak of a fleet that gets two such requests (one repeatable, one that may run once), while servers also end by themselves and hosts are replaced.

--- a/playground/src/usersPlatform/application.ts
+++ b/playground/src/usersPlatform/application.ts
@@ -34,6 +34,8 @@
 
   private address = '';
 
+  private startedMs = Date.now();
+
   private readonly server = http.createServer((req, res) => {
     void this.serve(req, res);
   });
@@ -53,11 +55,35 @@
     return this.address;
   }
 
+  get isRunning(): boolean {
+    return this.server.listening;
+  }
+
+  /** Start time of the current incarnation in Unix milliseconds. */
+  get bornMs(): number {
+    return this.startedMs;
+  }
+
   stop(): void {
     this.server.close();
     this.server.closeAllConnections();
   }
 
+  /** Ends like a process that crashes: connections are closed, and new ones refused. */
+  crash(): void {
+    this.stop();
+  }
+
+  /** Starts again at the same address, as another incarnation. */
+  async restart(instance: string): Promise<void> {
+    this.instance = instance;
+    this.startedMs = Date.now();
+    this.sequence = 0;
+    await new Promise<void>((resolve) => {
+      this.server.listen(Number(this.address.split(':')[1]), '127.0.0.1', resolve);
+    });
+  }
+
   /** Sends one announcement to the node on the same host. @returns the HTTP status of the answer */
   async announce(controlAddress: string, state = 'ready'): Promise<number> {
     this.sequence += 1;
@@ -70,6 +96,7 @@
       state,
       cold_remaining_ms: 0,
       sequence: this.sequence,
+      born: this.startedMs,
     };
     const res = await fetch(`http://${controlAddress}/-/instances/${this.instance}`, {
       method: 'PUT',
--- a/playground/src/usersPlatform/fleet.ts
+++ b/playground/src/usersPlatform/fleet.ts
@@ -87,6 +87,8 @@
 }
 
 export interface CallerAnswer {
+  /** Id of the request. */
+  id: string;
   status: number;
   body: string;
   signature: string | null;
@@ -138,6 +140,7 @@
         res.on('data', (chunk: Buffer) => chunks.push(chunk));
         res.on('end', () => {
           resolve({
+            id,
             status: res.statusCode ?? 0,
             body: Buffer.concat(chunks).toString('utf8'),
             signature: (res.headers['response-signature'] as string | undefined) ?? null,
