fix(mesh): keep requests that end upstreams from ending one after the other

Cause: nothing about a request was kept from one attempt to the next, and nodes told each other nothing about it. Limits on retries count per attempt and per node. Ruled out: upstreams that end by themselves or from load.

All requests that an upstream was running when it ended are now suspects. The node beside it holds their outcome until it knows of the end (one refused connection) and tells the sender with the outcome, the other nodes at once and again with the periodic summaries and in the first frame of a connection. A suspect runs at one upstream at a time, the first by rank for its fingerprint, the same for all nodes; an answer clears it everywhere. After two ends it is blocked and refused at once, with the time until the next attempt: 5 s, then six times as long after each further end, up to half an hour. While there are no suspects, requests are not hashed.

--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -8,6 +8,7 @@
 import * as decisionLog from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
 import * as uplinkScheduler from '../peers/uplinkScheduler.js';
+import * as quarantine from '../quarantine/quarantine.js';
 import type * as balancer from '../routing/balancer.js';
 import * as exchange from '../routing/exchange.js';
 import * as headerCodec from '../upstream/headerCodec.js';
@@ -117,6 +118,10 @@
   return new decisionLog.DecisionLog(logger, () => performance.now(), meters.createMetrics());
 }
 
+export function suspects(): quarantine.Quarantine {
+  return new quarantine.Quarantine({ log: silentLog(), nowMs: () => performance.now() });
+}
+
 export interface LogLine {
   msg: string;
   [field: string]: unknown;
--- a/packages/mesh/src/callers/__tests__/callerFixtures.ts
+++ b/packages/mesh/src/callers/__tests__/callerFixtures.ts
@@ -44,6 +44,7 @@
     destinationOf: () => null,
     hasOpenLink: () => false,
     rollouts: new rolloutTable.RolloutTable(log, nowMs),
+    quarantine: fixtures.suspects(),
     balancer: new balancer.Balancer(() => 0),
     trafficSplitter: new trafficSplitter.TrafficSplitter(() => 0),
     upstreamStats: new upstreamStats.UpstreamStats(nowMs),
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -33,6 +33,8 @@
 export const STORE_ERA = 'godwittrack_store_era';
 export const UPSTREAM_LIMIT = 'godwittrack_upstream_limit';
 export const UPSTREAM_ENDS = 'godwittrack_upstream_ends_total';
+export const SUSPECT_REQUESTS = 'godwittrack_suspect_requests';
+export const BLOCKED_REQUESTS = 'godwittrack_blocked_requests';
 export const UPSTREAM_LOAD = 'godwittrack_upstream_load';
 
 const HELP: Record<string, string> = {
@@ -77,6 +79,9 @@
   [UPSTREAM_LIMIT]:
     'Requests per second that the upstream on this host takes by its own statement; 0 without a limit.',
   [UPSTREAM_ENDS]: 'Ends of the upstream on this host while it ran requests.',
+  [SUSPECT_REQUESTS]:
+    'Different requests during which an upstream has ended and that no upstream has answered since.',
+  [BLOCKED_REQUESTS]: 'Different requests that are sent to no upstream at present.',
   [UPSTREAM_LOAD]: 'Requests running or waiting at the upstream on this host.',
 };
 
--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -47,6 +47,22 @@
     rolloutsKnown: true,
     storeEra: null,
   },
+  {
+    type: 'stateSummary',
+    configVersion: 4,
+    rollouts: [],
+    rolloutsKnown: false,
+    storeEra: null,
+    crashes: [
+      {
+        fingerprint: ids.requestFingerprint('f.b'),
+        ends: [
+          { end: ids.upstreamEndId('i-1/1000'), ageMs: 40, isVoid: false },
+          { end: ids.upstreamEndId('i-2/'), ageMs: 0, isVoid: true },
+        ],
+      },
+    ],
+  },
   { type: 'configFull', cfg: fixtures.configurationOf(3, [fixtures.route('r')]) },
   {
     type: 'outcome',
@@ -75,6 +91,14 @@
     id: 9,
     delivery: { outcome: { type: 'lost', detail: 'reset' }, report: null },
   },
+  {
+    type: 'outcome',
+    id: 10,
+    delivery: {
+      outcome: { type: 'lost', detail: 'reset', end: ids.upstreamEndId('i-1/1000') },
+      report: null,
+    },
+  },
 ];
 
 function decodeOne(bytes: Buffer): frames.Frame {
@@ -120,6 +144,23 @@
     assert.deepEqual(read, [{ type: 'rollouts', states: [expected] }]);
   });
 
+  for (const crashes of [1, [1], [['f']], [['f', [['e', 'old', false]]]], [[2, []]]]) {
+    it(`with malformed crash reports fail with a protocol violation: ${JSON.stringify(crashes)}`, () => {
+      const summary = {
+        type: 'stateSummary',
+        configVersion: 1,
+        rollouts: [],
+        rolloutsKnown: false,
+      };
+      const framed = frames.encode(summary as frames.Frame);
+      const [code, fields] = msgpack.decode(framed.subarray(4)) as [number, object];
+      assert.throws(
+        () => decodeOne(addLength(msgpack.encode([code, { ...fields, crashes }]))),
+        (err) => failures.is(err, 'protocolViolation'),
+      );
+    });
+  }
+
   it('of random bytes fail with a protocol violation and nothing else', () => {
     fc.assert(
       fc.property(fc.uint8Array({ maxLength: 200 }), (noise) => {
--- a/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
@@ -9,6 +9,7 @@
 import * as eventLoop from '../../eventLoop.js';
 import * as members from '../../membership/members.js';
 import * as meters from '../../observability/meters.js';
+import * as quarantine from '../../quarantine/quarantine.js';
 import * as rolloutTable from '../../rollouts/rolloutTable.js';
 import * as exchange from '../../routing/exchange.js';
 import * as peerNetwork from '../peerNetwork.js';
@@ -28,6 +29,7 @@
   table: members.MemberTable;
   config: configHolder.ConfigHolder;
   rollouts: rolloutTable.RolloutTable;
+  suspects: quarantine.Quarantine;
   era: storeEra.StoreEra;
   network: peerNetwork.PeerNetwork;
   metrics: metrics.Metrics;
@@ -47,6 +49,7 @@
   const config = new configHolder.ConfigHolder(nowMs);
   const rollouts = new rolloutTable.RolloutTable(log, nowMs);
   const era = new storeEra.StoreEra(log);
+  const suspects = new quarantine.Quarantine({ log, nowMs });
   const restored: members.UpstreamState[] = [];
   const uplink = fixtures.uplink();
   const network = new peerNetwork.PeerNetwork({
@@ -54,6 +57,7 @@
     table,
     config,
     rollouts,
+    quarantine: suspects,
     uplink,
     storeEra: era,
     log,
@@ -82,6 +86,7 @@
     table,
     config,
     rollouts,
+    suspects,
     era,
     network,
     metrics: metricsRegistry,
@@ -107,6 +112,48 @@
 
   const knows = (node: Node, about: Node) => node.table.get(about.self.node);
 
+  describe('reports of ended upstreams', () => {
+    const req = fixtures.forwardedRequest();
+    const block = ({ suspects }: Node) => {
+      for (const end of ['e-1', 'e-2']) suspects.recordEnd(req, ids.upstreamEndId(end), 'self');
+    };
+    const isBlocked = ({ suspects }: Node) => suspects.verdictOf(req).type === 'blocked';
+
+    it('reach the other nodes', async () => {
+      const reporting = await start('a', 'd1');
+      const other = await start('b', 'd2');
+      reporting.suspects.onChange((reports) => {
+        reporting.network.announceCrashes(reports, { domain: true, remoteRelays: true });
+      });
+      other.network.addNodes([reporting.self]);
+      await loopback.until(() => (knows(reporting, other)?.sequence ?? 0) > 0);
+      await loopback.until(() => reporting.network.openLinks > 0);
+      block(reporting);
+      await loopback.until(() => isBlocked(other));
+    });
+
+    // A node that had just started ended one more server with a request that the others knew.
+    it('reach a node that starts later, before it counts as synced', async () => {
+      const reporting = await start('a', 'd1');
+      block(reporting);
+      reporting.rollouts.markSynced();
+      const joining = await start('b', 'd1');
+      joining.network.addNodes([reporting.self]);
+      await loopback.until(() => joining.rollouts.isSynced);
+      assert.ok(isBlocked(joining));
+    });
+
+    it('reach a node that was out of reach meanwhile', async () => {
+      const reporting = await start('a', 'd1');
+      const other = await start('b', 'd1');
+      other.network.addNodes([reporting.self]);
+      await loopback.until(() => (knows(reporting, other)?.sequence ?? 0) > 0);
+      // The message that tells of it at once is lost.
+      block(reporting);
+      await loopback.until(() => isBlocked(other));
+    });
+  });
+
   // A node that did not watch the store itself never learned that there are no rollouts, and therefore
   // refused every request.
   it('delivers the rollouts to a node that connected before they were known', async () => {
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -11,9 +11,10 @@
 import type * as configuration from '../config/configuration.js';
 import type * as members from '../membership/members.js';
 import type * as memberGossip from '../membership/memberGossip.js';
+import type * as crashRecords from '../quarantine/crashRecords.js';
 import type * as phases from '../rollouts/phases.js';
 import type * as evidence from '../rollouts/evidence.js';
-import type * as exchange from '../routing/exchange.js';
+import * as exchange from '../routing/exchange.js';
 
 export const MAX_FRAME_BYTES = 80 * 1024 * 1024;
 /**
@@ -40,6 +41,7 @@
   /** Whether `rollouts` is complete. */
   rolloutsKnown: boolean;
   storeEra?: KnownEra;
+  crashes?: crashRecords.CrashReport[];
 }
 
 export interface RequestFrame {
@@ -75,6 +77,8 @@
       rollouts: phases.RolloutState[];
       rolloutsKnown: boolean;
       storeEra?: KnownEra;
+      /** Not complete: reports that are new, or repeated ones. */
+      crashes?: crashRecords.CrashReport[];
     }
   /** Sent by a node that does not know the rollouts yet. */
   | { type: 'stateSummaryRequest' }
@@ -178,8 +182,10 @@
       return [code, { states: frame.states.map(packRollout) }];
     case 'hello':
     case 'stateSummary': {
-      const { type, ...fields } = frame;
-      return [code, { ...fields, rollouts: frame.rollouts.map(packRollout) }];
+      const { type, crashes, ...fields } = frame;
+      const rollouts = frame.rollouts.map(packRollout);
+      if (crashes === undefined) return [code, { ...fields, rollouts }];
+      return [code, { ...fields, rollouts, crashes: crashes.map(packCrashReport) }];
     }
     default: {
       const { type, ...fields } = frame;
@@ -223,8 +229,11 @@
   if (type === undefined) throw new Error(`type code ${code}`);
   const frame = { type, ...(first as object) } as Frame;
   if (frame.type === 'rollouts') return { ...frame, states: unpackRollouts(frame.states) };
-  if (frame.type === 'hello' || frame.type === 'stateSummary')
-    return { ...frame, rollouts: unpackRollouts(frame.rollouts) };
+  if (frame.type === 'hello' || frame.type === 'stateSummary') {
+    const summary = { ...frame, rollouts: unpackRollouts(frame.rollouts) };
+    if (frame.crashes === undefined) return summary;
+    return { ...summary, crashes: (frame.crashes as unknown[]).map(unpackCrashReport) };
+  }
   return frame;
 }
 
@@ -281,6 +290,27 @@
   }));
 }
 
+function packCrashReport({ fingerprint, ends }: crashRecords.CrashReport): unknown[] {
+  return [fingerprint, ends.map(({ end, ageMs, isVoid }) => [end, ageMs, isVoid])];
+}
+
+function unpackCrashReport(packed: unknown): crashRecords.CrashReport {
+  const [fingerprint, ends] = packed as [unknown, unknown[][]];
+  return {
+    fingerprint: ids.requestFingerprint(toText(fingerprint)),
+    ends: ends.map(([end, ageMs, isVoid]) => {
+      if (!Number.isFinite(ageMs) || typeof isVoid !== 'boolean')
+        throw new Error('bad crash report');
+      return { end: ids.upstreamEndId(toText(end)), ageMs: ageMs as number, isVoid };
+    }),
+  };
+}
+
+function toText(value: unknown): string {
+  if (typeof value !== 'string') throw new Error('bad text');
+  return value;
+}
+
 function packRequest(req: exchange.ForwardedRequest): unknown[] {
   return [
     req.requestId,
@@ -340,7 +370,9 @@
       return [REFUSED, load, reason, Math.round(retryAfterMs), reachedUpstream];
     }
     default:
-      return [LOST, load, outcome.detail];
+      return outcome.end === undefined
+        ? [LOST, load, outcome.detail]
+        : [LOST, load, outcome.detail, outcome.end];
   }
 }
 
@@ -355,7 +387,9 @@
     const [reason, retryAfterMs, reachedUpstream] = rest as [string, number, boolean];
     return { outcome: { type: 'refused', reason, retryAfterMs, reachedUpstream }, report };
   }
-  return { outcome: { type: 'lost', detail: String(rest[0]) }, report };
+  const [detail, end] = rest;
+  const lostEnd = typeof end === 'string' ? ids.upstreamEndId(end) : undefined;
+  return { outcome: exchange.lost(String(detail), lostEnd), report };
 }
 
 /** Load, average service time or -1, and the wait for the uplink unless there is none. */
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -15,6 +15,8 @@
 import * as neighbours from '../membership/neighbours.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
+import type * as crashRecords from '../quarantine/crashRecords.js';
+import type * as quarantine from '../quarantine/quarantine.js';
 import type * as evidence from '../rollouts/evidence.js';
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
 import * as configurationRequests from './configurationRequests.js';
@@ -36,6 +38,7 @@
   table: members.MemberTable;
   config: configHolder.ConfigHolder;
   rollouts: rolloutTable.RolloutTable;
+  quarantine: quarantine.Quarantine;
   uplink: uplinkScheduler.UplinkScheduler;
   storeEra: storeEra.StoreEra;
   log: observability.DecisionLog;
@@ -172,6 +175,11 @@
     this.broadcast(this.stateSummary(), scope);
   }
 
+  /** Sends new reports of ends of upstreams. */
+  announceCrashes(crashes: crashRecords.CrashReport[], scope: propagation.Scope): void {
+    this.broadcast(this.stateSummary(crashes), scope);
+  }
+
   /**
    * Maintains the links, removes unreachable nodes, sends due digests and repeats configuration requests.
    * Called several times a second.
@@ -233,7 +241,7 @@
 
   private handleHello(
     sender: Sender,
-    { from, rollouts, rolloutsKnown, configVersion, storeEra: era }: frames.Hello,
+    { from, rollouts, rolloutsKnown, configVersion, storeEra: era, crashes }: frames.Hello,
   ): void {
     const { table } = this.options;
     this.addNodes([from]);
@@ -251,6 +259,7 @@
     }
     this.links.get(from.node)?.connectNow();
     this.observeEra(sender, era);
+    this.mergeCrashes(sender, crashes);
     this.options.rollouts.merge(rollouts, this.originOf(from));
     if (rolloutsKnown) this.options.rollouts.markSynced();
     this.onVersionAdvertised(sender, configVersion);
@@ -287,6 +296,7 @@
         break;
       case 'stateSummary':
         this.observeEra(sender, frame.storeEra);
+        this.mergeCrashes(sender, frame.crashes);
         rollouts.merge(frame.rollouts, this.originOf(sender.from));
         if (frame.rolloutsKnown) rollouts.markSynced();
         this.onVersionAdvertised(sender, frame.configVersion);
@@ -331,7 +341,12 @@
     if (era != null) this.options.storeEra.observe(era, this.sourceOf(sender));
   }
 
-  private stateSummary(): frames.Frame {
+  /** Records of other nodes are merged before a node counts as synced, so that it serves with them. */
+  private mergeCrashes(sender: Sender, crashes: crashRecords.CrashReport[] = []): void {
+    this.options.quarantine.merge(crashes, this.originOf(sender.from));
+  }
+
+  private stateSummary(crashes = this.options.quarantine.repeatedReports()): frames.Frame {
     const { config, rollouts, storeEra: era } = this.options;
     return {
       type: 'stateSummary',
@@ -339,6 +354,7 @@
       rollouts: rollouts.states(),
       rolloutsKnown: rollouts.isSynced,
       storeEra: era.current,
+      ...withCrashes(crashes),
     };
   }
 
@@ -490,6 +506,7 @@
         rollouts: rollouts.states(),
         rolloutsKnown: rollouts.isSynced,
         storeEra: era.current,
+        ...withCrashes(this.options.quarantine.repeatedReports()),
       }),
       onFrame: (link, frame) =>
         this.handleFrame({ from: address, reply: (reply) => link.sendFrame(reply) }, frame),
@@ -508,6 +525,10 @@
   }
 }
 
+function withCrashes(crashes: crashRecords.CrashReport[]): Pick<frames.Hello, 'crashes'> {
+  return crashes.length === 0 ? {} : { crashes };
+}
+
 function sameUpstream(a: members.UpstreamState | null, b: members.UpstreamState | null): boolean {
   return JSON.stringify(a) === JSON.stringify(b);
 }
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -12,6 +12,7 @@
 import type * as observability from '../observability/decisionLog.js';
 import type * as peerNetwork from '../peers/peerNetwork.js';
 import type * as peerServer from '../peers/peerServer.js';
+import type * as quarantine from '../quarantine/quarantine.js';
 import type * as evidence from '../rollouts/evidence.js';
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
 import type * as rolloutController from '../rollouts/rolloutController.js';
@@ -53,6 +54,7 @@
   table: members.MemberTable;
   config: configHolder.ConfigHolder;
   rollouts: rolloutTable.RolloutTable;
+  quarantine: quarantine.Quarantine;
   upstream: localUpstream.LocalUpstream;
   evidence: evidence.EvidenceRecorder;
   network: peerNetwork.PeerNetwork;
@@ -162,16 +164,17 @@
   }
 
   private review(startedMs: number): void {
-    const { watcher, controller, network, nowMs } = this.parts;
+    const { watcher, controller, network, quarantine: suspects, nowMs } = this.parts;
     // Until the list of nodes is known, this node cannot tell whether another one watches the store.
     if (this.joined || nowMs() - startedMs > JOIN_TIMEOUT_MS) watcher.updateRole();
     controller.tick();
+    suspects.prune();
     network.maintain();
   }
 
   private subscribe(): void {
     const { upstream, network, config, rollouts, watcher, evidence: recorder, log } = this.parts;
-    const { store } = this.parts;
+    const { store, quarantine: suspects } = this.parts;
     let previousState: members.UpstreamState | null = null;
     upstream.onChange((state) => {
       log.info('upstream', 'upstream state changed', { ...state });
@@ -195,6 +198,9 @@
       if (!isRepeated) recorder.enterPhase(state.phase);
       network.broadcast({ type: 'rollouts', states: [state] }, propagation.scopeOf(origin));
     });
+    suspects.onChange((reports, origin) => {
+      network.announceCrashes(reports, propagation.scopeOf(origin));
+    });
     watcher.onContact(() => this.sendBeacon());
     store.era.onRise(({ origin }) => {
       network.announceState(propagation.scopeOf(origin));
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -17,6 +17,7 @@
 import * as peerNetwork from '../peers/peerNetwork.js';
 import * as peerServer from '../peers/peerServer.js';
 import * as uplinkScheduler from '../peers/uplinkScheduler.js';
+import * as quarantine from '../quarantine/quarantine.js';
 import * as evidence from '../rollouts/evidence.js';
 import * as rolloutTable from '../rollouts/rolloutTable.js';
 import * as rolloutController from '../rollouts/rolloutController.js';
@@ -101,6 +102,7 @@
   const recorder = new evidence.EvidenceRecorder((service, version) =>
     rollouts.isRollingOut(service, version),
   );
+  const suspects = new quarantine.Quarantine({ log, nowMs });
   const upstream = new localUpstream.LocalUpstream(settings.upstreamAddress);
   const uplink = new uplinkScheduler.UplinkScheduler(nowMs);
   const local = new localDestination.LocalDestination({
@@ -110,6 +112,7 @@
     log,
     meters: metricsRegistry,
     evidence: recorder,
+    quarantine: suspects,
     mayServe: (service, version) => rollouts.mayServe(service, version),
     transferWaitMs: (bytes) => uplink.backlogMs(bytes),
     nowMs,
@@ -122,6 +125,7 @@
     table,
     config,
     rollouts,
+    quarantine: suspects,
     uplink,
     storeEra: platform.store.era,
     log,
@@ -145,6 +149,7 @@
     destinationOf: (node) => network.linkForRequests(node),
     hasOpenLink: (node) => network.hasReadyLink(node),
     rollouts,
+    quarantine: suspects,
     balancer: new balancer.Balancer(nextRandom),
     trafficSplitter: new trafficSplitter.TrafficSplitter(nextRandom),
     upstreamStats: new upstreamStats.UpstreamStats(nowMs),
@@ -170,6 +175,8 @@
   metricsRegistry.gauge(meters.STORE_WATCHED, () => Number(watcher.hasStoreContact));
   metricsRegistry.gauge(meters.STORE_ERA, () => platform.store.era.current ?? 0);
   metricsRegistry.gauge(meters.UPSTREAM_LIMIT, () => upstream.limitPerSecond ?? 0);
+  metricsRegistry.gauge(meters.SUSPECT_REQUESTS, () => suspects.count('suspect'));
+  metricsRegistry.gauge(meters.BLOCKED_REQUESTS, () => suspects.count('blocked'));
   metricsRegistry.gauge(meters.UPSTREAM_LOAD, () => local.load);
   rollouts.onChange(({ phase }, _origin, isRepeated) => {
     if (!isRepeated) metricsRegistry.increment(meters.ROLLOUT_PHASES, { phase });
@@ -180,6 +187,7 @@
     table,
     config,
     rollouts,
+    quarantine: suspects,
     upstream,
     evidence: recorder,
     network,
--- /dev/null
+++ b/packages/mesh/src/quarantine/__tests__/quarantine.test.ts
@@ -0,0 +1,127 @@
+import * as assert from 'node:assert/strict';
+import { beforeEach, describe, it } from 'node:test';
+import { ids } from '@godwittrack/core';
+import * as fixtures from '../../__tests__/fixtures.js';
+import type * as crashRecords from '../crashRecords.js';
+import * as quarantine from '../quarantine.js';
+
+const endOf = (n: number) => ids.upstreamEndId(`e-${n}`);
+
+describe('Quarantine', () => {
+  const req = fixtures.forwardedRequest({ target: '/r/deadly' });
+  const other = fixtures.forwardedRequest({ target: '/r/other' });
+  let now: number;
+  let subject: quarantine.Quarantine;
+  let sent: { reports: crashRecords.CrashReport[]; origin: string }[];
+
+  const recordEnds = (count: number) => {
+    for (let n = 1; n <= count; n += 1) subject.recordEnd(req, endOf(n), 'self');
+  };
+
+  beforeEach(() => {
+    now = 0;
+    sent = [];
+    subject = new quarantine.Quarantine({ log: fixtures.silentLog(), nowMs: () => now });
+    subject.onChange((reports, origin) => sent.push({ reports, origin }));
+  });
+
+  it('lets requests pass during which no upstream has ended', () => {
+    recordEnds(3);
+    assert.deepEqual(subject.verdictOf(other), { type: 'clear' });
+    assert.equal(subject.refusalOf(other), null);
+  });
+
+  it('counts one upstream once, whoever reports its end', () => {
+    subject.recordEnd(req, endOf(1), 'self');
+    subject.recordEnd(req, endOf(1), 'remote');
+    assert.equal(subject.verdictOf(req).type, 'suspect');
+    assert.equal(sent.length, 1);
+  });
+
+  // One request ended server after server, each time under a new id and at another node.
+  it('blocks a request during which two upstreams have ended, also by reports of other nodes', () => {
+    subject.recordEnd(req, endOf(1), 'self');
+    const elsewhere = new quarantine.Quarantine({ log: fixtures.silentLog(), nowMs: () => now });
+    elsewhere.recordEnd(req, endOf(2), 'self');
+    subject.merge(elsewhere.repeatedReports(), 'remote');
+    assert.equal(subject.verdictOf(req).type, 'suspect');
+    elsewhere.merge(sent[0]!.reports, 'remote');
+    subject.merge(elsewhere.repeatedReports(), 'remote');
+    assert.equal(subject.verdictOf(req).type, 'blocked');
+    assert.equal(elsewhere.verdictOf(req).type, 'blocked');
+  });
+
+  it('states when a blocked request may be tried again', () => {
+    recordEnds(2);
+    now = 1_000;
+    const refusal = subject.refusalOf(req);
+    assert.equal(refusal?.reason, quarantine.BLOCKED);
+    assert.equal(refusal?.retryAfterMs, 4_000);
+    assert.equal(refusal?.reachedUpstream, false);
+  });
+
+  it('tries a blocked request again after delays that grow with each end, up to half an hour', () => {
+    const delays: number[] = [];
+    for (let n = 1; n <= 8; n += 1) {
+      subject.recordEnd(req, endOf(n), 'self');
+      const verdict = subject.verdictOf(req);
+      delays.push(verdict.type === 'blocked' ? verdict.retryAfterMs : 0);
+      now += delays[n - 1]!;
+      assert.equal(subject.verdictOf(req).type, 'suspect');
+    }
+    assert.deepEqual(delays, [0, 5e3, 30e3, 180e3, 1_080e3, 1_800e3, 1_800e3, 1_800e3]);
+  });
+
+  it('clears a request that was answered, and tells the other nodes', () => {
+    recordEnds(2);
+    subject.recordAnswer(req);
+    assert.equal(subject.verdictOf(req).type, 'clear');
+    const { reports, origin } = sent.at(-1)!;
+    assert.equal(origin, 'self');
+    const elsewhere = new quarantine.Quarantine({ log: fixtures.silentLog(), nowMs: () => now });
+    elsewhere.recordEnd(req, endOf(1), 'self');
+    elsewhere.merge(reports, 'remote');
+    assert.equal(elsewhere.verdictOf(req).type, 'clear');
+  });
+
+  it('does not clear other requests', () => {
+    recordEnds(2);
+    subject.recordAnswer(other);
+    assert.equal(subject.verdictOf(req).type, 'blocked');
+  });
+
+  it('runs a suspect once at a time', () => {
+    recordEnds(1);
+    assert.equal(subject.refusalOf(req), null);
+    const endRun = subject.beginRun(req);
+    assert.equal(subject.refusalOf(req)?.reason, quarantine.SUSPECT_RUNNING);
+    assert.equal(subject.refusalOf(other), null);
+    endRun();
+    assert.equal(subject.refusalOf(req), null);
+  });
+
+  it('counts suspects and blocked requests', () => {
+    recordEnds(2);
+    subject.recordEnd(other, endOf(1), 'self');
+    assert.deepEqual([subject.count('suspect'), subject.count('blocked')], [1, 1]);
+  });
+
+  it('repeats reports on requests that were blocked, also once they are cleared', () => {
+    recordEnds(2);
+    subject.recordEnd(other, endOf(1), 'self');
+    assert.equal(subject.repeatedReports().length, 1);
+    subject.recordAnswer(req);
+    const [report] = subject.repeatedReports();
+    assert.deepEqual(
+      report!.ends.map(({ isVoid }) => isVoid),
+      [true, true],
+    );
+  });
+
+  it('forgets an end after an hour', () => {
+    recordEnds(1);
+    now = 3_600_001;
+    subject.prune();
+    assert.equal(subject.verdictOf(req).type, 'clear');
+  });
+});
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -5,13 +5,17 @@
 import * as retryBudget from '../../limits/retryBudget.js';
 import * as members from '../../membership/members.js';
 import * as meters from '../../observability/meters.js';
+import * as quarantine from '../../quarantine/quarantine.js';
 import * as rolloutTable from '../../rollouts/rolloutTable.js';
 import * as balancer from '../balancer.js';
 import * as dispatcher from '../dispatcher.js';
 import * as exchange from '../exchange.js';
+import * as endDetector from '../../upstream/endDetector.js';
 import * as upstreamStats from '../upstreamStats.js';
 import * as trafficSplitter from '../trafficSplitter.js';
 
+const SHOP = ids.serviceName('shop');
+
 const OK: exchange.Answer = {
   type: 'answer',
   status: 200,
@@ -55,14 +59,18 @@
   let budget: retryBudget.RetryBudget;
   let loadBalancer: RecordingBalancer;
   let now: number;
+  let suspects: quarantine.Quarantine;
 
   /** Dispatcher on the first of two nodes; the local upstream is preferred. */
-  function build(scripts: [exchange.Outcome[], exchange.Outcome[]]): dispatcher.Dispatcher {
+  function build(
+    scripts: [exchange.Outcome[], exchange.Outcome[]],
+    self = 'a',
+    nodes = ['a', 'b'],
+  ): dispatcher.Dispatcher {
     first = new ScriptedDestination(scripts[0]);
     second = new ScriptedDestination(scripts[1]);
-    const table = new members.MemberTable(fixtures.member('a'));
-    const other = fixtures.member('b');
-    table.merge(other);
+    const table = new members.MemberTable(fixtures.member(self));
+    for (const node of nodes) if (node !== self) table.merge(fixtures.member(node));
     const log = fixtures.silentLog();
     return new dispatcher.Dispatcher({
       table,
@@ -70,6 +78,7 @@
       destinationOf: () => second,
       hasOpenLink: () => true,
       rollouts: new rolloutTable.RolloutTable(log, () => 0),
+      quarantine: suspects,
       balancer: loadBalancer,
       trafficSplitter: new trafficSplitter.TrafficSplitter(() => 0),
       upstreamStats: new upstreamStats.UpstreamStats(() => now),
@@ -111,6 +120,7 @@
 
   beforeEach(() => {
     now = 0;
+    suspects = new quarantine.Quarantine({ log: fixtures.silentLog(), nowMs: () => now });
     loadBalancer = new RecordingBalancer(() => 0);
     budget = new retryBudget.RetryBudget({ ratio: 0.2, extra: 100 }, () => 1);
     for (let i = 0; i < 100; i += 1) budget.deposit(ids.serviceName('shop'));
@@ -203,6 +213,69 @@
     });
   });
 
+  describe('requests during which upstreams ended', () => {
+    const { signal } = new AbortController();
+    const endOf = (n: number) => ids.upstreamEndId(`e-${n}`);
+    const lost = (n: number) => exchange.lost('connection ended', endOf(n));
+
+    it('are sent to one other upstream, then blocked, and not called unrun', async () => {
+      const subject = build([[lost(1)], [lost(2)]]);
+      const outcome = await subject.dispatch(request('repeatable', 5), signal);
+      assert.equal(outcome.type, 'lost');
+      assert.deepEqual([first.received.length, second.received.length], [1, 1]);
+    });
+
+    it('are refused at once while they are blocked, with the time until the next attempt', async () => {
+      const subject = build([[lost(1)], [lost(2)]]);
+      await subject.dispatch(request('repeatable', 5), signal);
+      now = 2_000;
+      const outcome = await subject.dispatch(request('repeatable'), signal);
+      assert.deepEqual(outcome, exchange.refused(quarantine.BLOCKED, 3_000));
+      assert.equal(first.received.length + second.received.length, 2);
+    });
+
+    it('do not block others', async () => {
+      const subject = build([[lost(1)], [lost(2)]]);
+      await subject.dispatch(request('repeatable', 5), signal);
+      const other = { ...request('repeatable'), target: '/r/other' };
+      assert.equal((await subject.dispatch(other, signal)).type, 'answer');
+    });
+
+    // Spread over the upstreams, a few attempts at the same time ended all of them.
+    it('go to the same upstream from every node', async () => {
+      const receivers = new Set<string>();
+      suspects.recordEnd({ ...request('repeatable'), callerService: SHOP }, endOf(1), 'remote');
+      for (const local of ['a', 'b', 'c']) {
+        await build([[], []], local, ['a', 'b', 'c']).dispatch(request('repeatable'), signal);
+        for (const { instance } of [...first.received, ...second.received]) receivers.add(instance);
+      }
+      assert.equal(receivers.size, 1);
+    });
+
+    it('are not offered to another upstream while one is running them', async () => {
+      const busy = exchange.refused(quarantine.SUSPECT_RUNNING, 100);
+      const subject = build([[busy], [busy]]);
+      suspects.recordEnd({ ...request('repeatable'), callerService: SHOP }, endOf(1), 'remote');
+      assert.deepEqual(await subject.dispatch(request('repeatable'), signal), busy);
+      assert.equal(first.received.length + second.received.length, 1);
+    });
+
+    it('do not go to an incarnation that has ended', async () => {
+      const subject = build([[], []]);
+      for (const node of ['a', 'b']) {
+        const path = `/r/${node}`;
+        const req = { ...request('repeatable'), target: path };
+        const end = endDetector.endIdOf(fixtures.member(node).upstream!);
+        suspects.recordEnd({ ...req, callerService: SHOP }, end, 'remote');
+        await subject.dispatch(req, signal);
+      }
+      assert.deepEqual(
+        [first.received.map(({ target }) => target), second.received.map(({ target }) => target)],
+        [['/r/b'], ['/r/a']],
+      );
+    });
+  });
+
   // Guards against counting answers only: small answers to large uploads then seem cheap to send far.
   it('counts the bodies of both directions as the size of a transfer', async () => {
     const subject = build([[{ ...OK, body: Buffer.alloc(500) }], []]);
--- a/packages/mesh/src/routing/__tests__/uplinkLoad.test.ts
+++ b/packages/mesh/src/routing/__tests__/uplinkLoad.test.ts
@@ -255,6 +255,7 @@
       destinationOf: (node) => links.get(node) ?? null,
       hasOpenLink: () => true,
       rollouts: new rolloutTable.RolloutTable(log, nowMs),
+      quarantine: fixtures.suspects(),
       balancer: new balancer.Balancer(next),
       trafficSplitter: new trafficSplitter.TrafficSplitter(next),
       upstreamStats: new upstreamStats.UpstreamStats(nowMs),
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -1,13 +1,16 @@
 /** Dispatches a request: selects a version and a node, and retries where the route allows it. */
 
-import type { ids, metrics } from '@godwittrack/core';
+import { rendezvous, type ids, type metrics } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
 import * as admissionQueue from '../limits/admissionQueue.js';
 import type * as retryBudget from '../limits/retryBudget.js';
-import type * as members from '../membership/members.js';
+import * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
+import * as quarantine from '../quarantine/quarantine.js';
+import type * as requestFingerprint from '../quarantine/requestFingerprint.js';
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
+import * as endDetector from '../upstream/endDetector.js';
 import type * as balancer from './balancer.js';
 import * as candidateSelector from './candidateSelector.js';
 import * as exchange from './exchange.js';
@@ -44,6 +47,7 @@
   /** Whether a link to the node is already open. */
   hasOpenLink: (node: ids.NodeId) => boolean;
   rollouts: rolloutTable.RolloutTable;
+  quarantine: quarantine.Quarantine;
   balancer: balancer.Balancer;
   trafficSplitter: trafficSplitter.TrafficSplitter;
   upstreamStats: upstreamStats.UpstreamStats;
@@ -104,7 +108,13 @@
       failure: null,
     };
     while (progress.offers < MAX_OFFERS && !signal.aborted) {
-      const choice = this.chooseCandidate(req, service, versionChoice, progress);
+      const verdict = this.verdictOf(req);
+      if (verdict.type === 'blocked') {
+        progress.reason = quarantine.BLOCKED;
+        progress.retryAfterMs = verdict.retryAfterMs;
+        break;
+      }
+      const choice = this.chooseCandidate(req, service, versionChoice, verdict, progress);
       if (choice === null) break;
       const outcome = await this.offer(req, choice, progress, signal);
       if (outcome !== null) return outcome;
@@ -140,6 +150,7 @@
     req: CallerRequest,
     service: ids.ServiceName,
     versionChoice: VersionChoice | null,
+    verdict: quarantine.Verdict,
     progress: Progress,
   ): balancer.Choice | null {
     const now = this.options.nowMs();
@@ -149,13 +160,16 @@
       targetLeftMs: req.targetAtMs - now,
       deadlineLeftMs: req.deadlineAtMs - now,
     };
-    const candidates = this.eligibleCandidates(
-      req.route,
-      service,
-      versionChoice,
-      profile.targetLeftMs,
-      progress,
-    );
+    const candidates =
+      verdict.type === 'suspect'
+        ? this.candidatesForSuspect(req.route, service, versionChoice, verdict, progress)
+        : this.eligibleCandidates(
+            req.route,
+            service,
+            versionChoice,
+            profile.targetLeftMs,
+            progress,
+          );
     const choice = this.options.balancer.choose(candidates, profile);
     if (choice === null && candidates.length > 0 && progress.offers === 0) {
       progress.reason = 'noRoomInTime';
@@ -178,17 +192,36 @@
     const collectIf = (isEligible: (member: members.Member) => boolean) =>
       this.collectCandidates(route, service, targetLeftMs, isEligible, progress);
     if (versionChoice === null) return collectIf(isUsable).candidates;
-    const preferred = collectIf(
-      (member) =>
-        (member.upstream!.version === versionChoice.version) === versionChoice.isChosen &&
-        isUsable(member),
-    );
+    const preferred = collectIf((member) => isOfVersion(member, versionChoice) && isUsable(member));
     if (preferred.candidates.length > 0 || preferred.fullCount > 0 || progress.offers > 0) {
       return preferred.candidates;
     }
     return collectIf(isUsable).candidates;
   }
 
+  /**
+   * The first member by rank for the request, which is the same for all nodes: so a request that ends
+   * upstreams runs at one of them at a time.
+   */
+  private candidatesForSuspect(
+    route: configuration.Route,
+    service: ids.ServiceName,
+    versionChoice: VersionChoice | null,
+    { fingerprint, ends }: quarantine.SuspectVerdict,
+    progress: Progress,
+  ): balancer.Candidate[] {
+    const { table, upstreamStats: stats } = this.options;
+    const ranked = rendezvous
+      .rank(fingerprint, table.serving(service), ({ node }) => node)
+      .filter((member) => this.isUsable(member, service, progress.tried))
+      .filter(({ upstream }) => !ends.has(endDetector.endIdOf(upstream!)));
+    const member = ranked.find((each) => isOfVersion(each, versionChoice)) ?? ranked[0];
+    if (member === undefined) return [];
+    const distance = members.distanceBetween(table.self, member);
+    const routeAverageMs = stats.averageServiceMs(route.name, route.targetLatencyMs);
+    return [this.toCandidate(member, distance, route.name, routeAverageMs)];
+  }
+
   /** Leaves out nodes that had no capacity a moment ago, which would only delay the refusal. */
   private collectCandidates(
     route: configuration.Route,
@@ -294,6 +327,11 @@
     const remaining = this.outstanding.get(node)! - 1;
     this.outstanding.set(node, remaining);
     this.options.meters.increment(meters.OFFERS, { distance, outcome: outcome.type });
+    if (outcome.type === 'lost' && outcome.end !== undefined) {
+      const isSameDomain = member.domain === table.self.domain;
+      const source = this.identified(req);
+      this.options.quarantine.recordEnd(source, outcome.end, isSameDomain ? 'domain' : 'remote');
+    }
     if (report !== null) stats.recordReport(node, req.route.name, report, remaining);
     return this.handleOutcome(req, node, outcome, progress, forwarded.targetLeftMs);
   }
@@ -342,12 +380,27 @@
   }
 
   private mayRetry(req: CallerRequest, service: ids.ServiceName, progress: Progress): boolean {
+    if (quarantine.REASONS.has(progress.reason)) return false;
     if (req.route.semantics === 'once' && progress.started > 0) return false;
     if (progress.sends >= req.route.maxUpstreams) return false;
     // Offers that reached no upstream are not charged to the retry budget.
     return progress.sends === 0 || this.options.retryBudget.tryWithdraw(service);
   }
 
+  private verdictOf(req: CallerRequest): quarantine.Verdict {
+    const { quarantine: suspects } = this.options;
+    return suspects.isEmpty ? quarantine.CLEAR : suspects.verdictOf(this.identified(req));
+  }
+
+  private identified({
+    method,
+    target,
+    headers,
+    body,
+  }: CallerRequest): requestFingerprint.IdentifiedRequest {
+    return { method, target, headers, body, callerService: this.options.callerService() };
+  }
+
   private toForwardedRequest(
     req: CallerRequest,
     node: ids.NodeId,
@@ -375,3 +428,7 @@
     };
   }
 }
+
+function isOfVersion({ upstream }: members.Member, choice: VersionChoice | null): boolean {
+  return choice === null || (upstream!.version === choice.version) === choice.isChosen;
+}
--- a/packages/mesh/src/routing/exchange.ts
+++ b/packages/mesh/src/routing/exchange.ts
@@ -60,6 +60,8 @@
 export interface Lost {
   type: 'lost';
   detail: string;
+  /** End of the upstream while it ran the request, if that is why there is no answer. */
+  end?: ids.UpstreamEndId;
 }
 
 export type Outcome = Answer | Refusal | Lost;
@@ -95,6 +97,6 @@
   return refused('cancelled', 0);
 }
 
-export function lost(detail: string): Lost {
-  return { type: 'lost', detail };
+export function lost(detail: string, end?: ids.UpstreamEndId): Lost {
+  return end === undefined ? { type: 'lost', detail } : { type: 'lost', detail, end };
 }
--- a/packages/mesh/src/upstream/__tests__/endDetector.test.ts
+++ b/packages/mesh/src/upstream/__tests__/endDetector.test.ts
@@ -36,12 +36,12 @@
   });
 
   // A broken connection alone is no end: servers also break off single answers.
-  for (const other of ['open', 'failed'] as const) {
-    it(`reports none if a connection is ${other}`, async () => {
+  it('reports none if a connection is opened or fails in another way', async () => {
+    for (const other of ['open', 'failed'] as const) {
       result = other;
       assert.equal(await subject.findEnd(first), null);
-    });
-  }
+    }
+  });
 
   it('reports an end without a probe if another incarnation has taken over', async () => {
     state = { ...first, bornMs: first.bornMs! + 1 };
--- a/packages/mesh/src/upstream/__tests__/localDestination.test.ts
+++ b/packages/mesh/src/upstream/__tests__/localDestination.test.ts
@@ -6,8 +6,9 @@
 import * as localUpstream from '../../membership/localUpstream.js';
 import * as meters from '../../observability/meters.js';
 import * as frames from '../../peers/frames.js';
+import * as quarantine from '../../quarantine/quarantine.js';
 import * as evidence from '../../rollouts/evidence.js';
-import type * as exchange from '../../routing/exchange.js';
+import * as exchange from '../../routing/exchange.js';
 import * as localDestination from '../localDestination.js';
 import * as upstreamPool from '../upstreamPool.js';
 
@@ -25,18 +26,26 @@
   let server: net.Server;
   let pool: upstreamPool.UpstreamPool;
   let subject: localDestination.LocalDestination;
+  let address: string;
+  let upstream: localUpstream.LocalUpstream;
+  let suspects: quarantine.Quarantine;
+  let sockets: Set<net.Socket>;
   let transferWaitMs: (bytes: number) => number;
 
   beforeEach(async () => {
     transferWaitMs = () => TRANSFER_WAIT_MS;
+    suspects = fixtures.suspects();
+    sockets = new Set();
     server = net.createServer((socket) => {
-      socket.on('data', (chunk) => socket.write(answerTo(String(chunk))));
+      sockets.add(socket);
+      socket.on('data', (chunk) => receive(socket, String(chunk)));
+      socket.on('error', () => {});
     });
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
     });
-    const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
-    const upstream = new localUpstream.LocalUpstream(address);
+    address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    upstream = new localUpstream.LocalUpstream(address);
     const codec = new fixtures.TestHeaders();
     pool = new upstreamPool.UpstreamPool(address, codec);
     subject = new localDestination.LocalDestination({
@@ -46,6 +55,7 @@
       log: fixtures.silentLog(),
       meters: meters.createMetrics(),
       evidence: new evidence.EvidenceRecorder(() => false),
+      quarantine: suspects,
       mayServe: () => true,
       transferWaitMs: (bytes) => transferWaitMs(bytes),
       nowMs: () => performance.now(),
@@ -58,6 +68,18 @@
     server.close();
   });
 
+  /** `/crash/` ends the server, `/cut/` only the connection, `/held/` gets no answer. */
+  function receive(socket: net.Socket, text: string): void {
+    if (text.startsWith('GET /crash/')) {
+      server.close();
+      for (const each of sockets) each.destroy();
+    } else if (text.startsWith('GET /cut/')) {
+      socket.destroy();
+    } else if (!text.startsWith('GET /held/')) {
+      socket.write(answerTo(text));
+    }
+  }
+
   function send(
     route: string,
     overrides: Partial<exchange.ForwardedRequest> = {},
@@ -102,6 +124,66 @@
     assert.equal(outcome.type === 'refused' && outcome.reason, 'noTimeLeft');
   });
 
+  // The end of the server looked like a lost answer, so nothing told which requests it had been running.
+  describe('when the server ends', () => {
+    const END = ids.upstreamEndId('i-1/1000');
+
+    it('suspects all requests that it was running, before the sender hears of it', async () => {
+      const held = send('held');
+      const { outcome } = await send('crash');
+      assert.deepEqual(outcome, exchange.lost('connection ended', END));
+      assert.equal((await held).outcome.type, 'lost');
+      assert.equal(suspects.count('suspect'), 2);
+    });
+
+    it('suspects none of those that have been answered', async () => {
+      await send('answered');
+      await send('crash');
+      assert.equal(suspects.count('suspect'), 1);
+    });
+
+    it('suspects no request of which only the connection ends', async () => {
+      const { outcome } = await send('cut');
+      assert.deepEqual(outcome, exchange.lost('connection ended'));
+      assert.equal(suspects.count('suspect'), 0);
+    });
+
+    it('suspects no request if the server had said that it leaves', async () => {
+      const held = send('held');
+      await send('small');
+      upstream.announce(fixtures.announcement({ address, sequence: 2, leaving: true }));
+      server.close();
+      for (const each of sockets) each.destroy();
+      assert.deepEqual((await held).outcome, exchange.lost('connection ended'));
+      assert.equal(suspects.count('suspect'), 0);
+    });
+  });
+
+  describe('requests that are suspects', () => {
+    const suspectOf = (route: string) => fixtures.forwardedRequest({ target: `/${route}/` });
+    const endOf = (n: number) => ids.upstreamEndId(`e-${n}`);
+
+    it('are cleared by an answer', async () => {
+      suspects.recordEnd(suspectOf('small'), endOf(1), 'remote');
+      assert.equal((await send('small')).outcome.type, 'answer');
+      assert.equal(suspects.count('suspect'), 0);
+    });
+
+    it('do not run twice at a time', async () => {
+      suspects.recordEnd(suspectOf('held'), endOf(1), 'remote');
+      void send('held');
+      const { outcome } = await send('held');
+      assert.equal(outcome.type === 'refused' && outcome.reason, quarantine.SUSPECT_RUNNING);
+    });
+
+    // A sender that has not heard of it yet would end one more server.
+    it('do not run while they are blocked, whatever the sender knows', async () => {
+      for (const n of [1, 2]) suspects.recordEnd(suspectOf('small'), endOf(n), 'remote');
+      const { outcome } = await send('small');
+      assert.equal(outcome.type === 'refused' && outcome.reason, quarantine.BLOCKED);
+    });
+  });
+
   it('does not count the uplink for small answers and for callers on the same host', async () => {
     const limits = { maxWaitMs: 1, deadlineLeftMs: TRANSFER_WAIT_MS };
     for (const request of [
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -10,7 +10,7 @@
 import * as exchange from '../routing/exchange.js';
 import type * as evidence from '../rollouts/evidence.js';
 import * as upstreamStats from '../routing/upstreamStats.js';
-import * as requestFingerprint from '../quarantine/requestFingerprint.js';
+import type * as quarantine from '../quarantine/quarantine.js';
 import * as endDetector from './endDetector.js';
 import type * as headerCodec from './headerCodec.js';
 import type * as upstreamConnection from './upstreamConnection.js';
@@ -25,9 +25,6 @@
 /** Interval of the checks for waiting requests that can no longer be served. */
 const ADVANCE_INTERVAL_MS = 25;
 
-/** Characters of a request target in the log. */
-const MAX_LOGGED_TARGET = 200;
-
 interface QueueEntry extends admissionQueue.AdmissionRequest {
   arrivedMs: number;
   req: exchange.ForwardedRequest;
@@ -44,6 +41,7 @@
   log: observability.DecisionLog;
   meters: metrics.Metrics;
   evidence: evidence.EvidenceRecorder;
+  quarantine: quarantine.Quarantine;
   /** False for versions that were rolled back. */
   mayServe: (service: string, version: string) => boolean;
   /** Time after which the uplink of this host will have sent all answers handed over, and `bytes` more. */
@@ -105,16 +103,22 @@
         const report = { load: this.load, averageServiceMs: averageMs, transferWaitMs };
         resolve({ outcome, report });
       };
-      const reason = this.refusalReason(req);
-      if (reason !== null) {
-        settle(exchange.refused(reason, RETRY_AFTER_MS));
+      const refusal = this.refusalOf(req);
+      if (refusal !== null) {
+        settle(refusal);
         return;
       }
       this.admit(req, signal, settle);
     });
   }
 
-  /** Reason why the upstream must not get the request now; null if it may. */
+  private refusalOf(req: exchange.ForwardedRequest): exchange.Refusal | null {
+    const reason = this.refusalReason(req);
+    if (reason !== null) return exchange.refused(reason, RETRY_AFTER_MS);
+    return this.options.quarantine.refusalOf(req);
+  }
+
+  /** Reason why the upstream must not get a request now, whatever it is; null if it may. */
   private refusalReason(req: exchange.ForwardedRequest): string | null {
     const { state } = this.options.upstream;
     if (state === null) return 'upstreamUnknown';
@@ -191,10 +195,11 @@
 
   private async sendToUpstream(entry: QueueEntry, startedMs: number): Promise<exchange.Outcome> {
     const { req, signal } = entry;
-    const { pool } = this.options;
-    const reason = this.refusalReason(req);
-    if (reason !== null) return exchange.refused(reason, RETRY_AFTER_MS);
+    const { pool, quarantine: suspects } = this.options;
+    const refusal = this.refusalOf(req);
+    if (refusal !== null) return refusal;
     const incarnation = this.options.upstream.state!;
+    const endRun = suspects.beginRun(req);
     const connection = pool.acquire(req.semantics);
     const deadlineLeftMs = entry.deadlineAtMs - startedMs;
     const onAbort = () => {
@@ -212,30 +217,24 @@
     clearTimeout(timer);
     signal.removeEventListener('abort', onAbort);
     pool.release(connection);
-    if (raw.type === 'broken' && raw.closedBy === 'upstream') {
-      const end = await this.endDetector.findEnd(incarnation);
-      if (end !== null) this.recordEnd(req, end);
-    }
-    return this.toOutcome(req, raw, this.options.nowMs() - startedMs);
+    const serviceMs = this.options.nowMs() - startedMs;
+    const end = await this.findEnd(incarnation, raw);
+    if (end !== null) suspects.recordEnd(req, end, 'self');
+    endRun();
+    return this.toOutcome(req, raw, serviceMs, end);
   }
 
-  private recordEnd(req: exchange.ForwardedRequest, end: ids.UpstreamEndId): void {
-    if (end !== this.lastEnd) this.options.meters.increment(meters.UPSTREAM_ENDS, {});
+  /** The outcome waits for it, so that the sender of the request knows of the end when it retries. */
+  private async findEnd(
+    incarnation: endDetector.Incarnation,
+    raw: upstreamConnection.RawOutcome,
+  ): Promise<ids.UpstreamEndId | null> {
+    if (raw.type !== 'broken' || raw.closedBy === 'node') return null;
+    const end = await this.endDetector.findEnd(incarnation);
+    if (end === null || end === this.lastEnd) return end;
     this.lastEnd = end;
-    const { method, target, callerService, route } = req;
-    this.options.log.decision(
-      'upstream',
-      req.requestId,
-      'the upstream ended while it ran a request',
-      {
-        end,
-        fingerprint: requestFingerprint.fingerprintOf(req),
-        method,
-        target: target.slice(0, MAX_LOGGED_TARGET),
-        callerService,
-        route,
-      },
-    );
+    this.options.meters.increment(meters.UPSTREAM_ENDS);
+    return end;
   }
 
   private countCancel(stage: 'waiting' | 'running' | 'kept'): void {
@@ -246,13 +245,14 @@
     req: exchange.ForwardedRequest,
     raw: upstreamConnection.RawOutcome,
     serviceMs: number,
+    end: ids.UpstreamEndId | null,
   ): exchange.Outcome {
     if (raw.type === 'unsent') {
       this.recordConnectFailure(raw.detail);
       return exchange.refused('upstreamUnreachable', RETRY_AFTER_MS);
     }
     this.connectFailures = 0;
-    if (raw.type === 'broken') return exchange.lost(raw.detail);
+    if (raw.type === 'broken') return exchange.lost(raw.detail, end ?? undefined);
     const { status, headers, body } = raw.answer;
     const answerInfo = this.options.codec.readAnswer(headers);
     if (answerInfo.leaving) this.options.upstream.recordLeaving(req.instance);
@@ -261,6 +261,7 @@
       return exchange.refused(`upstream${status}`, RETRY_AFTER_MS, true);
     }
     if (status < 300 && !answerInfo.signed) return exchange.lost('answer without signature');
+    if (status < 500) this.options.quarantine.recordAnswer(req);
     const returned = this.options.codec.returnable(headers);
     return { type: 'answer', status, headers: returned, body, serviceMs };
   }
