fix(mesh): block a request for long only if it ended an upstream as a suspect

Two upstreams that end together for another reason may both have been running a request that is sent often; it was then blocked like one that had caused the ends, and a request that had was tried again after 5 s already, which ended a third upstream in each play.

An end now tells whether the request ran as a suspect. If not, the block is 5 s; if so, 30 s and six times as long after each further end. A request that is sent to a node carries the sender's report, since the gossip may still be on its way. An upstream runs suspects of the same end apart as long as the sender has another one to offer them to: one innocent request was blocked in most plays because it ran beside the cause again. A request that was blocked is not offered to a second node because the first is full.

--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -185,6 +185,7 @@
     deadlineLeftMs: 400,
     estimateMs: 30,
     maxWaitMs: Infinity,
+    crashReport: null,
     fromOtherHost: true,
     ...overrides,
   };
--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -6,7 +6,9 @@
 import * as fc from 'fast-check';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as configuration from '../../config/configuration.js';
+import type * as crashRecords from '../../quarantine/crashRecords.js';
 import type * as phases from '../../rollouts/phases.js';
+import * as exchange from '../../routing/exchange.js';
 import * as frameSplitter from '../frameSplitter.js';
 import * as frames from '../frames.js';
 
@@ -30,8 +32,22 @@
   reason: null,
 };
 
+const CRASH_REPORT: crashRecords.CrashReport = {
+  fingerprint: ids.requestFingerprint('f.b'),
+  ends: [
+    { end: ids.upstreamEndId('i-1/1000'), ageMs: 40, wasSuspect: true, isVoid: false },
+    { end: ids.upstreamEndId('i-2/'), ageMs: 0, wasSuspect: false, isVoid: true },
+  ],
+};
+
 const FRAMES: frames.Frame[] = [
   REQUEST,
+  {
+    type: 'request',
+    sentMs: 1,
+    id: 8,
+    req: fixtures.forwardedRequest({ maxWaitMs: 20, crashReport: CRASH_REPORT }),
+  },
   {
     type: 'members',
     members: [fixtures.member('a', { limitPerSecond: 22.7 }), fixtures.member('b')],
@@ -53,15 +69,7 @@
     rollouts: [],
     rolloutsKnown: false,
     storeEra: null,
-    crashes: [
-      {
-        fingerprint: ids.requestFingerprint('f.b'),
-        ends: [
-          { end: ids.upstreamEndId('i-1/1000'), ageMs: 40, isVoid: false },
-          { end: ids.upstreamEndId('i-2/'), ageMs: 0, isVoid: true },
-        ],
-      },
-    ],
+    crashes: [CRASH_REPORT],
   },
   { type: 'configFull', cfg: fixtures.configurationOf(3, [fixtures.route('r')]) },
   {
@@ -95,7 +103,7 @@
     type: 'outcome',
     id: 10,
     delivery: {
-      outcome: { type: 'lost', detail: 'reset', end: ids.upstreamEndId('i-1/1000') },
+      outcome: exchange.lost('reset', { id: ids.upstreamEndId('i-1/1000'), wasSuspect: true }),
       report: null,
     },
   },
@@ -144,7 +152,14 @@
     assert.deepEqual(read, [{ type: 'rollouts', states: [expected] }]);
   });
 
-  for (const crashes of [1, [1], [['f']], [['f', [['e', 'old', false]]]], [[2, []]]]) {
+  for (const crashes of [
+    1,
+    [1],
+    [['f']],
+    [['f', [['e', 'old', false, false]]]],
+    [[2, []]],
+    [['f', [['e', 1, 1, false]]]],
+  ]) {
     it(`with malformed crash reports fail with a protocol violation: ${JSON.stringify(crashes)}`, () => {
       const summary = {
         type: 'stateSummary',
--- a/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
@@ -115,7 +115,9 @@
   describe('reports of ended upstreams', () => {
     const req = fixtures.forwardedRequest();
     const block = ({ suspects }: Node) => {
-      for (const end of ['e-1', 'e-2']) suspects.recordEnd(req, ids.upstreamEndId(end), 'self');
+      for (const end of ['e-1', 'e-2']) {
+        suspects.recordEnd(req, { id: ids.upstreamEndId(end), wasSuspect: true }, 'self');
+      }
     };
     const isBlocked = ({ suspects }: Node) => suspects.verdictOf(req).type === 'blocked';
 
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -291,21 +291,33 @@
 }
 
 function packCrashReport({ fingerprint, ends }: crashRecords.CrashReport): unknown[] {
-  return [fingerprint, ends.map(({ end, ageMs, isVoid }) => [end, ageMs, isVoid])];
+  return [fingerprint, ends.map(packEnd)];
+}
+
+function packEnd({ end, ageMs, wasSuspect, isVoid }: crashRecords.EndReport): unknown[] {
+  return [end, ageMs, wasSuspect, isVoid];
 }
 
 function unpackCrashReport(packed: unknown): crashRecords.CrashReport {
   const [fingerprint, ends] = packed as [unknown, unknown[][]];
+  return { fingerprint: ids.requestFingerprint(toText(fingerprint)), ends: ends.map(unpackEnd) };
+}
+
+function unpackEnd([end, ageMs, wasSuspect, isVoid]: unknown[]): crashRecords.EndReport {
+  if (!Number.isFinite(ageMs)) throw new Error('bad age');
   return {
-    fingerprint: ids.requestFingerprint(toText(fingerprint)),
-    ends: ends.map(([end, ageMs, isVoid]) => {
-      if (!Number.isFinite(ageMs) || typeof isVoid !== 'boolean')
-        throw new Error('bad crash report');
-      return { end: ids.upstreamEndId(toText(end)), ageMs: ageMs as number, isVoid };
-    }),
+    end: ids.upstreamEndId(toText(end)),
+    ageMs: ageMs as number,
+    wasSuspect: toFlag(wasSuspect),
+    isVoid: toFlag(isVoid),
   };
 }
 
+function toFlag(value: unknown): boolean {
+  if (typeof value !== 'boolean') throw new Error('bad flag');
+  return value;
+}
+
 function toText(value: unknown): string {
   if (typeof value !== 'string') throw new Error('bad text');
   return value;
@@ -327,12 +339,13 @@
     Math.round(req.deadlineLeftMs),
     Math.round(req.estimateMs),
     Number.isFinite(req.maxWaitMs) ? Math.round(req.maxWaitMs) : null,
+    ...(req.crashReport === null ? [] : [packCrashReport(req.crashReport)]),
   ];
 }
 
 function unpackRequest(fields: unknown[]): exchange.ForwardedRequest {
   const [requestId, method, target, headers, body, route, repeatable, priority] = fields;
-  const [callerService, instance, targetLeftMs, deadlineLeftMs, estimateMs, maxWaitMs] =
+  const [callerService, instance, targetLeftMs, deadlineLeftMs, estimateMs, maxWaitMs, report] =
     fields.slice(8);
   return {
     requestId,
@@ -349,6 +362,7 @@
     deadlineLeftMs,
     estimateMs,
     maxWaitMs: maxWaitMs ?? Infinity,
+    crashReport: report === undefined ? null : unpackCrashReport(report),
     fromOtherHost: true,
   } as exchange.ForwardedRequest;
 }
@@ -372,7 +386,7 @@
     default:
       return outcome.end === undefined
         ? [LOST, load, outcome.detail]
-        : [LOST, load, outcome.detail, outcome.end];
+        : [LOST, load, outcome.detail, outcome.end.id, outcome.end.wasSuspect];
   }
 }
 
@@ -387,9 +401,10 @@
     const [reason, retryAfterMs, reachedUpstream] = rest as [string, number, boolean];
     return { outcome: { type: 'refused', reason, retryAfterMs, reachedUpstream }, report };
   }
-  const [detail, end] = rest;
-  const lostEnd = typeof end === 'string' ? ids.upstreamEndId(end) : undefined;
-  return { outcome: exchange.lost(String(detail), lostEnd), report };
+  const [detail, id, wasSuspect] = rest;
+  if (id === undefined) return { outcome: exchange.lost(String(detail)), report };
+  const end = { id: ids.upstreamEndId(toText(id)), wasSuspect: toFlag(wasSuspect) };
+  return { outcome: exchange.lost(String(detail), end), report };
 }
 
 /** Load, average service time or -1, and the wait for the uplink unless there is none. */
--- a/packages/mesh/src/quarantine/__tests__/crashRecords.test.ts
+++ b/packages/mesh/src/quarantine/__tests__/crashRecords.test.ts
@@ -8,10 +8,16 @@
 
 const HOUR_MS = 3_600_000;
 
-function report(req: number, end: number, isVoid = false, ageMs = 0): crashRecords.CrashReport {
+function report(
+  req: number,
+  end: number,
+  isVoid = false,
+  ageMs = 0,
+  wasSuspect = false,
+): crashRecords.CrashReport {
   return {
     fingerprint: fingerprintOf(req),
-    ends: [{ end: ids.upstreamEndId(`e-${end}`), ageMs, isVoid }],
+    ends: [{ end: ids.upstreamEndId(`e-${end}`), ageMs, wasSuspect, isVoid }],
   };
 }
 
@@ -82,12 +88,19 @@
 
   it('holds the same after merges in any order', () => {
     const reports = fc.array(
-      fc.tuple(fc.integer({ min: 1, max: 4 }), fc.integer({ min: 1, max: 5 }), fc.boolean()),
+      fc.tuple(
+        fc.integer({ min: 1, max: 4 }),
+        fc.integer({ min: 1, max: 5 }),
+        fc.boolean(),
+        fc.boolean(),
+      ),
       { maxLength: 30 },
     );
     fc.assert(
       fc.property(reports, fc.infiniteStream(fc.nat()), (tuples, order) => {
-        const all = tuples.map(([req, end, isVoid]) => report(req, end, isVoid));
+        const all = tuples.map(([req, end, isVoid, wasSuspect]) =>
+          report(req, end, isVoid, 0, wasSuspect),
+        );
         const shuffled = all
           .map((each) => ({ each, at: order.next().value }))
           .sort((a, b) => a.at - b.at)
@@ -95,9 +108,10 @@
         const [one, other] = [all, shuffled].map((list) => {
           const records = new crashRecords.CrashRecords(() => now);
           for (const each of list) records.merge([each]);
-          return [1, 2, 3, 4].map((n) =>
-            [...(records.heldEnds(fingerprintOf(n))?.ends ?? [])].sort(),
-          );
+          return [1, 2, 3, 4].map((n) => {
+            const held = records.heldEnds(fingerprintOf(n));
+            return [held?.hasSuspectRun, [...(held?.ends ?? [])].sort()];
+          });
         });
         assert.deepEqual(one, other);
       }),
--- a/packages/mesh/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/mesh/src/quarantine/__tests__/quarantine.test.ts
@@ -5,7 +5,7 @@
 import type * as crashRecords from '../crashRecords.js';
 import * as quarantine from '../quarantine.js';
 
-const endOf = (n: number) => ids.upstreamEndId(`e-${n}`);
+const endOf = (n: number, wasSuspect = n > 1) => ({ id: ids.upstreamEndId(`e-${n}`), wasSuspect });
 
 describe('Quarantine', () => {
   const req = fixtures.forwardedRequest({ target: '/r/deadly' });
@@ -56,7 +56,7 @@
     now = 1_000;
     const refusal = subject.refusalOf(req);
     assert.equal(refusal?.reason, quarantine.BLOCKED);
-    assert.equal(refusal?.retryAfterMs, 4_000);
+    assert.equal(refusal?.retryAfterMs, 29_000);
     assert.equal(refusal?.reachedUpstream, false);
   });
 
@@ -69,7 +69,7 @@
       now += delays[n - 1]!;
       assert.equal(subject.verdictOf(req).type, 'suspect');
     }
-    assert.deepEqual(delays, [0, 5e3, 30e3, 180e3, 1_080e3, 1_800e3, 1_800e3, 1_800e3]);
+    assert.deepEqual(delays, [0, 30e3, 180e3, 1_080e3, 1_800e3, 1_800e3, 1_800e3, 1_800e3]);
   });
 
   it('clears a request that was answered, and tells the other nodes', () => {
@@ -90,16 +90,41 @@
     assert.equal(subject.verdictOf(req).type, 'blocked');
   });
 
+  // Servers that lost their power together had all been running the start page.
+  it('soon tries a request again if all upstreams ended before it was a suspect', () => {
+    for (const n of [1, 2, 3]) subject.recordEnd(req, endOf(n, false), 'self');
+    assert.equal(subject.refusalOf(req)?.retryAfterMs, 5_000);
+    now = 5_000;
+    assert.equal(subject.verdictOf(req).type, 'suspect');
+    subject.recordEnd(req, endOf(4, true), 'self');
+    assert.equal(subject.refusalOf(req)?.retryAfterMs, 1_080_000);
+  });
+
   it('runs a suspect once at a time', () => {
+    assert.equal(subject.beginRun(req).wasSuspect, false);
     recordEnds(1);
     assert.equal(subject.refusalOf(req), null);
-    const endRun = subject.beginRun(req);
+    const run = subject.beginRun(req);
+    assert.equal(run.wasSuspect, true);
     assert.equal(subject.refusalOf(req)?.reason, quarantine.SUSPECT_RUNNING);
     assert.equal(subject.refusalOf(other), null);
-    endRun();
+    run.end();
     assert.equal(subject.refusalOf(req), null);
   });
 
+  // The next end was blamed on an innocent request too, if it ran beside the one that caused both.
+  it('runs suspects of the same end apart, as long as they have somewhere else to go', () => {
+    const third = fixtures.forwardedRequest({ target: '/r/third', maxWaitMs: 100 });
+    const unrelated = fixtures.forwardedRequest({ target: '/r/unrelated', maxWaitMs: 100 });
+    recordEnds(1);
+    subject.recordEnd(third, endOf(1), 'self');
+    subject.recordEnd(unrelated, endOf(9), 'self');
+    subject.beginRun(req);
+    assert.equal(subject.refusalOf(third)?.reason, quarantine.BESIDE_SUSPECT);
+    assert.equal(subject.refusalOf(unrelated), null);
+    assert.equal(subject.refusalOf({ ...third, maxWaitMs: Infinity }), null);
+  });
+
   it('counts suspects and blocked requests', () => {
     recordEnds(2);
     subject.recordEnd(other, endOf(1), 'self');
--- a/packages/mesh/src/quarantine/crashRecords.ts
+++ b/packages/mesh/src/quarantine/crashRecords.ts
@@ -1,6 +1,6 @@
 /**
  * Records, by request fingerprint, of the upstreams that ended while they ran the request. Records of
- * different nodes are merged in any order: ends are only added, and a void end stays void.
+ * different nodes are merged in any order: ends are only added, and their properties only set.
  */
 
 import type { ids } from '@godwittrack/core';
@@ -17,6 +17,8 @@
 export interface EndReport {
   end: ids.UpstreamEndId;
   ageMs: number;
+  /** The request was a suspect when its run began, so it ran alone of those from the earlier end. */
+  wasSuspect: boolean;
   /** The request was answered elsewhere, so it is not the cause of the end. */
   isVoid: boolean;
 }
@@ -29,6 +31,7 @@
 interface End {
   /** Monotonic time. */
   atMs: number;
+  wasSuspect: boolean;
   isVoid: boolean;
 }
 
@@ -39,6 +42,8 @@
   ends: ReadonlySet<ids.UpstreamEndId>;
   /** Monotonic time of the last one. */
   lastAtMs: number;
+  /** Whether one of them came while the request ran as a suspect. */
+  hasSuspectRun: boolean;
 }
 
 export class CrashRecords {
@@ -67,7 +72,8 @@
     const held = [...(this.records.get(fingerprint) ?? [])].filter(([, { isVoid }]) => !isVoid);
     if (held.length === 0) return null;
     const lastAtMs = Math.max(...held.map(([, { atMs }]) => atMs));
-    return { ends: new Set(held.map(([end]) => end)), lastAtMs };
+    const hasSuspectRun = held.some(([, { wasSuspect }]) => wasSuspect);
+    return { ends: new Set(held.map(([end]) => end)), lastAtMs, hasSuspectRun };
   }
 
   /** @returns the reports that were new to this node */
@@ -90,6 +96,11 @@
     return { ...report, ends: report.ends.filter(({ end }) => held.ends.has(end)) };
   }
 
+  report(fingerprint: ids.RequestFingerprint): CrashReport | null {
+    const record = this.records.get(fingerprint);
+    return record === undefined ? null : this.reportOf(fingerprint, record);
+  }
+
   /** Reports of the requests with at least `minEnds` ends, the latest first. */
   reports(minEnds: number, limit: number): CrashReport[] {
     return [...this.records]
@@ -109,16 +120,17 @@
     this.drop([...this.records].filter(([, record]) => lastOf(record) < oldestMs));
   }
 
-  /** @returns whether the end, or that it is void, was new */
+  /** @returns whether the end, or one of its properties, was new */
   private addEnd(fingerprint: ids.RequestFingerprint, report: EndReport): boolean {
-    const { end, ageMs, isVoid } = report;
+    const { end, ageMs, wasSuspect, isVoid } = report;
     if (ageMs > RETENTION_MS) return false;
     let record = this.records.get(fingerprint);
     const known = record?.get(end);
     if (known !== undefined) {
-      const changes = isVoid && !known.isVoid;
+      const isChange = (isVoid && !known.isVoid) || (wasSuspect && !known.wasSuspect);
       known.isVoid ||= isVoid;
-      return changes;
+      known.wasSuspect ||= wasSuspect;
+      return isChange;
     }
     if (record !== undefined && record.size >= MAX_ENDS && !dropOldestVoid(record)) return false;
     if (record === undefined) {
@@ -126,16 +138,16 @@
       this.records.set(fingerprint, record);
       this.keys.add(requestFingerprint.keyIn(fingerprint));
     }
-    record.set(end, { atMs: this.nowMs() - ageMs, isVoid });
+    record.set(end, { atMs: this.nowMs() - ageMs, wasSuspect, isVoid });
     return true;
   }
 
   private reportOf(fingerprint: ids.RequestFingerprint, record: Ends): CrashReport {
     const now = this.nowMs();
-    const ends = [...record].map(([end, { atMs, isVoid }]) => ({
+    const ends = [...record].map(([end, { atMs, ...properties }]) => ({
       end,
       ageMs: Math.round(now - atMs),
-      isVoid,
+      ...properties,
     }));
     return { fingerprint, ends };
   }
--- a/packages/mesh/src/quarantine/quarantine.ts
+++ b/packages/mesh/src/quarantine/quarantine.ts
@@ -1,8 +1,7 @@
 /**
  * Keeps requests that end the upstreams that run them from ending one after the other. All requests that
  * an upstream was running when it ended are suspects; most of them are answered by another upstream, which
- * clears them. Those during which several upstreams have ended are blocked, and tried again after
- * increasing delays.
+ * clears them. Those that end another one are blocked, and tried again after increasing delays.
  */
 
 import type { ids } from '@godwittrack/core';
@@ -12,10 +11,15 @@
 import * as crashRecords from './crashRecords.js';
 import * as requestFingerprint from './requestFingerprint.js';
 
-/** Number of ended upstreams from which on a request is blocked. */
+/** Ended upstreams from which on a request is blocked. */
 const MIN_ENDS_TO_BLOCK = 2;
-/** Time from the last end to the next attempt, for a request that has just been blocked. */
-const INITIAL_BLOCK_MS = 5_000;
+/**
+ * Time from the last end to the next attempt, if no upstream ended while it ran the request as a suspect.
+ * Upstreams that end together for another reason may have been running the same request.
+ */
+const SHORT_BLOCK_MS = 5_000;
+/** The same for a request that has just ended another upstream as a suspect. */
+const INITIAL_BLOCK_MS = 30_000;
 /** Growth of that time with each further end. */
 const BLOCK_GROWTH = 6;
 const MAX_BLOCK_MS = 30 * 60_000;
@@ -30,6 +34,8 @@
 export const BLOCKED = 'blocked';
 /** The upstream is running a suspect with the same fingerprint. */
 export const SUSPECT_RUNNING = 'suspectRunning';
+/** The upstream is running another suspect from the same end; if it ended, both would be blamed again. */
+export const BESIDE_SUSPECT = 'besideSuspect';
 
 /** Reasons of refusals that hold for all upstreams. */
 export const REASONS: ReadonlySet<string> = new Set([BLOCKED, SUSPECT_RUNNING]);
@@ -39,6 +45,8 @@
   type: 'suspect';
   fingerprint: ids.RequestFingerprint;
   ends: ReadonlySet<ids.UpstreamEndId>;
+  /** Whether this is another attempt at a request that was blocked. */
+  wasBlocked: boolean;
 }
 
 export type Verdict =
@@ -47,7 +55,13 @@
 type Listener = (reports: crashRecords.CrashReport[], origin: propagation.Origin) => void;
 
 export const CLEAR: Verdict = { type: 'clear' };
-const NOT_A_SUSPECT = () => {};
+/** A request that the upstream on this host is running. */
+export interface Run {
+  wasSuspect: boolean;
+  end: () => void;
+}
+
+const UNSUSPECTED_RUN: Run = { wasSuspect: false, end: () => {} };
 
 export interface QuarantineOptions {
   log: observability.DecisionLog;
@@ -57,8 +71,8 @@
 export class Quarantine {
   private readonly records: crashRecords.CrashRecords;
 
-  /** Suspects that the upstream on this host is running. */
-  private readonly running = new Set<ids.RequestFingerprint>();
+  /** Suspects that the upstream on this host is running, with the ends for which they are. */
+  private readonly running = new Map<ids.RequestFingerprint, ReadonlySet<ids.UpstreamEndId>>();
 
   private readonly listeners: Listener[] = [];
 
@@ -82,35 +96,44 @@
   }
 
   /** Reason why the upstream on this host must not get the request now; null if it may. */
-  refusalOf(req: requestFingerprint.IdentifiedRequest): exchange.Refusal | null {
+  refusalOf(
+    req: requestFingerprint.IdentifiedRequest & Pick<exchange.ForwardedRequest, 'maxWaitMs'>,
+  ): exchange.Refusal | null {
     const verdict = this.verdictOf(req);
     if (verdict.type === 'blocked') return exchange.refused(BLOCKED, verdict.retryAfterMs);
-    const isRunning = verdict.type === 'suspect' && this.running.has(verdict.fingerprint);
-    return isRunning ? exchange.refused(SUSPECT_RUNNING, BUSY_RETRY_MS) : null;
+    if (verdict.type === 'clear') return null;
+    const { fingerprint, ends } = verdict;
+    if (this.running.has(fingerprint)) return exchange.refused(SUSPECT_RUNNING, BUSY_RETRY_MS);
+    const mayGoElsewhere = Number.isFinite(req.maxWaitMs);
+    return mayGoElsewhere && this.isBesideSuspect(ends)
+      ? exchange.refused(BESIDE_SUSPECT, BUSY_RETRY_MS)
+      : null;
   }
 
-  /** Called when the upstream on this host is given the request. @returns called when it has ended */
-  beginRun(req: requestFingerprint.IdentifiedRequest): () => void {
-    const fingerprint = this.records.find(req);
-    if (fingerprint === null) return NOT_A_SUSPECT;
-    this.running.add(fingerprint);
-    return () => this.running.delete(fingerprint);
+  /** Called when the upstream on this host is given the request. */
+  beginRun(req: requestFingerprint.IdentifiedRequest): Run {
+    const verdict = this.verdictOf(req);
+    if (verdict.type !== 'suspect') return UNSUSPECTED_RUN;
+    const { fingerprint, ends } = verdict;
+    this.running.set(fingerprint, ends);
+    return { wasSuspect: true, end: () => this.running.delete(fingerprint) };
   }
 
   /** Records that an upstream ended while it ran the request. */
   recordEnd(
     req: requestFingerprint.IdentifiedRequest,
-    end: ids.UpstreamEndId,
+    { id: end, wasSuspect }: exchange.UpstreamEnd,
     origin: propagation.Origin,
   ): void {
     const fingerprint = requestFingerprint.fingerprintOf(req);
-    const ends = [{ end, ageMs: 0, isVoid: false }];
+    const ends = [{ end, ageMs: 0, wasSuspect, isVoid: false }];
     if (!this.merge([{ fingerprint, ends }], origin)) return;
     const { method, target, callerService } = req;
     this.options.log.info('quarantine', 'an upstream ended while it ran a request', {
       fingerprint,
       end,
       ends: this.records.heldEnds(fingerprint)?.ends.size ?? 0,
+      wasSuspect,
       method,
       target: target.slice(0, MAX_LOGGED_TARGET),
       callerService,
@@ -129,6 +152,11 @@
     this.notify([report], 'self');
   }
 
+  /** Report on a suspect, for the node that is sent the request. */
+  reportOn(fingerprint: ids.RequestFingerprint): crashRecords.CrashReport | null {
+    return this.records.report(fingerprint);
+  }
+
   /** Merges reports of other nodes. @returns whether they told anything new */
   merge(reports: readonly crashRecords.CrashReport[], origin: propagation.Origin): boolean {
     const changed = this.records.merge(reports);
@@ -157,9 +185,13 @@
     const held = this.records.heldEnds(fingerprint);
     if (held === null) return CLEAR;
     const { ends, lastAtMs } = held;
-    const retryAfterMs = lastAtMs + blockMs(ends.size) - this.options.nowMs();
+    const retryAfterMs = lastAtMs + blockMs(held) - this.options.nowMs();
     if (retryAfterMs > 0) return { type: 'blocked', retryAfterMs };
-    return { type: 'suspect', fingerprint, ends };
+    return { type: 'suspect', fingerprint, ends, wasBlocked: blockMs(held) > 0 };
+  }
+
+  private isBesideSuspect(ends: ReadonlySet<ids.UpstreamEndId>): boolean {
+    return [...this.running.values()].some((other) => [...other].some((end) => ends.has(end)));
   }
 
   private logIfBlocked(fingerprint: ids.RequestFingerprint): void {
@@ -177,8 +209,10 @@
   }
 }
 
-/** Time from the last of `ends` ends during which a request is blocked. */
-function blockMs(ends: number): number {
-  if (ends < MIN_ENDS_TO_BLOCK) return 0;
-  return Math.min(MAX_BLOCK_MS, INITIAL_BLOCK_MS * BLOCK_GROWTH ** (ends - MIN_ENDS_TO_BLOCK));
+/** Time from the last end during which a request is blocked. */
+function blockMs({ ends, hasSuspectRun }: crashRecords.HeldEnds): number {
+  if (ends.size < MIN_ENDS_TO_BLOCK) return 0;
+  if (!hasSuspectRun) return SHORT_BLOCK_MS;
+  const growth = BLOCK_GROWTH ** (ends.size - MIN_ENDS_TO_BLOCK);
+  return Math.min(MAX_BLOCK_MS, INITIAL_BLOCK_MS * growth);
 }
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -215,7 +215,7 @@
 
   describe('requests during which upstreams ended', () => {
     const { signal } = new AbortController();
-    const endOf = (n: number) => ids.upstreamEndId(`e-${n}`);
+    const endOf = (n: number) => ({ id: ids.upstreamEndId(`e-${n}`), wasSuspect: n > 1 });
     const lost = (n: number) => exchange.lost('connection ended', endOf(n));
 
     it('are sent to one other upstream, then blocked, and not called unrun', async () => {
@@ -230,7 +230,7 @@
       await subject.dispatch(request('repeatable', 5), signal);
       now = 2_000;
       const outcome = await subject.dispatch(request('repeatable'), signal);
-      assert.deepEqual(outcome, exchange.refused(quarantine.BLOCKED, 3_000));
+      assert.deepEqual(outcome, exchange.refused(quarantine.BLOCKED, 28_000));
       assert.equal(first.received.length + second.received.length, 2);
     });
 
@@ -260,13 +260,37 @@
       assert.equal(first.received.length + second.received.length, 1);
     });
 
+    it('go to another upstream, and at last beside others, where suspects run', async () => {
+      const beside = exchange.refused(quarantine.BESIDE_SUSPECT, 100);
+      const subject = build([[beside], [beside]]);
+      suspects.recordEnd({ ...request('repeatable'), callerService: SHOP }, endOf(1), 'remote');
+      const outcome = await subject.dispatch(request('repeatable'), signal);
+      assert.equal(outcome.type, 'answer');
+      const offers = [...first.received, ...second.received];
+      assert.deepEqual(offers.map(({ maxWaitMs }) => maxWaitMs).sort(), [1_000, 1_000, Infinity]);
+      assert.ok(offers.every(({ crashReport }) => crashReport?.ends.length === 1));
+    });
+
+    // Nodes had room for one attempt and not for another, so two ran at the same time.
+    it('that were blocked are not offered elsewhere if the first upstream has no room', async () => {
+      const full = exchange.refused('queueTooLong', 50);
+      const subject = build([[full], [full]]);
+      for (const n of [1, 2]) {
+        suspects.recordEnd({ ...request('repeatable'), callerService: SHOP }, endOf(n), 'remote');
+      }
+      now = 30_000;
+      const req = { ...request('repeatable', 2, 30_300), deadlineAtMs: 31_000 };
+      assert.deepEqual(await subject.dispatch(req, signal), full);
+      assert.equal(first.received.length + second.received.length, 1);
+    });
+
     it('do not go to an incarnation that has ended', async () => {
       const subject = build([[], []]);
       for (const node of ['a', 'b']) {
         const path = `/r/${node}`;
         const req = { ...request('repeatable'), target: path };
-        const end = endDetector.endIdOf(fixtures.member(node).upstream!);
-        suspects.recordEnd({ ...req, callerService: SHOP }, end, 'remote');
+        const id = endDetector.endIdOf(fixtures.member(node).upstream!);
+        suspects.recordEnd({ ...req, callerService: SHOP }, { id, wasSuspect: false }, 'remote');
         await subject.dispatch(req, signal);
       }
       assert.deepEqual(
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -24,6 +24,12 @@
 /** Retry delay returned to the caller where no node has stated one. */
 const DEFAULT_RETRY_MS = 100;
 
+/** Reasons of refusals after which the next offer to the same node is one that it accepts. */
+const REFUSED_FOR_NOW: ReadonlySet<string> = new Set([
+  admissionQueue.WAIT_TOO_LONG,
+  quarantine.BESIDE_SUSPECT,
+]);
+
 export interface CallerRequest {
   requestId: ids.RequestId;
   method: string;
@@ -116,8 +122,11 @@
       }
       const choice = this.chooseCandidate(req, service, versionChoice, verdict, progress);
       if (choice === null) break;
-      const outcome = await this.offer(req, choice, progress, signal);
+      const outcome = await this.offer(req, choice, verdict, progress, signal);
       if (outcome !== null) return outcome;
+      // Which nodes have room differs between attempts, so two of them could run at the same time.
+      const wasBlocked = verdict.type === 'suspect' && verdict.wasBlocked;
+      if (wasBlocked && admissionQueue.FULL_REASONS.has(progress.reason)) break;
       if (!this.mayRetry(req, service, progress)) break;
     }
     return this.giveUp(req, progress);
@@ -215,7 +224,9 @@
       .rank(fingerprint, table.serving(service), ({ node }) => node)
       .filter((member) => this.isUsable(member, service, progress.tried))
       .filter(({ upstream }) => !ends.has(endDetector.endIdOf(upstream!)));
-    const member = ranked.find((each) => isOfVersion(each, versionChoice)) ?? ranked[0];
+    const ofVersion = ranked.filter((each) => isOfVersion(each, versionChoice));
+    const eligible = ofVersion.length > 0 ? ofVersion : ranked;
+    const member = eligible.find(({ node }) => !progress.probed.has(node)) ?? eligible[0];
     if (member === undefined) return [];
     const distance = members.distanceBetween(table.self, member);
     const routeAverageMs = stats.averageServiceMs(route.name, route.targetLatencyMs);
@@ -294,15 +305,24 @@
   }
 
   /** Longest wait for a slot and the uplink at the candidate; beyond it, the request is offered elsewhere. */
-  private maxWait({ candidate, maxWaitMs }: balancer.Choice, progress: Progress): number {
+  private maxWait(
+    req: CallerRequest,
+    { candidate, maxWaitMs }: balancer.Choice,
+    verdict: quarantine.Verdict,
+    progress: Progress,
+  ): number {
     const acceptsAnyWait = progress.offers >= MAX_OFFERS || progress.probed.has(candidate.node);
-    return acceptsAnyWait ? Infinity : Math.max(MIN_ACCEPTED_WAIT_MS, maxWaitMs);
+    if (acceptsAnyWait) return Infinity;
+    // A suspect has one candidate at a time, and others after it.
+    const limitMs = verdict.type === 'suspect' ? req.deadlineAtMs - req.arrivedMs : maxWaitMs;
+    return Math.max(MIN_ACCEPTED_WAIT_MS, limitMs);
   }
 
   /** @returns the result, or null if the request may be offered elsewhere */
   private async offer(
     req: CallerRequest,
     choice: balancer.Choice,
+    verdict: quarantine.Verdict,
     progress: Progress,
     signal: AbortSignal,
   ): Promise<exchange.Outcome | null> {
@@ -321,7 +341,8 @@
       req,
       node,
       member.upstream,
-      this.maxWait(choice, progress),
+      verdict,
+      this.maxWait(req, choice, verdict, progress),
     );
     const { outcome, report } = await destination.send(forwarded, signal);
     const remaining = this.outstanding.get(node)! - 1;
@@ -347,7 +368,7 @@
     if (outcome.type === 'refused') {
       progress.retryAfterMs = outcome.retryAfterMs;
       progress.reason = outcome.reason;
-      if (outcome.reason === admissionQueue.WAIT_TOO_LONG) progress.probed.add(node);
+      if (REFUSED_FOR_NOW.has(outcome.reason)) progress.probed.add(node);
       else progress.tried.add(node);
       if (admissionQueue.FULL_REASONS.has(outcome.reason)) {
         stats.recordFull(node, req.route.name, targetLeftMs, outcome);
@@ -405,6 +426,7 @@
     req: CallerRequest,
     node: ids.NodeId,
     upstream: members.UpstreamState,
+    verdict: quarantine.Verdict,
     maxWaitMs: number,
   ): exchange.ForwardedRequest {
     const now = this.options.nowMs();
@@ -424,6 +446,8 @@
       deadlineLeftMs: req.deadlineAtMs - now,
       estimateMs: this.options.upstreamStats.averageServiceMs(route.name, route.targetLatencyMs),
       maxWaitMs,
+      crashReport:
+        verdict.type === 'suspect' ? this.options.quarantine.reportOn(verdict.fingerprint) : null,
       fromOtherHost: node !== this.options.table.self.node,
     };
   }
--- a/packages/mesh/src/routing/exchange.ts
+++ b/packages/mesh/src/routing/exchange.ts
@@ -2,6 +2,7 @@
 
 import type { ids } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
+import type * as crashRecords from '../quarantine/crashRecords.js';
 
 /** Alternating header names and values, as in Node's `rawHeaders`. */
 export type FlatHeaders = string[];
@@ -27,6 +28,8 @@
   estimateMs: number;
   /** Longest wait for a slot and the uplink that the sender accepts; beyond it, it prefers another node. */
   maxWaitMs: number;
+  /** What the sender knows of upstreams that ended while they ran it; null if it is no suspect. */
+  crashReport: crashRecords.CrashReport | null;
   /** Whether another host has sent it, so that the answer crosses the uplink of the upstream's host. */
   fromOtherHost: boolean;
 }
@@ -61,7 +64,13 @@
   type: 'lost';
   detail: string;
   /** End of the upstream while it ran the request, if that is why there is no answer. */
-  end?: ids.UpstreamEndId;
+  end?: UpstreamEnd;
+}
+
+export interface UpstreamEnd {
+  id: ids.UpstreamEndId;
+  /** Whether the request was a suspect when its run began; see `Quarantine`. */
+  wasSuspect: boolean;
 }
 
 export type Outcome = Answer | Refusal | Lost;
@@ -97,6 +106,6 @@
   return refused('cancelled', 0);
 }
 
-export function lost(detail: string, end?: ids.UpstreamEndId): Lost {
+export function lost(detail: string, end?: UpstreamEnd): Lost {
   return end === undefined ? { type: 'lost', detail } : { type: 'lost', detail, end };
 }
--- a/packages/mesh/src/upstream/__tests__/localDestination.test.ts
+++ b/packages/mesh/src/upstream/__tests__/localDestination.test.ts
@@ -126,7 +126,7 @@
 
   // The end of the server looked like a lost answer, so nothing told which requests it had been running.
   describe('when the server ends', () => {
-    const END = ids.upstreamEndId('i-1/1000');
+    const END = { id: ids.upstreamEndId('i-1/1000'), wasSuspect: false };
 
     it('suspects all requests that it was running, before the sender hears of it', async () => {
       const held = send('held');
@@ -161,7 +161,7 @@
 
   describe('requests that are suspects', () => {
     const suspectOf = (route: string) => fixtures.forwardedRequest({ target: `/${route}/` });
-    const endOf = (n: number) => ids.upstreamEndId(`e-${n}`);
+    const endOf = (n: number) => ({ id: ids.upstreamEndId(`e-${n}`), wasSuspect: n > 1 });
 
     it('are cleared by an answer', async () => {
       suspects.recordEnd(suspectOf('small'), endOf(1), 'remote');
@@ -169,6 +169,19 @@
       assert.equal(suspects.count('suspect'), 0);
     });
 
+    // The reports of the node beside the first upstream arrived after the request.
+    it('are known as such from their sender', async () => {
+      const elsewhere = fixtures.suspects();
+      const suspect = suspectOf('crash');
+      elsewhere.recordEnd(suspect, endOf(1), 'self');
+      const verdict = elsewhere.verdictOf(suspect);
+      assert.ok(verdict.type === 'suspect');
+      const crashReport = elsewhere.reportOn(verdict.fingerprint);
+      const { outcome } = await send('crash', { crashReport });
+      assert.ok(outcome.type === 'lost' && outcome.end?.wasSuspect);
+      assert.equal(suspects.count('blocked'), 1);
+    });
+
     it('do not run twice at a time', async () => {
       suspects.recordEnd(suspectOf('held'), endOf(1), 'remote');
       void send('held');
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -96,6 +96,8 @@
   }
 
   send(req: exchange.ForwardedRequest, signal: AbortSignal): Promise<exchange.Delivery> {
+    // The reports of other nodes may still be on their way.
+    if (req.crashReport !== null) this.options.quarantine.merge([req.crashReport], 'remote');
     return new Promise((resolve) => {
       const settle = (outcome: exchange.Outcome) => {
         const averageMs = this.serviceTimes.get(req.route)?.value ?? null;
@@ -199,7 +201,7 @@
     const refusal = this.refusalOf(req);
     if (refusal !== null) return refusal;
     const incarnation = this.options.upstream.state!;
-    const endRun = suspects.beginRun(req);
+    const run = suspects.beginRun(req);
     const connection = pool.acquire(req.semantics);
     const deadlineLeftMs = entry.deadlineAtMs - startedMs;
     const onAbort = () => {
@@ -218,9 +220,10 @@
     signal.removeEventListener('abort', onAbort);
     pool.release(connection);
     const serviceMs = this.options.nowMs() - startedMs;
-    const end = await this.findEnd(incarnation, raw);
-    if (end !== null) suspects.recordEnd(req, end, 'self');
-    endRun();
+    const id = await this.findEnd(incarnation, raw);
+    const end = id === null ? undefined : { id, wasSuspect: run.wasSuspect };
+    if (end !== undefined) suspects.recordEnd(req, end, 'self');
+    run.end();
     return this.toOutcome(req, raw, serviceMs, end);
   }
 
@@ -245,14 +248,14 @@
     req: exchange.ForwardedRequest,
     raw: upstreamConnection.RawOutcome,
     serviceMs: number,
-    end: ids.UpstreamEndId | null,
+    end: exchange.UpstreamEnd | undefined,
   ): exchange.Outcome {
     if (raw.type === 'unsent') {
       this.recordConnectFailure(raw.detail);
       return exchange.refused('upstreamUnreachable', RETRY_AFTER_MS);
     }
     this.connectFailures = 0;
-    if (raw.type === 'broken') return exchange.lost(raw.detail, end ?? undefined);
+    if (raw.type === 'broken') return exchange.lost(raw.detail, end);
     const { status, headers, body } = raw.answer;
     const answerInfo = this.options.codec.readAnswer(headers);
     if (answerInfo.leaving) this.options.upstream.recordLeaving(req.instance);
