fix(mesh): refuse further attempts at a suspect that was sent on

A third upstream ended in some plays: an attempt at the deadly request was refused by the first upstream by rank, since it ran another suspect of the same end, and went to the second; the next attempt found the first one free. The upstream now refuses attempts at a suspect for 300 ms after it has sent one on. The new test fails without the change.

--- a/packages/mesh/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/mesh/src/quarantine/__tests__/quarantine.test.ts
@@ -125,6 +125,21 @@
     assert.equal(subject.refusalOf({ ...third, maxWaitMs: Infinity }), null);
   });
 
+  // Each attempt found another upstream beside whose suspects it could run, and ended it.
+  it('refuses further attempts at a suspect that it has sent on, for a while', () => {
+    const third = fixtures.forwardedRequest({ target: '/r/third', maxWaitMs: 100 });
+    recordEnds(1);
+    subject.recordEnd(third, endOf(1), 'self');
+    const run = subject.beginRun(req);
+    assert.equal(subject.refusalOf(third)?.reason, quarantine.BESIDE_SUSPECT);
+    run.end();
+    assert.equal(subject.refusalOf(third)?.reason, quarantine.SUSPECT_RUNNING);
+    assert.equal(subject.refusalOf({ ...third, maxWaitMs: Infinity }), null);
+    now = 300;
+    subject.prune();
+    assert.equal(subject.refusalOf(third), null);
+  });
+
   it('counts suspects and blocked requests', () => {
     recordEnds(2);
     subject.recordEnd(other, endOf(1), 'self');
--- a/packages/mesh/src/quarantine/quarantine.ts
+++ b/packages/mesh/src/quarantine/quarantine.ts
@@ -25,6 +25,8 @@
 const MAX_BLOCK_MS = 30 * 60_000;
 /** Retry delay stated while another attempt of the same suspect is running. */
 const BUSY_RETRY_MS = 100;
+/** Time for which a suspect that was refused here is taken to be running elsewhere. */
+const SENT_ON_MS = 300;
 /** Reports repeated to other nodes, for those that have just started or were out of reach. */
 const MAX_REPEATED_REPORTS = 64;
 /** Characters of a request target in the log. */
@@ -74,6 +76,9 @@
   /** Suspects that the upstream on this host is running, with the ends for which they are. */
   private readonly running = new Map<ids.RequestFingerprint, ReadonlySet<ids.UpstreamEndId>>();
 
+  /** Suspects that another upstream may be running, with the monotonic time until which it may. */
+  private readonly sentOnUntilMs = new Map<ids.RequestFingerprint, number>();
+
   private readonly listeners: Listener[] = [];
 
   constructor(private readonly options: QuarantineOptions) {
@@ -103,11 +108,15 @@
     if (verdict.type === 'blocked') return exchange.refused(BLOCKED, verdict.retryAfterMs);
     if (verdict.type === 'clear') return null;
     const { fingerprint, ends } = verdict;
-    if (this.running.has(fingerprint)) return exchange.refused(SUSPECT_RUNNING, BUSY_RETRY_MS);
     const mayGoElsewhere = Number.isFinite(req.maxWaitMs);
-    return mayGoElsewhere && this.isBesideSuspect(ends)
-      ? exchange.refused(BESIDE_SUSPECT, BUSY_RETRY_MS)
-      : null;
+    const now = this.options.nowMs();
+    const isSentOn = mayGoElsewhere && (this.sentOnUntilMs.get(fingerprint) ?? 0) > now;
+    if (isSentOn || this.running.has(fingerprint)) {
+      return exchange.refused(SUSPECT_RUNNING, BUSY_RETRY_MS);
+    }
+    if (!mayGoElsewhere || !this.isBesideSuspect(ends)) return null;
+    this.sentOnUntilMs.set(fingerprint, now + SENT_ON_MS);
+    return exchange.refused(BESIDE_SUSPECT, BUSY_RETRY_MS);
   }
 
   /** Called when the upstream on this host is given the request. */
@@ -174,6 +183,9 @@
   /** Drops what is too old to count. */
   prune(): void {
     if (this.records.size > 0) this.records.prune();
+    for (const [fingerprint, untilMs] of this.sentOnUntilMs) {
+      if (untilMs <= this.options.nowMs()) this.sentOnUntilMs.delete(fingerprint);
+    }
   }
 
   /** Requests by their verdict. */
