fix(mesh): charge a retry once, however many offers it takes

Repeatable requests that had lost their upstream were given up with 502 although others had room: each further offer was charged to the retry budget, also when the one before had been refused without reaching an upstream. A suspect gets such refusals more often. The budget limits what upstreams get beyond the first send, so a retry is now charged once and kept until it reaches an upstream. The new test fails before.

--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -2,6 +2,7 @@
 import { beforeEach, describe, it } from 'node:test';
 import { ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
+import * as admissionQueue from '../../limits/admissionQueue.js';
 import * as retryBudget from '../../limits/retryBudget.js';
 import * as members from '../../membership/members.js';
 import * as meters from '../../observability/meters.js';
@@ -176,6 +177,16 @@
       assert.equal(second.received.length, 0);
     });
 
+    // Requests that had lost their upstream spent the budget on offers that no upstream got.
+    it('are charged once for a retry, however many offers it takes', async () => {
+      budget = new retryBudget.RetryBudget({ ratio: 2, extra: 0 }, () => 1);
+      budget.deposit(SHOP);
+      const full = exchange.refused(admissionQueue.WAIT_TOO_LONG, 50);
+      const outcome = await send([[exchange.lost('reset')], [full, full]], 'repeatable');
+      assert.equal(outcome.type, 'answer');
+      assert.equal(second.received.length, 3);
+    });
+
     it('need no retry budget after a refusal that reached no upstream', async () => {
       budget = new retryBudget.RetryBudget({ ratio: 0, extra: 0 }, () => 1);
       const outcome = await send([[exchange.refused('queueTooLong', 50)], []], 'repeatable');
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -82,6 +82,8 @@
   started: number;
   /** Upstreams that the request has reached, including those that refused it. */
   sends: number;
+  /** Retries charged to the retry budget; one that has reached no upstream may be offered again. */
+  paidRetries: number;
   offers: number;
   retryAfterMs: number;
   reason: string;
@@ -108,6 +110,7 @@
       probed: new Set(),
       started: 0,
       sends: 0,
+      paidRetries: 0,
       offers: 0,
       retryAfterMs: DEFAULT_RETRY_MS,
       reason: 'noUpstream',
@@ -405,7 +408,10 @@
     if (req.route.semantics === 'once' && progress.started > 0) return false;
     if (progress.sends >= req.route.maxUpstreams) return false;
     // Offers that reached no upstream are not charged to the retry budget.
-    return progress.sends === 0 || this.options.retryBudget.tryWithdraw(service);
+    if (progress.paidRetries >= progress.sends) return true;
+    if (!this.options.retryBudget.tryWithdraw(service)) return false;
+    progress.paidRetries = progress.sends;
+    return true;
   }
 
   private verdictOf(req: CallerRequest): quarantine.Verdict {
