fix(mesh): count the end of an upstream once against its version

A node takes a version back when 5 of its last 12 answers failed, and one end of an upstream failed as many requests as it was running: a request that ends any upstream could take a good version back at once. One of the running requests at most is the cause, so an end now counts once. A version that ends with every request still fails four times within four ends. The new test fails before: '5 of the last 5 answers failed' at one end.

--- a/packages/mesh/src/upstream/__tests__/localDestination.test.ts
+++ b/packages/mesh/src/upstream/__tests__/localDestination.test.ts
@@ -29,12 +29,14 @@
   let address: string;
   let upstream: localUpstream.LocalUpstream;
   let suspects: quarantine.Quarantine;
+  let recorder: evidence.EvidenceRecorder;
   let sockets: Set<net.Socket>;
   let transferWaitMs: (bytes: number) => number;
 
   beforeEach(async () => {
     transferWaitMs = () => TRANSFER_WAIT_MS;
     suspects = fixtures.suspects();
+    recorder = new evidence.EvidenceRecorder(() => true);
     sockets = new Set();
     server = net.createServer((socket) => {
       sockets.add(socket);
@@ -54,7 +56,7 @@
       codec,
       log: fixtures.silentLog(),
       meters: meters.createMetrics(),
-      evidence: new evidence.EvidenceRecorder(() => false),
+      evidence: recorder,
       quarantine: suspects,
       mayServe: () => true,
       transferWaitMs: (bytes) => transferWaitMs(bytes),
@@ -136,6 +138,18 @@
       assert.equal(suspects.count('suspect'), 2);
     });
 
+    // One end of an upstream took a good version back, whatever had caused it.
+    it('counts once against its version, however many requests it was running', async () => {
+      const reasons: string[] = [];
+      recorder.onFailureThreshold((_state, reason) => reasons.push(reason));
+      const held = Array.from({ length: 8 }, () => send('held'));
+      await send('crash');
+      await Promise.all(held);
+      assert.deepEqual(reasons, []);
+      const counts = Object.values(recorder.countsByRoute());
+      assert.deepEqual(counts, [{ requests: 1, failures: 1, totalMs: 0 }]);
+    });
+
     it('suspects none of those that have been answered', async () => {
       await send('answered');
       await send('crash');
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -64,6 +64,9 @@
   /** End of the upstream that was last recorded. */
   private lastEnd: ids.UpstreamEndId | null = null;
 
+  /** End of the upstream that last counted against its version. */
+  private countedEnd: ids.UpstreamEndId | null = null;
+
   private connectFailures = 0;
 
   private downUntilMs = 0;
@@ -309,7 +312,8 @@
       this.answerSizes.add(req.route, outcome.body.length);
     }
     const cancelled = entry.signal.aborted || outcome.type === 'refused';
-    if (state !== null && state.instance === req.instance && !cancelled) {
+    const isOfCountedEnd = outcome.type === 'lost' && !this.countEnd(outcome.end);
+    if (state !== null && state.instance === req.instance && !cancelled && !isOfCountedEnd) {
       const failed = outcome.type === 'lost' || outcome.status >= 500;
       this.options.evidence.record(state, req.route, failed, ms);
     }
@@ -324,6 +328,14 @@
     }
   }
 
+  /** @returns false for further requests of an end, of which one at most is the cause */
+  private countEnd(end: exchange.UpstreamEnd | undefined): boolean {
+    if (end === undefined) return true;
+    const isFirst = end.id !== this.countedEnd;
+    this.countedEnd = end.id;
+    return isFirst;
+  }
+
   private recordConnectFailure(detail: string): void {
     this.connectFailures += 1;
     if (this.connectFailures < DOWN_AFTER_FAILURES) return;
