--- a/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
+++ b/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
@@ -213,7 +213,7 @@
 describe('VersionComparison', () => {
   type Counts = Record<string, [requests: number, failures: number, meanMs: number]>;
 
-  function compare(stable: Counts, target: Counts): versionComparison.ComparisonResult {
+  function compare(stable: Counts, ...targets: Counts[]): versionComparison.ComparisonResult {
     const subject = new versionComparison.VersionComparison();
     const report = (instance: string, version: string, counts: Counts) => {
       const routes = Object.fromEntries(
@@ -231,10 +231,18 @@
       });
     };
     report('i-1', 'v1', stable);
-    report('i-2', 'v2', target);
+    for (const [i, target] of targets.entries()) report(`i-v2-${i}`, 'v2', target);
     return subject.evaluate(SHOP, V2);
   }
 
+  // An end of an upstream counts once, and its next incarnation counts anew.
+  it('rejects a version whose upstreams have ended four times', () => {
+    const ended: Counts = { r: [3, 1, 90] };
+    const stable: Counts = { r: [200, 1, 90] };
+    assert.equal(compare(stable, ended, ended, ended).passed, true);
+    assert.equal(compare(stable, ended, ended, ended, ended).passed, false);
+  });
+
   const cases: [string, Counts, Counts, boolean][] = [
     ['a version like the old one', { r: [200, 1, 90] }, { r: [40, 0, 95] }, true],
     ['a version that fails half', { r: [200, 1, 90] }, { r: [20, 10, 90] }, false],
