fix(mesh): forget slow answers when no newer ones come

A node refused all requests of a route for good ('noRoomInTime') after its first answer had taken nearly the deadline: the expected time was then above the deadline, so nobody was asked and no answer corrected it. The node beside an upstream had the same ('noTimeLeft'), and told the old average with each refusal.

Measured service times now converge to the assumed ones with the half-life that differences between upstreams already have, while no samples come in. Two new tests fail before.

--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -311,6 +311,20 @@
     });
   });
 
+  // A node refused every request of a route for good after its first answer had taken almost the timeout.
+  it('sends a request again some time after an answer that was as slow as the deadline', async () => {
+    const subject = build([[{ ...OK, serviceMs: 1_100 }], []], 'a', ['a']);
+    const { signal } = new AbortController();
+    const sendNow = () => {
+      const deadlineAtMs = now + 1_000;
+      return subject.dispatch({ ...request('repeatable', 2, now + 300), deadlineAtMs }, signal);
+    };
+    await sendNow();
+    assert.equal((await sendNow()).type, 'refused');
+    now = 10_000;
+    assert.equal((await sendNow()).type, 'answer');
+  });
+
   // Guards against counting answers only: small answers to large uploads then seem cheap to send far.
   it('counts the bodies of both directions as the size of a transfer', async () => {
     const subject = build([[{ ...OK, body: Buffer.alloc(500) }], []]);
--- a/packages/mesh/src/routing/__tests__/uplinkLoad.test.ts
+++ b/packages/mesh/src/routing/__tests__/uplinkLoad.test.ts
@@ -167,7 +167,7 @@
     this.expectedBytes += work.uplinkBytes;
     this.clock.schedule(serviceMs, () => {
       this.expectedBytes -= work.uplinkBytes;
-      this.answerSizes.add(route.name, body.length);
+      this.answerSizes.add(route.name, body.length, this.clock.nowMs);
       work.settle({ type: 'answer', status: 200, headers: [], body, serviceMs });
       const { started, refused } = this.queue.release(work, this.clock.nowMs);
       for (const each of started) this.start(each);
--- a/packages/mesh/src/routing/upstreamStats.ts
+++ b/packages/mesh/src/routing/upstreamStats.ts
@@ -12,8 +12,9 @@
 /** Half-life of the counts of failed and successful requests. */
 const FAILURE_HALF_LIFE_MS = 3_000;
 /**
- * Half-life of the difference between an upstream's service time and the average over all
- * upstreams. It makes sure that slow upstreams, which get few requests, are tried again.
+ * Half-life of the difference between a measured service time and what is assumed without it. It makes sure
+ * that slow upstreams, which get few requests, and routes that are refused for their service time are tried
+ * again.
  */
 const SERVICE_TIME_HALF_LIFE_MS = 3_000;
 /** A full node is not asked again for this share of the wait that it stated. */
@@ -23,12 +24,20 @@
 /** Half-life of a reported load: its requests are assumed to end at this rate. */
 const LOAD_HALF_LIFE_MS = 250;
 
+function decayTowards(assumedMs: number, measuredMs: number, ageMs: number): number {
+  return assumedMs + (measuredMs - assumedMs) * 0.5 ** (ageMs / SERVICE_TIME_HALF_LIFE_MS);
+}
+
 export class MovingAverage {
   private average: number | null = null;
 
+  /** Monotonic time of the newest sample. */
+  private sampledAtMs = 0;
+
   private averageDeviation: number | null = null;
 
-  add(sample: number): void {
+  add(sample: number, nowMs: number): void {
+    this.sampledAtMs = nowMs;
     if (this.average === null) {
       this.average = sample;
       return;
@@ -45,6 +54,12 @@
     return this.average;
   }
 
+  /** The average while samples come in; converges to `assumed` without them. */
+  valueAt(nowMs: number, assumed: number): number {
+    if (this.average === null) return assumed;
+    return decayTowards(assumed, this.average, nowMs - this.sampledAtMs);
+  }
+
   /** Moving average of the absolute deviation; null before the second sample. */
   get deviation(): number | null {
     return this.averageDeviation;
@@ -55,13 +70,13 @@
 export class RouteAverages {
   private readonly averages = new Map<ids.RouteName, MovingAverage>();
 
-  add(route: ids.RouteName, sample: number): void {
+  add(route: ids.RouteName, sample: number, nowMs: number): void {
     let average = this.averages.get(route);
     if (average === undefined) {
       average = new MovingAverage();
       this.averages.set(route, average);
     }
-    average.add(sample);
+    average.add(sample, nowMs);
   }
 
   /** Undefined before the first sample. */
@@ -110,7 +125,8 @@
 
   /** Average service time of a route over all upstreams. */
   averageServiceMs(route: ids.RouteName, targetLatencyMs: number): number {
-    return this.serviceTimes.get(route)?.value ?? targetLatencyMs * INITIAL_ESTIMATE_SHARE;
+    const assumedMs = targetLatencyMs * INITIAL_ESTIMATE_SHARE;
+    return this.serviceTimes.get(route)?.valueAt(this.nowMs(), assumedMs) ?? assumedMs;
   }
 
   answerBytes(route: ids.RouteName): number {
@@ -127,8 +143,7 @@
   serviceMsAt(node: ids.NodeId, route: ids.RouteName, routeAverageMs: number): number {
     const atNode = this.nodes.get(node)?.averageServiceMs.get(route);
     if (atNode === undefined) return routeAverageMs;
-    const remainingShare = 0.5 ** ((this.nowMs() - atNode.atMs) / SERVICE_TIME_HALF_LIFE_MS);
-    return routeAverageMs + (atNode.value - routeAverageMs) * remainingShare;
+    return decayTowards(routeAverageMs, atNode.value, this.nowMs() - atNode.atMs);
   }
 
   loadFromOthers(node: ids.NodeId): number {
@@ -171,8 +186,8 @@
   }
 
   recordAnswer(node: ids.NodeId, route: ids.RouteName, ms: number, bytes: number): void {
-    this.serviceTimes.add(route, ms);
-    this.answerSizes.add(route, bytes);
+    this.serviceTimes.add(route, ms, this.nowMs());
+    this.answerSizes.add(route, bytes, this.nowMs());
     this.decayedStats(node).successes += 1;
   }
 
--- a/packages/mesh/src/upstream/__tests__/localDestination.test.ts
+++ b/packages/mesh/src/upstream/__tests__/localDestination.test.ts
@@ -13,6 +13,7 @@
 import * as upstreamPool from '../upstreamPool.js';
 
 const LARGE = 'large';
+const SLOW_MS = 250;
 const TRANSFER_WAIT_MS = 5_000;
 
 /** Answers a request for `/large/` with a body that waits for the uplink, any other with a small one. */
@@ -27,6 +28,7 @@
   let pool: upstreamPool.UpstreamPool;
   let subject: localDestination.LocalDestination;
   let address: string;
+  let clockAheadMs: number;
   let upstream: localUpstream.LocalUpstream;
   let suspects: quarantine.Quarantine;
   let recorder: evidence.EvidenceRecorder;
@@ -35,6 +37,7 @@
 
   beforeEach(async () => {
     transferWaitMs = () => TRANSFER_WAIT_MS;
+    clockAheadMs = 0;
     suspects = fixtures.suspects();
     recorder = new evidence.EvidenceRecorder(() => true);
     sockets = new Set();
@@ -60,7 +63,7 @@
       quarantine: suspects,
       mayServe: () => true,
       transferWaitMs: (bytes) => transferWaitMs(bytes),
-      nowMs: () => performance.now(),
+      nowMs: () => performance.now() + clockAheadMs,
     });
     upstream.announce(fixtures.announcement({ address }));
   });
@@ -77,6 +80,8 @@
       for (const each of sockets) each.destroy();
     } else if (text.startsWith('GET /cut/')) {
       socket.destroy();
+    } else if (text.startsWith('GET /slow/')) {
+      setTimeout(() => socket.write(answerTo(text)), SLOW_MS);
     } else if (!text.startsWith('GET /held/')) {
       socket.write(answerTo(text));
     }
@@ -211,6 +216,18 @@
     });
   });
 
+  // Requests that were refused for the slow answers of before brought no newer ones.
+  it('forgets slow answers with time', async () => {
+    const limits = { deadlineLeftMs: 200, estimateMs: 20 };
+    assert.equal((await send('slow')).outcome.type, 'answer');
+    const { outcome, report } = await send('slow', limits);
+    assert.equal(outcome.type === 'refused' && outcome.reason, 'noTimeLeft');
+    assert.ok(report!.averageServiceMs! > 200);
+    clockAheadMs = 10_000;
+    const later = await send('slow', limits);
+    assert.deepEqual(later.outcome, exchange.lost('deadline'));
+  });
+
   it('does not count the uplink for small answers and for callers on the same host', async () => {
     const limits = { maxWaitMs: 1, deadlineLeftMs: TRANSFER_WAIT_MS };
     for (const request of [
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -103,7 +103,7 @@
     if (req.crashReport !== null) this.options.quarantine.merge([req.crashReport], 'remote');
     return new Promise((resolve) => {
       const settle = (outcome: exchange.Outcome) => {
-        const averageMs = this.serviceTimes.get(req.route)?.value ?? null;
+        const averageMs = this.averageServiceMs(req);
         const transferWaitMs = this.options.transferWaitMs(this.expectedBytes);
         const report = { load: this.load, averageServiceMs: averageMs, transferWaitMs };
         resolve({ outcome, report });
@@ -141,7 +141,7 @@
   ): void {
     const now = this.options.nowMs();
     const serviceTime = this.serviceTimes.get(req.route);
-    const estimateMs = serviceTime?.value ?? req.estimateMs;
+    const estimateMs = this.averageServiceMs(req) ?? req.estimateMs;
     const { targetLeftMs } = req;
     const uplinkBytes = this.uplinkBytes(req);
     const transferWaitMs = uplinkBytes === 0 ? 0 : this.options.transferWaitMs(this.expectedBytes);
@@ -180,6 +180,11 @@
     }
   }
 
+  /** Null before the first answer. */
+  private averageServiceMs({ route, estimateMs }: exchange.ForwardedRequest): number | null {
+    return this.serviceTimes.get(route)?.valueAt(this.options.nowMs(), estimateMs) ?? null;
+  }
+
   /** Expected size of an answer that waits for the uplink; 0 for small ones, which overtake the others. */
   private uplinkBytes({ fromOtherHost, route }: exchange.ForwardedRequest): number {
     const bytes = this.answerSizes.get(route)?.value ?? 0;
@@ -308,8 +313,9 @@
     registry.observeMs(meters.UPSTREAM_SECONDS, ms, labels);
     registry.observeMs(meters.WAIT_SECONDS, this.options.nowMs() - ms - entry.arrivedMs, labels);
     if (outcome.type === 'answer' && outcome.status < 500) {
-      this.serviceTimes.add(req.route, ms);
-      this.answerSizes.add(req.route, outcome.body.length);
+      const now = this.options.nowMs();
+      this.serviceTimes.add(req.route, ms, now);
+      this.answerSizes.add(req.route, outcome.body.length, now);
     }
     const cancelled = entry.signal.aborted || outcome.type === 'refused';
     const isOfCountedEnd = outcome.type === 'lost' && !this.countEnd(outcome.end);
