fix(mesh): bound the wait for the probe of an upstream

An outcome waits until it is known whether the upstream has ended. An upstream that neither accepts nor refuses connections would hold it for the connect timeout of 1 s before the request could be sent elsewhere. Found by reading; the new test fails before (it never ends). Also: a name that says more for the refusals after which nobody is asked.

--- a/packages/mesh/src/quarantine/quarantine.ts
+++ b/packages/mesh/src/quarantine/quarantine.ts
@@ -39,8 +39,8 @@
 /** The upstream is running another suspect from the same end; if it ended, both would be blamed again. */
 export const BESIDE_SUSPECT = 'besideSuspect';
 
-/** Reasons of refusals that hold for all upstreams. */
-export const REASONS: ReadonlySet<string> = new Set([BLOCKED, SUSPECT_RUNNING]);
+/** Reasons of refusals after which no other upstream is asked. */
+export const FINAL_REASONS: ReadonlySet<string> = new Set([BLOCKED, SUSPECT_RUNNING]);
 
 /** May run at one upstream at a time, and not at an incarnation that has ended. */
 export interface SuspectVerdict {
@@ -57,6 +57,7 @@
 type Listener = (reports: crashRecords.CrashReport[], origin: propagation.Origin) => void;
 
 export const CLEAR: Verdict = { type: 'clear' };
+
 /** A request that the upstream on this host is running. */
 export interface Run {
   wasSuspect: boolean;
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -404,7 +404,7 @@
   }
 
   private mayRetry(req: CallerRequest, service: ids.ServiceName, progress: Progress): boolean {
-    if (quarantine.REASONS.has(progress.reason)) return false;
+    if (quarantine.FINAL_REASONS.has(progress.reason)) return false;
     if (req.route.semantics === 'once' && progress.started > 0) return false;
     if (progress.sends >= req.route.maxUpstreams) return false;
     // Offers that reached no upstream are not charged to the retry budget.
--- a/packages/mesh/src/upstream/__tests__/endDetector.test.ts
+++ b/packages/mesh/src/upstream/__tests__/endDetector.test.ts
@@ -12,7 +12,7 @@
   let state: members.UpstreamState | null;
   let result: upstreamConnection.OpenResult;
   let probes: number;
-  let onProbe: () => void;
+  let onProbe: () => void | Promise<void>;
   let subject: endDetector.EndDetector;
 
   beforeEach(() => {
@@ -24,8 +24,7 @@
       current: () => state,
       probe: async () => {
         probes += 1;
-        onProbe();
-        await Promise.resolve();
+        await onProbe();
         return result;
       },
     });
@@ -43,6 +42,12 @@
     }
   });
 
+  // Requests would wait for the connect timeout before they are sent elsewhere.
+  it('reports none if the upstream does not answer a probe', async () => {
+    onProbe = () => new Promise(() => {});
+    assert.equal(await subject.findEnd(first), null);
+  });
+
   it('reports an end without a probe if another incarnation has taken over', async () => {
     state = { ...first, bornMs: first.bornMs! + 1 };
     assert.equal(await subject.findEnd(first), END);
--- a/packages/mesh/src/upstream/endDetector.ts
+++ b/packages/mesh/src/upstream/endDetector.ts
@@ -1,5 +1,6 @@
 /** Tells the end of the upstream's process from the loss of single connections. */
 
+import * as timers from 'node:timers/promises';
 import { ids } from '@godwittrack/core';
 import * as members from '../membership/members.js';
 import type * as upstreamConnection from './upstreamConnection.js';
@@ -18,6 +19,9 @@
   probe: () => Promise<upstreamConnection.OpenResult>;
 }
 
+/** Longest time for which outcomes wait for a probe; an upstream that has ended refuses it at once. */
+const PROBE_TIMEOUT_MS = 50;
+
 export class EndDetector {
   /** The probe that is under way; losses at the same time share it. */
   private probing: Promise<upstreamConnection.OpenResult> | null = null;
@@ -34,13 +38,20 @@
       current() !== null && !members.isSameIncarnation(current(), incarnation);
     if (!isReplaced()) {
       if (current()?.leaving) return null;
-      this.probing ??= this.options.probe().finally(() => {
-        this.probing = null;
-      });
-      const result = await this.probing;
+      const result = await this.probe();
       // Another incarnation may have taken over during the probe.
       if (result !== 'refused' && !isReplaced()) return null;
     }
     return endIdOf(incarnation);
   }
+
+  private probe(): Promise<upstreamConnection.OpenResult> {
+    this.probing ??= Promise.race([
+      this.options.probe(),
+      timers.setTimeout(PROBE_TIMEOUT_MS, 'failed' as const),
+    ]).finally(() => {
+      this.probing = null;
+    });
+    return this.probing;
+  }
 }
