--- a/packages/mesh/src/quarantine/quarantine.ts
+++ b/packages/mesh/src/quarantine/quarantine.ts
@@ -25,7 +25,7 @@
 const MAX_BLOCK_MS = 30 * 60_000;
 /** Retry delay stated while another attempt of the same suspect is running. */
 const BUSY_RETRY_MS = 100;
-/** Time for which a suspect that was refused here is taken to be running elsewhere. */
+/** Time for which a suspect that was refused beside another one is taken to be running elsewhere. */
 const SENT_ON_MS = 300;
 /** Reports repeated to other nodes, for those that have just started or were out of reach. */
 const MAX_REPEATED_REPORTS = 64;
@@ -101,7 +101,7 @@
     return fingerprint === null ? CLEAR : this.judge(fingerprint);
   }
 
-  /** Reason why the upstream on this host must not get the request now; null if it may. */
+  /** Refusal of a request that the upstream on this host must not run now; null if it may. */
   refusalOf(
     req: requestFingerprint.IdentifiedRequest & Pick<exchange.ForwardedRequest, 'maxWaitMs'>,
   ): exchange.Refusal | null {
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -76,7 +76,7 @@
 interface Progress {
   /** Nodes that get no further offer of this request. */
   tried: Set<ids.NodeId>;
-  /** Nodes that refused because of their wait; the next offer to them accepts any wait. */
+  /** Nodes that refused for now; the next offer to them accepts any wait, also beside other suspects. */
   probed: Set<ids.NodeId>;
   /** Upstreams that may have started to run the request. */
   started: number;
@@ -212,8 +212,8 @@
   }
 
   /**
-   * The first member by rank for the request, which is the same for all nodes: so a request that ends
-   * upstreams runs at one of them at a time.
+   * The first member by rank for the request that has not refused it. The rank is the same from all nodes, so
+   * that attempts at a request that ends upstreams meet at one of them instead of ending several.
    */
   private candidatesForSuspect(
     route: configuration.Route,
--- a/packages/mesh/src/routing/exchange.ts
+++ b/packages/mesh/src/routing/exchange.ts
@@ -26,7 +26,10 @@
   deadlineLeftMs: number;
   /** Service time that the sender expects. */
   estimateMs: number;
-  /** Longest wait for a slot and the uplink that the sender accepts; beyond it, it prefers another node. */
+  /**
+   * Longest wait for a slot and the uplink that the sender accepts; beyond it, it prefers another node.
+   * Infinity if it has no other one left.
+   */
   maxWaitMs: number;
   /** What the sender knows of upstreams that ended while they ran it; null if it is no suspect. */
   crashReport: crashRecords.CrashReport | null;
