refactor(mesh): one description of the state that nodes tell each other

The first frame of a connection and the summary carry the same state. It was described, collected and merged twice, and the reports of ended upstreams had been added to both. Behaviour and wire format are unchanged.

--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -29,21 +29,26 @@
 /** Newest era of the store that the sender knows of; nodes of earlier releases send none. */
 type KnownEra = ids.StoreEra | null;
 
-/** First frame on a connection. */
-export interface Hello {
-  type: 'hello';
-  /** Member record of the sender. */
-  from: members.Member;
-  /** Intended receiver; the address may since have been reassigned to another node. */
-  to: ids.NodeId;
+/** What a node knows of the state that all nodes share. */
+export interface SharedState {
   configVersion: number;
   rollouts: phases.RolloutState[];
   /** Whether `rollouts` is complete. */
   rolloutsKnown: boolean;
   storeEra?: KnownEra;
+  /** Not complete: reports that are new, or repeated ones. */
   crashes?: crashRecords.CrashReport[];
 }
 
+/** First frame on a connection. */
+export interface Hello extends SharedState {
+  type: 'hello';
+  /** Member record of the sender. */
+  from: members.Member;
+  /** Intended receiver; the address may since have been reassigned to another node. */
+  to: ids.NodeId;
+}
+
 export interface RequestFrame {
   type: 'request';
   id: number;
@@ -71,15 +76,7 @@
   | { type: 'configRequest'; heldVersion: number }
   | { type: 'beacon'; configVersion: number; storeEra?: KnownEra }
   /** State of the sender; relays send it periodically so that lost updates are repaired. */
-  | {
-      type: 'stateSummary';
-      configVersion: number;
-      rollouts: phases.RolloutState[];
-      rolloutsKnown: boolean;
-      storeEra?: KnownEra;
-      /** Not complete: reports that are new, or repeated ones. */
-      crashes?: crashRecords.CrashReport[];
-    }
+  | ({ type: 'stateSummary' } & SharedState)
   /** Sent by a node that does not know the rollouts yet. */
   | { type: 'stateSummaryRequest' }
   | { type: 'rollouts'; states: phases.RolloutState[] }
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -239,11 +239,9 @@
     for (const link of this.links.values()) link.stop();
   }
 
-  private handleHello(
-    sender: Sender,
-    { from, rollouts, rolloutsKnown, configVersion, storeEra: era, crashes }: frames.Hello,
-  ): void {
+  private handleHello(sender: Sender, hello: frames.Hello): void {
     const { table } = this.options;
+    const { from } = hello;
     this.addNodes([from]);
     const known = table.get(from.node);
     const knownSequence = table.lastSequence(from.node);
@@ -258,11 +256,7 @@
       this.gossip.apply(sender.from, from);
     }
     this.links.get(from.node)?.connectNow();
-    this.observeEra(sender, era);
-    this.mergeCrashes(sender, crashes);
-    this.options.rollouts.merge(rollouts, this.originOf(from));
-    if (rolloutsKnown) this.options.rollouts.markSynced();
-    this.onVersionAdvertised(sender, configVersion);
+    this.mergeState(sender, hello);
     if (from.domain === table.self.domain) sender.reply(this.gossip.allDigests());
   }
 
@@ -295,11 +289,7 @@
         sender.reply(this.stateSummary());
         break;
       case 'stateSummary':
-        this.observeEra(sender, frame.storeEra);
-        this.mergeCrashes(sender, frame.crashes);
-        rollouts.merge(frame.rollouts, this.originOf(sender.from));
-        if (frame.rolloutsKnown) rollouts.markSynced();
-        this.onVersionAdvertised(sender, frame.configVersion);
+        this.mergeState(sender, frame);
         break;
       case 'rollouts':
         rollouts.merge(frame.states, this.originOf(sender.from));
@@ -341,20 +331,29 @@
     if (era != null) this.options.storeEra.observe(era, this.sourceOf(sender));
   }
 
-  /** Records of other nodes are merged before a node counts as synced, so that it serves with them. */
-  private mergeCrashes(sender: Sender, crashes: crashRecords.CrashReport[] = []): void {
-    this.options.quarantine.merge(crashes, this.originOf(sender.from));
+  private mergeState(sender: Sender, state: frames.SharedState): void {
+    const { quarantine: suspects, rollouts } = this.options;
+    const origin = this.originOf(sender.from);
+    this.observeEra(sender, state.storeEra);
+    // Before this node counts as synced, so that it serves with the reports.
+    suspects.merge(state.crashes ?? [], origin);
+    rollouts.merge(state.rollouts, origin);
+    if (state.rolloutsKnown) rollouts.markSynced();
+    this.onVersionAdvertised(sender, state.configVersion);
+  }
+
+  private stateSummary(crashes?: crashRecords.CrashReport[]): frames.Frame {
+    return { type: 'stateSummary', ...this.sharedState(crashes) };
   }
 
-  private stateSummary(crashes = this.options.quarantine.repeatedReports()): frames.Frame {
+  private sharedState(crashes = this.options.quarantine.repeatedReports()): frames.SharedState {
     const { config, rollouts, storeEra: era } = this.options;
     return {
-      type: 'stateSummary',
       configVersion: config.version,
       rollouts: rollouts.states(),
       rolloutsKnown: rollouts.isSynced,
       storeEra: era.current,
-      ...withCrashes(crashes),
+      ...(crashes.length === 0 ? {} : { crashes }),
     };
   }
 
@@ -488,7 +487,7 @@
   }
 
   private createLink(address: members.NodeAddress): peerLink.PeerLink {
-    const { table, config, rollouts, storeEra: era, eventLoopLag, log } = this.options;
+    const { table, eventLoopLag, log } = this.options;
     const { meters: metricsRegistry } = this.options;
     const onReachabilityChanged = () => {
       this.reachabilityChanges += 1;
@@ -502,11 +501,7 @@
         type: 'hello',
         from: table.self,
         to: address.node,
-        configVersion: config.version,
-        rollouts: rollouts.states(),
-        rolloutsKnown: rollouts.isSynced,
-        storeEra: era.current,
-        ...withCrashes(this.options.quarantine.repeatedReports()),
+        ...this.sharedState(),
       }),
       onFrame: (link, frame) =>
         this.handleFrame({ from: address, reply: (reply) => link.sendFrame(reply) }, frame),
@@ -525,10 +520,6 @@
   }
 }
 
-function withCrashes(crashes: crashRecords.CrashReport[]): Pick<frames.Hello, 'crashes'> {
-  return crashes.length === 0 ? {} : { crashes };
-}
-
 function sameUpstream(a: members.UpstreamState | null, b: members.UpstreamState | null): boolean {
   return JSON.stringify(a) === JSON.stringify(b);
 }
