--- a/playground/src/usersPlatform/__tests__/crashingRequests.test.ts
+++ b/playground/src/usersPlatform/__tests__/crashingRequests.test.ts
@@ -137,7 +137,7 @@
   private crash(host: fleet.Host): void {
     const { app } = host;
     if (!app.isRunning) return;
-    app.crash();
+    app.stop();
     const restart = async () => {
       await timers.setTimeout(this.rng.integer(MIN_AWAY_MS, MAX_AWAY_MS));
       if (!this.hosts.includes(host)) return;
--- a/playground/src/usersPlatform/application.ts
+++ b/playground/src/usersPlatform/application.ts
@@ -34,7 +34,8 @@
 
   private address = '';
 
-  private startedMs = Date.now();
+  /** Start time of the current incarnation in Unix milliseconds. */
+  bornMs = Date.now();
 
   private readonly server = http.createServer((req, res) => {
     void this.serve(req, res);
@@ -59,25 +60,16 @@
     return this.server.listening;
   }
 
-  /** Start time of the current incarnation in Unix milliseconds. */
-  get bornMs(): number {
-    return this.startedMs;
-  }
-
+  /** Ends like a process: connections are closed, and new ones refused. */
   stop(): void {
     this.server.close();
     this.server.closeAllConnections();
   }
 
-  /** Ends like a process that crashes: connections are closed, and new ones refused. */
-  crash(): void {
-    this.stop();
-  }
-
   /** Starts again at the same address, as another incarnation. */
   async restart(instance: string): Promise<void> {
     this.instance = instance;
-    this.startedMs = Date.now();
+    this.bornMs = Date.now();
     this.sequence = 0;
     await new Promise<void>((resolve) => {
       this.server.listen(Number(this.address.split(':')[1]), '127.0.0.1', resolve);
@@ -96,7 +88,7 @@
       state,
       cold_remaining_ms: 0,
       sequence: this.sequence,
-      born: this.startedMs,
+      born: this.bornMs,
     };
     const res = await fetch(`http://${controlAddress}/-/instances/${this.instance}`, {
       method: 'PUT',
