--- a/packages/mesh/src/membership/members.ts
+++ b/packages/mesh/src/membership/members.ts
@@ -1,6 +1,6 @@
 /** Member records: each node publishes its own address and the state of its upstream. */
 
-import { type ids, rendezvous } from '@godwittrack/core';
+import { ids, rendezvous } from '@godwittrack/core';
 
 /** State of the upstream on a node's host, as published to other nodes. */
 export interface UpstreamState {
@@ -18,14 +18,21 @@
   accepting: boolean;
 }
 
-/** Whether two states are of the same start of an upstream, which may start again under its id. */
+/** One start of an upstream, which may start again under its id. */
+export type Incarnation = Pick<UpstreamState, 'instance' | 'bornMs'>;
+
 export function isSameIncarnation(
-  a: Pick<UpstreamState, 'instance' | 'bornMs'> | null | undefined,
-  b: Pick<UpstreamState, 'instance' | 'bornMs'> | null | undefined,
+  a: Incarnation | null | undefined,
+  b: Incarnation | null | undefined,
 ): boolean {
   return a?.instance === b?.instance && a?.bornMs === b?.bornMs;
 }
 
+/** An incarnation ends only once, so all nodes give its end the same id. */
+export function endIdOf({ instance, bornMs }: Incarnation): ids.UpstreamEndId {
+  return ids.upstreamEndId(`${instance}/${bornMs ?? ''}`);
+}
+
 /** Address of a node; registered in the platform's store so that nodes discover each other. */
 export interface NodeAddress {
   node: ids.NodeId;
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -11,7 +11,6 @@
 import * as balancer from '../balancer.js';
 import * as dispatcher from '../dispatcher.js';
 import * as exchange from '../exchange.js';
-import * as endDetector from '../../upstream/endDetector.js';
 import * as upstreamStats from '../upstreamStats.js';
 import * as trafficSplitter from '../trafficSplitter.js';
 
@@ -300,7 +299,7 @@
       for (const node of ['a', 'b']) {
         const path = `/r/${node}`;
         const req = { ...request('repeatable'), target: path };
-        const id = endDetector.endIdOf(fixtures.member(node).upstream!);
+        const id = members.endIdOf(fixtures.member(node).upstream!);
         suspects.recordEnd({ ...req, callerService: SHOP }, { id, wasSuspect: false }, 'remote');
         await subject.dispatch(req, signal);
       }
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -10,7 +10,6 @@
 import * as quarantine from '../quarantine/quarantine.js';
 import type * as requestFingerprint from '../quarantine/requestFingerprint.js';
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
-import * as endDetector from '../upstream/endDetector.js';
 import type * as balancer from './balancer.js';
 import * as candidateSelector from './candidateSelector.js';
 import * as exchange from './exchange.js';
@@ -226,7 +225,7 @@
     const ranked = rendezvous
       .rank(fingerprint, table.serving(service), ({ node }) => node)
       .filter((member) => this.isUsable(member, service, progress.tried))
-      .filter(({ upstream }) => !ends.has(endDetector.endIdOf(upstream!)));
+      .filter(({ upstream }) => !ends.has(members.endIdOf(upstream!)));
     const ofVersion = ranked.filter((each) => isOfVersion(each, versionChoice));
     const eligible = ofVersion.length > 0 ? ofVersion : ranked;
     const member = eligible.find(({ node }) => !progress.probed.has(node)) ?? eligible[0];
--- a/packages/mesh/src/upstream/__tests__/endDetector.test.ts
+++ b/packages/mesh/src/upstream/__tests__/endDetector.test.ts
@@ -2,13 +2,13 @@
 import { beforeEach, describe, it } from 'node:test';
 import { ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
-import type * as members from '../../membership/members.js';
+import * as members from '../../membership/members.js';
 import * as endDetector from '../endDetector.js';
 import type * as upstreamConnection from '../upstreamConnection.js';
 
 describe('EndDetector', () => {
   const first = fixtures.member('a').upstream!;
-  const END = endDetector.endIdOf(first);
+  const END = members.endIdOf(first);
   let state: members.UpstreamState | null;
   let result: upstreamConnection.OpenResult;
   let probes: number;
--- a/packages/mesh/src/upstream/endDetector.ts
+++ b/packages/mesh/src/upstream/endDetector.ts
@@ -1,17 +1,10 @@
 /** Tells the end of the upstream's process from the loss of single connections. */
 
 import * as timers from 'node:timers/promises';
-import { ids } from '@godwittrack/core';
+import type { ids } from '@godwittrack/core';
 import * as members from '../membership/members.js';
 import type * as upstreamConnection from './upstreamConnection.js';
 
-export type Incarnation = Pick<members.UpstreamState, 'instance' | 'bornMs'>;
-
-/** An incarnation ends only once, so all nodes give its end the same id. */
-export function endIdOf({ instance, bornMs }: Incarnation): ids.UpstreamEndId {
-  return ids.upstreamEndId(`${instance}/${bornMs ?? ''}`);
-}
-
 export interface EndDetectorOptions {
   /** State of the upstream as last announced. */
   current: () => members.UpstreamState | null;
@@ -32,7 +25,7 @@
    * Called when the upstream has closed a connection without answering the request on it.
    * @returns the end of the incarnation that had the request; null if it still runs or was leaving
    */
-  async findEnd(incarnation: Incarnation): Promise<ids.UpstreamEndId | null> {
+  async findEnd(incarnation: members.Incarnation): Promise<ids.UpstreamEndId | null> {
     const { current } = this.options;
     const isReplaced = () =>
       current() !== null && !members.isSameIncarnation(current(), incarnation);
@@ -42,7 +35,7 @@
       // Another incarnation may have taken over during the probe.
       if (result !== 'refused' && !isReplaced()) return null;
     }
-    return endIdOf(incarnation);
+    return members.endIdOf(incarnation);
   }
 
   private probe(): Promise<upstreamConnection.OpenResult> {
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -4,6 +4,7 @@
 import * as admissionQueue from '../limits/admissionQueue.js';
 import * as targetMargin from '../limits/targetMargin.js';
 import type * as localUpstream from '../membership/localUpstream.js';
+import type * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
 import * as frames from '../peers/frames.js';
@@ -237,7 +238,7 @@
 
   /** The outcome waits for it, so that the sender of the request knows of the end when it retries. */
   private async findEnd(
-    incarnation: endDetector.Incarnation,
+    incarnation: members.Incarnation,
     raw: upstreamConnection.RawOutcome,
   ): Promise<ids.UpstreamEndId | null> {
     if (raw.type !== 'broken' || raw.closedBy === 'node') return null;
