--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -62,10 +62,7 @@
 
   private readonly endDetector: endDetector.EndDetector;
 
-  /** End of the upstream that was last recorded. */
-  private lastEnd: ids.UpstreamEndId | null = null;
-
-  /** End of the upstream that last counted against its version. */
+  /** End of the upstream that was last counted. */
   private countedEnd: ids.UpstreamEndId | null = null;
 
   private connectFailures = 0;
@@ -242,11 +239,7 @@
     raw: upstreamConnection.RawOutcome,
   ): Promise<ids.UpstreamEndId | null> {
     if (raw.type !== 'broken' || raw.closedBy === 'node') return null;
-    const end = await this.endDetector.findEnd(incarnation);
-    if (end === null || end === this.lastEnd) return end;
-    this.lastEnd = end;
-    this.options.meters.increment(meters.UPSTREAM_ENDS);
-    return end;
+    return this.endDetector.findEnd(incarnation);
   }
 
   private countCancel(stage: 'waiting' | 'running' | 'kept'): void {
@@ -338,9 +331,10 @@
   /** @returns false for further requests of an end, of which one at most is the cause */
   private countEnd(end: exchange.UpstreamEnd | undefined): boolean {
     if (end === undefined) return true;
-    const isFirst = end.id !== this.countedEnd;
+    if (end.id === this.countedEnd) return false;
     this.countedEnd = end.id;
-    return isFirst;
+    this.options.meters.increment(meters.UPSTREAM_ENDS);
+    return true;
   }
 
   private recordConnectFailure(detail: string): void {
