perf(mesh): compute the key of a request once

While a node knows of suspects, the node beside an upstream hashed each request up to four times, and the dispatcher once for each offer. The key is kept with the request, and the dispatcher describes the request once.

--- a/packages/mesh/src/quarantine/crashRecords.ts
+++ b/packages/mesh/src/quarantine/crashRecords.ts
@@ -61,9 +61,8 @@
   /** Fingerprint of a request that has a record; the body is hashed only if the rest matches. */
   find(req: requestFingerprint.IdentifiedRequest): ids.RequestFingerprint | null {
     if (this.keys.size === 0) return null;
-    const key = requestFingerprint.keyOf(req);
-    if (!this.keys.has(key)) return null;
-    const fingerprint = requestFingerprint.fingerprintOf(req, key);
+    if (!this.keys.has(requestFingerprint.keyOf(req))) return null;
+    const fingerprint = requestFingerprint.fingerprintOf(req);
     return this.records.has(fingerprint) ? fingerprint : null;
   }
 
--- a/packages/mesh/src/quarantine/requestFingerprint.ts
+++ b/packages/mesh/src/quarantine/requestFingerprint.ts
@@ -20,16 +20,23 @@
   return crypto.createHash('sha256').update(content).digest('base64url').slice(0, HASH_LENGTH);
 }
 
-/** Key of all requests that differ only in the content of their bodies. */
-export function keyOf({ method, target, headers, body, callerService }: IdentifiedRequest): string {
-  const host = headerCodec.headerValue(headers, 'host')?.toLowerCase() ?? '';
-  return hash(JSON.stringify([method, host, target, callerService, body.length]));
+/** Keys computed so far; while there are suspects, a node looks up each request several times. */
+const keys = new WeakMap<IdentifiedRequest, string>();
+
+/** Key of all requests that differ only in the content of their bodies. The request must not change. */
+export function keyOf(req: IdentifiedRequest): string {
+  let key = keys.get(req);
+  if (key === undefined) {
+    const { method, target, headers, body, callerService } = req;
+    const host = headerCodec.headerValue(headers, 'host')?.toLowerCase() ?? '';
+    key = hash(JSON.stringify([method, host, target, callerService, body.length]));
+    keys.set(req, key);
+  }
+  return key;
 }
 
-export function fingerprintOf(
-  req: IdentifiedRequest,
-  key: string = keyOf(req),
-): ids.RequestFingerprint {
+export function fingerprintOf(req: IdentifiedRequest): ids.RequestFingerprint {
+  const key = keyOf(req);
   return ids.requestFingerprint(req.body.length === 0 ? key : `${key}.${hash(req.body)}`);
 }
 
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -227,6 +227,8 @@
     const { signal } = new AbortController();
     const endOf = (n: number) => ({ id: ids.upstreamEndId(`e-${n}`), wasSuspect: n > 1 });
     const lost = (n: number) => exchange.lost('connection ended', endOf(n));
+    const recordEnd = (end: exchange.UpstreamEnd, req = request('repeatable')) =>
+      suspects.recordEnd({ ...req, callerService: SHOP }, end, 'remote');
 
     it('are sent to one other upstream, then blocked, and not called unrun', async () => {
       const subject = build([[lost(1)], [lost(2)]]);
@@ -254,7 +256,7 @@
     // Spread over the upstreams, a few attempts at the same time ended all of them.
     it('go to the same upstream from every node', async () => {
       const receivers = new Set<string>();
-      suspects.recordEnd({ ...request('repeatable'), callerService: SHOP }, endOf(1), 'remote');
+      recordEnd(endOf(1));
       for (const local of ['a', 'b', 'c']) {
         await build([[], []], local, ['a', 'b', 'c']).dispatch(request('repeatable'), signal);
         for (const { instance } of [...first.received, ...second.received]) receivers.add(instance);
@@ -265,7 +267,7 @@
     it('are not offered to another upstream while one is running them', async () => {
       const busy = exchange.refused(quarantine.SUSPECT_RUNNING, 100);
       const subject = build([[busy], [busy]]);
-      suspects.recordEnd({ ...request('repeatable'), callerService: SHOP }, endOf(1), 'remote');
+      recordEnd(endOf(1));
       assert.deepEqual(await subject.dispatch(request('repeatable'), signal), busy);
       assert.equal(first.received.length + second.received.length, 1);
     });
@@ -273,7 +275,7 @@
     it('go to another upstream, and at last beside others, where suspects run', async () => {
       const beside = exchange.refused(quarantine.BESIDE_SUSPECT, 100);
       const subject = build([[beside], [beside]]);
-      suspects.recordEnd({ ...request('repeatable'), callerService: SHOP }, endOf(1), 'remote');
+      recordEnd(endOf(1));
       const outcome = await subject.dispatch(request('repeatable'), signal);
       assert.equal(outcome.type, 'answer');
       const offers = [...first.received, ...second.received];
@@ -286,7 +288,7 @@
       const full = exchange.refused('queueTooLong', 50);
       const subject = build([[full], [full]]);
       for (const n of [1, 2]) {
-        suspects.recordEnd({ ...request('repeatable'), callerService: SHOP }, endOf(n), 'remote');
+        recordEnd(endOf(n));
       }
       now = 30_000;
       const req = { ...request('repeatable', 2, 30_300), deadlineAtMs: 31_000 };
@@ -300,7 +302,7 @@
         const path = `/r/${node}`;
         const req = { ...request('repeatable'), target: path };
         const id = members.endIdOf(fixtures.member(node).upstream!);
-        suspects.recordEnd({ ...req, callerService: SHOP }, { id, wasSuspect: false }, 'remote');
+        recordEnd({ id, wasSuspect: false }, req);
         await subject.dispatch(req, signal);
       }
       assert.deepEqual(
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -73,6 +73,8 @@
 
 /** State of one request over its offers. */
 interface Progress {
+  /** What identifies the request, whichever attempt it is. */
+  identity: requestFingerprint.IdentifiedRequest;
   /** Nodes that get no further offer of this request. */
   tried: Set<ids.NodeId>;
   /** Nodes that refused for now; the next offer to them accepts any wait, also beside other suspects. */
@@ -104,7 +106,9 @@
     const { service } = this.options.trafficSplitter.choose(req.route);
     this.options.retryBudget.deposit(service);
     const versionChoice = this.chooseVersion(service);
+    const { method, target, headers, body } = req;
     const progress: Progress = {
+      identity: { method, target, headers, body, callerService: this.options.callerService() },
       tried: new Set(),
       probed: new Set(),
       started: 0,
@@ -116,7 +120,7 @@
       failure: null,
     };
     while (progress.offers < MAX_OFFERS && !signal.aborted) {
-      const verdict = this.verdictOf(req);
+      const verdict = this.verdictOf(progress);
       if (verdict.type === 'blocked') {
         progress.reason = quarantine.BLOCKED;
         progress.retryAfterMs = verdict.retryAfterMs;
@@ -352,8 +356,8 @@
     this.options.meters.increment(meters.OFFERS, { distance, outcome: outcome.type });
     if (outcome.type === 'lost' && outcome.end !== undefined) {
       const isSameDomain = member.domain === table.self.domain;
-      const source = this.identified(req);
-      this.options.quarantine.recordEnd(source, outcome.end, isSameDomain ? 'domain' : 'remote');
+      const origin = isSameDomain ? 'domain' : 'remote';
+      this.options.quarantine.recordEnd(progress.identity, outcome.end, origin);
     }
     if (report !== null) stats.recordReport(node, req.route.name, report, remaining);
     return this.handleOutcome(req, node, outcome, progress, forwarded.targetLeftMs);
@@ -413,18 +417,9 @@
     return true;
   }
 
-  private verdictOf(req: CallerRequest): quarantine.Verdict {
+  private verdictOf({ identity }: Progress): quarantine.Verdict {
     const { quarantine: suspects } = this.options;
-    return suspects.isEmpty ? quarantine.CLEAR : suspects.verdictOf(this.identified(req));
-  }
-
-  private identified({
-    method,
-    target,
-    headers,
-    body,
-  }: CallerRequest): requestFingerprint.IdentifiedRequest {
-    return { method, target, headers, body, callerService: this.options.callerService() };
+    return suspects.isEmpty ? quarantine.CLEAR : suspects.verdictOf(identity);
   }
 
   private toForwardedRequest(
