Review: a server that had left is in use again after a kill of all nodes

Departed instances are kept in the memory of the nodes only. A heartbeat that arrives late after a restart of all of them puts the server in use again.

--- a/review/common/harness.mjs
+++ b/review/common/harness.mjs
@@ -162,11 +162,13 @@
     process.exit(code);
   }
 
-  async startNode(i, { service, zone, region = 'r-a', storeAddress, appAddress }) {
+  async startNode(i, options) {
+    const { service, zone, region = 'r-a', storeAddress, appAddress } = options;
+    const { name = `side-${i}` } = options;
     const host = hostOf(i);
     const [inbound, outbound, ready, control, peer] = await freePorts(host, 5);
     const settings = {
-      node_name: `side-${i}`,
+      node_name: name,
       role: 'node',
       machine_class: 'sidecar',
       serves: ['sidecar'],
@@ -199,7 +201,7 @@
         value_bytes: 1048576,
       },
     };
-    const file = path.join(this.temp, `side-${i}.yaml`);
+    const file = path.join(this.temp, `${name}.yaml`);
     // JSON is valid YAML.
     fs.writeFileSync(file, JSON.stringify(settings, null, 2));
     const node = new Node(this, settings, file);
--- a/review/common/server.mjs
+++ b/review/common/server.mjs
@@ -96,9 +96,10 @@
     return this.beat();
   }
 
-  beat() {
+  /** The report as it is sent; a report may arrive later than it was made. */
+  nextReport() {
     this.sequence += 1;
-    const body = JSON.stringify({
+    return JSON.stringify({
       service: this.service,
       address: this.address,
       zone: this.zone ?? 'z-a',
@@ -109,13 +110,27 @@
       sequence: this.sequence,
       born: this.bornMs,
     });
+  }
+
+  beat() {
+    return this.send('PUT', this.nextReport());
+  }
+
+  /** Reports that the server leaves, without having reported `draining`. */
+  leave() {
+    clearInterval(this.beats);
+    return this.send('DELETE', JSON.stringify({ born: this.bornMs }));
+  }
+
+  /** @returns the status of the answer; 0 if there is none */
+  send(method, body) {
     const [host, port] = this.controlAddress.split(':');
     return new Promise((resolve) => {
       const req = http.request(
         {
           host,
           port,
-          method: 'PUT',
+          method,
           path: `/-/instances/${this.instance}`,
           headers: { 'Content-Type': 'application/json', 'Content-Length': body.length },
           agent: false,
