Review: a partial answer behind a rejection makes an order run twice

The case now also has servers that reject requests with 503 and Not-Executed, as a full server does. Bytes of a broken second copy of such an answer make the next answer on the connection count as not run.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -11,6 +11,8 @@
 const GARBLED_SHARE = 0.03;
 /** One request in so many fails, as where a call that the server needs fails. */
 const FAILS_EVERY = 5;
+/** One in so many is rejected, as where the queue of the server is full. */
+const REJECTS_EVERY = 7;
 const LOAD_MS = 25_000;
 const CALLERS = 6;
 
@@ -23,7 +25,7 @@
   'main',
   harness.configuration(
     1,
-    { 'r-orders': harness.route('/orders/', SERVICE, { kind: 'unsafe', max_attempts: 1 }) },
+    { 'r-orders': harness.route('/orders/', SERVICE, { kind: 'unsafe', max_attempts: 2 }) },
     [SERVICE],
   ),
 );
@@ -34,8 +36,8 @@
   return seed / 2_147_483_648;
 }
 
-/** Status that a server gave, by the id of the request. */
-const given = new Map();
+/** Runs of a request, by its id. */
+const runsOf = new Map();
 const counted = { garbled: 0 };
 const servers = [];
 for (let i = 0; i < 2; i += 1) {
@@ -44,15 +46,22 @@
   server.handler = async (req, socket) => {
     await harness.sleep(5 + random() * 10);
     answered += 1;
-    const status = answered % FAILS_EVERY === 0 ? 500 : 200;
-    given.set(req.id, status);
+    if (answered % REJECTS_EVERY !== 0) runsOf.set(req.id, (runsOf.get(req.id) ?? 0) + 1);
+    let status = answered % FAILS_EVERY === 0 ? 500 : 200;
+    if (answered % REJECTS_EVERY === 0) status = 503;
     const bytes = answerBytes(status, req.id, `order ${req.id} ${status}`);
     const isGarbled = harness.HAS_TROUBLE && i === 0 && random() < GARBLED_SHARE;
-    // A second copy of the answer, broken off in its first line.
-    const extra = isGarbled ? bytes.subarray(0, 'HTTP/1.1 200 OK'.length) : Buffer.alloc(0);
+    // The begin of a second copy of the answer, broken off behind a line.
+    const lines = bytes
+      .toString('latin1')
+      .split('\r\n')
+      .slice(0, status === 503 ? 2 : 1);
+    const extra = Buffer.from(isGarbled ? `${lines.join('\r\n')}\r\n` : '', 'latin1');
     if (isGarbled) {
       counted.garbled += 1;
-      run.note(`i-${i} answers ${req.id} with ${status} and sends "${extra}" behind it`);
+      run.note(
+        `i-${i} answers ${req.id} with ${status} and sends ${JSON.stringify(extra.toString())} behind it`,
+      );
     }
     socket.write(Buffer.concat([bytes, extra]));
   };
@@ -92,22 +101,33 @@
 
 let served = 0;
 let mixed = 0;
+let refused = 0;
+let twice = 0;
 const counts = {};
 for (const { id, status, signature } of answers) {
   counts[status] = (counts[status] ?? 0) + 1;
   if (status === 200) served += 1;
-  if (signature !== null && given.get(id) !== status) {
+  if ((runsOf.get(id) ?? 0) > 1) {
+    twice += 1;
+    run.note(`TWICE: ${id} ran ${runsOf.get(id)} times and was answered ${status}`);
+  }
+  if (status === 503 && runsOf.has(id)) {
+    refused += 1;
+    run.note(`REFUSED: ${id} was answered 503 and has run`);
+  }
+  if (signature !== null && signature !== `sig.${id}.${status}`) {
     mixed += 1;
-    run.note(
-      `MIXED: ${id} was answered ${status} with the signature ${signature}, the server gave ${given.get(id)}`,
-    );
+    run.note(`MIXED: ${id} was answered ${status} with the signature ${signature} of the server`);
   }
 }
 run.note(
-  `sent ${sent}, by status ${JSON.stringify(counts)}, spoilt answers ${counted.garbled}, mixed ${mixed}`,
+  `sent ${sent}, by status ${JSON.stringify(counts)}, spoilt answers ${counted.garbled}, mixed ${mixed}, refused though run ${refused}, twice ${twice}`,
 );
 if (served < sent / 2 || (harness.HAS_TROUBLE && counted.garbled === 0))
   run.end(2, 'too few requests were served');
-else if (mixed > 0)
-  run.end(1, `MIXED: ${mixed} of ${sent} callers got another status than the server gave`);
+else if (twice + refused + mixed > 0)
+  run.end(
+    1,
+    `TWICE: ${twice} of ${sent} orders ran twice; REFUSED: ${refused} ran and got 503; MIXED: ${mixed}`,
+  );
 else run.end(0, `the rule held for ${sent} requests`);
--- a/review/common/server.mjs
+++ b/review/common/server.mjs
@@ -6,11 +6,13 @@
 
 /** Bytes of a complete answer with a length, as a sound server sends it. */
 export function answerBytes(status, id, body, more = []) {
-  const reason = { 200: 'OK', 421: 'Misdirected Request', 500: 'Internal Server Error' }[status];
+  const reason = http.STATUS_CODES[status];
+  const isRun = status !== 421 && status !== 503;
   const head = [
     `HTTP/1.1 ${status} ${reason}`,
+    ...(status === 503 ? ['Not-Executed: 1'] : []),
     `Attempt-Id: ${id}`,
-    ...(status === 421 ? [] : [`Response-Signature: sig.${id}.${status}`]),
+    ...(isRun ? [`Response-Signature: sig.${id}.${status}`] : []),
     ...more,
     `Content-Length: ${Buffer.byteLength(body)}`,
   ];
