--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -6,8 +6,8 @@
 import { answerBytes, Server } from '../common/server.mjs';
 import { Store } from '../common/store.mjs';
 
-const SERVICE = 'orders';
-/** Share of the answers that the faulty server spoils; `garble` goes up to 0.05. */
+const SERVICE = 'sponsor-desk';
+/** Share of the answers that the faulty server spoils; `garble` goes up to 0.05 in the site file. */
 const GARBLED_SHARE = 0.03;
 /** One request in so many fails, as where a call that the server needs fails. */
 const FAILS_EVERY = 5;
@@ -25,7 +25,7 @@
   'main',
   harness.configuration(
     1,
-    { 'r-orders': harness.route('/orders/', SERVICE, { kind: 'unsafe', max_attempts: 2 }) },
+    { 'r-pledge': harness.route('/pledge/', SERVICE, { kind: 'unsafe', max_attempts: 2 }) },
     [SERVICE],
   ),
 );
@@ -87,7 +87,7 @@
     const id = `q${sent}`;
     const options = {
       id,
-      path: '/orders/a',
+      path: '/pledge/a',
       method: 'POST',
       body: `order ${id}`,
       deadlineMs: 2_000,
