--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -7,12 +7,12 @@
 import { Store } from '../common/store.mjs';
 
 /** Service of the server in trouble, and that of the sound servers on the other machines. */
-const FAULTY = 'gatecheck';
-const SOUND = 'ledger';
+const FAULTY = 'upkeep-hub';
+const SOUND = 'sponsor-desk';
 /** The faulty server spoils one answer in so many; `garble` goes up to 5 in 100. */
 const GARBLED_EVERY = 33;
-const SOUND_WORK_MS = 100;
-const FAULTY_WORK_MS = 220;
+const SOUND_WORK_MS = 78;
+const FAULTY_WORK_MS = 150;
 const SOUND_CALLERS = 12;
 const FAULTY_CALLERS = 6;
 const LOAD_MS = 30_000;
@@ -31,10 +31,10 @@
   harness.configuration(
     1,
     {
-      'r-balance': harness.route('/balance/', FAULTY, { timeout_ms: 4_000, priority: 2 }),
-      'r-redeem': harness.route('/redeem/', SOUND, {
+      'r-roster': harness.route('/roster/', FAULTY, { timeout_ms: 3_000, priority: 2 }),
+      'r-pledge': harness.route('/pledge/', SOUND, {
         kind: 'unsafe',
-        timeout_ms: 5_000,
+        timeout_ms: 2_000,
         max_attempts: 1,
       }),
     },
@@ -112,8 +112,8 @@
   }
 }
 await Promise.all([
-  ...Array.from({ length: SOUND_CALLERS }, () => sendUntilEnd('/redeem/a', 5_000, 'POST')),
-  ...Array.from({ length: FAULTY_CALLERS }, () => sendUntilEnd('/balance/a', 4_000)),
+  ...Array.from({ length: SOUND_CALLERS }, () => sendUntilEnd('/pledge/a', 2_000, 'POST')),
+  ...Array.from({ length: FAULTY_CALLERS }, () => sendUntilEnd('/roster/a', 3_000)),
 ]);
 
 const ran = new Set(run.nodes.slice(1).flatMap(({ server }) => server.runs.map(({ id }) => id)));
@@ -123,7 +123,7 @@
   const key = `${target} ${status}`;
   counts[key] = (counts[key] ?? 0) + 1;
   // On a kept connection, passed on to a sound server, and closed without an answer.
-  if (status === 0 && reused && target === '/redeem/a' && ran.has(id) && error !== 'deadline') {
+  if (status === 0 && reused && target === '/pledge/a' && ran.has(id) && error !== 'deadline') {
     lost += 1;
     run.note(`LOST: ${id} was passed on to a sound server; its kept connection ended: ${error}`);
   }
@@ -131,6 +131,6 @@
 const exits = run.nodes.map((node) => `${node.name} ${node.exits.length}`).join(', ');
 run.note(`sent ${sent}, answers ${JSON.stringify(counts)}, bodies without end ${counted.garbled}`);
 run.note(`processes that ended by themselves: ${exits}; lost ${lost}`);
-if ((counts['/redeem/a 200'] ?? 0) < 500) run.end(2, 'too few requests were served');
+if ((counts['/pledge/a 200'] ?? 0) < 500) run.end(2, 'too few requests were served');
 else if (lost > ALLOWED) run.end(1, `LOST: ${lost} requests, ends of processes: ${exits}`);
 else run.end(0, `the rule held for ${sent} requests; ends of processes: ${exits}`);
