fix(mesh): read answers of upstreams strictly

With a malformed length or chunk size, a body that ends early looked complete.

Cause: http-parser-js keeps its state across answers. Bytes behind a complete answer, in the same chunk, stayed in the parser of a pooled connection, and the next answer's status line was skipped as a malformed header, so that the next request got the status and the Not-Executed of the broken answer. The check for bytes without a request looked at the begin of a chunk only. The same leniency takes a length or a chunk size that is no number for the end of the body, and mixes a late broken answer with the one behind it.

Ruled out: a check of the parser's state after each chunk, which does not help when the broken answer arrives after the next request was written; subclassing the parser, whose framing states are private; Node's own parser, which is not public without its client, and whose client drops bytes behind an answer and keeps the connection.

Change: a reader of HTTP/1.1 answers that follows RFC 9112 and fails where a lenient one guesses: framing, chunk sizes, header names, line ends, a status line where a header is due or within one. It reports the bytes behind an answer, and a connection with any is not used again. An answer to HEAD ends with its head; before, it was waited for until the deadline.

Evidence: of the new tests of upstreamConnection.test.ts, 15 fail on the code before, and the one on HEAD hangs.

--- a/packages/mesh/src/upstream/__tests__/upstreamConnection.test.ts
+++ b/packages/mesh/src/upstream/__tests__/upstreamConnection.test.ts
@@ -76,6 +76,55 @@
     assert.equal(connection.reusable, false);
   });
 
+  // The begin of a second answer stayed in the parser and gave the next answer its status, so that requests
+  // ran twice, or were reported as not run although they had run.
+  describe('bytes behind a complete answer, in the same chunk', () => {
+    const surplus: [string, string][] = [
+      ['a part of a status line', 'HTTP/1.1 2'],
+      ['a status line', 'HTTP/1.1 503 Service Unavailable\r\n'],
+      ['a head without its end', 'HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\n'],
+      ['an interim answer', 'HTTP/1.1 100 Continue\r\n\r\n'],
+      ['an empty line', '\r\n'],
+      ['bytes that are not HTTP', '\u0000'],
+      ['a second answer', answer('1', 'again')],
+    ];
+
+    async function checkClosed(bytes: string): Promise<void> {
+      script = (socket) => socket.write(answer('1', 'one') + bytes);
+      assert.equal(bodyOf(await send('1')), 'one');
+      assert.equal(connection.reusable, false);
+      assert.equal((await send('2')).type, 'unsent');
+    }
+
+    for (const [what, bytes] of surplus) {
+      it(`${what}: the answer counts, the connection is not used again`, () => checkClosed(bytes));
+    }
+  });
+
+  // The broken answer may also arrive after the next request was sent; what follows in its head or body must
+  // not be read as a part of it.
+  describe('a broken late answer in front of the expected one', () => {
+    const own = 'HTTP/1.1 500 Internal Server Error\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\ntwo';
+    const late = 'HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nagain';
+
+    async function checkNotMixed(bytes: number): Promise<void> {
+      script = (socket) => socket.write(late.slice(0, bytes) + own);
+      const raw = await Promise.race([send('2'), timers.setTimeout(50, null)]);
+      assert.ok(raw === null || raw.type === 'broken', JSON.stringify(raw));
+    }
+
+    for (let bytes = 1; bytes < late.length; bytes += 1) {
+      it(`is not mixed with it, cut after ${bytes} bytes`, () => checkNotMixed(bytes));
+    }
+  });
+
+  it('returns an answer to HEAD, which has no body, at once', async () => {
+    script = (socket) => socket.write('HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\n');
+    const raw = await connection.send('1', Buffer.from('HEAD / HTTP/1.1\r\n\r\n'), 'HEAD');
+    assert.equal(raw.type, 'answer');
+    assert.ok(connection.reusable);
+  });
+
   it('reports an answer that ends early as broken', async () => {
     script = (socket) => socket.end('HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\nhalf');
     assert.equal((await send('1')).type, 'broken');
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -221,6 +221,7 @@
     const raw = await connection.send(
       req.requestId,
       serialize(req, this.options.codec, deadlineLeftMs),
+      req.method,
     );
     clearTimeout(timer);
     signal.removeEventListener('abort', onAbort);
--- a/packages/mesh/src/upstream/upstreamConnection.ts
+++ b/packages/mesh/src/upstream/upstreamConnection.ts
@@ -1,17 +1,15 @@
 /**
  * HTTP/1.1 connection to the upstream that carries one request at a time. Answers are matched to
  * requests by the request id that the upstream echoes: an answer to another request is skipped, and
- * data that arrives while no request is pending closes the connection.
+ * data that belongs to no request closes the connection.
  */
 
 import * as net from 'node:net';
-import * as httpParser from 'http-parser-js';
 import type * as byteBudget from '../limits/byteBudget.js';
 import type * as exchange from '../routing/exchange.js';
+import * as answerReader from './answerReader.js';
 import * as headerCodec from './headerCodec.js';
 
-const { HTTPParser } = httpParser;
-
 /** Connect timeout; the upstream is on the same host. */
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Share of the announced keep-alive time for which an idle connection is reused. */
@@ -56,8 +54,7 @@
 }
 
 interface IncomingAnswer {
-  status: number;
-  headers: exchange.FlatHeaders;
+  head: answerReader.AnswerHead;
   chunks: Buffer[];
   bytes: number;
   /** Reserved in the body budget for `chunks`. */
@@ -74,7 +71,7 @@
 
   private readonly socket: net.Socket;
 
-  private readonly parser: httpParser.HTTPParserJS;
+  private readonly reader: answerReader.AnswerReader;
 
   private pending: PendingRequest | null = null;
 
@@ -118,7 +115,11 @@
     });
     this.socket.on('end', () => this.handleEnd());
     this.socket.on('close', () => this.close('connection closed', 'upstream'));
-    this.parser = this.createParser();
+    this.reader = new answerReader.AnswerReader({
+      onHead: (head) => this.startAnswer(head),
+      onBody: (chunk, start, end) => this.appendBody(chunk.subarray(start, end)),
+      onComplete: (surplusBytes) => this.completeAnswer(surplusBytes),
+    });
     this.socket.on('data', (chunk) => this.read(chunk));
   }
 
@@ -134,13 +135,14 @@
     return performance.now() - this.idleSinceMs;
   }
 
-  send(requestId: string, bytes: Buffer): Promise<RawOutcome> {
+  send(requestId: string, bytes: Buffer, method = 'GET'): Promise<RawOutcome> {
     return new Promise((settle) => {
       if (this.closed) {
         settle({ type: 'unsent', detail: this.closeDetail });
         return;
       }
       this.pending = { requestId, settle };
+      this.reader.expectAnswerTo(method);
       this.nonBodyBytes = 0;
       this.socket.write(bytes);
     });
@@ -150,18 +152,6 @@
     this.close(detail);
   }
 
-  private createParser(): httpParser.HTTPParserJS {
-    const parser = new HTTPParser(HTTPParser.RESPONSE);
-    parser[HTTPParser.kOnHeadersComplete] = (info) => {
-      this.startAnswer(info.statusCode, info.headers);
-    };
-    parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
-      this.appendBody(chunk.subarray(offset, offset + length));
-    };
-    parser[HTTPParser.kOnMessageComplete] = () => this.completeAnswer();
-    return parser;
-  }
-
   private read(chunk: Buffer): void {
     if (this.closed) return;
     if (this.pending === null) {
@@ -169,8 +159,8 @@
       return;
     }
     this.nonBodyBytes += chunk.length;
-    const result = this.parser.execute(chunk);
-    if (result instanceof Error) this.close(`unreadable answer: ${result.message}`);
+    const problem = this.reader.read(chunk);
+    if (problem !== null) this.close(`unreadable answer: ${problem}`);
     else if (this.nonBodyBytes > this.nonBodyLimit())
       this.close('bytes without end that are no answer');
   }
@@ -180,12 +170,15 @@
     return MAX_NON_BODY_BYTES + bodyBytes * MAX_FRAMING_PER_BYTE;
   }
 
-  private startAnswer(status: number, headers: exchange.FlatHeaders): void {
-    if (status < 200) return;
-    const { requestId } = this.codec.readAnswer(headers);
+  private startAnswer(head: answerReader.AnswerHead): void {
+    if ((head.bodyBytes ?? 0) > MAX_ANSWER_BYTES) {
+      this.close('answer too large');
+      return;
+    }
+    const { requestId } = this.codec.readAnswer(head.headers);
     const isForPending =
       this.pending !== null && (requestId ?? this.pending.requestId) === this.pending.requestId;
-    this.incoming = { status, headers, chunks: [], bytes: 0, reservedBytes: 0, isForPending };
+    this.incoming = { head, chunks: [], bytes: 0, reservedBytes: 0, isForPending };
   }
 
   private appendBody(chunk: Buffer): void {
@@ -202,21 +195,21 @@
       return;
     }
     this.incoming.reservedBytes += chunk.length;
-    // No copy: the parser passes views of the received buffer, which nothing else modifies.
+    // No copy: the reader passes views of the received buffer, which nothing else modifies.
     this.incoming.chunks.push(chunk);
   }
 
-  private completeAnswer(): void {
+  private completeAnswer(surplusBytes: number): void {
     const { incoming, pending } = this;
     this.releaseIncoming();
-    if (incoming === null || !incoming.isForPending || pending === null) {
-      if (incoming !== null && pending === null) this.close('an answer without a request');
-      return;
-    }
+    if (incoming === null || !incoming.isForPending || pending === null) return;
     this.pending = null;
     this.idleSinceMs = performance.now();
-    const { status, headers, chunks } = incoming;
-    this.applyKeepAlive(headers);
+    const { head, chunks } = incoming;
+    const { status, headers } = head;
+    if (surplusBytes > 0) this.close('bytes behind an answer');
+    else if (!head.isPersistent) this.close('the upstream closes');
+    else this.applyKeepAlive(headers);
     const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
     pending.settle({ type: 'answer', answer: { status, headers, body } });
   }
@@ -250,7 +243,7 @@
     this.socket.write(RESET_PROBE, (err) => {
       if (this.closed) return;
       if (err) this.close(`answer cut short: ${err.message}`, 'upstream');
-      else if (this.parser.finish() instanceof Error) this.close('answer cut short', 'upstream');
+      else if (!this.reader.finish()) this.close('answer cut short', 'upstream');
       else this.close('connection ended', 'upstream');
     });
   }
@@ -261,6 +254,7 @@
     this.settleOpened('failed');
     this.closeDetail = detail;
     this.socket.destroy();
+    this.reader.stop();
     this.releaseIncoming();
     const { pending } = this;
     this.pending = null;
