fix(mesh): hold received bytes by their number, not by their chunks

Any caller could do the same with valid uploads in chunks of one byte.

Cause: each chunk of a body was kept as a Buffer object of its own, some 100 bytes of the heap for one byte. The limits and the body budget count bytes of bodies, so the heap of 160 MB was exhausted after some 13 MB on the wire.

Ruled out: a leak after the answer (the process ends while the first such answer is being received), and a higher heap limit, which moves the moment only.

Change: ByteCollector copies small parts into blocks that grow with the message and keeps large ones as views. An upload over the limit is dropped at once instead of being kept while it goes on.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 /** Domain of godwittrack: identifiers, failures, resources, tickets and configurations. */
 
 export * as backoff from './backoff.js';
+export * as byteCollector from './byteCollector.js';
 export * as callerConnections from './callerConnections.js';
 export * as clock from './clock.js';
 export * as configuration from './configuration.js';
--- a/packages/mesh/src/__tests__/loopback.ts
+++ b/packages/mesh/src/__tests__/loopback.ts
@@ -2,6 +2,7 @@
 
 import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
+import * as networkAddress from '../networkAddress.js';
 
 const POLL_MS = 5;
 
@@ -20,3 +21,17 @@
   });
   return `127.0.0.1:${port}`;
 }
+
+/** Waits until connections to the address are accepted. */
+export async function untilListening(address: string): Promise<void> {
+  let isListening = false;
+  while (!isListening) {
+    const socket = net.connect(networkAddress.parse(address));
+    isListening = await new Promise((resolve) => {
+      socket.on('connect', () => resolve(true));
+      socket.on('error', () => resolve(false));
+    });
+    socket.destroy();
+    if (!isListening) await timers.setTimeout(POLL_MS);
+  }
+}
--- a/packages/mesh/src/callers/__tests__/callerFixtures.ts
+++ b/packages/mesh/src/callers/__tests__/callerFixtures.ts
@@ -32,7 +32,8 @@
   address: string;
 }
 
-export async function startCallerServer(): Promise<CallerServerFixture> {
+/** @param listenAddress a free one is chosen by default */
+export async function startCallerServer(listenAddress?: string): Promise<CallerServerFixture> {
   const nowMs = () => performance.now();
   const { log, lines } = fixtures.recordingLog();
   const metricsRegistry = meters.createMetrics();
@@ -66,7 +67,7 @@
   });
   const route = fixtures.route('r', { timeoutMs: 30_000, targetLatencyMs: 30_000 });
   config.offer(fixtures.configurationOf(1, [route]), { origin: 'store', name: 'store' });
-  const address = await loopback.freeAddress();
+  const address = listenAddress ?? (await loopback.freeAddress());
   await server.listen(address);
   return { server, upstream, metrics: metricsRegistry, lines, address };
 }
--- a/packages/mesh/src/callers/__tests__/callerServer.test.ts
+++ b/packages/mesh/src/callers/__tests__/callerServer.test.ts
@@ -1,9 +1,14 @@
 import * as assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
+import * as limitedHeap from '../../__tests__/limitedHeap.js';
 import * as loopback from '../../__tests__/loopback.js';
 import * as meters from '../../observability/meters.js';
 import * as callerFixtures from './callerFixtures.js';
 
+/** Old space of a worker that serves callers. */
+const HEAP_MB = 32;
+const UPLOADS = 2;
+
 const { BUFFERED_BYTES, LARGE_BYTES, answer } = callerFixtures;
 
 describe('CallerServer', { timeout: 30_000 }, () => {
@@ -200,6 +205,27 @@
     });
   });
 
+  // One object for each chunk exhausted the heap of the process.
+  it('holds uploads in chunks of one byte within a small heap', async () => {
+    const bodyBytes = 1_000_000;
+    const address = await loopback.freeAddress();
+    const module = new URL('uploadWorker.js', import.meta.url);
+    const sizes = limitedHeap.run(module, { address, uploads: UPLOADS }, HEAP_MB);
+    const head =
+      'POST /r/a HTTP/1.1\r\nHost: host.example\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n';
+    const chunks = '1\r\nx\r\n'.repeat(bodyBytes);
+    await loopback.untilListening(address);
+    for (let i = 0; i < UPLOADS; i++) {
+      const caller = new callerFixtures.Caller(address);
+      callers.push(caller);
+      caller.socket.write(`${head}${chunks}0\r\n\r\n`);
+    }
+    assert.deepEqual(
+      await sizes,
+      Array.from({ length: UPLOADS }, () => bodyBytes),
+    );
+  });
+
   // Node does not count a connection as idle before its first request. Such a request was passed on just
   // before the process exited.
   it('refuses a request that arrives after the idle connections were closed', async () => {
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -2,7 +2,7 @@
 
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import { callerConnections, ids, outgoing, type metrics } from '@godwittrack/core';
+import { byteCollector, callerConnections, ids, outgoing, type metrics } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
 import type * as observability from '../observability/decisionLog.js';
@@ -315,20 +315,24 @@
       return Buffer.alloc(0);
     }
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
-      let bytes = 0;
+      const received = new byteCollector.ByteCollector();
       const settle = (body: Buffer | null) => {
         this.bodyReads.delete(req.socket);
         resolve(body);
       };
-      const end = () => settle(Buffer.concat(chunks));
+      const end = () => settle(received.take());
       // After a parse error, Node ends neither the request nor its connection.
       this.bodyReads.set(req.socket, end);
-      req.on('data', (chunk: Buffer) => {
-        chunks.push(chunk);
-        bytes += chunk.length;
-        if (bytes > limitBytes) settle(null);
-      });
+      const add = (chunk: Buffer) => {
+        if (received.length + chunk.length <= limitBytes) {
+          received.append(chunk);
+          return;
+        }
+        req.off('data', add);
+        received.clear();
+        settle(null);
+      };
+      req.on('data', add);
       for (const event of ['end', 'close', 'error']) req.on(event, end);
     });
   }
--- a/packages/mesh/src/peers/frameSplitter.ts
+++ b/packages/mesh/src/peers/frameSplitter.ts
@@ -1,12 +1,11 @@
 /** Splits a byte stream into frames. */
 
-import { failures } from '@godwittrack/core';
+import { byteCollector, failures } from '@godwittrack/core';
 import * as frames from './frames.js';
 
 export class FrameSplitter {
-  private chunks: Buffer[] = [];
-
-  private bufferedBytes = 0;
+  /** Begin of a frame whose end has not been received. */
+  private readonly incomplete = new byteCollector.ByteCollector();
 
   /** Number of bytes that must be buffered before the next frame can be decoded. */
   private neededBytes = frames.LENGTH_BYTES;
@@ -15,10 +14,12 @@
 
   /** @throws protocolViolation */
   push(chunk: Buffer): frames.Frame[] {
-    this.chunks.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes < this.neededBytes) return [];
-    let buffered = this.chunks.length === 1 ? chunk : Buffer.concat(this.chunks);
+    let buffered = chunk;
+    if (this.incomplete.length > 0) {
+      this.incomplete.append(chunk);
+      if (this.incomplete.length < this.neededBytes) return [];
+      buffered = this.incomplete.take();
+    }
     const split: frames.Frame[] = [];
     this.neededBytes = frames.LENGTH_BYTES;
     while (buffered.length >= frames.LENGTH_BYTES) {
@@ -35,8 +36,7 @@
       buffered = buffered.subarray(this.neededBytes);
       this.neededBytes = frames.LENGTH_BYTES;
     }
-    this.chunks = buffered.length === 0 ? [] : [buffered];
-    this.bufferedBytes = buffered.length;
+    this.incomplete.append(buffered);
     return split;
   }
 }
--- a/packages/mesh/src/peers/reassembler.ts
+++ b/packages/mesh/src/peers/reassembler.ts
@@ -1,13 +1,13 @@
 /** Joins the pieces of large frames that arrive on one connection. */
 
-import { failures } from '@godwittrack/core';
+import { byteCollector, failures } from '@godwittrack/core';
 import * as frames from './frames.js';
 
 type Piece = Extract<frames.Frame, { type: 'piece' }>;
 
 export class Reassembler {
   /** Pieces of the incomplete frames, by transfer. */
-  private readonly incomplete = new Map<number, Buffer[]>();
+  private readonly incomplete = new Map<number, byteCollector.ByteCollector>();
 
   private heldBytes = 0;
 
@@ -24,18 +24,14 @@
    * @throws protocolViolation
    */
   add({ transfer, last, bytes }: Piece): frames.Frame | null {
-    const chunks = this.incomplete.get(transfer) ?? this.start(transfer);
+    const received = this.incomplete.get(transfer) ?? this.start(transfer);
     this.heldBytes += bytes.length;
     if (bytes.length === 0 || bytes.length > frames.MAX_WHOLE_FRAME_BYTES)
       this.reject(`a piece of ${bytes.length} bytes`);
     if (this.heldBytes > this.maxHeldBytes) this.reject(`${this.heldBytes} bytes in pieces`);
-    if (!last) {
-      // A copy, since the piece is a view of a receive buffer that may hold other frames.
-      chunks.push(Buffer.from(bytes));
-      return null;
-    }
-    chunks.push(bytes);
-    const message = Buffer.concat(chunks);
+    received.append(bytes);
+    if (!last) return null;
+    const message = received.take();
     this.incomplete.delete(transfer);
     this.heldBytes -= message.length;
     const frame = frames.decode(message, this.peer);
@@ -48,18 +44,18 @@
    * @throws protocolViolation
    */
   drop(transfer: number): void {
-    const chunks = this.incomplete.get(transfer);
-    if (chunks === undefined) this.reject(`unknown transfer ${transfer}`);
-    else for (const chunk of chunks) this.heldBytes -= chunk.length;
+    const received = this.incomplete.get(transfer);
+    if (received === undefined) this.reject(`unknown transfer ${transfer}`);
+    else this.heldBytes -= received.length;
     this.incomplete.delete(transfer);
   }
 
-  private start(transfer: number): Buffer[] {
+  private start(transfer: number): byteCollector.ByteCollector {
     if (transfer !== this.lastTransferId + 1) this.reject(`unknown transfer ${transfer}`);
     this.lastTransferId = transfer;
-    const chunks: Buffer[] = [];
-    this.incomplete.set(transfer, chunks);
-    return chunks;
+    const received = new byteCollector.ByteCollector();
+    this.incomplete.set(transfer, received);
+    return received;
   }
 
   private reject(detail: string): never {
--- a/packages/mesh/src/upstream/__tests__/upstreamConnection.test.ts
+++ b/packages/mesh/src/upstream/__tests__/upstreamConnection.test.ts
@@ -3,12 +3,16 @@
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import * as timers from 'node:timers/promises';
 import * as fixtures from '../../__tests__/fixtures.js';
+import * as limitedHeap from '../../__tests__/limitedHeap.js';
 import * as byteBudget from '../../limits/byteBudget.js';
 import * as upstreamConnection from '../upstreamConnection.js';
 
 /** Small, so that an endless body soon exceeds it. */
 const BODY_BUDGET_BYTES = 8 * 1024 * 1024;
 
+/** Old space of a worker that runs a connection. */
+const HEAP_MB = 32;
+
 const answer = (id: string, body: string) =>
   `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
 
@@ -248,6 +252,20 @@
       );
     }
 
+    // One object for each chunk exhausted the heap of the process after some 13 MB.
+    it('holds a body in chunks of one byte within a small heap', { timeout: 60_000 }, async () => {
+      const bodyBytes = 2 * 1024 * 1024;
+      const head = 'HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n';
+      script = (socket) => {
+        socket.write(head);
+        socket.write(Buffer.from('1\r\nx\r\n'.repeat(bodyBytes)));
+        socket.write('0\r\n\r\n');
+      };
+      const { port } = server.address() as net.AddressInfo;
+      const module = new URL('answerWorker.js', import.meta.url);
+      assert.equal(await limitedHeap.run(module, `127.0.0.1:${port}`, HEAP_MB), bodyBytes);
+    });
+
     it('is told apart from a late answer to an earlier request', async () => {
       const late = answer('0', 'x'.repeat(1024 * 1024));
       script = (socket) => socket.write(late + answer('1', 'mine'));
--- a/packages/mesh/src/upstream/upstreamConnection.ts
+++ b/packages/mesh/src/upstream/upstreamConnection.ts
@@ -5,6 +5,7 @@
  */
 
 import * as net from 'node:net';
+import { byteCollector } from '@godwittrack/core';
 import type * as byteBudget from '../limits/byteBudget.js';
 import type * as exchange from '../routing/exchange.js';
 import * as answerReader from './answerReader.js';
@@ -55,10 +56,9 @@
 
 interface IncomingAnswer {
   head: answerReader.AnswerHead;
-  chunks: Buffer[];
+  body: byteCollector.ByteCollector;
+  /** Received bytes of the body; not collected if the answer is skipped. */
   bytes: number;
-  /** Reserved in the body budget for `chunks`. */
-  reservedBytes: number;
   /** False for an answer to an earlier request, which is skipped. */
   isForPending: boolean;
 }
@@ -117,7 +117,7 @@
     this.socket.on('close', () => this.close('connection closed', 'upstream'));
     this.reader = new answerReader.AnswerReader({
       onHead: (head) => this.startAnswer(head),
-      onBody: (chunk, start, end) => this.appendBody(chunk.subarray(start, end)),
+      onBody: (chunk, start, end) => this.appendBody(chunk, start, end),
       onComplete: (surplusBytes) => this.completeAnswer(surplusBytes),
     });
     this.socket.on('data', (chunk) => this.read(chunk));
@@ -178,25 +178,21 @@
     const { requestId } = this.codec.readAnswer(head.headers);
     const isForPending =
       this.pending !== null && (requestId ?? this.pending.requestId) === this.pending.requestId;
-    this.incoming = { head, chunks: [], bytes: 0, reservedBytes: 0, isForPending };
+    this.incoming = { head, body: new byteCollector.ByteCollector(), bytes: 0, isForPending };
   }
 
-  private appendBody(chunk: Buffer): void {
+  private appendBody(chunk: Buffer, start: number, end: number): void {
     if (this.incoming === null) return;
-    this.incoming.bytes += chunk.length;
+    const bytes = end - start;
+    this.incoming.bytes += bytes;
     if (this.incoming.bytes > MAX_ANSWER_BYTES) {
       this.close('answer too large');
       return;
     }
     if (!this.incoming.isForPending) return;
-    this.nonBodyBytes -= chunk.length;
-    if (!this.bodyBudget.reserve(chunk.length)) {
-      this.close('no memory left for the answer');
-      return;
-    }
-    this.incoming.reservedBytes += chunk.length;
-    // No copy: the reader passes views of the received buffer, which nothing else modifies.
-    this.incoming.chunks.push(chunk);
+    this.nonBodyBytes -= bytes;
+    if (this.bodyBudget.reserve(bytes)) this.incoming.body.append(chunk, start, end);
+    else this.close('no memory left for the answer');
   }
 
   private completeAnswer(surplusBytes: number): void {
@@ -205,18 +201,17 @@
     if (incoming === null || !incoming.isForPending || pending === null) return;
     this.pending = null;
     this.idleSinceMs = performance.now();
-    const { head, chunks } = incoming;
+    const { head, body } = incoming;
     const { status, headers } = head;
     if (surplusBytes > 0) this.close('bytes behind an answer');
     else if (!head.isPersistent) this.close('the upstream closes');
     else this.applyKeepAlive(headers);
-    const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-    pending.settle({ type: 'answer', answer: { status, headers, body } });
+    pending.settle({ type: 'answer', answer: { status, headers, body: body.take() } });
   }
 
   /** Discards the answer that is being received and returns its bytes to the body budget. */
   private releaseIncoming(): void {
-    if (this.incoming !== null) this.bodyBudget.release(this.incoming.reservedBytes);
+    if (this.incoming !== null) this.bodyBudget.release(this.incoming.body.length);
     this.incoming = null;
   }
 
