fix(mesh): refuse requests that a stopping node would break off

Cause: a stopping node accepted requests until 66 % of the grace period (4.0 s) and answered all that were left at 91 % (5.5 s). The platform excuses requests that were sent up to 3 s after SIGTERM and are still worked on in the last sixth of the grace period, so one accepted later that needs more than 1.5 to 2.5 s is lost. A request whose body arrived after the refusal had begun was passed on all the same. A second call of stop() returned at once, and the process exited on it.

Ruled out: a later end (5.5 s leaves 0.5 s for the last answers); upstreams that stop by themselves (their deadlines were not reached, by the record of the case).

Change: new requests are refused from 2.8 s after the stop request on, 0.2 s before the platform's bound, since the signal is handled later than it is sent when the node is busy. The refusal is checked again when the body is complete. All calls of stop() wait for the same stop.

--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -267,7 +267,7 @@
   ): Promise<exchange.Outcome | LocalReply> {
     if (this.refusesRequests) {
       req.resume();
-      return localReply(503, 'this node stops', STOPPING_RETRY_MS);
+      return stoppingReply();
     }
     const current = this.options.areRolloutsKnown() ? this.options.config.current : null;
     if (current === null) {
@@ -281,6 +281,8 @@
     if (!req.complete) return localReply(400, 'the request ended early');
     await eventLoop.nextPoll();
     if (signal.aborted) return exchange.cancelled();
+    // The body may have taken long.
+    if (this.refusesRequests) return stoppingReply();
     const route = current.routes.find(req.headers.host ?? '', req.url ?? '/');
     if (route === null) return localReply(404, 'no route');
     const caller = this.options.codec.readCaller(req.headers);
@@ -471,6 +473,10 @@
   return { type: 'localReply', status, message, retryAfterMs };
 }
 
+function stoppingReply(): LocalReply {
+  return localReply(503, 'this node stops', STOPPING_RETRY_MS);
+}
+
 /** Value of the `outcome` label in metrics. */
 function outcomeLabel(outcome: exchange.Outcome | LocalReply): string {
   if (outcome.type === 'localReply') return 'timeout';
--- a/packages/mesh/src/process/__tests__/agentStop.test.ts
+++ b/packages/mesh/src/process/__tests__/agentStop.test.ts
@@ -3,89 +3,26 @@
 import * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import { afterEach, beforeEach, describe, it } from 'node:test';
-import { backoff, failures, ids } from '@godwittrack/core';
+import { ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as loopback from '../../__tests__/loopback.js';
 import * as callerFixtures from '../../callers/__tests__/callerFixtures.js';
-import type * as configuration from '../../config/configuration.js';
-import * as fleetStore from '../../config/fleetStore.js';
-import * as storeEra from '../../config/storeEra.js';
-import type * as storePosition from '../../config/storePosition.js';
-import type * as members from '../../membership/members.js';
 import * as networkAddress from '../../networkAddress.js';
 import * as meters from '../../observability/meters.js';
 import * as framedConnection from '../../peers/framedConnection.js';
 import * as frames from '../../peers/frames.js';
-import type * as phases from '../../rollouts/phases.js';
 import type * as exchange from '../../routing/exchange.js';
 import * as wiring from '../wiring.js';
+import * as constantStore from './constantStore.js';
 
 const GRACE_MS = 6_000;
 /** Time after the stop request at which slow readers read on; well within the grace period. */
 const READ_ON_AFTER_MS = 4_000;
 
-const POSITION = { era: ids.storeEra(0), revision: 1 };
-
-class ConstantResource<T> extends fleetStore.Watchable<T> {
-  constructor(private readonly value: T) {
-    super();
-  }
-
-  read(): Promise<fleetStore.ReadResult<T>> {
-    return Promise.resolve({ cursor: POSITION, value: this.value });
-  }
-
-  async watch(
-    cursor: fleetStore.Cursor,
-    waitMs: number,
-    signal: AbortSignal,
-  ): Promise<fleetStore.ReadResult<T>> {
-    await backoff.sleep(waitMs, signal);
-    return { cursor, value: null };
-  }
-}
-
-class ConstantStore extends fleetStore.FleetStore {
-  readonly era = new storeEra.StoreEra(fixtures.silentLog());
-
-  readonly configuration = new ConstantResource<configuration.Configuration>(
-    fixtures.configurationOf(1, [
-      fixtures.route('r', { timeoutMs: 30_000, targetLatencyMs: 30_000 }),
-    ]),
-  );
-
-  readonly rollouts = new ConstantResource<phases.RolloutRecord[]>([]);
-
-  recordRollout(): Promise<storePosition.StorePosition> {
-    return Promise.resolve(POSITION);
-  }
-
-  /** Whether the entry of a node cannot be written. */
-  isDown = false;
-
-  readonly writes: ('registered' | 'refused' | 'unregistered')[] = [];
-
-  registerNode(): Promise<void> {
-    this.writes.push(this.isDown ? 'refused' : 'registered');
-    if (!this.isDown) return Promise.resolve();
-    const failure = { type: 'platformUnavailable', operation: 'POST', detail: 'down' } as const;
-    return Promise.reject(failures.toError(failure));
-  }
-
-  listNodes(): Promise<members.NodeAddress[]> {
-    return Promise.resolve([]);
-  }
-
-  unregisterNode(): Promise<void> {
-    this.writes.push('unregistered');
-    return Promise.resolve();
-  }
-}
-
 describe('a node that stops', { timeout: 30_000 }, () => {
   let upstream: http.Server;
   let mesh: wiring.MeshNode;
-  let store: ConstantStore;
+  let store: constantStore.ConstantStore;
   let callerAddress: string;
   let peerAddress: string;
   let stopped: Promise<void> | null;
@@ -103,7 +40,7 @@
     callerAddress = await loopback.freeAddress();
     peerAddress = await loopback.freeAddress();
     const metricsRegistry = meters.createMetrics();
-    store = new ConstantStore();
+    store = new constantStore.ConstantStore();
     mesh = wiring.createMeshNode(
       {
         self: { ...fixtures.member('b', null), address: peerAddress },
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -32,8 +32,11 @@
 const DRAIN_AFTER_MS = 2_250;
 /** Time between a stop request and telling other nodes to send no more requests to the local upstream. */
 const WITHDRAW_AFTER_MS = 1_800;
-/** Fraction of the grace period after which new requests are refused, so that accepted ones can finish. */
-const REFUSE_AFTER_SHARE = 0.66;
+/**
+ * Time between a stop request and refusing new requests. The platform grants that requests sent up to 3 s after
+ * it may be broken off at the end of the grace period; a request that is accepted later must finish.
+ */
+const REFUSE_AFTER_MS = 2_800;
 /** Fraction of the grace period after which the process stops even if requests are in flight. */
 const STOP_BY_SHARE = 0.91;
 const STOP_POLL_MS = 50;
@@ -72,7 +75,8 @@
 }
 
 export class Agent {
-  private stopping = false;
+  /** Resolves when the node has stopped; null until a stop is requested. */
+  private stopped: Promise<void> | null = null;
 
   /** The list of nodes has been read from the store. */
   private joined = false;
@@ -92,7 +96,7 @@
 
   /** Whether callers should send new requests to this node; reported to readiness probes. */
   get ready(): boolean {
-    return !this.stopping && this.parts.config.current !== null && this.parts.rollouts.isSynced;
+    return !this.isStopping && this.parts.config.current !== null && this.parts.rollouts.isSynced;
   }
 
   async start(): Promise<void> {
@@ -112,10 +116,20 @@
     }, TICK_MS);
   }
 
-  /** Keeps serving until callers have moved to other nodes, then stops once no request is in flight. */
-  async stop(): Promise<void> {
-    if (this.stopping) return;
-    this.stopping = true;
+  /**
+   * Keeps serving until callers have moved to other nodes, then stops once no request is in flight. Further calls
+   * wait for the same stop.
+   */
+  stop(): Promise<void> {
+    this.stopped ??= this.drainAndStop();
+    return this.stopped;
+  }
+
+  private get isStopping(): boolean {
+    return this.stopped !== null;
+  }
+
+  private async drainAndStop(): Promise<void> {
     const { log, network, callers, settings, nowMs, peers, self } = this.parts;
     const stopRequestedMs = nowMs();
     log.info('agent', 'stop requested', { inFlight: callers.inFlightCount });
@@ -129,7 +143,7 @@
     await backoff.sleep(DRAIN_AFTER_MS - WITHDRAW_AFTER_MS);
     peers.refuseNew();
     callers.drain();
-    const refuseAtMs = stopRequestedMs + settings.graceMs * REFUSE_AFTER_SHARE;
+    const refuseAtMs = Math.min(stopRequestedMs + REFUSE_AFTER_MS, stopByMs);
     const isBusy = () => this.hasUnsentAnswers || peers.runningCount > 0;
     await this.waitWhile(isBusy, refuseAtMs);
     callers.refuseNew();
@@ -224,7 +238,7 @@
   private sendBeacon(): void {
     const { watcher, network } = this.parts;
     // A stopping node keeps watching but sends no beacons, so that the next node takes over.
-    if (this.stopping || !watcher.hasStoreContact) return;
+    if (this.isStopping || !watcher.hasStoreContact) return;
     network.broadcast(network.beacon(), { domain: true, remoteRelays: false });
   }
 
@@ -266,7 +280,7 @@
 
   /** A restored store may have lost the entries of this node and of nodes that joined since the copy. */
   private joinAgain(): void {
-    if (this.stopping) return;
+    if (this.isStopping) return;
     const delayMs = this.joined ? this.parts.random() * JOIN_AGAIN_SPREAD_MS : 0;
     this.joinEnded = Promise.all([this.joinEnded, this.join(delayMs)]).then(() => undefined);
   }
@@ -279,7 +293,7 @@
     const { signal } = this.joining;
     await backoff.sleep(delayMs, signal);
     // A stopping node may have removed its entry.
-    if (this.stopping) return;
+    if (this.isStopping) return;
     const delays = new backoff.Backoff({
       initialMs: REGISTER_RETRY_INITIAL_MS,
       maxMs: REGISTER_RETRY_MAX_MS,
