fix(mesh): notice silent connections to the store in time

Cause: a watch waits 4 s for a configuration and 8 s for rollouts, and counts as lost 1.5 s later. A connection that has gone silent without a reset shows only by that, and the node goes on sending beacons meanwhile, so that no other node of its domain looks. Further calls take idle connections of the pool, which are silent too, and wait 1.5 s on each.

Ruled out: the keep-alive of TCP (Node sets neither interval nor count, and a middlebox answers it); shorter watches alone (2.45 s for both would double the calls to the store, which have a price); a shorter time-out of all calls (a slow store would cost the contact to it).

Change: the watches of a node end in turn, one every 2.45 s (WatchSchedule), at 0.408 calls a second for a watching node instead of 0.375. A watch that is overdue by 250 ms is checked by a read on a new connection; if that answers first, all open connections are closed and their calls made again. If the watch answers first or the check fails, nothing changes. Three log lines tell overdue, silent and failed checks apart.

--- a/packages/mesh/src/config/__tests__/storeWatcher.test.ts
+++ b/packages/mesh/src/config/__tests__/storeWatcher.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
-import { failures, ids } from '@godwittrack/core';
+import * as timers from 'node:timers/promises';
+import { backoff, failures, ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as loopback from '../../__tests__/loopback.js';
 import * as members from '../../membership/members.js';
@@ -56,14 +57,66 @@
   }
 }
 
-class Resource extends storeWatcher.WatchedResource<number> {
-  readonly name = 'resource';
+/** A store whose open connections can go silent. */
+class SilentStore extends fleetStore.Watchable<number> {
+  /** Times of the reads, by the clock of the process. */
+  readonly readsMs: number[] = [];
+
+  dropped = 0;
+
+  isSilent = false;
+
+  /** Whether the store answers on new connections. */
+  isReachable = true;
+
+  async read(
+    signal: AbortSignal,
+    connection?: fleetStore.ConnectionChoice,
+  ): Promise<fleetStore.ReadResult<number>> {
+    this.readsMs.push(performance.now());
+    if (!this.isReachable) throw failures.toError(SilentStore.failure);
+    if (this.isSilent && connection !== 'new') await SilentStore.untilAborted(signal);
+    return { cursor: { era: ids.storeEra(1), revision: 1 }, value: 1 };
+  }
+
+  async watch(
+    cursor: fleetStore.Cursor,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<fleetStore.ReadResult<number>> {
+    await backoff.sleep(waitMs, signal);
+    if (this.isSilent) await SilentStore.untilAborted(signal);
+    return { cursor, value: null };
+  }
+
+  drop(): void {
+    this.dropped += 1;
+    this.isSilent = false;
+  }
+
+  private static readonly failure = {
+    type: 'platformUnavailable',
+    operation: 'read',
+    detail: 'status 503',
+  } as const;
+
+  private static untilAborted(signal: AbortSignal): Promise<never> {
+    return new Promise((_resolve, reject) => {
+      signal.addEventListener('abort', () => reject(failures.toError(SilentStore.failure)));
+    });
+  }
+}
 
-  protected readonly watchTimeoutMs = 4_000;
+class Resource extends storeWatcher.WatchedResource<number> {
+  readonly name: string = 'resource';
 
   protected apply(): void {}
 }
 
+class Other extends Resource {
+  override readonly name = 'other';
+}
+
 describe('StoreWatcher', { timeout: 20_000 }, () => {
   const first = fixtures.member('a');
   const second = fixtures.member('b');
@@ -86,6 +139,7 @@
     const watcher = new storeWatcher.StoreWatcher([new Resource(store)], {
       table: new members.MemberTable(self),
       watcherCandidates: () => candidates,
+      dropConnections: () => undefined,
       log: fixtures.silentLog(),
       nowMs: () => now,
     });
@@ -188,6 +242,56 @@
     assert.equal(contacts, 1);
   });
 
+  describe('with connections that go silent', () => {
+    /** Time within which a configuration must be in force after a silence, less the time to forward it. */
+    const MAX_SILENCE_MS = 3_000 - 200;
+    /** Moments of a whole period of the watches. */
+    const MOMENTS_MS = [0, 700, 1_400, 2_100, 2_800, 3_500, 4_200, 4_900];
+
+    function watchSilent(store: SilentStore): storeWatcher.StoreWatcher {
+      const watcher = new storeWatcher.StoreWatcher([new Resource(store), new Other(store)], {
+        table: new members.MemberTable(first),
+        watcherCandidates: () => candidates,
+        dropConnections: () => store.drop(),
+        log: fixtures.silentLog(),
+        nowMs: () => performance.now(),
+      });
+      watchers.push(watcher);
+      watcher.updateRole();
+      return watcher;
+    }
+
+    async function silenceNoticedAfterMs(atMs: number): Promise<number> {
+      const store = new SilentStore();
+      watchSilent(store);
+      await timers.setTimeout(atMs);
+      store.isSilent = true;
+      const silentMs = performance.now();
+      await loopback.until(() => store.dropped > 0);
+      return store.readsMs.find((readMs) => readMs > silentMs)! - silentMs;
+    }
+
+    // Silence was noticed after the longest wait of a watch and a time-out.
+    it('reads again in time, whenever the silence begins', async () => {
+      const delaysMs = await Promise.all(MOMENTS_MS.map(silenceNoticedAfterMs));
+      assert.ok(Math.max(...delaysMs) <= MAX_SILENCE_MS, delaysMs.join(', '));
+    });
+
+    // Otherwise a store that is slow would cost the contact to it.
+    it('keeps the connections and the contact if the check fails', async () => {
+      const store = new SilentStore();
+      const watcher = watchSilent(store);
+      await loopback.until(() => watcher.hasStoreContact);
+      const reads = store.readsMs.length;
+      store.isSilent = true;
+      store.isReachable = false;
+      await loopback.until(() => store.readsMs.length > reads);
+      await timers.setTimeout(100);
+      assert.equal(store.dropped, 0);
+      assert.equal(watcher.hasStoreContact, true);
+    });
+  });
+
   it('keeps watching after a single failed call', async () => {
     const store = new SwitchableStore();
     const watching = createWatcher(first, store);
--- a/packages/mesh/src/config/fleetStore.ts
+++ b/packages/mesh/src/config/fleetStore.ts
@@ -15,9 +15,13 @@
   value: T | null;
 }
 
+/** Which connection a call uses: one that may be open already, or a new one, which has not gone silent. */
+export type ConnectionChoice = 'any' | 'new';
+
 /** A resource in the store that can be read and watched. Fails with the same errors as `FleetStore`. */
 export abstract class Watchable<T> {
-  abstract read(signal: AbortSignal): Promise<ReadResult<T>>;
+  /** @param connection `any` by default */
+  abstract read(signal: AbortSignal, connection?: ConnectionChoice): Promise<ReadResult<T>>;
 
   /**
    * Waits up to `waitMs` for a change after `cursor`; the value is null if there was none. Fails with
@@ -53,4 +57,7 @@
   abstract listNodes(): Promise<members.NodeAddress[]>;
 
   abstract unregisterNode(address: members.NodeAddress): Promise<void>;
+
+  /** Closes the connections that are open; calls that wait on them fail with `platformUnavailable`. */
+  abstract dropConnections(): void;
 }
--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -9,10 +9,12 @@
 import type * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import type * as phases from '../rollouts/phases.js';
+import * as eventLoop from '../eventLoop.js';
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
 import type * as configHolder from './configHolder.js';
 import type * as configuration from './configuration.js';
 import type * as fleetStore from './fleetStore.js';
+import * as watchSchedule from './watchSchedule.js';
 
 /** Interval of the beacons that a watching node sends to the nodes of its failure domain. */
 export const BEACON_INTERVAL_MS = 400;
@@ -20,29 +22,41 @@
 const BEACON_TIMEOUT_MS = 1_000;
 /** Time that each further candidate has for its first beacon, which it sends with its first response. */
 const TAKEOVER_TIMEOUT_MS = 400;
-/** Longest wait of one watch call. Limits how long a dead connection can go unnoticed. */
-const CONFIG_WATCH_TIMEOUT_MS = 4_000;
-const ROLLOUTS_WATCH_TIMEOUT_MS = 8_000;
+/** Time between the ends of two watches, unless there are changes. Limits how long silence goes unnoticed. */
+const WATCH_INTERVAL_MS = 2_450;
+/** Time beyond its wait after which a watch that has not ended is checked on a new connection. */
+const OVERDUE_MS = 250;
 const RETRY_INITIAL_MS = 100;
 const RETRY_MAX_MS = 1_000;
 /** Time since the last response after which the store counts as unreachable although no call has failed. */
-const STORE_CONTACT_TIMEOUT_MS = CONFIG_WATCH_TIMEOUT_MS + 2_000;
+const STORE_CONTACT_TIMEOUT_MS = WATCH_INTERVAL_MS + 2_000;
 
 /** A resource of the store that is read once and then watched for changes. */
 export abstract class WatchedResource<T> {
   abstract readonly name: string;
 
-  protected abstract readonly watchTimeoutMs: number;
-
   constructor(private readonly source: fleetStore.Watchable<T>) {}
 
-  /** Reads the resource, or waits for a change after `cursor`, and applies the result. */
-  async poll(cursor: fleetStore.Cursor | null, signal: AbortSignal): Promise<fleetStore.Cursor> {
-    const reading = await (cursor === null
-      ? this.source.read(signal)
-      : this.source.watch(cursor, this.watchTimeoutMs, signal));
-    this.apply(reading.value);
-    return reading.cursor;
+  /** Reads the resource and applies what was read. */
+  async read(
+    signal: AbortSignal,
+    connection: fleetStore.ConnectionChoice,
+  ): Promise<fleetStore.Cursor> {
+    return this.applyResult(await this.source.read(signal, connection));
+  }
+
+  /** Waits up to `waitMs` for a change after `cursor`, and applies it. */
+  async watch(
+    cursor: fleetStore.Cursor,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<fleetStore.Cursor> {
+    return this.applyResult(await this.source.watch(cursor, waitMs, signal));
+  }
+
+  private applyResult({ value, cursor }: fleetStore.ReadResult<T>): fleetStore.Cursor {
+    this.apply(value);
+    return cursor;
   }
 
   /** @param value null if nothing changed or if the value cannot be decoded */
@@ -52,8 +66,6 @@
 export class WatchedConfiguration extends WatchedResource<configuration.Configuration> {
   readonly name = 'configuration';
 
-  protected readonly watchTimeoutMs = CONFIG_WATCH_TIMEOUT_MS;
-
   constructor(
     source: fleetStore.Watchable<configuration.Configuration>,
     private readonly config: configHolder.ConfigHolder,
@@ -69,8 +81,6 @@
 export class WatchedRollouts extends WatchedResource<phases.RolloutRecord[]> {
   readonly name = 'rollouts';
 
-  protected readonly watchTimeoutMs = ROLLOUTS_WATCH_TIMEOUT_MS;
-
   constructor(
     source: fleetStore.Watchable<phases.RolloutRecord[]>,
     private readonly rollouts: rolloutTable.RolloutTable,
@@ -88,6 +98,8 @@
   table: members.MemberTable;
   /** Reachable nodes of the same failure domain; the first one watches the store. */
   watcherCandidates: () => readonly members.Member[];
+  /** Closes the open connections to the store. */
+  dropConnections: () => void;
   log: observability.DecisionLog;
   nowMs: () => number;
 }
@@ -95,6 +107,8 @@
 export class StoreWatcher {
   private readonly watchLoops: AbortController[] = [];
 
+  private readonly schedule = new watchSchedule.WatchSchedule(WATCH_INTERVAL_MS);
+
   private watching = false;
 
   private readonly beaconReceivedAtMs = new Map<ids.NodeId, number>();
@@ -198,7 +212,9 @@
     let cursor: fleetStore.Cursor | null = null;
     while (!signal.aborted) {
       try {
-        cursor = await resource.poll(cursor, signal);
+        cursor = await (cursor === null
+          ? resource.read(signal, 'any')
+          : this.watch(resource, cursor, signal));
         if (signal.aborted) return;
         this.recordResponse(resource);
         retryDelays.reset();
@@ -219,6 +235,68 @@
     }
   }
 
+  /**
+   * Waits for a change. If the watch does not end in time, the resource is read on a new connection: an answer
+   * there that comes first shows that the open connections have gone silent.
+   */
+  private async watch(
+    resource: WatchedResource<unknown>,
+    cursor: fleetStore.Cursor,
+    signal: AbortSignal,
+  ): Promise<fleetStore.Cursor> {
+    const calls = new AbortController();
+    const abortCalls = () => calls.abort();
+    signal.addEventListener('abort', abortCalls, { once: true });
+    const waitMs = this.schedule.begin(resource.name, this.options.nowMs());
+    const watching = resource.watch(cursor, waitMs, calls.signal);
+    try {
+      const overdue = this.waitUntilOverdue(waitMs, calls.signal);
+      const ended = await Promise.race([watching, overdue]);
+      if (ended !== null) return ended;
+      const reading = this.checkSilence(resource, calls.signal);
+      // A failed check decides nothing; the watch has a time limit of its own.
+      return await Promise.race([watching, reading.then((checked) => checked ?? watching)]);
+    } finally {
+      signal.removeEventListener('abort', abortCalls);
+      this.schedule.end(resource.name);
+      calls.abort();
+    }
+  }
+
+  private async waitUntilOverdue(waitMs: number, signal: AbortSignal): Promise<null> {
+    await backoff.sleep(waitMs + OVERDUE_MS, signal);
+    // After a pause of the process, the answer may have arrived although the timer comes first.
+    await eventLoop.nextPoll();
+    return null;
+  }
+
+  /**
+   * Reads a resource on a new connection, and closes the open ones if that succeeds before the watch ends.
+   * @returns null if the read fails or is aborted
+   */
+  private async checkSilence(
+    resource: WatchedResource<unknown>,
+    signal: AbortSignal,
+  ): Promise<fleetStore.Cursor | null> {
+    const { log, dropConnections } = this.options;
+    const subject = resource.name;
+    log.info('store', 'a watch is overdue', { subject });
+    try {
+      const cursor = await resource.read(signal, 'new');
+      if (signal.aborted) return null;
+      log.info('store', 'open connections to the store are silent', { subject });
+      dropConnections();
+      return cursor;
+    } catch (err) {
+      if (!signal.aborted)
+        log.info('store', 'could not check an overdue watch', {
+          subject,
+          failure: failures.fromError(err),
+        });
+      return null;
+    }
+  }
+
   private recordResponse(resource: WatchedResource<unknown>): void {
     const hadContact = this.hasStoreContact;
     this.lastContactMs = this.options.nowMs();
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -141,7 +141,13 @@
       new storeWatcher.WatchedConfiguration(platform.store.configuration, config),
       new storeWatcher.WatchedRollouts(platform.store.rollouts, rollouts),
     ],
-    { table, watcherCandidates: () => network.watcherCandidates(), log, nowMs },
+    {
+      table,
+      watcherCandidates: () => network.watcherCandidates(),
+      dropConnections: () => platform.store.dropConnections(),
+      log,
+      nowMs,
+    },
   );
   const dispatch = new dispatcher.Dispatcher({
     table,
--- a/packages/mesh/src/rollouts/__tests__/rolloutController.test.ts
+++ b/packages/mesh/src/rollouts/__tests__/rolloutController.test.ts
@@ -61,6 +61,8 @@
   listNodes = () => assert.fail('not listed');
 
   unregisterNode = () => assert.fail('not unregistered');
+
+  dropConnections = () => assert.fail('connections were dropped');
 }
 
 describe('RolloutController', () => {
