fix(mesh): read no status line of another version as a reason

Cause: a broken status line in front of another one was noticed only where the second names HTTP/1.0 or 1.1.

--- a/packages/mesh/src/upstream/__tests__/answerReader.test.ts
+++ b/packages/mesh/src/upstream/__tests__/answerReader.test.ts
@@ -253,6 +253,7 @@
       ['a line without CR', 'HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n'],
       ['another status line among the headers', sizedHead('HTTP/1.1 500 X')],
       ['another status line in a header', sizedHead('A: HTTP/1.1 500 X')],
+      ['a status line of another version in the reason', 'HTTP/1.1 200 HTTP/3.1 503 X\r\n'],
       ['another status line in the reason', 'HTTP/1.1 200 OKHTTP/1.1 500 X\r\n'],
       ['another version', 'HTTP/2.0 200 OK\r\n'],
       ['a status of two digits', 'HTTP/1.1 20 OK\r\n'],
--- a/packages/mesh/src/upstream/answerReader.ts
+++ b/packages/mesh/src/upstream/answerReader.ts
@@ -20,7 +20,7 @@
 const HEADER_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
 /** A status line within a head: the head was broken off, and another answer follows. */
-const INNER_STATUS_LINE = /.HTTP\/1\.[01] [1-5]\d\d/;
+const INNER_STATUS_LINE = /.HTTP\/\d\.\d [1-5]\d\d/;
 const CONTENT_LENGTH = /^\d{1,15}$/;
 
 export interface AnswerHead {
