test(playground): stops that overlap, with real processes

SIGTERM once and several times, SIGHUP in between, SIGTERM while a node starts, several nodes at once; bodies that arrive during a stop; callers go on until the process is gone.

--- a/playground/src/usersPlatform/__tests__/overlappingStops.test.ts
+++ b/playground/src/usersPlatform/__tests__/overlappingStops.test.ts
@@ -79,6 +79,9 @@
 
   private readonly stops: Stop[] = [];
 
+  /** Nodes that are being stopped and started again. */
+  private readonly cycling = new Set<nodeProcess.NodeProcess>();
+
   private isCalling = true;
 
   constructor(seed: number) {
@@ -197,14 +200,13 @@
   /** Stops a node with signals in a series, and starts it again. */
   private async stopOne(): Promise<void> {
     await timers.setTimeout(this.plan.integer(0, STOPS_MS));
-    const running = this.nodes.filter(
-      ({ name, program }) =>
-        program.isRunning && !this.stops.some((stop) => stop.node === name && stop.endedMs === 0),
-    );
-    if (running.length === 0) return;
-    const node = this.plan.pick(running);
+    const idle = this.nodes.filter((each) => !this.cycling.has(each));
+    if (idle.length === 0) return;
+    const node = this.plan.pick(idle);
+    this.cycling.add(node);
     await this.stopWithSignals(node);
     await this.restart(node);
+    this.cycling.delete(node);
   }
 
   private async stopWithSignals(node: nodeProcess.NodeProcess): Promise<void> {
