--- a/packages/mesh/src/process/__tests__/agentRefusal.test.ts
+++ b/packages/mesh/src/process/__tests__/agentRefusal.test.ts
@@ -2,16 +2,14 @@
 import * as http from 'node:http';
 import * as timers from 'node:timers/promises';
 import { afterEach, beforeEach, describe, it } from 'node:test';
-import { ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as loopback from '../../__tests__/loopback.js';
 import * as callerFixtures from '../../callers/__tests__/callerFixtures.js';
 import * as networkAddress from '../../networkAddress.js';
-import * as meters from '../../observability/meters.js';
-import * as wiring from '../wiring.js';
+import type * as wiring from '../wiring.js';
 import * as constantStore from './constantStore.js';
+import * as stoppableNode from './stoppableNode.js';
 
-const GRACE_MS = 6_000;
 /** Requests that are sent later after a stop request must not be broken off. */
 const EXCUSED_UNTIL_MS = 3_000;
 /** Longer than what is left of the grace period at `EXCUSED_UNTIL_MS`. */
@@ -60,20 +58,7 @@
   async function startNode(name: string, upstreamAddress: string): Promise<wiring.MeshNode> {
     const self = { ...fixtures.member(name, null), address: await loopback.freeAddress() };
     callerAddress = await loopback.freeAddress();
-    const node = wiring.createMeshNode(
-      {
-        self,
-        service: ids.serviceName('shop'),
-        callerAddress,
-        upstreamAddress,
-        graceMs: GRACE_MS,
-        retryRatio: 0.2,
-        retryExtra: 64,
-      },
-      { store, codec: new fixtures.TestHeaders() },
-      fixtures.silentLog(),
-      meters.createMetrics(),
-    );
+    const node = stoppableNode.create({ self, callerAddress, upstreamAddress, store });
     store.nodes = [...store.nodes, self];
     await node.agent.start();
     return node;
--- a/packages/mesh/src/process/__tests__/agentStop.test.ts
+++ b/packages/mesh/src/process/__tests__/agentStop.test.ts
@@ -8,14 +8,13 @@
 import * as loopback from '../../__tests__/loopback.js';
 import * as callerFixtures from '../../callers/__tests__/callerFixtures.js';
 import * as networkAddress from '../../networkAddress.js';
-import * as meters from '../../observability/meters.js';
 import * as framedConnection from '../../peers/framedConnection.js';
 import * as frames from '../../peers/frames.js';
 import type * as exchange from '../../routing/exchange.js';
-import * as wiring from '../wiring.js';
+import type * as wiring from '../wiring.js';
 import * as constantStore from './constantStore.js';
+import * as stoppableNode from './stoppableNode.js';
 
-const GRACE_MS = 6_000;
 /** Time after the stop request at which slow readers read on; well within the grace period. */
 const READ_ON_AFTER_MS = 4_000;
 
@@ -39,22 +38,9 @@
     await networkAddress.listen(upstream, upstreamAddress);
     callerAddress = await loopback.freeAddress();
     peerAddress = await loopback.freeAddress();
-    const metricsRegistry = meters.createMetrics();
     store = new constantStore.ConstantStore();
-    mesh = wiring.createMeshNode(
-      {
-        self: { ...fixtures.member('b', null), address: peerAddress },
-        service: ids.serviceName('shop'),
-        callerAddress,
-        upstreamAddress,
-        graceMs: GRACE_MS,
-        retryRatio: 0.2,
-        retryExtra: 64,
-      },
-      { store, codec: new fixtures.TestHeaders() },
-      fixtures.silentLog(),
-      metricsRegistry,
-    );
+    const self = { ...fixtures.member('b', null), address: peerAddress };
+    mesh = stoppableNode.create({ self, callerAddress, upstreamAddress, store });
     await mesh.agent.start();
     mesh.upstream.announce(fixtures.announcement({ address: upstreamAddress }));
     await loopback.until(() => mesh.agent.ready);
