feat(mesh): log the evidence behind each phase of a rollout

The log said that a phase began, not on what evidence, how late, and with which nodes in reach, so it could not tell the hypotheses of the incident apart. The new line of the node in charge has the counts of both versions; the new counter tells offers to the target that no share had chosen. No decision changes.

--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -16,6 +16,7 @@
 export const WAIT_SECONDS = 'godwittrack_wait_seconds';
 export const STORE_CALLS = 'godwittrack_store_calls_total';
 export const ROLLOUT_PHASES = 'godwittrack_rollout_phases_total';
+export const ROLLOUT_OFFERS = 'godwittrack_rollout_offers_total';
 export const LOG_LINES_DROPPED = 'godwittrack_log_lines_dropped_total';
 export const CONFIG_VERSION = 'godwittrack_config_version';
 export const CONFIG_ADVERTISED_VERSION = 'godwittrack_config_advertised_version';
@@ -56,6 +57,8 @@
   [WAIT_SECONDS]: 'Time that requests waited here for the upstream on this host, by route.',
   [STORE_CALLS]: "Calls to the platform's store, by purpose and by status.",
   [ROLLOUT_PHASES]: 'Phases of rollouts that came into force here.',
+  [ROLLOUT_OFFERS]:
+    'Requests of callers on this host offered to a service that has a rollout, by version and by what was chosen.',
   [LOG_LINES_DROPPED]: 'Log lines that were left out to bound the volume, by component.',
   [CONFIG_VERSION]: 'Version of the configuration in force; 0 while there is none.',
   [CONFIG_ADVERTISED_VERSION]:
--- a/packages/mesh/src/rollouts/rolloutController.ts
+++ b/packages/mesh/src/rollouts/rolloutController.ts
@@ -101,6 +101,9 @@
       const next = this.nextPhase(state, newest.learnedAtMs, progress.sinceMs);
       if (next !== null) {
         const { phase, reason } = next;
+        if (phase !== 'completed' || !progress.recording) {
+          this.logDecision(state, phase, newest.learnedAtMs);
+        }
         if (phase === 'completed') this.tryRecord(state, 'completed', progress);
         else this.options.rollouts.advance(service, state.target, phase, reason);
       } else {
@@ -143,6 +146,21 @@
     }
   }
 
+  private logDecision(state: phases.RolloutState, next: phases.Phase, learnedAtMs: number): void {
+    const { service, target, phase, durationMs } = state;
+    this.options.log.info('rollouts', 'rollout phase decided', {
+      service,
+      target,
+      phase,
+      next,
+      elapsedMs: Math.round(this.options.nowMs() - learnedAtMs),
+      durationMs,
+      upstreams: this.countUpstreams(state),
+      reached: this.options.reachable().length,
+      evidence: this.options.comparison.counts(service, target),
+    });
+  }
+
   /** Whether other versions have had no traffic for long enough to be stopped. */
   private hasServedAlone(state: phases.RolloutState, sinceMs: number): boolean {
     if (this.options.nowMs() - sinceMs <= FULL_PHASE_MS) return false;
--- a/packages/mesh/src/rollouts/versionComparison.ts
+++ b/packages/mesh/src/rollouts/versionComparison.ts
@@ -12,6 +12,14 @@
 /** Upstreams are up to twice as slow for some seconds after they start, so the limit is above that. */
 const MAX_LATENCY_RATIO = 2.8;
 
+/** Counts over all routes, for the log. */
+export interface VersionCounts {
+  requests: number;
+  failures: number;
+  /** Mean response time of the requests that did not fail; null if there are none. */
+  meanMs: number | null;
+}
+
 export type ComparisonResult =
   { passed: true; requests: number } | { passed: false; reason: string };
 
@@ -34,6 +42,17 @@
     return { passed: true, requests };
   }
 
+  /** Counts of the target and of the other versions, as far as they were reported here. */
+  counts(
+    service: ids.ServiceName,
+    target: ids.VersionName,
+  ): { target: VersionCounts; others: VersionCounts } {
+    return {
+      target: total(this.sum(service, (version) => version === target).values()),
+      others: total(this.sum(service, (version) => version !== target).values()),
+    };
+  }
+
   private sum(
     service: ids.ServiceName,
     includes: (version: ids.VersionName) => boolean,
@@ -71,3 +90,15 @@
   const ratio = seen.totalMs / answers / (stable!.totalMs / stableAnswers);
   return ratio > MAX_LATENCY_RATIO ? `${ratio.toFixed(1)} times as slow on ${route}` : null;
 }
+
+function total(routes: Iterable<evidence.RouteEvidence>): VersionCounts {
+  const all = { requests: 0, failures: 0, totalMs: 0 };
+  for (const counts of routes) {
+    all.requests += counts.requests;
+    all.failures += counts.failures;
+    all.totalMs += counts.totalMs;
+  }
+  const { requests, failures } = all;
+  const answers = requests - failures;
+  return { requests, failures, meanMs: answers === 0 ? null : Math.round(all.totalMs / answers) };
+}
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -128,6 +128,7 @@
       }
       const choice = this.chooseCandidate(req, service, versionChoice, verdict, progress);
       if (choice === null) break;
+      this.countRolloutOffer(choice.candidate.node, versionChoice);
       const outcome = await this.offer(req, choice, verdict, progress, signal);
       if (outcome !== null) return outcome;
       // Which nodes have room differs between attempts, so two of them could run at the same time.
@@ -161,6 +162,15 @@
     return { version: target, isChosen: share >= 1 || this.options.random() < share };
   }
 
+  private countRolloutOffer(node: ids.NodeId, choice: VersionChoice | null): void {
+    const upstream = this.options.table.get(node)?.upstream;
+    if (choice === null || upstream == null) return;
+    this.options.meters.increment(meters.ROLLOUT_OFFERS, {
+      version: upstream.version === choice.version ? 'target' : 'other',
+      chosen: choice.isChosen ? 'target' : 'other',
+    });
+  }
+
   private chooseCandidate(
     req: CallerRequest,
     service: ids.ServiceName,
