--- /dev/null
+++ b/packages/mesh/src/rollouts/__tests__/exposure.test.ts
@@ -0,0 +1,199 @@
+/**
+ * Plays rollouts in a simulated fleet. `ROLLOUT_SEEDS` and `ROLLOUT_FIRST_SEED` choose the seeds of a long
+ * run.
+ */
+
+import * as assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import * as rolloutSimulation from './rolloutSimulation.js';
+
+const FIRST_SEED = Number(process.env.ROLLOUT_FIRST_SEED ?? 1);
+const SEEDS = Number(process.env.ROLLOUT_SEEDS ?? 3);
+
+/** Requests that a bad version may get between the order and the deadline: a share of all, and some more. */
+const EXPOSURE_SHARE = 0.1;
+const EXPOSURE_SLACK = 50;
+
+const ORDER = { durationMs: 16_000, requestsPerSecond: 330 };
+
+type Options = Omit<rolloutSimulation.SimulationOptions, 'seed'>;
+type Failure = rolloutSimulation.SimulationOptions['targetFailure'];
+
+const never: Failure = () => 0;
+
+/** Fails `share` of the requests from a time since the first upstream of the version started. */
+function failsFrom(startMs: number, share: number): Failure {
+  return ({ sinceStartMs }) => (sinceStartMs >= startMs ? share : 0);
+}
+
+function failsUnderLoad(share: number): Failure {
+  return ({ running }) => (running >= 3 ? share : 0);
+}
+
+function failsOnRoute(share: number): Failure {
+  return ({ route }) => (route === 'b' ? share : 0);
+}
+
+function forEachSeed(
+  name: string,
+  options: Options,
+  check: (result: rolloutSimulation.SimulationResult) => void,
+): void {
+  it(name, async () => {
+    for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) {
+      const result = await new rolloutSimulation.RolloutSimulation({ ...options, seed }).run();
+      try {
+        check(result);
+      } catch (err) {
+        throw new Error(`seed ${seed}: ${JSON.stringify(result)}`, { cause: err });
+      }
+    }
+  });
+}
+
+function assertBounded({ atTarget, atService }: rolloutSimulation.SimulationResult): void {
+  assert.ok(atTarget <= EXPOSURE_SHARE * atService + EXPOSURE_SLACK, 'too many requests');
+}
+
+function assertRolledBack(result: rolloutSimulation.SimulationResult): void {
+  assertBounded(result);
+  assert.equal(result.outcome, 'rolledBack');
+  assert.equal(result.late, 0);
+}
+
+describe('a version that is being rolled out', () => {
+  // A version that turned bad after the last step got all requests for seconds, or was completed: its
+  // requests were bounded by nothing but the evidence against it.
+  describe('that turns bad', () => {
+    const startsMs = [0, 3_000, 6_000, 9_000, 12_000];
+    for (const startMs of startsMs) {
+      const targetFailure = failsFrom(startMs, 0.5);
+      forEachSeed(
+        `after ${startMs} ms is rolled back in time`,
+        { ...ORDER, targetFailure },
+        assertRolledBack,
+      );
+    }
+
+    for (const startMs of [13_000, 13_500, 14_000, 14_500]) {
+      const targetFailure = failsFrom(startMs, 0.5);
+      forEachSeed(
+        `after ${startMs} ms gets few requests`,
+        { ...ORDER, targetFailure },
+        assertBounded,
+      );
+    }
+
+    for (const durationMs of [9_000, 12_000, 20_000, 40_000]) {
+      const targetFailure = failsFrom(0.5 * durationMs, 0.5);
+      const options = { ...ORDER, durationMs, targetFailure };
+      forEachSeed(`is rolled back in time within ${durationMs} ms`, options, assertRolledBack);
+    }
+  });
+
+  describe('that fails', () => {
+    // A small share of failures was taken as chance, however many responses there were.
+    for (const share of [0.5, 0.2, 0.08, 0.05]) {
+      const targetFailure = failsFrom(0, share);
+      forEachSeed(
+        `a share of ${share} is rolled back`,
+        { ...ORDER, targetFailure },
+        assertRolledBack,
+      );
+    }
+
+    for (const share of [0.02, 0.01]) {
+      const targetFailure = failsFrom(0, share);
+      forEachSeed(
+        `a share of ${share} gets few requests`,
+        { ...ORDER, targetFailure },
+        assertBounded,
+      );
+    }
+
+    for (const share of [0.5, 0.15, 0.08]) {
+      const targetFailure = failsUnderLoad(share);
+      forEachSeed(
+        `a share of ${share} under load is rolled back`,
+        { ...ORDER, targetFailure },
+        assertRolledBack,
+      );
+    }
+
+    for (const share of [0.5, 0.2]) {
+      const targetFailure = failsOnRoute(share);
+      forEachSeed(
+        `a share of ${share} on a route is rolled back`,
+        { ...ORDER, targetFailure },
+        assertRolledBack,
+      );
+    }
+
+    // The limits were multiples of what the old version does.
+    forEachSeed(
+      'beside an old version that fails too is rolled back',
+      { ...ORDER, targetFailure: failsFrom(0, 0.75), stableFailure: () => 0.45 },
+      assertRolledBack,
+    );
+  });
+
+  // Late in the ordered time a leader went on without any evidence.
+  describe('under a leader that is cut off', () => {
+    // The second half of the nodes is beside the target.
+    for (const cut of [[0], [0, 1, 2, 3, 4, 5], [3, 4, 5, 6, 7, 8]]) {
+      for (const untilMs of [8_000, 15_000, 20_000]) {
+        const cutOff = (ms: number) => (ms > 1_000 && ms < untilMs ? cut : []);
+        for (const share of [0.5, 0.02]) {
+          const targetFailure = failsFrom(0, share);
+          forEachSeed(
+            `gets few requests, nodes ${cut.join()} until ${untilMs} ms, share ${share}`,
+            { ...ORDER, targetFailure, cutOff },
+            assertBounded,
+          );
+        }
+      }
+    }
+  });
+
+  describe('while the store is away', () => {
+    for (const fromMs of [13_000, 14_500, 15_000, 15_300]) {
+      const isStoreAway = (ms: number) => ms > fromMs && ms < fromMs + 6_000;
+      forEachSeed(
+        `gets few requests, from ${fromMs} ms on`,
+        { ...ORDER, targetFailure: failsFrom(13_000, 0.03), isStoreAway },
+        assertBounded,
+      );
+      forEachSeed(
+        `is completed later if it is good, from ${fromMs} ms on`,
+        { ...ORDER, targetFailure: never, isStoreAway },
+        (result) => assert.equal(result.outcome, 'completed'),
+      );
+    }
+  });
+
+  describe('that is good', () => {
+    const cases: [string, Partial<Options>][] = [
+      ['is completed by the deadline', {}],
+      [
+        'beside failures that both versions have',
+        { targetFailure: () => 0.3, stableFailure: () => 0.3 },
+      ],
+      ['with one bad host', { targetFailure: ({ upstream }) => (upstream === 2 ? 0.3 : 0) }],
+      ['in a short time', { durationMs: 9_000 }],
+      ['in a long time', { durationMs: 40_000 }],
+      ['with few requests', { requestsPerSecond: 20 }],
+      ['without requests', { requestsPerSecond: 0 }],
+      [
+        'that fails one request in a thousand, as the old one',
+        { targetFailure: () => 0.001, stableFailure: () => 0.001 },
+      ],
+    ];
+    for (const [name, options] of cases) {
+      const all = { ...ORDER, targetFailure: never, ...options };
+      forEachSeed(name, all, ({ outcome, recordedAtMs }) => {
+        assert.equal(outcome, 'completed');
+        assert.ok(recordedAtMs! <= all.durationMs, 'too late');
+      });
+    }
+  });
+});
--- /dev/null
+++ b/packages/mesh/src/rollouts/__tests__/rolloutSimulation.ts
@@ -0,0 +1,379 @@
+/**
+ * Simulates a rollout in a fleet, with simulated time and without network: every node is an entry node
+ * and runs beside one upstream, evidence and phases travel between nodes with a delay.
+ */
+
+import * as assert from 'node:assert/strict';
+import * as timers from 'node:timers/promises';
+import { failures, ids } from '@godwittrack/core';
+import * as random from 'pure-rand/generator/xoroshiro128plus';
+import * as uniform from 'pure-rand/distribution/uniformFloat64';
+import * as fixtures from '../../__tests__/fixtures.js';
+import * as fleetStore from '../../config/fleetStore.js';
+import * as storeEra from '../../config/storeEra.js';
+import type * as storePosition from '../../config/storePosition.js';
+import * as members from '../../membership/members.js';
+import * as evidence from '../evidence.js';
+import type * as phases from '../phases.js';
+import * as rolloutController from '../rolloutController.js';
+import * as rolloutTable from '../rolloutTable.js';
+import * as versionComparison from '../versionComparison.js';
+
+export const SHOP = ids.serviceName('shop');
+export const STABLE = ids.versionName('v1');
+export const TARGET = ids.versionName('v2');
+
+const STEP_MS = 10;
+const TICK_MS = 100;
+const EVIDENCE_EVERY_TICKS = 3;
+const MESSAGE_MS = 30;
+const UPSTREAMS_PER_VERSION = 6;
+/** Time from the order until the first upstream of the target has started. */
+const START_MS = 1_400;
+/** Simulated time after the deadline, for late requests and late records. */
+const AFTERWARDS_MS = 12_000;
+const WORK_MS = 65;
+const ROUTE_B_SHARE = 0.25;
+/** Requests that a failing version may still get after this time since its 50th failure. */
+const ROLLBACK_MS = 5_000;
+const ROLLBACK_FAILURES = 50;
+
+/** What decides whether a request fails. */
+export interface Run {
+  /** Time since the first upstream of the target started. */
+  sinceStartMs: number;
+  sinceOrderMs: number;
+  route: string;
+  /** Requests that the upstream is working on, this one included. */
+  running: number;
+  upstream: number;
+}
+
+export interface SimulationOptions {
+  seed: number;
+  durationMs: number;
+  requestsPerSecond: number;
+  /** Probability that the target fails the request. */
+  targetFailure: (run: Run) => number;
+  /** The same for the other version. */
+  stableFailure?: (run: Run) => number;
+  /** Time at the target as a multiple of the usual time. */
+  targetSlowness?: number;
+  /** Whether the store is away at this time since the order. */
+  isStoreAway?: (sinceOrderMs: number) => boolean;
+  /** Nodes that are cut off from the others, but not from the store, at this time since the order. */
+  cutOff?: (sinceOrderMs: number) => readonly number[];
+}
+
+export interface SimulationResult {
+  /** Requests that reached the target, and both versions, between the order and the deadline. */
+  atTarget: number;
+  atService: number;
+  failed: number;
+  /** Requests to the target that were sent more than `ROLLBACK_MS` after its 50th failure. */
+  late: number;
+  outcome: phases.RecordedPhase | null;
+  /** Time since the order. */
+  recordedAtMs: number | null;
+  reason: string | null;
+}
+
+interface Message {
+  atMs: number;
+  from: number;
+  to: number;
+  deliver: () => void;
+}
+
+interface Node {
+  index: number;
+  member: members.Member;
+  rollouts: rolloutTable.RolloutTable;
+  comparison: versionComparison.VersionComparison;
+  controller: rolloutController.RolloutController;
+  recorder: evidence.EvidenceRecorder;
+  running: number;
+}
+
+interface Ending {
+  atMs: number;
+  node: Node;
+  route: string;
+  failed: boolean;
+  ms: number;
+}
+
+class SimulatedStore extends fleetStore.FleetStore {
+  readonly era = new storeEra.StoreEra(fixtures.silentLog());
+
+  readonly configuration = null as never;
+
+  stored: phases.RolloutRecord;
+
+  constructor(
+    durationMs: number,
+    private readonly isAway: () => boolean,
+    private readonly onWrite: (record: phases.RolloutRecord) => void,
+  ) {
+    super();
+    this.stored = { service: SHOP, target: TARGET, durationMs, recorded: null, position: at(1) };
+  }
+
+  readonly rollouts = {
+    read: () => {
+      if (this.isAway()) return Promise.reject(unavailable());
+      return Promise.resolve({ cursor: this.stored.position, value: [{ ...this.stored }] });
+    },
+    watch: () => assert.fail('not watched'),
+  };
+
+  recordRollout(
+    record: phases.RolloutRecord,
+    outcome: phases.RecordedPhase,
+  ): Promise<storePosition.StorePosition | null> {
+    if (this.isAway()) return Promise.reject(unavailable());
+    const { revision } = this.stored.position;
+    if (record.position.revision !== revision) return Promise.resolve(null);
+    this.stored = { ...record, recorded: outcome, position: at(revision + 1) };
+    this.onWrite(this.stored);
+    return Promise.resolve(this.stored.position);
+  }
+
+  registerNode = () => assert.fail('not registered');
+
+  listNodes = () => assert.fail('not listed');
+
+  unregisterNode = () => assert.fail('not unregistered');
+
+  dropConnections = () => assert.fail('connections were dropped');
+}
+
+function at(revision: number): storePosition.StorePosition {
+  return { era: ids.storeEra(1), revision };
+}
+
+function unavailable(): Error {
+  return failures.toError({ type: 'platformUnavailable', operation: 'read', detail: 'away' });
+}
+
+export class RolloutSimulation {
+  private nowMs = 0;
+
+  private readonly rng: ReturnType<typeof random.xoroshiro128plus>;
+
+  private readonly nodes: Node[] = [];
+
+  private readonly store: SimulatedStore;
+
+  private messages: Message[] = [];
+
+  private endings: Ending[] = [];
+
+  private fiftiethFailureAtMs = Infinity;
+
+  private targetFailures = 0;
+
+  private readonly result: SimulationResult = {
+    atTarget: 0,
+    atService: 0,
+    failed: 0,
+    late: 0,
+    outcome: null,
+    recordedAtMs: null,
+    reason: null,
+  };
+
+  constructor(private readonly options: SimulationOptions) {
+    this.rng = random.xoroshiro128plus(options.seed);
+    const isAway = () => options.isStoreAway?.(this.nowMs) ?? false;
+    this.store = new SimulatedStore(options.durationMs, isAway, (record) => this.onRecord(record));
+    for (let index = 0; index < 2 * UPSTREAMS_PER_VERSION; index += 1) {
+      this.nodes.push(this.createNode(index));
+    }
+  }
+
+  async run(): Promise<SimulationResult> {
+    const { requestsPerSecond, durationMs } = this.options;
+    for (const node of this.nodes) node.rollouts.applyRecord({ ...this.store.stored });
+    let ticks = 0;
+    while (this.nowMs < durationMs + AFTERWARDS_MS) {
+      this.nowMs += STEP_MS;
+      this.deliverMessages();
+      this.endRequests();
+      const expected = (requestsPerSecond * STEP_MS) / 1_000;
+      for (let due = this.random() * 2 * expected; due > this.random(); due -= 1) {
+        this.startRequest();
+      }
+      if (this.nowMs % TICK_MS === 0) {
+        ticks += 1;
+        this.tick(ticks);
+        await timers.setImmediate();
+        await timers.setImmediate();
+      }
+    }
+    return this.result;
+  }
+
+  private createNode(index: number): Node {
+    const isStable = index < UPSTREAMS_PER_VERSION;
+    const version = isStable ? STABLE : TARGET;
+    const member = fixtures.member(`n${index}`, { version, accepting: isStable });
+    const log = fixtures.silentLog();
+    const nowMs = () => this.nowMs;
+    const rollouts = new rolloutTable.RolloutTable(log, nowMs);
+    const comparison = new versionComparison.VersionComparison();
+    const recorder = new evidence.EvidenceRecorder((service, each) =>
+      rollouts.isRollingOut(service, each),
+    );
+    const table = new members.MemberTable(member, nowMs);
+    const controller = new rolloutController.RolloutController({
+      table,
+      reachable: () => this.reachableFrom(index),
+      rollouts,
+      comparison,
+      store: this.store,
+      log,
+      nowMs,
+    });
+    const node = { index, member, rollouts, comparison, controller, recorder, running: 0 };
+    table.all = () => this.nodes.map((each) => each.member).values();
+    rollouts.onChange((state, origin) => {
+      recorder.enterPhase(state.phase);
+      if (state.reason !== null) this.result.reason = state.reason;
+      if (origin === 'self') {
+        this.broadcast(index, (to) => to.rollouts.merge([state], 'remote'));
+      }
+    });
+    recorder.onFailureThreshold((state, reason) =>
+      rollouts.advance(state.service, state.version, 'rolledBack', reason),
+    );
+    return node;
+  }
+
+  private tick(ticks: number): void {
+    if (this.nowMs === START_MS) {
+      for (const { member } of this.nodes) member.upstream!.accepting = true;
+    }
+    for (const node of this.nodes) {
+      if (ticks % EVIDENCE_EVERY_TICKS === 0) this.sendEvidence(node);
+      node.controller.tick();
+    }
+  }
+
+  private sendEvidence(node: Node): void {
+    const { service, version, instance, accepting } = node.member.upstream!;
+    const newest = node.rollouts.newest(SHOP);
+    if (newest === null || newest.state.phase === 'completed' || !accepting) return;
+    const routes = structuredClone(node.recorder.countsByRoute());
+    const report = { node: node.member.node, service, version, instance, routes };
+    const leader = node.controller.leader(SHOP);
+    const receiver = this.nodes.find(({ member }) => member.node === leader)!;
+    this.send(node.index, receiver.index, () => receiver.comparison.addReport(report));
+  }
+
+  private startRequest(): void {
+    const entry = this.pick(this.nodes);
+    const { target, share } = entry.rollouts.trafficSplit(SHOP);
+    const version = target !== null && this.random() < share ? target : STABLE;
+    const serving = this.nodes.filter(
+      ({ member }) =>
+        member.upstream!.accepting && entry.rollouts.mayServe(SHOP, member.upstream!.version),
+    );
+    const preferred = serving.filter(({ member }) => member.upstream!.version === version);
+    const node = this.pick(preferred.length > 0 ? preferred : serving);
+    this.arrive(node, this.random() < ROUTE_B_SHARE ? 'b' : 'a');
+  }
+
+  private arrive(node: Node, route: string): void {
+    node.running += 1;
+    const { durationMs, targetFailure, stableFailure, targetSlowness = 1 } = this.options;
+    const isTarget = node.member.upstream!.version === TARGET;
+    const run = {
+      sinceStartMs: this.nowMs - START_MS,
+      sinceOrderMs: this.nowMs,
+      route,
+      running: node.running,
+      upstream: node.index % UPSTREAMS_PER_VERSION,
+    };
+    const probability = (isTarget ? targetFailure(run) : stableFailure?.(run)) ?? 0;
+    const failed = this.random() < probability;
+    const ms = WORK_MS * (0.4 + 1.2 * this.random()) * (isTarget ? targetSlowness : 1);
+    this.endings.push({ atMs: this.nowMs + ms, node, route, failed, ms });
+    if (this.nowMs <= durationMs) {
+      this.result.atService += 1;
+      if (isTarget) this.result.atTarget += 1;
+    }
+    if (isTarget && this.nowMs > this.fiftiethFailureAtMs + ROLLBACK_MS) this.result.late += 1;
+  }
+
+  private endRequests(): void {
+    const ended = this.endings.filter(({ atMs }) => atMs <= this.nowMs);
+    this.endings = this.endings.filter(({ atMs }) => atMs > this.nowMs);
+    for (const { node, route, failed, ms } of ended) {
+      node.running -= 1;
+      if (failed) this.result.failed += 1;
+      if (failed && node.member.upstream!.version === TARGET) {
+        this.targetFailures += 1;
+        if (this.targetFailures === ROLLBACK_FAILURES) this.fiftiethFailureAtMs = this.nowMs;
+      }
+      node.recorder.record(node.member.upstream!, route, failed, ms);
+    }
+  }
+
+  /** On `completed` the platform stops the upstreams of the other version at once. */
+  private onRecord(record: phases.RolloutRecord): void {
+    if (record.recorded === 'completed') {
+      for (const { member } of this.nodes) {
+        if (member.upstream!.version === STABLE) member.upstream!.accepting = false;
+      }
+    }
+    if (record.recorded !== 'running') {
+      this.result.outcome = record.recorded;
+      this.result.recordedAtMs = this.nowMs;
+    }
+    for (const { index, rollouts } of this.nodes) {
+      this.messages.push({
+        atMs: this.nowMs + MESSAGE_MS,
+        from: index,
+        to: index,
+        deliver: () => rollouts.applyRecord(record),
+      });
+    }
+  }
+
+  private broadcast(from: number, deliver: (to: Node) => void): void {
+    for (const to of this.nodes) {
+      if (to.index !== from) this.send(from, to.index, () => deliver(to));
+    }
+  }
+
+  private send(from: number, to: number, deliver: () => void): void {
+    this.messages.push({ atMs: this.nowMs + MESSAGE_MS, from, to, deliver });
+  }
+
+  private deliverMessages(): void {
+    const due = this.messages.filter(({ atMs }) => atMs <= this.nowMs);
+    this.messages = this.messages.filter(({ atMs }) => atMs > this.nowMs);
+    for (const { from, to, deliver } of due) {
+      if (this.isCutOff(from) === this.isCutOff(to)) deliver();
+    }
+  }
+
+  private reachableFrom(index: number): members.Member[] {
+    return this.nodes
+      .filter((each) => this.isCutOff(each.index) === this.isCutOff(index))
+      .map(({ member }) => member);
+  }
+
+  private isCutOff(index: number): boolean {
+    return this.options.cutOff?.(this.nowMs).includes(index) ?? false;
+  }
+
+  private pick<T>(items: readonly T[]): T {
+    return items[Math.floor(this.random() * items.length)]!;
+  }
+
+  private random(): number {
+    return uniform.uniformFloat64(this.rng);
+  }
+}
