refactor(core): share the e-process of the sequential tests

The mesh is to judge versions by a sequential test too. Moved out of packages/node without a change of behaviour; 44 tests of rollouts there pass.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export * as callerConnections from './callerConnections.js';
 export * as clock from './clock.js';
 export * as configuration from './configuration.js';
+export * as eProcess from './eProcess.js';
 export * as failures from './failures.js';
 export * as hash from './hash.js';
 export * as ids from './ids.js';
--- a/packages/node/src/rollouts/localGuard.ts
+++ b/packages/node/src/rollouts/localGuard.ts
@@ -5,7 +5,7 @@
  * the node's own counters.
  */
 
-import type { rollout as rollouts } from '@godwittrack/core';
+import { eProcess, type rollout as rollouts } from '@godwittrack/core';
 import type { distribution } from '@godwittrack/protocol';
 import type * as evidenceMerge from './evidenceMerge.js';
 import type * as evidenceRecorder from './evidenceRecorder.js';
@@ -149,7 +149,7 @@
 
   private startRun(watched: Watched): Run {
     const state = watched;
-    const weight = sequentialTest.restartWeight(state.runsStarted);
+    const weight = eProcess.restartWeight(state.runsStarted);
     state.runsStarted += 1;
     const alpha = (RUN_ALPHA * weight) / Math.max(1, this.options.entryNodes());
     return { failures: 0, byServer: new Map(), alpha, stableOk: 0, stableErrors: 0 };
--- a/packages/node/src/rollouts/sequentialTest.ts
+++ b/packages/node/src/rollouts/sequentialTest.ts
@@ -9,7 +9,7 @@
  * exceeds 1/alpha with probability at most alpha for a version that is not worse.
  */
 
-import { rollout as rollouts } from '@godwittrack/core';
+import { eProcess, rollout as rollouts } from '@godwittrack/core';
 import type * as evidenceMerge from './evidenceMerge.js';
 import * as evidenceRecorder from './evidenceRecorder.js';
 
@@ -85,8 +85,6 @@
 const BAD_HOST_LOG_ALLOWANCE = Math.log(4);
 /** Servers excluded one at a time; with more servers, groups formed by hash are excluded. */
 const MAX_SERVER_GROUPS = 24;
-/** Sum of 1/(n ln^2 n) for n from 2, rounded up, so that the restart weights sum to less than 1. */
-const RESTART_WEIGHT_SUM = 2.2;
 /** The target is suspect if it exceeds these limits over its latest intervals. */
 const SUSPECT_INTERVALS = 20;
 const SUSPECT_ERRORS = 3;
@@ -96,10 +94,6 @@
 /** With a smaller fraction of the traffic, the stable version cannot be compared with. */
 const MIN_STABLE_FRACTION = 0.02;
 
-/** Above every decision limit, and low enough to avoid overflow. */
-const MAX_WEALTH = 1e200;
-const MAX_LOG = 200;
-
 /** Requests of both versions in one interval; events are the errors or the slow answers of them. */
 interface ContingencyTable {
   targetCount: number;
@@ -108,75 +102,12 @@
   stableEvents: number;
 }
 
-/**
- * E-process that averages several alternatives. A restart weight is added to its wealth in each
- * interval, so that a fault that begins late need not first make up for the losses before it.
- */
-class EProcess {
-  private wealth: number[];
-
-  constructor(wealth: number[] = [0, 0, 0, 0]) {
-    this.wealth = wealth;
-  }
-
-  step(logRatios: readonly number[], restart: number): void {
-    const bonus = restart / this.wealth.length;
-    this.wealth = this.wealth.map((wealth, index) => {
-      const ratio = logRatios[index] ?? 0;
-      const next = wealth + bonus;
-      return ratio === 0 ? next : Math.min(MAX_WEALTH, next * Math.exp(Math.min(ratio, MAX_LOG)));
-    });
-  }
-
-  copy(): EProcess {
-    return new EProcess([...this.wealth]);
-  }
-
-  get log(): number {
-    return Math.log(sum(this.wealth));
-  }
-}
-
-/**
- * Weights of the e-process restarts. Half of the weight falls with the number of intervals; the
- * other half starts again with each share, so that a fault triggered by a larger share is not
- * detected late because of the small weights of a long rollout. All weights sum to less than 1.
- */
-class RestartWeights {
-  private intervals = 0;
-
-  private shares = 0;
-
-  private intervalsAtShare = 0;
-
-  private sharePct = 0;
-
-  setShare(sharePct: number): void {
-    if (sharePct === this.sharePct) return;
-    this.sharePct = sharePct;
-    if (this.intervalsAtShare > 0) this.shares += 1;
-    this.intervalsAtShare = 0;
-  }
-
-  next(): number {
-    const overall = restartWeight(this.intervals);
-    const atShare = restartWeight(this.shares) * restartWeight(this.intervalsAtShare);
-    this.intervals += 1;
-    this.intervalsAtShare += 1;
-    return (overall + atShare) / 2;
-  }
-}
-
 /** E-processes for errors or for slowness, relative to the stable version and to a fixed rate. */
 class CombinedEProcess {
-  private readonly relative: EProcess;
-
-  private readonly absolute: EProcess;
-
-  constructor(relative = new EProcess(), absolute = new EProcess()) {
-    this.relative = relative;
-    this.absolute = absolute;
-  }
+  constructor(
+    private readonly relative = new eProcess.EProcess(ALTERNATIVE_ODDS.length),
+    private readonly absolute = new eProcess.EProcess(ALTERNATIVE_ODDS.length),
+  ) {}
 
   step(relative: readonly number[], absolute: readonly number[], restart: number): void {
     this.relative.step(relative, restart);
@@ -304,7 +235,7 @@
     slow: new LeaveOneOutEProcess([]),
   };
 
-  private readonly restarts = new RestartWeights();
+  private readonly restarts = new eProcess.RestartWeights();
 
   private started = false;
 
@@ -401,9 +332,9 @@
       this.wholeVersion[kind].addServers(servers);
       this.wholeVersion[kind].step(tables, hypotheses, weight);
       for (const interval of intervals) {
-        const eProcess = this.routeState(interval.route).eProcesses[kind];
-        eProcess.addServers(interval.servers.keys());
-        eProcess.step((server) => [toTable(interval, kind, server)], hypotheses, weight);
+        const wealth = this.routeState(interval.route).eProcesses[kind];
+        wealth.addServers(interval.servers.keys());
+        wealth.step((server) => [toTable(interval, kind, server)], hypotheses, weight);
       }
     }
     this.addRecentInterval(intervals);
@@ -603,12 +534,6 @@
   return BALANCES[balance].alpha;
 }
 
-/** Weight of a restart, or of a failure run, numbered from 0; all weights sum to less than 1. */
-export function restartWeight(interval: number): number {
-  const index = interval + 2;
-  return 1 / (RESTART_WEIGHT_SUM * index * Math.log(index) ** 2);
-}
-
 function groupOf(server: string, servers: number): string {
   if (servers <= MAX_SERVER_GROUPS) return server;
   let code = 0;
@@ -668,14 +593,9 @@
   return targetEvents * Math.log(odds / nullOdds) - alternativeSum + nullSum;
 }
 
-function logRateRatio(
-  { targetCount, targetEvents }: ContingencyTable,
-  rate: number,
-  nullRate: number,
-): number {
-  if (targetCount <= 0 || targetEvents < 0) return 0;
-  const others = targetCount - targetEvents;
-  return targetEvents * Math.log(rate / nullRate) + others * Math.log((1 - rate) / (1 - nullRate));
+function logRateRatio(table: ContingencyTable, rate: number, nullRate: number): number {
+  const { targetCount: requests, targetEvents: events } = table;
+  return eProcess.logRateRatio({ requests, events }, rate, nullRate);
 }
 
 const logFactorials = [0];
