fix(mesh): judge the failures of a version by a sequential test

What callers saw: a version that fails up to 10 in 100 requests was completed, and so was any version beside an old one that fails 45 in 100.

Cause: fixed limits. A version failed above twice the share of the old one and 10 in 100 more, however many responses there were; a node took a version back by 5 failures of 12, whatever the old version did; and the counts began anew with the pulse phase, and with an order of any other service, when the most evidence was needed.

Now an e-process (core/eProcess.ts, from packages/node) bets that the target fails more than the old version did in its latest requests, per route and overall, with one upstream left out at a time, so that one bad host is no bad version. The node that leads a rollout decides; a node that is cut off leads for itself, so the separate limit of each node is gone. Its tests are replaced by tests of the comparison with the responses of one upstream alone: half of the requests fail, rejected within a dozen; 1 in 50 fails, not rejected within 500.

Ruled out: twice a smaller excess share (good versions beside failures of both were taken back), and 7 or 8 of 12 on a node (no better than chance for a host that fails a third).

--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -208,8 +208,7 @@
       if (previous === null && source.origin !== 'store') return;
       network.announceConfiguration(cfg, previous, propagation.scopeOf(source.origin));
     });
-    rollouts.onChange((state, origin, isRepeated) => {
-      if (!isRepeated) recorder.enterPhase(state.phase);
+    rollouts.onChange((state, origin) => {
       network.broadcast({ type: 'rollouts', states: [state] }, propagation.scopeOf(origin));
     });
     suspects.onChange((reports, origin) => {
@@ -221,9 +220,6 @@
       watcher.readAgain();
       this.joinAgain();
     });
-    recorder.onFailureThreshold((state, reason) => {
-      rollouts.advance(state.service, state.version, 'rolledBack', reason);
-    });
   }
 
   /** Publishes the state of the local upstream; other nodes must not use it once this one is stopping. */
@@ -254,6 +250,7 @@
       newest.state.phase === 'rolledBack'
     )
       return;
+    recorder.follow(newest.state.target);
     const { service, version, instance } = upstream;
     const report = {
       node: self.node,
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -99,9 +99,7 @@
   const config = new configHolder.ConfigHolder(nowMs);
   const rollouts = new rolloutTable.RolloutTable(log, nowMs);
   const comparison = new versionComparison.VersionComparison();
-  const recorder = new evidence.EvidenceRecorder((service, version) =>
-    rollouts.isRollingOut(service, version),
-  );
+  const recorder = new evidence.EvidenceRecorder();
   const suspects = new quarantine.Quarantine({ log, nowMs });
   const upstream = new localUpstream.LocalUpstream(settings.upstreamAddress);
   const uplink = new uplinkScheduler.UplinkScheduler(nowMs);
--- a/packages/mesh/src/rollouts/__tests__/exposure.test.ts
+++ b/packages/mesh/src/rollouts/__tests__/exposure.test.ts
@@ -7,13 +7,11 @@
 import { describe, it } from 'node:test';
 import * as rolloutSimulation from './rolloutSimulation.js';
 
+const { EXPOSURE_SHARE, EXPOSURE_SLACK } = rolloutSimulation;
+
 const FIRST_SEED = Number(process.env.ROLLOUT_FIRST_SEED ?? 1);
 const SEEDS = Number(process.env.ROLLOUT_SEEDS ?? 3);
 
-/** Requests that a bad version may get between the order and the deadline: a share of all, and some more. */
-const EXPOSURE_SHARE = 0.1;
-const EXPOSURE_SLACK = 50;
-
 const ORDER = { durationMs: 16_000, requestsPerSecond: 330 };
 
 type Options = Omit<rolloutSimulation.SimulationOptions, 'seed'>;
--- a/packages/mesh/src/rollouts/__tests__/rolloutSimulation.ts
+++ b/packages/mesh/src/rollouts/__tests__/rolloutSimulation.ts
@@ -23,6 +23,10 @@
 export const STABLE = ids.versionName('v1');
 export const TARGET = ids.versionName('v2');
 
+/** Bound of the exposure, as the operators state it: a share of all requests, and some more. */
+export const EXPOSURE_SHARE = 0.1;
+export const EXPOSURE_SLACK = 50;
+
 const STEP_MS = 10;
 const TICK_MS = 100;
 const EVIDENCE_EVERY_TICKS = 3;
@@ -222,9 +226,7 @@
     const nowMs = () => this.nowMs;
     const rollouts = new rolloutTable.RolloutTable(log, nowMs);
     const comparison = new versionComparison.VersionComparison();
-    const recorder = new evidence.EvidenceRecorder((service, each) =>
-      rollouts.isRollingOut(service, each),
-    );
+    const recorder = new evidence.EvidenceRecorder();
     const table = new members.MemberTable(member, nowMs);
     const controller = new rolloutController.RolloutController({
       table,
@@ -235,18 +237,23 @@
       log,
       nowMs,
     });
-    const node = { index, member, rollouts, comparison, controller, recorder, running: 0 };
+    const node = {
+      index,
+      member,
+      rollouts,
+      comparison,
+      controller,
+      recorder,
+      running: 0,
+    };
     table.all = () => this.nodes.map((each) => each.member).values();
     rollouts.onChange((state, origin) => {
-      recorder.enterPhase(state.phase);
+      recorder.follow(state.target);
       if (state.reason !== null) this.result.reason = state.reason;
       if (origin === 'self') {
         this.broadcast(index, (to) => to.rollouts.merge([state], 'remote'));
       }
     });
-    recorder.onFailureThreshold((state, reason) =>
-      rollouts.advance(state.service, state.version, 'rolledBack', reason),
-    );
     return node;
   }
 
@@ -255,8 +262,8 @@
       for (const { member } of this.nodes) member.upstream!.accepting = true;
     }
     for (const node of this.nodes) {
-      if (ticks % EVIDENCE_EVERY_TICKS === 0) this.sendEvidence(node);
       node.controller.tick();
+      if (ticks % EVIDENCE_EVERY_TICKS === 0) this.sendEvidence(node);
     }
   }
 
@@ -264,7 +271,7 @@
     const { service, version, instance, accepting } = node.member.upstream!;
     const newest = node.rollouts.newest(SHOP);
     if (newest === null || newest.state.phase === 'completed' || !accepting) return;
-    const routes = structuredClone(node.recorder.countsByRoute());
+    const routes = node.recorder.countsByRoute();
     const report = { node: node.member.node, service, version, instance, routes };
     const leader = node.controller.leader(SHOP);
     const receiver = this.nodes.find(({ member }) => member.node === leader)!;
@@ -279,6 +286,10 @@
       ({ member }) =>
         member.upstream!.accepting && entry.rollouts.mayServe(SHOP, member.upstream!.version),
     );
+    if (serving.length === 0) {
+      this.result.failed += 1;
+      return;
+    }
     const preferred = serving.filter(({ member }) => member.upstream!.version === version);
     const node = this.pick(preferred.length > 0 ? preferred : serving);
     this.arrive(node, this.random() < ROUTE_B_SHARE ? 'b' : 'a');
@@ -316,7 +327,7 @@
         this.targetFailures += 1;
         if (this.targetFailures === ROLLBACK_FAILURES) this.fiftiethFailureAtMs = this.nowMs;
       }
-      node.recorder.record(node.member.upstream!, route, failed, ms);
+      node.recorder.record(route, failed, ms);
     }
   }
 
--- a/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
+++ b/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
@@ -157,56 +157,29 @@
 });
 
 describe('EvidenceRecorder', () => {
-  const state = fixtures.member('a', { version: V2 }).upstream!;
-  let reported: string[];
   let recorder: evidence.EvidenceRecorder;
 
   beforeEach(() => {
-    reported = [];
-    recorder = new evidence.EvidenceRecorder((_service, version) => version === 'v2');
-    recorder.onFailureThreshold((_state, reason) => reported.push(reason));
+    recorder = new evidence.EvidenceRecorder();
+    recorder.follow(V2);
+    recorder.record('r', false, 10);
   });
 
-  it('reports a version being rolled out that fails half of its requests, within a dozen responses', () => {
-    for (let i = 0; i < 12; i += 1) recorder.record(state, 'r', i % 2 === 0, 10);
-    assert.ok(reported.length > 0);
+  it('counts from the start of a rollout', () => {
+    recorder.follow(ids.versionName('v3'));
+    assert.deepEqual(recorder.countsByRoute(), {});
   });
 
-  it('does not report a version for single failures', () => {
-    for (let i = 0; i < 500; i += 1) recorder.record(state, 'r', i % 50 === 0, 10);
-    assert.equal(reported.length, 0);
+  // Counts used to begin anew with a phase, so that the least evidence was there at the highest share.
+  it('keeps its counts over the phases of a rollout', () => {
+    recorder.follow(V2);
+    assert.equal(recorder.countsByRoute().r!.requests, 1);
   });
 
-  // Failures under load that were spread over many upstreams used to be outweighed by the successful
-  // responses counted before the `pulse` phase.
-  it('assesses the pulse phase by its own responses, which show faults under load', () => {
-    const comparison = new versionComparison.VersionComparison();
-    for (const [version, failsUnderLoad] of [
-      ['v1', false],
-      ['v2', true],
-    ] as const) {
-      for (let host = 0; host < 6; host += 1) {
-        const { upstream } = fixtures.member(`${version}-${host}`, {
-          version: ids.versionName(version),
-        });
-        const perUpstream = new evidence.EvidenceRecorder(() => false);
-        for (let i = 0; i < 40; i += 1) perUpstream.record(upstream!, 'r', false, 90);
-        perUpstream.enterPhase('pulse');
-        for (let i = 0; i < 10; i += 1)
-          perUpstream.record(upstream!, 'r', failsUnderLoad && i < 3, 90);
-        const { service, instance } = upstream!;
-        const node = ids.nodeId(`${version}-${host}`);
-        const routes = perUpstream.countsByRoute();
-        comparison.addReport({ node, service, version: upstream!.version, instance, routes });
-      }
-    }
-    assert.equal(comparison.evaluate(SHOP, V2).passed, false);
-  });
-
-  it('does not report a version that is not being rolled out', () => {
-    for (let i = 0; i < 20; i += 1)
-      recorder.record({ ...state, version: ids.versionName('v1') }, 'r', true, 10);
-    assert.equal(reported.length, 0);
+  it('gives counts that further responses do not change', () => {
+    const counts = recorder.countsByRoute();
+    recorder.record('r', true, 10);
+    assert.deepEqual(counts.r, { requests: 1, failures: 0, totalMs: 10 });
   });
 });
 
@@ -215,6 +188,7 @@
 
   function compare(stable: Counts, ...targets: Counts[]): versionComparison.ComparisonResult {
     const subject = new versionComparison.VersionComparison();
+    subject.evaluate(SHOP, V2, 0);
     const report = (instance: string, version: string, counts: Counts) => {
       const routes = Object.fromEntries(
         Object.entries(counts).map(([route, [requests, failures, meanMs]]) => [
@@ -232,9 +206,66 @@
     };
     report('i-1', 'v1', stable);
     for (const [i, target] of targets.entries()) report(`i-v2-${i}`, 'v2', target);
-    return subject.evaluate(SHOP, V2);
+    return subject.evaluate(SHOP, V2, 0.03);
   }
 
+  describe('with the responses of one upstream only, as on a node that is cut off', () => {
+    function addResponses(count: number, fails: (i: number) => boolean): string[] {
+      const subject = new versionComparison.VersionComparison();
+      const reasons: string[] = [];
+      const recorder = new evidence.EvidenceRecorder();
+      const { service, instance } = fixtures.member('a').upstream!;
+      for (let i = 0; i < count; i += 1) {
+        const result = subject.evaluate(SHOP, V2, 0.03);
+        if (!result.passed) reasons.push(result.reason);
+        recorder.record('r', fails(i), 10);
+        const routes = recorder.countsByRoute();
+        subject.addReport({ node: ids.nodeId('a'), service, version: V2, instance, routes });
+      }
+      return reasons;
+    }
+
+    it('rejects a version that fails half of its requests within a dozen of them', () => {
+      assert.ok(addResponses(13, (i) => i % 2 === 0).length > 0);
+    });
+
+    it('does not reject a version for single failures', () => {
+      assert.deepEqual(
+        addResponses(500, (i) => i % 50 === 0),
+        [],
+      );
+    });
+  });
+
+  // Failures under load that were spread over many upstreams used to be outweighed by the successful
+  // responses before them.
+  it('rejects a version that begins to fail under load on all upstreams', () => {
+    const subject = new versionComparison.VersionComparison();
+    const hosts = ['v1', 'v2'].flatMap((version) =>
+      Array.from({ length: 6 }, (_, host) => ({
+        version: ids.versionName(version),
+        name: `${version}-${host}`,
+        recorder: new evidence.EvidenceRecorder(),
+      })),
+    );
+    const report = () => {
+      for (const { version, name, recorder } of hosts) {
+        const routes = recorder.countsByRoute();
+        const instance = ids.instanceId(name);
+        subject.addReport({ node: ids.nodeId(name), service: SHOP, version, instance, routes });
+      }
+      return subject.evaluate(SHOP, V2, 0.03).passed;
+    };
+    subject.evaluate(SHOP, V2, 0.03);
+    for (let i = 0; i < 40; i += 1)
+      for (const { recorder } of hosts) recorder.record('r', false, 90);
+    assert.equal(report(), true);
+    for (const { version, recorder } of hosts) {
+      for (let i = 0; i < 10; i += 1) recorder.record('r', version === V2 && i < 3, 90);
+    }
+    assert.equal(report(), false);
+  });
+
   // An end of an upstream counts once, and its next incarnation counts anew.
   it('rejects a version whose upstreams have ended four times', () => {
     const ended: Counts = { r: [3, 1, 90] };
--- /dev/null
+++ b/packages/mesh/src/rollouts/failureTest.ts
@@ -0,0 +1,133 @@
+/**
+ * Decides whether a new version fails more often than the old one, by a sequential test: the probability
+ * of a wrong verdict holds however often and however early the test is asked.
+ */
+
+import { eProcess, type ids } from '@godwittrack/core';
+
+export interface Counts {
+  requests: number;
+  failures: number;
+}
+
+/** Requests of an interval at the new version, by upstream, and those at the old version. */
+export interface Interval {
+  target: ReadonlyMap<ids.InstanceId, Counts>;
+  stable: Counts;
+}
+
+/** Probability of a verdict against a version that is not worse, during its rollout. */
+export const FALSE_VERDICT_PROBABILITY = 0.02;
+/** Odds of a failure at the new version, relative to the old one, that are tolerated. */
+const TOLERATED_ODDS = 1.15;
+/** Failure shares up to these are tolerated, whatever the old version does. */
+const TOLERATED_SHARE = 0.002;
+/** Without requests at the old version nothing tells a fault of the version from one of all versions. */
+const TOLERATED_SHARE_ALONE = 0.05;
+const ALTERNATIVE_SHARES = [0.02, 0.06, 0.15, 0.35, 0.55, 0.75, 0.95];
+/** Fewer failures are treated as chance. */
+const MIN_FAILURES = 4;
+/** Requests after which those at the old version count for half, in the recent and in the long term. */
+const RECENT_REQUESTS = 150;
+const LONG_TERM_REQUESTS = 1_000;
+/**
+ * Added to the log wealth without one upstream: one bad host among several must not make the version bad,
+ * but a version that fails everywhere may do so more often on one host.
+ */
+const BAD_HOST_LOG_ALLOWANCE = Math.log(20);
+
+/** Failure share of the old version, with more weight on the latest requests. */
+class DecayingShare {
+  private requests = 0;
+
+  private failures = 0;
+
+  constructor(private readonly halfLifeRequests: number) {}
+
+  add({ requests, failures }: Counts): void {
+    const decay = 0.5 ** (requests / this.halfLifeRequests);
+    this.requests = this.requests * decay + requests;
+    this.failures = this.failures * decay + failures;
+  }
+
+  get isKnown(): boolean {
+    return this.requests > 0;
+  }
+
+  /** The share, reduced by a number of its standard deviations. */
+  value(deviations: number): number {
+    const share = this.failures / this.requests;
+    return Math.max(0, share - deviations * Math.sqrt((share * (1 - share)) / this.requests));
+  }
+}
+
+/** The failures of a version on one route, or on all together. */
+export class FailureTest {
+  private readonly all = new eProcess.EProcess(ALTERNATIVE_SHARES.length);
+
+  /** E-processes that leave one upstream out, by that upstream. */
+  private readonly without = new Map<ids.InstanceId, eProcess.EProcess>();
+
+  private readonly recentShare = new DecayingShare(RECENT_REQUESTS);
+
+  private readonly longTermShare = new DecayingShare(LONG_TERM_REQUESTS);
+
+  private readonly total = { requests: 0, failures: 0 };
+
+  /** @param falseVerdictProbability accepted probability of a verdict against a version that is not worse */
+  isBad(falseVerdictProbability: number): boolean {
+    if (this.total.failures < MIN_FAILURES) return false;
+    return this.log >= -Math.log(falseVerdictProbability);
+  }
+
+  get counts(): Counts {
+    return this.total;
+  }
+
+  /** @param restart weight of a fault that begins with this interval */
+  add({ target, stable }: Interval, restart: number): void {
+    this.recentShare.add(stable);
+    this.longTermShare.add(stable);
+    for (const instance of target.keys()) {
+      if (!this.without.has(instance)) this.without.set(instance, this.all.copy());
+    }
+    const sum = { requests: 0, failures: 0 };
+    for (const { requests, failures } of target.values()) {
+      sum.requests += requests;
+      sum.failures += failures;
+    }
+    this.total.requests += sum.requests;
+    this.total.failures += sum.failures;
+    this.all.step(this.logRatios(sum), restart);
+    for (const [instance, wealth] of this.without) {
+      const left = target.get(instance) ?? { requests: 0, failures: 0 };
+      const rest = {
+        requests: sum.requests - left.requests,
+        failures: sum.failures - left.failures,
+      };
+      wealth.step(this.logRatios(rest), restart);
+    }
+  }
+
+  private get log(): number {
+    if (this.without.size < 2) return this.all.log;
+    const without = Math.min(...[...this.without.values()].map(({ log }) => log));
+    return Math.min(this.all.log, without + BAD_HOST_LOG_ALLOWANCE);
+  }
+
+  private logRatios({ requests, failures: events }: Counts): number[] {
+    const tolerated = this.toleratedShare();
+    return ALTERNATIVE_SHARES.map((share) =>
+      // A share that is tolerated is no alternative at present.
+      share <= tolerated ? 0 : eProcess.logRateRatio({ requests, events }, share, tolerated),
+    );
+  }
+
+  private toleratedShare(): number {
+    if (!this.longTermShare.isKnown) return TOLERATED_SHARE_ALONE;
+    // By chance, a few recent requests often fail more.
+    const share = Math.max(this.longTermShare.value(0), this.recentShare.value(1));
+    const tolerated = (TOLERATED_ODDS * share) / Math.max(1 - share, Number.EPSILON);
+    return Math.max(TOLERATED_SHARE, tolerated / (1 + tolerated));
+  }
+}
--- a/packages/mesh/src/rollouts/rolloutController.ts
+++ b/packages/mesh/src/rollouts/rolloutController.ts
@@ -123,7 +123,9 @@
   ): { phase: phases.Phase; reason: string | null } | null {
     const now = this.options.nowMs();
     const elapsedFraction = (now - learnedAtMs) / state.durationMs;
-    const result = this.options.comparison.evaluate(state.service, state.target);
+    const { comparison } = this.options;
+    const { service, target } = state;
+    const result = comparison.evaluate(service, target, phases.TARGET_SHARE[state.phase]);
     if (!result.passed) return { phase: 'rolledBack', reason: result.reason };
     const counts = this.countUpstreams(state);
     const advanceTo = (phase: phases.Phase) => ({ phase, reason: null });
@@ -132,7 +134,8 @@
         return counts.target > 0 ? advanceTo('canary') : null;
       case 'canary': {
         const hasEvidence =
-          result.requests >= MIN_CANARY_ANSWERS || elapsedFraction > WAIT_END_FRACTION;
+          comparison.counts(service, target).target.requests >= MIN_CANARY_ANSWERS ||
+          elapsedFraction > WAIT_END_FRACTION;
         return elapsedFraction > CANARY_END_FRACTION && hasEvidence ? advanceTo('pulse') : null;
       }
       case 'pulse': {
--- a/packages/mesh/src/rollouts/versionComparison.ts
+++ b/packages/mesh/src/rollouts/versionComparison.ts
@@ -1,17 +1,16 @@
-/** Compares the responses of a new version with those of the old one over the same period, by route. */
+/** Compares the responses of a new version with those of the old one over the same time, by route. */
 
-import type { ids } from '@godwittrack/core';
+import { eProcess, type ids } from '@godwittrack/core';
 import type * as evidence from './evidence.js';
+import * as failureTest from './failureTest.js';
 
-/** Fewer failures are treated as chance. */
-const MIN_FAILURES = 4;
-/** A version fails if its failure share exceeds twice that of the old version by more than this. */
-const EXCESS_FAILURE_SHARE = 0.1;
 /** Successful responses of each version needed to compare response times. */
 const MIN_TIMED_ANSWERS = 8;
 /** Upstreams are up to twice as slow for some seconds after they start, so the limit is above that. */
 const MAX_LATENCY_RATIO = 2.8;
 
+const NO_EVIDENCE: evidence.RouteEvidence = { requests: 0, failures: 0, totalMs: 0 };
+
 /** Counts over all routes, for the log. */
 export interface VersionCounts {
   requests: number;
@@ -20,52 +19,128 @@
   meanMs: number | null;
 }
 
-export type ComparisonResult =
-  { passed: true; requests: number } | { passed: false; reason: string };
+/** Counts of the target and of the other versions. */
+export interface ComparedCounts {
+  target: VersionCounts;
+  others: VersionCounts;
+}
 
-export class VersionComparison {
-  private readonly reports = new Map<ids.InstanceId, evidence.EvidenceReport>();
+export type ComparisonResult = { passed: true } | { passed: false; reason: string };
 
-  addReport(report: evidence.EvidenceReport): void {
+/** Requests since the last evaluation on one route. */
+interface RouteInterval {
+  target: Map<ids.InstanceId, failureTest.Counts>;
+  stable: failureTest.Counts;
+}
+
+/** The comparison for one rollout; begins anew with each target. */
+class Trial {
+  readonly reports = new Map<ids.InstanceId, evidence.EvidenceReport>();
+
+  private readonly overall = new failureTest.FailureTest();
+
+  private readonly byRoute = new Map<string, failureTest.FailureTest>();
+
+  private readonly restarts = new eProcess.RestartWeights();
+
+  private pending = new Map<string, RouteInterval>();
+
+  constructor(readonly target: ids.VersionName) {}
+
+  add(report: evidence.EvidenceReport): void {
+    const previous = this.reports.get(report.instance);
+    for (const [route, counts] of Object.entries(report.routes)) {
+      const added = subtract(counts, previous?.routes[route]);
+      if (added.requests > 0) this.addCounts(route, report, added);
+    }
     this.reports.set(report.instance, report);
   }
 
-  evaluate(service: ids.ServiceName, target: ids.VersionName): ComparisonResult {
-    const targetCounts = this.sum(service, (version) => version === target);
-    const stableCounts = this.sum(service, (version) => version !== target);
-    let requests = 0;
-    for (const [route, counts] of targetCounts) {
-      requests += counts.requests;
-      const reason = compare(route, counts, stableCounts.get(route));
-      if (reason !== null) return { passed: false, reason };
+  evaluate(share: number, falseVerdictProbability: number): ComparisonResult {
+    this.takeInterval(share);
+    // Half of the probability is for all routes together, and half for the single ones.
+    const half = falseVerdictProbability / 2;
+    if (this.overall.isBad(half)) return failed(this.overall.counts, 'all routes');
+    for (const [route, test] of this.byRoute) {
+      if (test.isBad(half / this.byRoute.size)) return failed(test.counts, route);
     }
-    return { passed: true, requests };
+    return this.compareTimes();
   }
 
-  /** Counts of the target and of the other versions, as far as they were reported here. */
-  counts(
-    service: ids.ServiceName,
-    target: ids.VersionName,
-  ): { target: VersionCounts; others: VersionCounts } {
+  counts(): ComparedCounts {
     return {
-      target: total(this.sum(service, (version) => version === target).values()),
-      others: total(this.sum(service, (version) => version !== target).values()),
+      target: total(this.sumByRoute((version) => version === this.target).values()),
+      others: total(this.sumByRoute((version) => version !== this.target).values()),
+    };
+  }
+
+  private addCounts(
+    route: string,
+    { instance, version }: evidence.EvidenceReport,
+    added: failureTest.Counts,
+  ): void {
+    const interval = this.pending.get(route) ?? {
+      target: new Map<ids.InstanceId, failureTest.Counts>(),
+      stable: { requests: 0, failures: 0 },
     };
+    this.pending.set(route, interval);
+    if (version === this.target) {
+      interval.target.set(instance, sum(interval.target.get(instance), added));
+    } else {
+      interval.stable = sum(interval.stable, added);
+    }
+  }
+
+  private takeInterval(share: number): void {
+    if (this.pending.size === 0) return;
+    this.restarts.setShare(100 * share);
+    const all: RouteInterval = { target: new Map(), stable: { requests: 0, failures: 0 } };
+    for (const { target, stable } of this.pending.values()) {
+      all.stable = sum(all.stable, stable);
+      for (const [instance, counts] of target) {
+        all.target.set(instance, sum(all.target.get(instance), counts));
+      }
+    }
+    // Intervals without requests of the target give no evidence and use no restart weight.
+    const restart = all.target.size > 0 ? this.restarts.next() : 0;
+    this.overall.add(all, restart);
+    for (const [route, interval] of this.pending) {
+      const test = this.byRoute.get(route) ?? new failureTest.FailureTest();
+      this.byRoute.set(route, test);
+      test.add(interval, restart);
+    }
+    this.pending = new Map();
   }
 
-  private sum(
-    service: ids.ServiceName,
+  private compareTimes(): ComparisonResult {
+    const stableByRoute = this.sumByRoute((version) => version !== this.target);
+    for (const [route, seen] of this.sumByRoute((version) => version === this.target)) {
+      const stable = stableByRoute.get(route) ?? NO_EVIDENCE;
+      const answers = seen.requests - seen.failures;
+      const stableAnswers = stable.requests - stable.failures;
+      if (Math.min(answers, stableAnswers) >= MIN_TIMED_ANSWERS) {
+        const ratio = seen.totalMs / answers / (stable.totalMs / stableAnswers);
+        if (ratio > MAX_LATENCY_RATIO) {
+          return { passed: false, reason: `${ratio.toFixed(1)} times as slow on ${route}` };
+        }
+      }
+    }
+    return { passed: true };
+  }
+
+  private sumByRoute(
     includes: (version: ids.VersionName) => boolean,
   ): Map<string, evidence.RouteEvidence> {
     const sums = new Map<string, evidence.RouteEvidence>();
     for (const report of this.reports.values()) {
-      if (report.service === service && includes(report.version)) {
+      if (includes(report.version)) {
         for (const [route, counts] of Object.entries(report.routes)) {
-          const sum = sums.get(route) ?? { requests: 0, failures: 0, totalMs: 0 };
-          sum.requests += counts.requests;
-          sum.failures += counts.failures;
-          sum.totalMs += counts.totalMs;
-          sums.set(route, sum);
+          const { requests, failures, totalMs } = sums.get(route) ?? NO_EVIDENCE;
+          sums.set(route, {
+            requests: requests + counts.requests,
+            failures: failures + counts.failures,
+            totalMs: totalMs + counts.totalMs,
+          });
         }
       }
     }
@@ -73,26 +148,60 @@
   }
 }
 
-/** @returns how the new version is worse than the old one on a route; null if it is not */
-function compare(
-  route: string,
-  seen: evidence.RouteEvidence,
-  stable: evidence.RouteEvidence | undefined,
-): string | null {
-  const share = seen.failures / seen.requests;
-  const stableShare = stable === undefined ? 0 : stable.failures / stable.requests;
-  if (seen.failures >= MIN_FAILURES && share > 2 * stableShare + EXCESS_FAILURE_SHARE) {
-    return `${seen.failures} of ${seen.requests} requests failed on ${route}`;
+export class VersionComparison {
+  private readonly trials = new Map<ids.ServiceName, Trial>();
+
+  /** Reports before the first evaluation of a target are not counted; they are repeated. */
+  addReport(report: evidence.EvidenceReport): void {
+    this.trials.get(report.service)?.add(report);
+  }
+
+  /** @param share share of requests that the target gets at present */
+  evaluate(service: ids.ServiceName, target: ids.VersionName, share: number): ComparisonResult {
+    return this.trialOf(service, target).evaluate(share, failureTest.FALSE_VERDICT_PROBABILITY);
+  }
+
+  counts(service: ids.ServiceName, target: ids.VersionName): ComparedCounts {
+    return this.trialOf(service, target).counts();
+  }
+
+  private trialOf(service: ids.ServiceName, target: ids.VersionName): Trial {
+    let trial = this.trials.get(service);
+    if (trial?.target !== target) {
+      trial = new Trial(target);
+      this.trials.set(service, trial);
+    }
+    return trial;
+  }
+}
+
+function failed({ failures, requests }: failureTest.Counts, where: string): ComparisonResult {
+  return { passed: false, reason: `${failures} of ${requests} requests failed on ${where}` };
+}
+
+/** What was added since the previous counts; a restarted node counts from zero. */
+function subtract(
+  counts: failureTest.Counts,
+  previous: failureTest.Counts | undefined,
+): failureTest.Counts {
+  if (previous === undefined || counts.requests < previous.requests) {
+    return { requests: counts.requests, failures: counts.failures };
   }
-  const answers = seen.requests - seen.failures;
-  const stableAnswers = stable === undefined ? 0 : stable.requests - stable.failures;
-  if (answers < MIN_TIMED_ANSWERS || stableAnswers < MIN_TIMED_ANSWERS) return null;
-  const ratio = seen.totalMs / answers / (stable!.totalMs / stableAnswers);
-  return ratio > MAX_LATENCY_RATIO ? `${ratio.toFixed(1)} times as slow on ${route}` : null;
+  return {
+    requests: counts.requests - previous.requests,
+    failures: Math.max(0, counts.failures - previous.failures),
+  };
+}
+
+function sum(a: failureTest.Counts | undefined, b: failureTest.Counts): failureTest.Counts {
+  return {
+    requests: (a?.requests ?? 0) + b.requests,
+    failures: (a?.failures ?? 0) + b.failures,
+  };
 }
 
 function total(routes: Iterable<evidence.RouteEvidence>): VersionCounts {
-  const all = { requests: 0, failures: 0, totalMs: 0 };
+  const all = { ...NO_EVIDENCE };
   for (const counts of routes) {
     all.requests += counts.requests;
     all.failures += counts.failures;
--- a/packages/mesh/src/upstream/__tests__/localDestination.test.ts
+++ b/packages/mesh/src/upstream/__tests__/localDestination.test.ts
@@ -39,7 +39,7 @@
     transferWaitMs = () => TRANSFER_WAIT_MS;
     clockAheadMs = 0;
     suspects = fixtures.suspects();
-    recorder = new evidence.EvidenceRecorder(() => true);
+    recorder = new evidence.EvidenceRecorder();
     sockets = new Set();
     server = net.createServer((socket) => {
       sockets.add(socket);
@@ -145,12 +145,9 @@
 
     // One end of an upstream took a good version back, whatever had caused it.
     it('counts once against its version, however many requests it was running', async () => {
-      const reasons: string[] = [];
-      recorder.onFailureThreshold((_state, reason) => reasons.push(reason));
       const held = Array.from({ length: 8 }, () => send('held'));
       await send('crash');
       await Promise.all(held);
-      assert.deepEqual(reasons, []);
       const counts = Object.values(recorder.countsByRoute());
       assert.deepEqual(counts, [{ requests: 1, failures: 1, totalMs: 0 }]);
     });
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -316,7 +316,7 @@
     const isOfCountedEnd = outcome.type === 'lost' && !this.countEnd(outcome.end);
     if (state !== null && state.instance === req.instance && !cancelled && !isOfCountedEnd) {
       const failed = outcome.type === 'lost' || outcome.status >= 500;
-      this.options.evidence.record(state, req.route, failed, ms);
+      this.options.evidence.record(req.route, failed, ms);
     }
     if (outcome.type !== 'answer' || outcome.status >= 500) {
       this.options.log.decision('upstream', req.requestId, 'the upstream failed a request', {
