fix(mesh): bound what an unproved version gets, by its deadline

What callers saw: a version that turned bad 9 s after its start got 4,139 of 6,492 requests in an order of 16 s (the users' play; 699 allowed) and was completed, or got all requests for 2.6 s (973 of 5,508, 601 allowed).

Cause: the phases advanced by fixed fractions of the ordered time, forwards: all requests went to the target from 47 % on, completed at 60 %. Nothing knew the bound, and the verdict of one node was all that kept to it; late, that node went on without having heard of any response.

Change: the plan counts back from the deadline (full for the last 1.2 s or 7 %, canary 3 %, pulse 10 %); each entry node spends at most exposure_share of its own requests until the deadline, so the bound holds whoever leads; a phase ends only while responses of the target are heard; the evidence is looked at again between the read and the write of completed; an order's age travels with its phase.

--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -10,7 +10,9 @@
 import * as uplinkScheduler from '../peers/uplinkScheduler.js';
 import * as quarantine from '../quarantine/quarantine.js';
 import type * as balancer from '../routing/balancer.js';
+import type * as rolloutTable from '../rollouts/rolloutTable.js';
 import * as exchange from '../routing/exchange.js';
+import * as versionChooser from '../routing/versionChooser.js';
 import * as headerCodec from '../upstream/headerCodec.js';
 
 export const UPSTREAM_ADDRESS = '127.0.0.1:9000';
@@ -113,6 +115,17 @@
   };
 }
 
+/** Chooses the target of a rollout for a request if its share is above one half. */
+export function versionChooserOf(
+  rollouts: rolloutTable.RolloutTable,
+): versionChooser.VersionChooser {
+  return new versionChooser.VersionChooser({
+    rollouts,
+    maxExposureShare: 0.1,
+    random: () => 0.5,
+  });
+}
+
 export function silentLog(): decisionLog.DecisionLog {
   const logger = pino.pino({ level: 'silent' });
   return new decisionLog.DecisionLog(logger, () => performance.now(), meters.createMetrics());
--- a/packages/mesh/src/callers/__tests__/callerFixtures.ts
+++ b/packages/mesh/src/callers/__tests__/callerFixtures.ts
@@ -39,21 +39,22 @@
   const metricsRegistry = meters.createMetrics();
   const upstream = new fixtures.HeldDestination();
   const config = new configHolder.ConfigHolder(nowMs);
+  const rollouts = new rolloutTable.RolloutTable(log, nowMs);
   const dispatch = new dispatcher.Dispatcher({
     table: new members.MemberTable(fixtures.member('a', { slots: 100 })),
     local: upstream,
     destinationOf: () => null,
     hasOpenLink: () => false,
-    rollouts: new rolloutTable.RolloutTable(log, nowMs),
+    rollouts,
     quarantine: fixtures.suspects(),
     balancer: new balancer.Balancer(() => 0),
     trafficSplitter: new trafficSplitter.TrafficSplitter(() => 0),
+    versionChooser: fixtures.versionChooserOf(rollouts),
     upstreamStats: new upstreamStats.UpstreamStats(nowMs),
     retryBudget: new retryBudget.RetryBudget({ ratio: 0.2, extra: 64 }, () => 1),
     log,
     meters: metricsRegistry,
     callerService: () => ids.serviceName('shop'),
-    random: () => 0.5,
     nowMs,
   });
   const server = new callerServer.CallerServer({
--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -30,6 +30,7 @@
   phase: 'canary',
   orderPosition: { era: ids.storeEra(2), revision: 16 },
   reason: null,
+  ageMs: 250,
 };
 
 const CRASH_REPORT: crashRecords.CrashReport = {
@@ -139,8 +140,8 @@
     );
   });
 
-  it('of a release that knows no eras have rollouts of era 0', () => {
-    const { orderPosition, ...state } = ROLLOUT;
+  it('of a release that knows no eras have rollouts of era 0 and of age 0', () => {
+    const { orderPosition, ageMs, ...state } = ROLLOUT;
     const packed = { states: [{ ...state, orderRevision: 16 }] };
     const framed = frames.encode({ type: 'rollouts', states: [] });
     const [code] = msgpack.decode(framed.subarray(4)) as [number];
@@ -148,7 +149,8 @@
     const length = Buffer.alloc(4);
     length.writeUInt32BE(message.length);
     const read = new frameSplitter.FrameSplitter('peer').push(Buffer.concat([length, message]));
-    const expected = { ...state, orderPosition: { era: 0, revision: orderPosition.revision } };
+    const oldest = { era: 0, revision: orderPosition.revision };
+    const expected = { ...state, ageMs: 0, orderPosition: oldest };
     assert.deepEqual(read, [{ type: 'rollouts', states: [expected] }]);
   });
 
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -270,10 +270,11 @@
   return { node, address, domain, region, sequence, upstream } as members.Member;
 }
 
-/** Nodes of earlier releases know the revision of an order only, and send no era. */
-type PackedRollout = Omit<phases.RolloutState, 'orderPosition'> & {
+/** Nodes of earlier releases know the revision of an order only, and send neither era nor age. */
+type PackedRollout = Omit<phases.RolloutState, 'orderPosition' | 'ageMs'> & {
   orderRevision: number;
   orderEra?: ids.StoreEra;
+  ageMs?: number;
 };
 
 function packRollout({ orderPosition, ...state }: phases.RolloutState): PackedRollout {
@@ -281,10 +282,11 @@
 }
 
 function unpackRollouts(states: unknown): phases.RolloutState[] {
-  return (states as PackedRollout[]).map(({ orderRevision, orderEra, ...state }) => ({
-    ...state,
-    orderPosition: { era: orderEra ?? ids.storeEra(0), revision: orderRevision },
-  }));
+  return (states as PackedRollout[]).map(({ orderRevision, orderEra, ageMs = 0, ...state }) => {
+    if (!Number.isFinite(ageMs)) throw new Error('bad age');
+    const orderPosition = { era: orderEra ?? ids.storeEra(0), revision: orderRevision };
+    return { ...state, ageMs: Math.max(0, ageMs), orderPosition };
+  });
 }
 
 function packCrashReport({ fingerprint, ends }: crashRecords.CrashReport): unknown[] {
--- a/packages/mesh/src/process/__tests__/stoppableNode.ts
+++ b/packages/mesh/src/process/__tests__/stoppableNode.ts
@@ -23,6 +23,7 @@
       graceMs: GRACE_MS,
       retryRatio: 0.2,
       retryExtra: 64,
+      maxExposureShare: 0.1,
     },
     { store, codec: new fixtures.TestHeaders() },
     fixtures.silentLog(),
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -14,12 +14,14 @@
 import type * as peerServer from '../peers/peerServer.js';
 import type * as quarantine from '../quarantine/quarantine.js';
 import type * as evidence from '../rollouts/evidence.js';
+import * as phases from '../rollouts/phases.js';
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
 import type * as rolloutController from '../rollouts/rolloutController.js';
 
 /** Period of the one timer for all periodic work; separate timers would cost more CPU wake-ups. */
 export const TICK_MS = 100;
 const REVIEW_EVERY_TICKS = 2;
+/** In all phases but `full`, in which the last requests of the old version must be seen in time. */
 const EVIDENCE_EVERY_TICKS = 3;
 const BEACON_EVERY_TICKS = storeWatcher.BEACON_INTERVAL_MS / TICK_MS;
 /** Time to wait for the list of nodes before watching the store without it. */
@@ -67,6 +69,8 @@
   controller: rolloutController.RolloutController;
   store: fleetStore.FleetStore;
   onEvidence: (report: evidence.EvidenceReport) => void;
+  /** Requests running or waiting at the local upstream. */
+  load: () => number;
   eventLoopLag: eventLoop.LagMeter;
   log: observability.DecisionLog;
   /** In [0, 1). */
@@ -111,7 +115,8 @@
       eventLoopLag.tick();
       network.checkLiveness();
       if (ticks % REVIEW_EVERY_TICKS === 0) this.review(startedMs);
-      if (ticks % EVIDENCE_EVERY_TICKS === 0) this.sendEvidence();
+      this.parts.controller.tick();
+      this.sendEvidence(ticks);
       if (ticks % BEACON_EVERY_TICKS === 0) this.sendBeacon();
     }, TICK_MS);
   }
@@ -178,10 +183,9 @@
   }
 
   private review(startedMs: number): void {
-    const { watcher, controller, network, quarantine: suspects, nowMs } = this.parts;
+    const { watcher, network, quarantine: suspects, nowMs } = this.parts;
     // Until the list of nodes is known, this node cannot tell whether another one watches the store.
     if (this.joined || nowMs() - startedMs > JOIN_TIMEOUT_MS) watcher.updateRole();
-    controller.tick();
     suspects.prune();
     network.maintain();
   }
@@ -239,18 +243,13 @@
   }
 
   /** Sends the response counts of the local upstream to the leader of a running rollout. */
-  private sendEvidence(): void {
-    const { self, rollouts, controller, network, evidence: recorder } = this.parts;
+  private sendEvidence(ticks: number): void {
+    const { self, rollouts, controller, network, evidence: recorder, load } = this.parts;
     const { upstream } = self;
-    if (upstream === null) return;
-    const newest = rollouts.newest(upstream.service);
-    if (
-      newest === null ||
-      newest.state.phase === 'completed' ||
-      newest.state.phase === 'rolledBack'
-    )
-      return;
+    const newest = upstream === null ? null : rollouts.newest(upstream.service);
+    if (upstream === null || newest === null || phases.isFinal(newest.state.phase)) return;
     recorder.follow(newest.state.target);
+    if (newest.state.phase !== 'full' && ticks % EVIDENCE_EVERY_TICKS !== 0) return;
     const { service, version, instance } = upstream;
     const report = {
       node: self.node,
@@ -258,6 +257,7 @@
       version,
       instance,
       routes: recorder.countsByRoute(),
+      load: load(),
     };
     const leader = controller.leader(service);
     if (leader === self.node) this.parts.onEvidence(report);
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -26,6 +26,7 @@
 import * as dispatcher from '../routing/dispatcher.js';
 import * as upstreamStats from '../routing/upstreamStats.js';
 import * as trafficSplitter from '../routing/trafficSplitter.js';
+import * as versionChooser from '../routing/versionChooser.js';
 import type * as headerCodec from '../upstream/headerCodec.js';
 import * as localDestination from '../upstream/localDestination.js';
 import * as upstreamPool from '../upstream/upstreamPool.js';
@@ -51,6 +52,8 @@
   /** Retry budget of the whole fleet: retries per request, and extra retries beyond that ratio. */
   retryRatio: number;
   retryExtra: number;
+  /** Share of a service's requests that an unproved version may get between its order and the deadline. */
+  maxExposureShare: number;
 }
 
 export interface PlatformAdapter {
@@ -98,7 +101,7 @@
   const table = new members.MemberTable(self);
   const config = new configHolder.ConfigHolder(nowMs);
   const rollouts = new rolloutTable.RolloutTable(log, nowMs);
-  const comparison = new versionComparison.VersionComparison();
+  const comparison = new versionComparison.VersionComparison(nowMs);
   const recorder = new evidence.EvidenceRecorder();
   const suspects = new quarantine.Quarantine({ log, nowMs });
   const upstream = new localUpstream.LocalUpstream(settings.upstreamAddress);
@@ -156,6 +159,11 @@
     quarantine: suspects,
     balancer: new balancer.Balancer(nextRandom),
     trafficSplitter: new trafficSplitter.TrafficSplitter(nextRandom),
+    versionChooser: new versionChooser.VersionChooser({
+      rollouts,
+      maxExposureShare: settings.maxExposureShare,
+      random: nextRandom,
+    }),
     upstreamStats: new upstreamStats.UpstreamStats(nowMs),
     retryBudget: new retryBudget.RetryBudget(
       { ratio: settings.retryRatio, extra: settings.retryExtra },
@@ -164,7 +172,6 @@
     log,
     meters: metricsRegistry,
     callerService: () => settings.service,
-    random: nextRandom,
     nowMs,
   });
   metricsRegistry.gauge(meters.CONFIG_VERSION, () => config.version);
@@ -219,11 +226,13 @@
       rollouts,
       comparison,
       store: platform.store,
+      maxExposureShare: settings.maxExposureShare,
       log,
       nowMs,
     }),
     store: platform.store,
     onEvidence,
+    load: () => local.load,
     eventLoopLag,
     log,
     random: nextRandom,
--- a/packages/mesh/src/rollouts/__tests__/rolloutController.test.ts
+++ b/packages/mesh/src/rollouts/__tests__/rolloutController.test.ts
@@ -88,8 +88,9 @@
       table: new members.MemberTable(self),
       reachable: () => [self],
       rollouts,
-      comparison: new versionComparison.VersionComparison(),
+      comparison: new versionComparison.VersionComparison(() => now),
       store,
+      maxExposureShare: 0.1,
       log,
       nowMs: () => now,
     });
@@ -117,6 +118,14 @@
     assert.equal(store.stored!.recorded, 'rolledBack');
   }
 
+  // A node that was cut off went on by time alone and recorded the version as completed.
+  it('takes no responses at all as no evidence for the version', async () => {
+    give(order(at(7, 1)));
+    await tick(100);
+    assert.equal(rollouts.newest(SHOP)!.state.phase, 'canary');
+    assert.equal(store.stored!.recorded, 'running');
+  });
+
   it('records a verdict once', async () => {
     await rollBack();
     rollouts.applyRecord(store.stored!);
--- a/packages/mesh/src/rollouts/__tests__/rolloutSimulation.ts
+++ b/packages/mesh/src/rollouts/__tests__/rolloutSimulation.ts
@@ -13,6 +13,7 @@
 import * as storeEra from '../../config/storeEra.js';
 import type * as storePosition from '../../config/storePosition.js';
 import * as members from '../../membership/members.js';
+import * as versionChooser from '../../routing/versionChooser.js';
 import * as evidence from '../evidence.js';
 import type * as phases from '../phases.js';
 import * as rolloutController from '../rolloutController.js';
@@ -96,6 +97,7 @@
   comparison: versionComparison.VersionComparison;
   controller: rolloutController.RolloutController;
   recorder: evidence.EvidenceRecorder;
+  chooser: versionChooser.VersionChooser;
   running: number;
 }
 
@@ -225,8 +227,13 @@
     const log = fixtures.silentLog();
     const nowMs = () => this.nowMs;
     const rollouts = new rolloutTable.RolloutTable(log, nowMs);
-    const comparison = new versionComparison.VersionComparison();
+    const comparison = new versionComparison.VersionComparison(nowMs);
     const recorder = new evidence.EvidenceRecorder();
+    const chooser = new versionChooser.VersionChooser({
+      rollouts,
+      maxExposureShare: EXPOSURE_SHARE,
+      random: () => this.random(),
+    });
     const table = new members.MemberTable(member, nowMs);
     const controller = new rolloutController.RolloutController({
       table,
@@ -234,6 +241,7 @@
       rollouts,
       comparison,
       store: this.store,
+      maxExposureShare: EXPOSURE_SHARE,
       log,
       nowMs,
     });
@@ -244,6 +252,7 @@
       comparison,
       controller,
       recorder,
+      chooser,
       running: 0,
     };
     table.all = () => this.nodes.map((each) => each.member).values();
@@ -263,7 +272,8 @@
     }
     for (const node of this.nodes) {
       node.controller.tick();
-      if (ticks % EVIDENCE_EVERY_TICKS === 0) this.sendEvidence(node);
+      const isFull = node.rollouts.newest(SHOP)?.state.phase === 'full';
+      if (isFull || ticks % EVIDENCE_EVERY_TICKS === 0) this.sendEvidence(node);
     }
   }
 
@@ -272,7 +282,8 @@
     const newest = node.rollouts.newest(SHOP);
     if (newest === null || newest.state.phase === 'completed' || !accepting) return;
     const routes = node.recorder.countsByRoute();
-    const report = { node: node.member.node, service, version, instance, routes };
+    const load = node.running;
+    const report = { node: node.member.node, service, version, instance, routes, load };
     const leader = node.controller.leader(SHOP);
     const receiver = this.nodes.find(({ member }) => member.node === leader)!;
     this.send(node.index, receiver.index, () => receiver.comparison.addReport(report));
@@ -280,8 +291,7 @@
 
   private startRequest(): void {
     const entry = this.pick(this.nodes);
-    const { target, share } = entry.rollouts.trafficSplit(SHOP);
-    const version = target !== null && this.random() < share ? target : STABLE;
+    const choice = entry.chooser.choose(SHOP);
     const serving = this.nodes.filter(
       ({ member }) =>
         member.upstream!.accepting && entry.rollouts.mayServe(SHOP, member.upstream!.version),
@@ -290,8 +300,11 @@
       this.result.failed += 1;
       return;
     }
-    const preferred = serving.filter(({ member }) => member.upstream!.version === version);
+    const preferred = serving.filter(({ member }) =>
+      entry.chooser.allows(choice, member.upstream!.version),
+    );
     const node = this.pick(preferred.length > 0 ? preferred : serving);
+    if (choice !== null) entry.chooser.recordOffer(choice, node.member.upstream!.version);
     this.arrive(node, this.random() < ROUTE_B_SHARE ? 'b' : 'a');
   }
 
--- a/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
+++ b/packages/mesh/src/rollouts/__tests__/rollouts.test.ts
@@ -22,7 +22,7 @@
 }
 
 function stateOf(overrides: Partial<phases.RolloutState>): phases.RolloutState {
-  return { ...ORDER, phase: 'held', orderPosition: at(1), reason: null, ...overrides };
+  return { ...ORDER, phase: 'held', orderPosition: at(1), reason: null, ageMs: 0, ...overrides };
 }
 
 describe('RolloutTable', () => {
@@ -47,6 +47,18 @@
     );
   });
 
+  it('takes the age of an order from nodes that know of it for longer', () => {
+    let now = 10_000;
+    const subject = new rolloutTable.RolloutTable(fixtures.silentLog(), () => now);
+    subject.merge([stateOf({ phase: 'canary', ageMs: 5_000 })], 'domain');
+    now += 1_000;
+    subject.merge([stateOf({ phase: 'canary', ageMs: 3_000 })], 'remote');
+    assert.equal(subject.states()[0]!.ageMs, 6_000);
+    assert.equal(subject.isExposureBounded('shop', 'v2'), true);
+    now += ORDER.durationMs - 6_000;
+    assert.equal(subject.isExposureBounded('shop', 'v2'), false);
+  });
+
   it('never serves a version again that was rolled back, also after a newer order', () => {
     const subject = createTable();
     subject.applyRecord({ ...ORDER, recorded: null, position: at(1) });
@@ -187,7 +199,7 @@
   type Counts = Record<string, [requests: number, failures: number, meanMs: number]>;
 
   function compare(stable: Counts, ...targets: Counts[]): versionComparison.ComparisonResult {
-    const subject = new versionComparison.VersionComparison();
+    const subject = new versionComparison.VersionComparison(() => 0);
     subject.evaluate(SHOP, V2, 0);
     const report = (instance: string, version: string, counts: Counts) => {
       const routes = Object.fromEntries(
@@ -211,7 +223,7 @@
 
   describe('with the responses of one upstream only, as on a node that is cut off', () => {
     function addResponses(count: number, fails: (i: number) => boolean): string[] {
-      const subject = new versionComparison.VersionComparison();
+      const subject = new versionComparison.VersionComparison(() => 0);
       const reasons: string[] = [];
       const recorder = new evidence.EvidenceRecorder();
       const { service, instance } = fixtures.member('a').upstream!;
@@ -240,7 +252,7 @@
   // Failures under load that were spread over many upstreams used to be outweighed by the successful
   // responses before them.
   it('rejects a version that begins to fail under load on all upstreams', () => {
-    const subject = new versionComparison.VersionComparison();
+    const subject = new versionComparison.VersionComparison(() => 0);
     const hosts = ['v1', 'v2'].flatMap((version) =>
       Array.from({ length: 6 }, (_, host) => ({
         version: ids.versionName(version),
--- a/packages/mesh/src/rollouts/evidence.ts
+++ b/packages/mesh/src/rollouts/evidence.ts
@@ -16,6 +16,8 @@
   instance: ids.InstanceId;
   /** Counts since the rollout started on this node. */
   routes: Record<string, RouteEvidence>;
+  /** Requests running or waiting at the upstream; nodes of earlier releases do not tell it. */
+  load?: number;
 }
 
 export class EvidenceRecorder {
--- a/packages/mesh/src/rollouts/failureTest.ts
+++ b/packages/mesh/src/rollouts/failureTest.ts
@@ -18,6 +18,8 @@
 
 /** Probability of a verdict against a version that is not worse, during its rollout. */
 export const FALSE_VERDICT_PROBABILITY = 0.02;
+/** The same for the last look at the evidence, after which there is no way back. */
+export const LAST_FALSE_VERDICT_PROBABILITY = 0.2;
 /** Odds of a failure at the new version, relative to the old one, that are tolerated. */
 const TOLERATED_ODDS = 1.15;
 /** Failure shares up to these are tolerated, whatever the old version does. */
--- a/packages/mesh/src/rollouts/phases.ts
+++ b/packages/mesh/src/rollouts/phases.ts
@@ -37,6 +37,8 @@
   orderPosition: storePosition.StorePosition;
   /** Why the version was rolled back; null in all other phases. */
   reason: string | null;
+  /** Time since the order as far as the node knows that tells the state; at least 0. */
+  ageMs: number;
 }
 
 /** Map key of a rollout. */
@@ -56,8 +58,8 @@
 /** Share of a service's requests that are sent to the target version in each phase. */
 export const TARGET_SHARE: Record<Phase, number> = {
   held: 0,
-  canary: 0.04,
-  pulse: 0.3,
+  canary: 0.03,
+  pulse: 0.1,
   full: 1,
   completed: 1,
   rolledBack: 0,
--- a/packages/mesh/src/rollouts/rolloutController.ts
+++ b/packages/mesh/src/rollouts/rolloutController.ts
@@ -10,21 +10,22 @@
 import type * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as phases from './phases.js';
+import * as rolloutPlan from './rolloutPlan.js';
 import type * as rolloutTable from './rolloutTable.js';
 import type * as versionComparison from './versionComparison.js';
 
-/** Fractions of the ordered duration after which phases may end, if the evidence allows. */
-const CANARY_END_FRACTION = 0.36;
-const PULSE_END_FRACTION = 0.47;
-/**
- * Fraction of the ordered duration after which the rollout no longer waits for `MIN_CANARY_ANSWERS`, nor
- * for as many upstreams of the target as of other versions.
- */
-const WAIT_END_FRACTION = 0.65;
-/** Duration of the `full` phase: time without traffic to the old version before it may be stopped. */
-const FULL_PHASE_MS = 2_500;
-/** Responses of the target that the `canary` phase waits for. */
-const MIN_CANARY_ANSWERS = 20;
+/** Least duration of the `full` phase, in which faults under load show. */
+const MIN_FULL_PHASE_MS = 500;
+/** Duration after which the `full` phase ends although other versions still have requests under way. */
+const MAX_FULL_PHASE_MS = 2_500;
+/** Time without a report of requests at other versions after which they are idle. */
+const IDLE_MS = 250;
+/** Responses of the target that each step waits for, unless the service has too few requests. */
+const MIN_ANSWERS = 20;
+/** Part of the expected responses that suffices then; their number varies by chance. */
+const MIN_EXPECTED_PART = 0.25;
+/** Age up to which a report shows that its upstream is heard of. */
+const REPORT_TTL_MS = 2_000;
 const RECORD_RETRY_MS = 400;
 /** Timeout of the read that precedes each write to the store. */
 const RECORD_TIMEOUT_MS = 2_000;
@@ -36,6 +37,8 @@
   rollouts: rolloutTable.RolloutTable;
   comparison: versionComparison.VersionComparison;
   store: fleetStore.FleetStore;
+  /** Share of a service's requests that an unproved version may get between its order and the deadline. */
+  maxExposureShare: number;
   log: observability.DecisionLog;
   nowMs: () => number;
 }
@@ -98,11 +101,11 @@
       progress.sinceMs = this.options.nowMs();
     }
     if (!phases.isFinal(state.phase)) {
-      const next = this.nextPhase(state, newest.learnedAtMs, progress.sinceMs);
+      const next = this.nextPhase(state, newest.orderedAtMs, progress.sinceMs);
       if (next !== null) {
         const { phase, reason } = next;
         if (phase !== 'completed' || !progress.recording) {
-          this.logDecision(state, phase, newest.learnedAtMs);
+          this.logDecision(state, phase, newest.orderedAtMs);
         }
         if (phase === 'completed') this.tryRecord(state, 'completed', progress);
         else this.options.rollouts.advance(service, state.target, phase, reason);
@@ -118,45 +121,67 @@
 
   private nextPhase(
     state: phases.RolloutState,
-    learnedAtMs: number,
+    orderedAtMs: number,
     phaseSinceMs: number,
   ): { phase: phases.Phase; reason: string | null } | null {
-    const now = this.options.nowMs();
-    const elapsedFraction = (now - learnedAtMs) / state.durationMs;
-    const { comparison } = this.options;
-    const { service, target } = state;
-    const result = comparison.evaluate(service, target, phases.TARGET_SHARE[state.phase]);
+    const { comparison, maxExposureShare, nowMs } = this.options;
+    const share = phases.TARGET_SHARE[state.phase];
+    const result = comparison.evaluate(state.service, state.target, share);
     if (!result.passed) return { phase: 'rolledBack', reason: result.reason };
-    const counts = this.countUpstreams(state);
+    const plan = rolloutPlan.createPlan(state.durationMs, maxExposureShare);
+    const elapsedMs = nowMs() - orderedAtMs;
     const advanceTo = (phase: phases.Phase) => ({ phase, reason: null });
     switch (state.phase) {
       case 'held':
-        return counts.target > 0 ? advanceTo('canary') : null;
-      case 'canary': {
-        const hasEvidence =
-          comparison.counts(service, target).target.requests >= MIN_CANARY_ANSWERS ||
-          elapsedFraction > WAIT_END_FRACTION;
-        return elapsedFraction > CANARY_END_FRACTION && hasEvidence ? advanceTo('pulse') : null;
+        return this.countUpstreams(state).target > 0 ? advanceTo('canary') : null;
+      case 'canary':
+        return elapsedMs >= plan.pulseAtMs && this.hasEvidence(state) ? advanceTo('pulse') : null;
+      case 'pulse':
+        return elapsedMs >= plan.fullAtMs && this.hasEvidence(state) ? advanceTo('full') : null;
+      case 'full': {
+        const fullMs = nowMs() - phaseSinceMs;
+        if (fullMs < MIN_FULL_PHASE_MS || !this.hasEvidence(state)) return null;
+        if (elapsedMs < plan.recordAtMs) return null;
+        const isInTime = elapsedMs < state.durationMs;
+        const mayEnd = isInTime || fullMs > MAX_FULL_PHASE_MS || this.areOthersIdle(state);
+        if (!mayEnd) return null;
+        const last = comparison.evaluateLast(state.service, state.target);
+        if (!last.passed) return { phase: 'rolledBack', reason: last.reason };
+        return advanceTo('completed');
       }
-      case 'pulse': {
-        const hasUpstreams = counts.target >= counts.stable || elapsedFraction > WAIT_END_FRACTION;
-        return elapsedFraction > PULSE_END_FRACTION && hasUpstreams ? advanceTo('full') : null;
-      }
-      case 'full':
-        return now - phaseSinceMs > FULL_PHASE_MS ? advanceTo('completed') : null;
       default:
         return null;
     }
   }
 
-  private logDecision(state: phases.RolloutState, next: phases.Phase, learnedAtMs: number): void {
+  /**
+   * Whether this node hears of enough responses of the target to go on. A node that is cut off hears of
+   * none, which is no evidence for the version.
+   */
+  private hasEvidence(state: phases.RolloutState): boolean {
+    const { comparison, nowMs } = this.options;
+    const { service, target } = state;
+    const upstreams = this.countUpstreams(state).target;
+    const heard = comparison.countHeard(service, target, nowMs() - REPORT_TTL_MS);
+    if (upstreams === 0 || heard < upstreams / 2) return false;
+    const { target: seen, others } = comparison.counts(service, target);
+    const expected = phases.TARGET_SHARE.canary * (seen.requests + others.requests);
+    return seen.requests >= Math.min(MIN_ANSWERS, Math.floor(expected * MIN_EXPECTED_PART));
+  }
+
+  private areOthersIdle({ service, target }: phases.RolloutState): boolean {
+    const { comparison, nowMs } = this.options;
+    return nowMs() - comparison.othersActiveAtMs(service, target) > IDLE_MS;
+  }
+
+  private logDecision(state: phases.RolloutState, next: phases.Phase, orderedAtMs: number): void {
     const { service, target, phase, durationMs } = state;
     this.options.log.info('rollouts', 'rollout phase decided', {
       service,
       target,
       phase,
       next,
-      elapsedMs: Math.round(this.options.nowMs() - learnedAtMs),
+      elapsedMs: Math.round(this.options.nowMs() - orderedAtMs),
       durationMs,
       upstreams: this.countUpstreams(state),
       reached: this.options.reachable().length,
@@ -166,7 +191,7 @@
 
   /** Whether other versions have had no traffic for long enough to be stopped. */
   private hasServedAlone(state: phases.RolloutState, sinceMs: number): boolean {
-    if (this.options.nowMs() - sinceMs <= FULL_PHASE_MS) return false;
+    if (this.options.nowMs() - sinceMs <= MAX_FULL_PHASE_MS) return false;
     return this.countUpstreams(state).target > 0;
   }
 
@@ -180,6 +205,13 @@
     return counts;
   }
 
+  /** Takes in the evidence that has come while the stored rollout was read. */
+  private mayComplete({ service, target }: phases.RolloutState): boolean {
+    const { comparison, rollouts } = this.options;
+    if (!rollouts.mayServe(service, target)) return false;
+    return comparison.evaluateLast(service, target).passed;
+  }
+
   private progressOf(state: phases.RolloutState): Progress {
     const key = phases.rolloutKey(state.service, state.target);
     let progress = this.progress.get(key);
@@ -242,6 +274,7 @@
     if (record === undefined) return state.orderPosition;
     rollouts.applyRecord(record);
     if (phases.isFinal(record.recorded) || record.recorded === outcome) return record.position;
+    if (outcome === 'completed' && !this.mayComplete(state)) return null;
     const written = await store.recordRollout(record, outcome);
     log.info(
       'rollouts',
--- a/packages/mesh/src/rollouts/rolloutTable.ts
+++ b/packages/mesh/src/rollouts/rolloutTable.ts
@@ -18,8 +18,8 @@
 
 interface RolloutEntry {
   state: phases.RolloutState;
-  /** Monotonic time at which this node learned of the rollout. */
-  learnedAtMs: number;
+  /** Monotonic time of the order, or the earliest at which a node is known to have heard of it. */
+  orderedAtMs: number;
 }
 
 export interface TrafficSplit {
@@ -56,7 +56,7 @@
   }
 
   states(): phases.RolloutState[] {
-    return [...this.rollouts.values()].map(({ state }) => state);
+    return [...this.rollouts.values()].map((entry) => this.told(entry));
   }
 
   /** The newest rollout of a service. */
@@ -75,10 +75,11 @@
 
   /** Applies a rollout as read from the store. */
   applyRecord(record: phases.RolloutRecord): void {
-    const phase =
+    const phase: phases.Phase =
       record.recorded === null || record.recorded === 'running' ? 'held' : record.recorded;
     const { service, target, durationMs, position: orderPosition } = record;
-    this.apply({ service, target, durationMs, phase, orderPosition, reason: null }, 'store');
+    const state = { service, target, durationMs, phase, orderPosition, reason: null, ageMs: 0 };
+    this.apply(state, 'store');
   }
 
   merge(states: readonly phases.RolloutState[], origin: propagation.Origin): void {
@@ -107,6 +108,13 @@
     return entry !== undefined && !phases.isFinal(entry.state.phase);
   }
 
+  /** Whether requests to the version are limited: its rollout goes on and its deadline has not passed. */
+  isExposureBounded(service: string, version: string): boolean {
+    const entry = this.rollouts.get(phases.rolloutKey(service, version));
+    if (entry === undefined || phases.isFinal(entry.state.phase)) return false;
+    return this.nowMs() - entry.orderedAtMs < entry.state.durationMs;
+  }
+
   trafficSplit(service: string): TrafficSplit {
     const newest = this.newest(service);
     if (newest === null || newest.state.phase === 'rolledBack') return { target: null, share: 0 };
@@ -116,11 +124,14 @@
   private apply(next: phases.RolloutState, origin: propagation.Origin): void {
     const key = phases.rolloutKey(next.service, next.target);
     const entry = this.rollouts.get(key);
+    const orderedAtMs = this.nowMs() - next.ageMs;
     if (entry === undefined) {
-      this.rollouts.set(key, { state: next, learnedAtMs: this.nowMs() });
-      this.notify(next, origin, false);
+      const added = { state: next, orderedAtMs };
+      this.rollouts.set(key, added);
+      this.notify(added, origin, false);
       return;
     }
+    entry.orderedAtMs = Math.min(entry.orderedAtMs, orderedAtMs);
     const { state: current } = entry;
     const phase = mergePhases(current.phase, next.phase, origin === 'store');
     const isNewPhase = phase !== current.phase;
@@ -133,18 +144,17 @@
       reason: isNewPhase ? next.reason : current.reason,
       orderPosition: isLater ? next.orderPosition : current.orderPosition,
     };
-    if (isNewPhase || this.newest(next.service) !== newestBefore)
-      this.notify(entry.state, origin, false);
+    if (isNewPhase || this.newest(next.service) !== newestBefore) this.notify(entry, origin, false);
     // The node that leads the rollout records the phase again, and need not watch the store itself.
-    else if (next.orderPosition.era > current.orderPosition.era)
-      this.notify(entry.state, origin, true);
+    else if (next.orderPosition.era > current.orderPosition.era) this.notify(entry, origin, true);
   }
 
-  private notify(
-    state: phases.RolloutState,
-    origin: propagation.Origin,
-    isRepeated: boolean,
-  ): void {
+  private told({ state, orderedAtMs }: RolloutEntry): phases.RolloutState {
+    return { ...state, ageMs: Math.round(this.nowMs() - orderedAtMs) };
+  }
+
+  private notify(entry: RolloutEntry, origin: propagation.Origin, isRepeated: boolean): void {
+    const state = this.told(entry);
     const message = isRepeated ? 'a rollout was read again' : 'a rollout has a new phase';
     this.log.info('rollouts', message, { ...state, origin });
     for (const listener of this.listeners) listener(state, origin, isRepeated);
--- a/packages/mesh/src/rollouts/versionComparison.ts
+++ b/packages/mesh/src/rollouts/versionComparison.ts
@@ -27,6 +27,13 @@
 
 export type ComparisonResult = { passed: true } | { passed: false; reason: string };
 
+interface ReceivedReport {
+  report: evidence.EvidenceReport;
+  atMs: number;
+  /** Time of the last report with requests that were new or under way. */
+  activeAtMs: number;
+}
+
 /** Requests since the last evaluation on one route. */
 interface RouteInterval {
   target: Map<ids.InstanceId, failureTest.Counts>;
@@ -35,7 +42,7 @@
 
 /** The comparison for one rollout; begins anew with each target. */
 class Trial {
-  readonly reports = new Map<ids.InstanceId, evidence.EvidenceReport>();
+  readonly reports = new Map<ids.InstanceId, ReceivedReport>();
 
   private readonly overall = new failureTest.FailureTest();
 
@@ -47,13 +54,18 @@
 
   constructor(readonly target: ids.VersionName) {}
 
-  add(report: evidence.EvidenceReport): void {
+  add(report: evidence.EvidenceReport, nowMs: number): void {
     const previous = this.reports.get(report.instance);
+    let isActive = (report.load ?? 0) > 0;
     for (const [route, counts] of Object.entries(report.routes)) {
-      const added = subtract(counts, previous?.routes[route]);
-      if (added.requests > 0) this.addCounts(route, report, added);
+      const added = subtract(counts, previous?.report.routes[route]);
+      if (added.requests > 0) {
+        isActive = true;
+        this.addCounts(route, report, added);
+      }
     }
-    this.reports.set(report.instance, report);
+    const activeAtMs = isActive ? nowMs : (previous?.activeAtMs ?? -Infinity);
+    this.reports.set(report.instance, { report, atMs: nowMs, activeAtMs });
   }
 
   evaluate(share: number, falseVerdictProbability: number): ComparisonResult {
@@ -132,7 +144,7 @@
     includes: (version: ids.VersionName) => boolean,
   ): Map<string, evidence.RouteEvidence> {
     const sums = new Map<string, evidence.RouteEvidence>();
-    for (const report of this.reports.values()) {
+    for (const { report } of this.reports.values()) {
       if (includes(report.version)) {
         for (const [route, counts] of Object.entries(report.routes)) {
           const { requests, failures, totalMs } = sums.get(route) ?? NO_EVIDENCE;
@@ -151,9 +163,11 @@
 export class VersionComparison {
   private readonly trials = new Map<ids.ServiceName, Trial>();
 
+  constructor(private readonly nowMs: () => number) {}
+
   /** Reports before the first evaluation of a target are not counted; they are repeated. */
   addReport(report: evidence.EvidenceReport): void {
-    this.trials.get(report.service)?.add(report);
+    this.trials.get(report.service)?.add(report, this.nowMs());
   }
 
   /** @param share share of requests that the target gets at present */
@@ -161,10 +175,30 @@
     return this.trialOf(service, target).evaluate(share, failureTest.FALSE_VERDICT_PROBABILITY);
   }
 
+  /** Evaluates for the last time before the old version is stopped. */
+  evaluateLast(service: ids.ServiceName, target: ids.VersionName): ComparisonResult {
+    return this.trialOf(service, target).evaluate(1, failureTest.LAST_FALSE_VERDICT_PROBABILITY);
+  }
+
   counts(service: ids.ServiceName, target: ids.VersionName): ComparedCounts {
     return this.trialOf(service, target).counts();
   }
 
+  /** Upstreams of the target that have been heard of since a time. */
+  countHeard(service: ids.ServiceName, target: ids.VersionName, sinceMs: number): number {
+    return [...this.trialOf(service, target).reports.values()].filter(
+      ({ report, atMs }) => report.version === target && atMs >= sinceMs,
+    ).length;
+  }
+
+  /** Last time at which an upstream of another version had a request, as far as is known. */
+  othersActiveAtMs(service: ids.ServiceName, target: ids.VersionName): number {
+    const others = [...this.trialOf(service, target).reports.values()].filter(
+      ({ report }) => report.version !== target,
+    );
+    return Math.max(-Infinity, ...others.map(({ activeAtMs }) => activeAtMs));
+  }
+
   private trialOf(service: ids.ServiceName, target: ids.VersionName): Trial {
     let trial = this.trials.get(service);
     if (trial?.target !== target) {
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -56,6 +56,7 @@
 describe('Dispatcher', () => {
   let first: ScriptedDestination;
   let second: ScriptedDestination;
+  let rollouts: rolloutTable.RolloutTable;
   let budget: retryBudget.RetryBudget;
   let loadBalancer: RecordingBalancer;
   let now: number;
@@ -72,21 +73,22 @@
     const table = new members.MemberTable(fixtures.member(self));
     for (const node of nodes) if (node !== self) table.merge(fixtures.member(node));
     const log = fixtures.silentLog();
+    rollouts = new rolloutTable.RolloutTable(log, () => now);
     return new dispatcher.Dispatcher({
       table,
       local: first,
       destinationOf: () => second,
       hasOpenLink: () => true,
-      rollouts: new rolloutTable.RolloutTable(log, () => 0),
+      rollouts,
       quarantine: suspects,
       balancer: loadBalancer,
       trafficSplitter: new trafficSplitter.TrafficSplitter(() => 0),
+      versionChooser: fixtures.versionChooserOf(rollouts),
       upstreamStats: new upstreamStats.UpstreamStats(() => now),
       retryBudget: budget,
       log,
       meters: meters.createMetrics(),
       callerService: () => ids.serviceName('shop'),
-      random: () => 0.5,
       nowMs: () => now,
     });
   }
--- a/packages/mesh/src/routing/__tests__/uplinkLoad.test.ts
+++ b/packages/mesh/src/routing/__tests__/uplinkLoad.test.ts
@@ -249,21 +249,22 @@
       const link = new Link(host, ONE_WAY_MS[distance], clock, onAnswer);
       links.set(host.record.node, link);
     }
+    const rollouts = new rolloutTable.RolloutTable(log, nowMs);
     return new dispatcher.Dispatcher({
       table,
       local: new NoUpstream(),
       destinationOf: (node) => links.get(node) ?? null,
       hasOpenLink: () => true,
-      rollouts: new rolloutTable.RolloutTable(log, nowMs),
+      rollouts,
       quarantine: fixtures.suspects(),
       balancer: new balancer.Balancer(next),
       trafficSplitter: new trafficSplitter.TrafficSplitter(next),
+      versionChooser: fixtures.versionChooserOf(rollouts),
       upstreamStats: new upstreamStats.UpstreamStats(nowMs),
       retryBudget: new retryBudget.RetryBudget({ ratio: 0.2, extra: 100 }, () => 1),
       log,
       meters: meters.createMetrics(),
       callerService: () => ids.serviceName('web'),
-      random: next,
       nowMs,
     });
   }
--- /dev/null
+++ b/packages/mesh/src/routing/__tests__/versionChooser.test.ts
@@ -0,0 +1,85 @@
+import * as assert from 'node:assert/strict';
+import { beforeEach, describe, it } from 'node:test';
+import { ids } from '@godwittrack/core';
+import * as fixtures from '../../__tests__/fixtures.js';
+import type * as phases from '../../rollouts/phases.js';
+import * as rolloutTable from '../../rollouts/rolloutTable.js';
+import * as versionChooser from '../versionChooser.js';
+
+const SHOP = ids.serviceName('shop');
+const V1 = ids.versionName('v1');
+const V2 = ids.versionName('v2');
+const DURATION_MS = 16_000;
+
+describe('VersionChooser', () => {
+  let now: number;
+  let rollouts: rolloutTable.RolloutTable;
+  let subject: versionChooser.VersionChooser;
+
+  function order(target: ids.VersionName, phase: phases.Phase, revision: number): void {
+    const position = { era: ids.storeEra(1), revision };
+    const record = { service: SHOP, target, durationMs: DURATION_MS, recorded: null, position };
+    rollouts.applyRecord(record);
+    rollouts.advance(SHOP, target, phase, null);
+  }
+
+  /** Requests to the target out of `requests`. */
+  function countAtTarget(requests: number): number {
+    let count = 0;
+    for (let i = 0; i < requests; i += 1) {
+      const choice = subject.choose(SHOP)!;
+      subject.recordOffer(choice, choice.isTarget ? choice.target : V1);
+      if (choice.isTarget) count += 1;
+    }
+    return count;
+  }
+
+  beforeEach(() => {
+    now = 0;
+    rollouts = new rolloutTable.RolloutTable(fixtures.silentLog(), () => now);
+    subject = new versionChooser.VersionChooser({
+      rollouts,
+      maxExposureShare: 0.1,
+      random: () => 0.001,
+    });
+  });
+
+  it('chooses no version without a rollout', () => {
+    assert.equal(subject.choose(SHOP), null);
+    assert.equal(subject.allows(null, V1), true);
+  });
+
+  // Nothing but the verdict of the node in charge limited the requests to a bad version.
+  for (const phase of ['canary', 'pulse', 'full'] as const) {
+    it(`bounds the requests to the target of a rollout in phase ${phase}`, () => {
+      order(V2, phase, 1);
+      assert.equal(countAtTarget(1_000), 100);
+    });
+  }
+
+  it('saves up what was not used', () => {
+    order(V2, 'held', 1);
+    countAtTarget(1_000);
+    rollouts.advance(SHOP, V2, 'full', null);
+    assert.equal(countAtTarget(100), 100);
+  });
+
+  it('counts requests that reach the target without being chosen for it', () => {
+    order(V2, 'full', 1);
+    for (let i = 0; i < 20; i += 1) {
+      subject.recordOffer({ service: SHOP, target: V2, isTarget: false }, V2);
+    }
+    assert.equal(countAtTarget(200), 0);
+  });
+
+  it('sends all requests to a version that is completed', () => {
+    order(V2, 'completed', 1);
+    assert.equal(countAtTarget(50), 50);
+  });
+
+  it('sends all requests to the target of a late rollout, so that it can end', () => {
+    order(V2, 'full', 1);
+    now = DURATION_MS;
+    assert.equal(countAtTarget(50), 50);
+  });
+});
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -15,6 +15,7 @@
 import * as exchange from './exchange.js';
 import type * as upstreamStats from './upstreamStats.js';
 import type * as trafficSplitter from './trafficSplitter.js';
+import type * as versionChooser from './versionChooser.js';
 
 /** Offers to nodes per request. An offer that is refused costs little, since nothing runs. */
 const MAX_OFFERS = 5;
@@ -55,22 +56,15 @@
   quarantine: quarantine.Quarantine;
   balancer: balancer.Balancer;
   trafficSplitter: trafficSplitter.TrafficSplitter;
+  versionChooser: versionChooser.VersionChooser;
   upstreamStats: upstreamStats.UpstreamStats;
   retryBudget: retryBudget.RetryBudget;
   log: observability.DecisionLog;
   meters: metrics.Metrics;
   callerService: () => ids.ServiceName;
-  /** In [0, 1). */
-  random: () => number;
   nowMs: () => number;
 }
 
-/** The version being rolled out, and whether the request goes to it or to another version. */
-interface VersionChoice {
-  version: ids.VersionName;
-  isChosen: boolean;
-}
-
 /** State of one request over its offers. */
 interface Progress {
   /** What identifies the request, whichever attempt it is. */
@@ -105,7 +99,7 @@
   async dispatch(req: CallerRequest, signal: AbortSignal): Promise<exchange.Outcome> {
     const { service } = this.options.trafficSplitter.choose(req.route);
     this.options.retryBudget.deposit(service);
-    const versionChoice = this.chooseVersion(service);
+    const versionChoice = this.options.versionChooser.choose(service);
     const { method, target, headers, body } = req;
     const progress: Progress = {
       identity: { method, target, headers, body, callerService: this.options.callerService() },
@@ -128,8 +122,7 @@
       }
       const choice = this.chooseCandidate(req, service, versionChoice, verdict, progress);
       if (choice === null) break;
-      this.countRolloutOffer(choice.candidate.node, versionChoice);
-      const outcome = await this.offer(req, choice, verdict, progress, signal);
+      const outcome = await this.offer(req, choice, versionChoice, verdict, progress, signal);
       if (outcome !== null) return outcome;
       // Which nodes have room differs between attempts, so two of them could run at the same time.
       const wasBlocked = verdict.type === 'suspect' && verdict.wasBlocked;
@@ -156,25 +149,22 @@
     return started > 0 ? exchange.lost(reason) : exchange.refused(reason, retryAfterMs);
   }
 
-  private chooseVersion(service: ids.ServiceName): VersionChoice | null {
-    const { target, share } = this.options.rollouts.trafficSplit(service);
-    if (target === null) return null;
-    return { version: target, isChosen: share >= 1 || this.options.random() < share };
-  }
-
-  private countRolloutOffer(node: ids.NodeId, choice: VersionChoice | null): void {
-    const upstream = this.options.table.get(node)?.upstream;
-    if (choice === null || upstream == null) return;
+  private recordRolloutOffer(
+    { version }: members.UpstreamState,
+    choice: versionChooser.VersionChoice | null,
+  ): void {
+    if (choice === null) return;
+    this.options.versionChooser.recordOffer(choice, version);
     this.options.meters.increment(meters.ROLLOUT_OFFERS, {
-      version: upstream.version === choice.version ? 'target' : 'other',
-      chosen: choice.isChosen ? 'target' : 'other',
+      version: version === choice.target ? 'target' : 'other',
+      chosen: choice.isTarget ? 'target' : 'other',
     });
   }
 
   private chooseCandidate(
     req: CallerRequest,
     service: ids.ServiceName,
-    versionChoice: VersionChoice | null,
+    versionChoice: versionChooser.VersionChoice | null,
     verdict: quarantine.Verdict,
     progress: Progress,
   ): balancer.Choice | null {
@@ -209,7 +199,7 @@
   private eligibleCandidates(
     route: configuration.Route,
     service: ids.ServiceName,
-    versionChoice: VersionChoice | null,
+    versionChoice: versionChooser.VersionChoice | null,
     targetLeftMs: number,
     progress: Progress,
   ): balancer.Candidate[] {
@@ -217,7 +207,7 @@
     const collectIf = (isEligible: (member: members.Member) => boolean) =>
       this.collectCandidates(route, service, targetLeftMs, isEligible, progress);
     if (versionChoice === null) return collectIf(isUsable).candidates;
-    const preferred = collectIf((member) => isOfVersion(member, versionChoice) && isUsable(member));
+    const preferred = collectIf((member) => this.allows(versionChoice, member) && isUsable(member));
     if (preferred.candidates.length > 0 || preferred.fullCount > 0 || progress.offers > 0) {
       return preferred.candidates;
     }
@@ -231,7 +221,7 @@
   private candidatesForSuspect(
     route: configuration.Route,
     service: ids.ServiceName,
-    versionChoice: VersionChoice | null,
+    versionChoice: versionChooser.VersionChoice | null,
     { fingerprint, ends }: quarantine.SuspectVerdict,
     progress: Progress,
   ): balancer.Candidate[] {
@@ -240,7 +230,7 @@
       .rank(fingerprint, table.serving(service), ({ node }) => node)
       .filter((member) => this.isUsable(member, service, progress.tried))
       .filter(({ upstream }) => !ends.has(members.endIdOf(upstream!)));
-    const ofVersion = ranked.filter((each) => isOfVersion(each, versionChoice));
+    const ofVersion = ranked.filter((each) => this.allows(versionChoice, each));
     const eligible = ofVersion.length > 0 ? ofVersion : ranked;
     const member = eligible.find(({ node }) => !progress.probed.has(node)) ?? eligible[0];
     if (member === undefined) return [];
@@ -280,6 +270,13 @@
     return { candidates, fullCount };
   }
 
+  private allows(
+    choice: versionChooser.VersionChoice | null,
+    { upstream }: members.Member,
+  ): boolean {
+    return this.options.versionChooser.allows(choice, upstream!.version);
+  }
+
   private isUsable(
     { node, upstream }: members.Member,
     service: ids.ServiceName,
@@ -338,6 +335,7 @@
   private async offer(
     req: CallerRequest,
     choice: balancer.Choice,
+    versionChoice: versionChooser.VersionChoice | null,
     verdict: quarantine.Verdict,
     progress: Progress,
     signal: AbortSignal,
@@ -351,6 +349,7 @@
       progress.tried.add(node);
       return null;
     }
+    this.recordRolloutOffer(member.upstream, versionChoice);
     const ownRequests = (this.outstanding.get(node) ?? 0) + 1;
     this.outstanding.set(node, ownRequests);
     const forwarded = this.toForwardedRequest(
@@ -462,7 +461,3 @@
     };
   }
 }
-
-function isOfVersion({ upstream }: members.Member, choice: VersionChoice | null): boolean {
-  return choice === null || (upstream!.version === choice.version) === choice.isChosen;
-}
--- /dev/null
+++ b/packages/mesh/src/routing/versionChooser.ts
@@ -0,0 +1,73 @@
+/**
+ * Chooses between the version that a service is rolled out to and the others. Each node bounds its own
+ * requests to a version that is not proved yet, so the bound holds for the fleet without coordination,
+ * whatever the nodes that lead the rollout know or do.
+ */
+
+import type { ids } from '@godwittrack/core';
+import type * as rolloutTable from '../rollouts/rolloutTable.js';
+
+export interface VersionChooserOptions {
+  rollouts: rolloutTable.RolloutTable;
+  /** Share of a service's requests that an unproved version may get between its order and the deadline. */
+  maxExposureShare: number;
+  /** In [0, 1). */
+  random: () => number;
+}
+
+/** Whether a request goes to the version that is being rolled out, or to another one. */
+export interface VersionChoice {
+  service: ids.ServiceName;
+  target: ids.VersionName;
+  isTarget: boolean;
+}
+
+/** Requests of this node since it learned of the rollout. */
+interface Exposure {
+  target: ids.VersionName;
+  requests: number;
+  atTarget: number;
+}
+
+export class VersionChooser {
+  private readonly exposures = new Map<ids.ServiceName, Exposure>();
+
+  constructor(private readonly options: VersionChooserOptions) {}
+
+  /** Chooses for one request; null if the service has no rollout. */
+  choose(service: ids.ServiceName): VersionChoice | null {
+    const { rollouts, random } = this.options;
+    const { target, share } = rollouts.trafficSplit(service);
+    if (target === null) return null;
+    const exposure = this.exposureOf(service, target);
+    exposure.requests += 1;
+    const isDrawn = share >= 1 || random() < share;
+    return { service, target, isTarget: isDrawn && this.mayExpose(service, exposure) };
+  }
+
+  /** Whether the choice allows a version. */
+  // eslint-disable-next-line class-methods-use-this
+  allows(choice: VersionChoice | null, version: ids.VersionName): boolean {
+    return choice === null || choice.isTarget === (version === choice.target);
+  }
+
+  /** Records that a request is offered to an upstream of the version, chosen or not. */
+  recordOffer({ service, target }: VersionChoice, version: ids.VersionName): void {
+    if (version === target) this.exposureOf(service, target).atTarget += 1;
+  }
+
+  private mayExpose(service: ids.ServiceName, { target, requests, atTarget }: Exposure): boolean {
+    const { rollouts, maxExposureShare } = this.options;
+    if (!rollouts.isExposureBounded(service, target)) return true;
+    return atTarget + 1 <= maxExposureShare * requests;
+  }
+
+  private exposureOf(service: ids.ServiceName, target: ids.VersionName): Exposure {
+    let exposure = this.exposures.get(service);
+    if (exposure?.target !== target) {
+      exposure = { target, requests: 0, atTarget: 0 };
+      this.exposures.set(service, exposure);
+    }
+    return exposure;
+  }
+}
