fix(mesh): use no version whose rollout was replaced midway

What callers could see: once v3 is ordered while v2 is still being rolled out, v2 counted as one of the other versions and got about half of all requests, unjudged.

Cause: whatever is not the target was taken for the old version. The test fails without the change (v2 is allowed).

--- a/packages/mesh/src/routing/__tests__/versionChooser.test.ts
+++ b/packages/mesh/src/routing/__tests__/versionChooser.test.ts
@@ -9,6 +9,7 @@
 const SHOP = ids.serviceName('shop');
 const V1 = ids.versionName('v1');
 const V2 = ids.versionName('v2');
+const V3 = ids.versionName('v3');
 const DURATION_MS = 16_000;
 
 describe('VersionChooser', () => {
@@ -82,4 +83,15 @@
     now = DURATION_MS;
     assert.equal(countAtTarget(50), 50);
   });
+
+  // A newer order made the target of an unfinished rollout one of the other versions.
+  it('uses no version whose rollout was replaced midway', () => {
+    order(V2, 'canary', 1);
+    order(V3, 'canary', 2);
+    const choice = { service: SHOP, target: V3, isTarget: false };
+    assert.deepEqual(
+      [V1, V2, V3].map((version) => subject.allows(choice, version)),
+      [true, false, false],
+    );
+  });
 });
--- a/packages/mesh/src/routing/versionChooser.ts
+++ b/packages/mesh/src/routing/versionChooser.ts
@@ -45,10 +45,13 @@
     return { service, target, isTarget: isDrawn && this.mayExpose(service, exposure) };
   }
 
-  /** Whether the choice allows a version. */
-  // eslint-disable-next-line class-methods-use-this
+  /** Whether the choice allows a version. Versions of rollouts that were replaced midway are not proved. */
   allows(choice: VersionChoice | null, version: ids.VersionName): boolean {
-    return choice === null || choice.isTarget === (version === choice.target);
+    if (choice === null) return true;
+    if (choice.isTarget || version === choice.target) {
+      return choice.isTarget && version === choice.target;
+    }
+    return !this.options.rollouts.isRollingOut(choice.service, version);
   }
 
   /** Records that a request is offered to an upstream of the version, chosen or not. */
