fix(mesh): compare times with the usual upstream of the old version

What callers could see: with two of six upstreams of the old version slowed down eight times, a version five times as slow as usual was completed.

Cause: the limit is a multiple of the mean over all upstreams of the old version, which a few slow ones raise. Change: the median of their means.

--- a/packages/mesh/src/rollouts/__tests__/exposure.test.ts
+++ b/packages/mesh/src/rollouts/__tests__/exposure.test.ts
@@ -135,6 +135,28 @@
     );
   });
 
+  describe('that is slow', () => {
+    for (const factor of [4, 8]) {
+      const slowness: Options['slowness'] = ({ isTarget }) => (isTarget ? factor : 1);
+      const options = { ...ORDER, targetFailure: never, slowness };
+      forEachSeed(`by a factor of ${factor} is rolled back`, options, assertRolledBack);
+    }
+
+    // The mean of the old version hid the slowness of the new one.
+    forEachSeed(
+      'beside slow upstreams of the old version is rolled back',
+      {
+        ...ORDER,
+        targetFailure: never,
+        slowness: ({ isTarget, upstream, sinceOrderMs }) => {
+          if (isTarget) return 5;
+          return upstream < 2 && sinceOrderMs > 500 ? 8 : 1;
+        },
+      },
+      assertRolledBack,
+    );
+  });
+
   // Late in the ordered time a leader went on without any evidence.
   describe('under a leader that is cut off', () => {
     // The second half of the nodes is beside the target.
--- a/packages/mesh/src/rollouts/__tests__/rolloutSimulation.ts
+++ b/packages/mesh/src/rollouts/__tests__/rolloutSimulation.ts
@@ -52,6 +52,7 @@
   /** Requests that the upstream is working on, this one included. */
   running: number;
   upstream: number;
+  isTarget: boolean;
 }
 
 export interface SimulationOptions {
@@ -62,8 +63,8 @@
   targetFailure: (run: Run) => number;
   /** The same for the other version. */
   stableFailure?: (run: Run) => number;
-  /** Time at the target as a multiple of the usual time. */
-  targetSlowness?: number;
+  /** Time of a request as a multiple of the usual time. */
+  slowness?: (run: Run) => number;
   /** Whether the store is away at this time since the order. */
   isStoreAway?: (sinceOrderMs: number) => boolean;
   /** Nodes that are cut off from the others, but not from the store, at this time since the order. */
@@ -310,7 +311,7 @@
 
   private arrive(node: Node, route: string): void {
     node.running += 1;
-    const { durationMs, targetFailure, stableFailure, targetSlowness = 1 } = this.options;
+    const { durationMs, targetFailure, stableFailure, slowness } = this.options;
     const isTarget = node.member.upstream!.version === TARGET;
     const run = {
       sinceStartMs: this.nowMs - START_MS,
@@ -318,10 +319,11 @@
       route,
       running: node.running,
       upstream: node.index % UPSTREAMS_PER_VERSION,
+      isTarget,
     };
     const probability = (isTarget ? targetFailure(run) : stableFailure?.(run)) ?? 0;
     const failed = this.random() < probability;
-    const ms = WORK_MS * (0.4 + 1.2 * this.random()) * (isTarget ? targetSlowness : 1);
+    const ms = WORK_MS * (0.4 + 1.2 * this.random()) * (slowness?.(run) ?? 1);
     this.endings.push({ atMs: this.nowMs + ms, node, route, failed, ms });
     if (this.nowMs <= durationMs) {
       this.result.atService += 1;
--- a/packages/mesh/src/rollouts/versionComparison.ts
+++ b/packages/mesh/src/rollouts/versionComparison.ts
@@ -4,8 +4,10 @@
 import type * as evidence from './evidence.js';
 import * as failureTest from './failureTest.js';
 
-/** Successful responses of each version needed to compare response times. */
+/** Successful responses of the target that its time is known from. */
 const MIN_TIMED_ANSWERS = 8;
+/** The same for each upstream of another version. */
+const MIN_TIMED_ANSWERS_PER_UPSTREAM = 4;
 /** Upstreams are up to twice as slow for some seconds after they start, so the limit is above that. */
 const MAX_LATENCY_RATIO = 2.8;
 
@@ -124,14 +126,16 @@
     this.pending = new Map();
   }
 
+  /**
+   * Compares the mean time at the target with the median of the means at the upstreams of the other
+   * versions, which a few slow upstreams do not change.
+   */
   private compareTimes(): ComparisonResult {
-    const stableByRoute = this.sumByRoute((version) => version !== this.target);
     for (const [route, seen] of this.sumByRoute((version) => version === this.target)) {
-      const stable = stableByRoute.get(route) ?? NO_EVIDENCE;
-      const answers = seen.requests - seen.failures;
-      const stableAnswers = stable.requests - stable.failures;
-      if (Math.min(answers, stableAnswers) >= MIN_TIMED_ANSWERS) {
-        const ratio = seen.totalMs / answers / (stable.totalMs / stableAnswers);
+      const answers = answersOf(seen);
+      const usualMs = this.usualMs(route);
+      if (answers >= MIN_TIMED_ANSWERS && usualMs !== null) {
+        const ratio = seen.totalMs / answers / usualMs;
         if (ratio > MAX_LATENCY_RATIO) {
           return { passed: false, reason: `${ratio.toFixed(1)} times as slow on ${route}` };
         }
@@ -140,6 +144,23 @@
     return { passed: true };
   }
 
+  /** Null before any upstream of another version has answered enough requests of the route. */
+  private usualMs(route: string): number | null {
+    const means: number[] = [];
+    for (const { report } of this.reports.values()) {
+      const counts = report.routes[route];
+      if (
+        report.version !== this.target &&
+        counts !== undefined &&
+        answersOf(counts) >= MIN_TIMED_ANSWERS_PER_UPSTREAM
+      ) {
+        means.push(counts.totalMs / answersOf(counts));
+      }
+    }
+    means.sort((x, y) => x - y);
+    return means[Math.floor(means.length / 2)] ?? null;
+  }
+
   private sumByRoute(
     includes: (version: ids.VersionName) => boolean,
   ): Map<string, evidence.RouteEvidence> {
@@ -209,6 +230,10 @@
   }
 }
 
+function answersOf({ requests, failures }: failureTest.Counts): number {
+  return requests - failures;
+}
+
 function failed({ failures, requests }: failureTest.Counts, where: string): ComparisonResult {
   return { passed: false, reason: `${failures} of ${requests} requests failed on ${where}` };
 }
@@ -242,6 +267,6 @@
     all.totalMs += counts.totalMs;
   }
   const { requests, failures } = all;
-  const answers = requests - failures;
+  const answers = answersOf(all);
   return { requests, failures, meanMs: answers === 0 ? null : Math.round(all.totalMs / answers) };
 }
