fix(mesh): judge response times by the usual upstream of each version

Cause: one mean over all requests of a version, and the upper of two middle upstreams of the old version. Change: the lower median of the other versions; the mean of the target without its slowest upstream, from 16 responses on; and, once its upstreams have 10 responses each, their median with a limit of 2.

--- a/packages/mesh/src/rollouts/__tests__/exposure.test.ts
+++ b/packages/mesh/src/rollouts/__tests__/exposure.test.ts
@@ -136,12 +136,24 @@
   });
 
   describe('that is slow', () => {
-    for (const factor of [4, 8]) {
+    for (const factor of [2.5, 4, 8]) {
       const slowness: Options['slowness'] = ({ isTarget }) => (isTarget ? factor : 1);
       const options = { ...ORDER, targetFailure: never, slowness };
       forEachSeed(`by a factor of ${factor} is rolled back`, options, assertRolledBack);
     }
 
+    // The mean over all requests was below the limit.
+    forEachSeed(
+      'with every second request is rolled back',
+      {
+        ...ORDER,
+        targetFailure: never,
+        slowness: ({ isTarget, sinceOrderMs }) =>
+          isTarget && Math.floor(sinceOrderMs / 10) % 2 === 0 ? 4 : 1,
+      },
+      assertRolledBack,
+    );
+
     // The mean of the old version hid the slowness of the new one.
     forEachSeed(
       'beside slow upstreams of the old version is rolled back',
@@ -150,7 +162,7 @@
         targetFailure: never,
         slowness: ({ isTarget, upstream, sinceOrderMs }) => {
           if (isTarget) return 5;
-          return upstream < 2 && sinceOrderMs > 500 ? 8 : 1;
+          return upstream < 3 && sinceOrderMs > 500 ? 8 : 1;
         },
       },
       assertRolledBack,
@@ -199,6 +211,13 @@
         { targetFailure: () => 0.3, stableFailure: () => 0.3 },
       ],
       ['with one bad host', { targetFailure: ({ upstream }) => (upstream === 2 ? 0.3 : 0) }],
+      [
+        'with slow upstreams of both versions, and slow starts',
+        {
+          slowness: ({ isTarget, upstream, sinceStartMs }) =>
+            (upstream < 1 ? 5 : 1) * (isTarget && sinceStartMs < 3_000 ? 2 : 1),
+        },
+      ],
       ['in a short time', { durationMs: 9_000 }],
       ['in a long time', { durationMs: 40_000 }],
       ['with few requests', { requestsPerSecond: 20 }],
--- a/packages/mesh/src/rollouts/versionComparison.ts
+++ b/packages/mesh/src/rollouts/versionComparison.ts
@@ -4,12 +4,16 @@
 import type * as evidence from './evidence.js';
 import * as failureTest from './failureTest.js';
 
-/** Successful responses of the target that its time is known from. */
-const MIN_TIMED_ANSWERS = 8;
-/** The same for each upstream of another version. */
-const MIN_TIMED_ANSWERS_PER_UPSTREAM = 4;
+/** Successful responses that a mean time needs: of the target, and of a single upstream. */
+const MIN_TIMED_ANSWERS = 16;
+const MIN_TIMED_ANSWERS_PER_TARGET = 10;
+const MIN_TIMED_ANSWERS_PER_STABLE = 4;
+/** Upstreams of the target with a mean time that their median needs. */
+const MIN_TIMED_TARGETS = 3;
 /** Upstreams are up to twice as slow for some seconds after they start, so the limit is above that. */
 const MAX_LATENCY_RATIO = 2.8;
+/** Limit for the median upstream, whose mean covers more than those seconds. */
+const MAX_USUAL_LATENCY_RATIO = 2;
 
 const NO_EVIDENCE: evidence.RouteEvidence = { requests: 0, failures: 0, totalMs: 0 };
 
@@ -36,6 +40,12 @@
   activeAtMs: number;
 }
 
+/** Times of the successful responses of one upstream on a route. */
+interface Times {
+  answers: number;
+  totalMs: number;
+}
+
 /** Requests since the last evaluation on one route. */
 interface RouteInterval {
   target: Map<ids.InstanceId, failureTest.Counts>;
@@ -126,39 +136,34 @@
     this.pending = new Map();
   }
 
-  /**
-   * Compares the mean time at the target with the median of the means at the upstreams of the other
-   * versions, which a few slow upstreams do not change.
-   */
+  /** A few slow upstreams of either version change no verdict. */
   private compareTimes(): ComparisonResult {
-    for (const [route, seen] of this.sumByRoute((version) => version === this.target)) {
-      const answers = answersOf(seen);
-      const usualMs = this.usualMs(route);
-      if (answers >= MIN_TIMED_ANSWERS && usualMs !== null) {
-        const ratio = seen.totalMs / answers / usualMs;
-        if (ratio > MAX_LATENCY_RATIO) {
-          return { passed: false, reason: `${ratio.toFixed(1)} times as slow on ${route}` };
-        }
+    for (const route of this.byRoute.keys()) {
+      const targets = this.timesOf(route, (version) => version === this.target);
+      const others = this.timesOf(route, (version) => version !== this.target);
+      const usualMs = lowerMedian(meansOf(others, MIN_TIMED_ANSWERS_PER_STABLE));
+      if (usualMs !== null) {
+        const ratio = (meanWithoutSlowest(targets) ?? 0) / usualMs;
+        if (ratio > MAX_LATENCY_RATIO) return slow(ratio, route);
+        const means = meansOf(targets, MIN_TIMED_ANSWERS_PER_TARGET);
+        const usualRatio = (lowerMedian(means) ?? 0) / usualMs;
+        const isKnown = means.length >= MIN_TIMED_TARGETS;
+        if (isKnown && usualRatio > MAX_USUAL_LATENCY_RATIO) return slow(usualRatio, route);
       }
     }
     return { passed: true };
   }
 
-  /** Null before any upstream of another version has answered enough requests of the route. */
-  private usualMs(route: string): number | null {
-    const means: number[] = [];
+  /** Times of the successful responses on a route, by upstream. */
+  private timesOf(route: string, includes: (version: ids.VersionName) => boolean): Times[] {
+    const times: Times[] = [];
     for (const { report } of this.reports.values()) {
-      const counts = report.routes[route];
-      if (
-        report.version !== this.target &&
-        counts !== undefined &&
-        answersOf(counts) >= MIN_TIMED_ANSWERS_PER_UPSTREAM
-      ) {
-        means.push(counts.totalMs / answersOf(counts));
+      const counts = includes(report.version) ? report.routes[route] : undefined;
+      if (counts !== undefined) {
+        times.push({ answers: counts.requests - counts.failures, totalMs: counts.totalMs });
       }
     }
-    means.sort((x, y) => x - y);
-    return means[Math.floor(means.length / 2)] ?? null;
+    return times;
   }
 
   private sumByRoute(
@@ -230,8 +235,33 @@
   }
 }
 
-function answersOf({ requests, failures }: failureTest.Counts): number {
-  return requests - failures;
+function slow(ratio: number, route: string): ComparisonResult {
+  return { passed: false, reason: `${ratio.toFixed(1)} times as slow on ${route}` };
+}
+
+function meansOf(times: readonly Times[], minAnswers: number): number[] {
+  return times
+    .filter(({ answers }) => answers >= minAnswers)
+    .map(({ answers, totalMs }) => totalMs / answers);
+}
+
+/** Leaves out the upstream with the highest total, one of several. Null with too few responses. */
+function meanWithoutSlowest(times: readonly Times[]): number | null {
+  const sorted = [...times].sort((a, b) => a.totalMs - b.totalMs);
+  if (sorted.length > 2) sorted.pop();
+  let answers = 0;
+  let totalMs = 0;
+  for (const each of sorted) {
+    answers += each.answers;
+    totalMs += each.totalMs;
+  }
+  return answers < MIN_TIMED_ANSWERS ? null : totalMs / answers;
+}
+
+/** Null of an empty list. */
+function lowerMedian(values: readonly number[]): number | null {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? null;
 }
 
 function failed({ failures, requests }: failureTest.Counts, where: string): ComparisonResult {
@@ -267,6 +297,6 @@
     all.totalMs += counts.totalMs;
   }
   const { requests, failures } = all;
-  const answers = answersOf(all);
+  const answers = requests - failures;
   return { requests, failures, meanMs: answers === 0 ? null : Math.round(all.totalMs / answers) };
 }
