--- a/packages/mesh/src/rollouts/rolloutController.ts
+++ b/packages/mesh/src/rollouts/rolloutController.ts
@@ -104,11 +104,11 @@
       const next = this.nextPhase(state, newest.orderedAtMs, progress.sinceMs);
       if (next !== null) {
         const { phase, reason } = next;
-        if (phase !== 'completed' || !progress.recording) {
-          this.logDecision(state, phase, newest.orderedAtMs);
+        const begins = phase !== 'completed' || this.tryRecord(state, 'completed', progress);
+        if (begins) this.logDecision(state, phase, newest.orderedAtMs);
+        if (phase !== 'completed') {
+          this.options.rollouts.advance(service, state.target, phase, reason);
         }
-        if (phase === 'completed') this.tryRecord(state, 'completed', progress);
-        else this.options.rollouts.advance(service, state.target, phase, reason);
       } else {
         this.tryRecord(state, 'running', progress);
       }
@@ -231,14 +231,15 @@
     return progress;
   }
 
+  /** @returns whether a write was begun */
   private tryRecord(
     state: phases.RolloutState,
     outcome: phases.RecordedPhase,
     progress: Progress,
-  ): void {
+  ): boolean {
     const now = this.options.nowMs();
-    if (progress.recording || now < progress.nextRecordMs) return;
-    if (isRecorded(progress.recorded, outcome, state.orderPosition)) return;
+    if (progress.recording || now < progress.nextRecordMs) return false;
+    if (isRecorded(progress.recorded, outcome, state.orderPosition)) return false;
     progress.recording = true;
     progress.nextRecordMs = now + RECORD_RETRY_MS;
     this.writeRecord(state, outcome)
@@ -256,6 +257,7 @@
       .finally(() => {
         progress.recording = false;
       });
+    return true;
   }
 
   /**
