--- a/packages/mesh/src/rollouts/phases.ts
+++ b/packages/mesh/src/rollouts/phases.ts
@@ -37,7 +37,7 @@
   orderPosition: storePosition.StorePosition;
   /** Why the version was rolled back; null in all other phases. */
   reason: string | null;
-  /** Time since the order as far as the node knows that tells the state; at least 0. */
+  /** Time since the order in ms, as far as known to the node that reports the state. */
   ageMs: number;
 }
 
--- a/packages/mesh/src/rollouts/rolloutController.ts
+++ b/packages/mesh/src/rollouts/rolloutController.ts
@@ -14,7 +14,7 @@
 import type * as rolloutTable from './rolloutTable.js';
 import type * as versionComparison from './versionComparison.js';
 
-/** Least duration of the `full` phase, in which faults under load show. */
+/** Least duration of the `full` phase, the only one that shows faults under full load. */
 const MIN_FULL_PHASE_MS = 450;
 /** Duration after which the `full` phase ends although other versions still have requests under way. */
 const MAX_FULL_PHASE_MS = 2_500;
--- a/packages/mesh/src/rollouts/rolloutPlan.ts
+++ b/packages/mesh/src/rollouts/rolloutPlan.ts
@@ -1,9 +1,9 @@
 /**
- * Times of the phases of a rollout, planned backwards from its deadline: what a version shows late is
- * seen while few requests reach it, and all requests reach it for a short time only before the deadline.
+ * Times of the phases of a rollout, planned backwards from its deadline: few requests reach an unproved
+ * version for most of the time, and all of them only shortly before the deadline.
  */
 
-/** Part of the allowed exposure that is left for the time after the last step. */
+/** Part of the allowed exposure that all requests from the last step to the deadline may use. */
 const LAST_STEP_PART = 0.7;
 /** The same for the duration of the step before it. */
 const PULSE_PART = 0.3;
--- a/packages/mesh/src/rollouts/rolloutTable.ts
+++ b/packages/mesh/src/rollouts/rolloutTable.ts
@@ -56,7 +56,7 @@
   }
 
   states(): phases.RolloutState[] {
-    return [...this.rollouts.values()].map((entry) => this.told(entry));
+    return [...this.rollouts.values()].map((entry) => this.withAge(entry));
   }
 
   /** The newest rollout of a service. */
@@ -149,12 +149,12 @@
     else if (next.orderPosition.era > current.orderPosition.era) this.notify(entry, origin, true);
   }
 
-  private told({ state, orderedAtMs }: RolloutEntry): phases.RolloutState {
+  private withAge({ state, orderedAtMs }: RolloutEntry): phases.RolloutState {
     return { ...state, ageMs: Math.round(this.nowMs() - orderedAtMs) };
   }
 
   private notify(entry: RolloutEntry, origin: propagation.Origin, isRepeated: boolean): void {
-    const state = this.told(entry);
+    const state = this.withAge(entry);
     const message = isRepeated ? 'a rollout was read again' : 'a rollout has a new phase';
     this.log.info('rollouts', message, { ...state, origin });
     for (const listener of this.listeners) listener(state, origin, isRepeated);
