--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -13,7 +13,7 @@
 import type * as peerNetwork from '../peers/peerNetwork.js';
 import type * as peerServer from '../peers/peerServer.js';
 import type * as quarantine from '../quarantine/quarantine.js';
-import type * as evidence from '../rollouts/evidence.js';
+import * as evidence from '../rollouts/evidence.js';
 import * as phases from '../rollouts/phases.js';
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
 import type * as rolloutController from '../rollouts/rolloutController.js';
@@ -21,8 +21,6 @@
 /** Period of the one timer for all periodic work; separate timers would cost more CPU wake-ups. */
 export const TICK_MS = 100;
 const REVIEW_EVERY_TICKS = 2;
-/** In all phases but `full`, in which the last requests of the old version must be seen in time. */
-const EVIDENCE_EVERY_TICKS = 3;
 const BEACON_EVERY_TICKS = storeWatcher.BEACON_INTERVAL_MS / TICK_MS;
 /** Time to wait for the list of nodes before watching the store without it. */
 const JOIN_TIMEOUT_MS = 700;
@@ -249,7 +247,7 @@
     const newest = upstream === null ? null : rollouts.newest(upstream.service);
     if (upstream === null || newest === null || phases.isFinal(newest.state.phase)) return;
     recorder.follow(newest.state.target);
-    if (newest.state.phase !== 'full' && ticks % EVIDENCE_EVERY_TICKS !== 0) return;
+    if (!evidence.isReportDue(newest.state.phase, ticks)) return;
     const { service, version, instance } = upstream;
     const report = {
       node: self.node,
--- a/packages/mesh/src/rollouts/__tests__/rolloutSimulation.ts
+++ b/packages/mesh/src/rollouts/__tests__/rolloutSimulation.ts
@@ -30,7 +30,6 @@
 
 const STEP_MS = 10;
 const TICK_MS = 100;
-const EVIDENCE_EVERY_TICKS = 3;
 const MESSAGE_MS = 30;
 const UPSTREAMS_PER_VERSION = 6;
 /** Time from the order until the first upstream of the target has started. */
@@ -273,8 +272,8 @@
     }
     for (const node of this.nodes) {
       node.controller.tick();
-      const isFull = node.rollouts.newest(SHOP)?.state.phase === 'full';
-      if (isFull || ticks % EVIDENCE_EVERY_TICKS === 0) this.sendEvidence(node);
+      const { phase } = node.rollouts.newest(SHOP)!.state;
+      if (evidence.isReportDue(phase, ticks)) this.sendEvidence(node);
     }
   }
 
--- a/packages/mesh/src/rollouts/evidence.ts
+++ b/packages/mesh/src/rollouts/evidence.ts
@@ -1,6 +1,7 @@
 /** Counts an upstream's responses by route, on the node that runs on the same host. */
 
 import type { ids } from '@godwittrack/core';
+import type * as phases from './phases.js';
 
 export interface RouteEvidence {
   requests: number;
@@ -20,6 +21,14 @@
   load?: number;
 }
 
+/** Ticks of the node's timer between two reports. */
+const REPORT_EVERY_TICKS = 3;
+
+/** In `full`, the last requests of the old version must be seen in time. */
+export function isReportDue(phase: phases.Phase, ticks: number): boolean {
+  return phase === 'full' || ticks % REPORT_EVERY_TICKS === 0;
+}
+
 export class EvidenceRecorder {
   private routes: Record<string, RouteEvidence> = {};
 
