refactor(core): share the evidence that leaves one upstream out

The failure test of the mesh had written LeaveOneOutEProcess of packages/node again; both use eProcess.LeaveOneOut now. The tolerated share is computed once an interval instead of once an upstream, counts are added in one place, and the sums by route that were only totalled are gone.

--- a/packages/core/src/eProcess.ts
+++ b/packages/core/src/eProcess.ts
@@ -42,6 +42,46 @@
   }
 }
 
+/** What `LeaveOneOut` keeps in several copies. */
+interface Evidence<T> {
+  copy(): T;
+  readonly log: number;
+}
+
+/**
+ * Evidence of all members and, for each one, that of the others. One bad member of several cannot decide
+ * on its own, since the evidence that leaves it out sees none of its failures.
+ */
+export class LeaveOneOut<T extends Evidence<T>> {
+  private readonly without = new Map<string, T>();
+
+  /** @param logAllowance added to the log wealth that leaves a member out */
+  constructor(
+    private readonly all: T,
+    private readonly logAllowance: number,
+  ) {}
+
+  /** Members that were not known before have contributed nothing so far. */
+  addMembers(members: Iterable<string>): void {
+    for (const member of members) {
+      if (!this.without.has(member)) this.without.set(member, this.all.copy());
+    }
+  }
+
+  /** Calls `step` for the evidence of all members, with null, and for that without each of them. */
+  forEach(step: (evidence: T, leftOut: string | null) => void): void {
+    step(this.all, null);
+    this.without.forEach((evidence, member) => step(evidence, member));
+  }
+
+  /** The smallest log wealth; with a single member, that of all. */
+  get log(): number {
+    if (this.without.size < 2) return this.all.log;
+    const without = Math.min(...[...this.without.values()].map(({ log }) => log));
+    return Math.min(this.all.log, without + this.logAllowance);
+  }
+}
+
 /**
  * Weights of the e-process restarts. Half of the weight falls with the number of intervals; the
  * other half starts again with each share, so that a fault triggered by a larger share is not
--- a/packages/mesh/src/rollouts/failureTest.ts
+++ b/packages/mesh/src/rollouts/failureTest.ts
@@ -3,13 +3,23 @@
  * of a wrong verdict holds however often and however early the test is asked.
  */
 
-import { eProcess, type ids } from '@godwittrack/core';
+import { eProcess, ids } from '@godwittrack/core';
 
 export interface Counts {
   requests: number;
   failures: number;
 }
 
+export const NO_REQUESTS: Counts = { requests: 0, failures: 0 };
+
+export function sum(a: Counts, b: Counts): Counts {
+  return { requests: a.requests + b.requests, failures: a.failures + b.failures };
+}
+
+export function subtract(a: Counts, b: Counts): Counts {
+  return { requests: a.requests - b.requests, failures: a.failures - b.failures };
+}
+
 /** Requests of an interval at the new version, by upstream, and those at the old version. */
 export interface Interval {
   target: ReadonlyMap<ids.InstanceId, Counts>;
@@ -65,21 +75,21 @@
 
 /** The failures of a version on one route, or on all together. */
 export class FailureTest {
-  private readonly all = new eProcess.EProcess(ALTERNATIVE_SHARES.length);
-
-  /** E-processes that leave one upstream out, by that upstream. */
-  private readonly without = new Map<ids.InstanceId, eProcess.EProcess>();
+  private readonly evidence = new eProcess.LeaveOneOut(
+    new eProcess.EProcess(ALTERNATIVE_SHARES.length),
+    BAD_HOST_LOG_ALLOWANCE,
+  );
 
   private readonly recentShare = new DecayingShare(RECENT_REQUESTS);
 
   private readonly longTermShare = new DecayingShare(LONG_TERM_REQUESTS);
 
-  private readonly total = { requests: 0, failures: 0 };
+  private total = NO_REQUESTS;
 
   /** @param falseVerdictProbability accepted probability of a verdict against a version that is not worse */
   isBad(falseVerdictProbability: number): boolean {
     if (this.total.failures < MIN_FAILURES) return false;
-    return this.log >= -Math.log(falseVerdictProbability);
+    return this.evidence.log >= -Math.log(falseVerdictProbability);
   }
 
   get counts(): Counts {
@@ -90,39 +100,14 @@
   add({ target, stable }: Interval, restart: number): void {
     this.recentShare.add(stable);
     this.longTermShare.add(stable);
-    for (const instance of target.keys()) {
-      if (!this.without.has(instance)) this.without.set(instance, this.all.copy());
-    }
-    const sum = { requests: 0, failures: 0 };
-    for (const { requests, failures } of target.values()) {
-      sum.requests += requests;
-      sum.failures += failures;
-    }
-    this.total.requests += sum.requests;
-    this.total.failures += sum.failures;
-    this.all.step(this.logRatios(sum), restart);
-    for (const [instance, wealth] of this.without) {
-      const left = target.get(instance) ?? { requests: 0, failures: 0 };
-      const rest = {
-        requests: sum.requests - left.requests,
-        failures: sum.failures - left.failures,
-      };
-      wealth.step(this.logRatios(rest), restart);
-    }
-  }
-
-  private get log(): number {
-    if (this.without.size < 2) return this.all.log;
-    const without = Math.min(...[...this.without.values()].map(({ log }) => log));
-    return Math.min(this.all.log, without + BAD_HOST_LOG_ALLOWANCE);
-  }
-
-  private logRatios({ requests, failures: events }: Counts): number[] {
+    this.evidence.addMembers(target.keys());
+    const all = [...target.values()].reduce(sum, NO_REQUESTS);
+    this.total = sum(this.total, all);
     const tolerated = this.toleratedShare();
-    return ALTERNATIVE_SHARES.map((share) =>
-      // A share that is tolerated is no alternative at present.
-      share <= tolerated ? 0 : eProcess.logRateRatio({ requests, events }, share, tolerated),
-    );
+    this.evidence.forEach((wealth, leftOut) => {
+      const left = leftOut === null ? undefined : target.get(ids.instanceId(leftOut));
+      wealth.step(logRatios(subtract(all, left ?? NO_REQUESTS), tolerated), restart);
+    });
   }
 
   private toleratedShare(): number {
@@ -133,3 +118,10 @@
     return Math.max(TOLERATED_SHARE, tolerated / (1 + tolerated));
   }
 }
+
+function logRatios({ requests, failures: events }: Counts, tolerated: number): number[] {
+  return ALTERNATIVE_SHARES.map((share) =>
+    // A share that is tolerated is no alternative at present.
+    share <= tolerated ? 0 : eProcess.logRateRatio({ requests, events }, share, tolerated),
+  );
+}
--- a/packages/mesh/src/rollouts/versionComparison.ts
+++ b/packages/mesh/src/rollouts/versionComparison.ts
@@ -15,8 +15,6 @@
 /** Limit for the median upstream, whose mean covers more than those seconds. */
 const MAX_USUAL_LATENCY_RATIO = 2.2;
 
-const NO_EVIDENCE: evidence.RouteEvidence = { requests: 0, failures: 0, totalMs: 0 };
-
 /** Counts over all routes, for the log. */
 export interface VersionCounts {
   requests: number;
@@ -70,7 +68,7 @@
     const previous = this.reports.get(report.instance);
     let isActive = (report.load ?? 0) > 0;
     for (const [route, counts] of Object.entries(report.routes)) {
-      const added = subtract(counts, previous?.report.routes[route]);
+      const added = addedSince(counts, previous?.report.routes[route]);
       if (added.requests > 0) {
         isActive = true;
         this.addCounts(route, report, added);
@@ -93,8 +91,8 @@
 
   counts(): ComparedCounts {
     return {
-      target: total(this.sumByRoute((version) => version === this.target).values()),
-      others: total(this.sumByRoute((version) => version !== this.target).values()),
+      target: this.totalOf((version) => version === this.target),
+      others: this.totalOf((version) => version !== this.target),
     };
   }
 
@@ -103,27 +101,22 @@
     { instance, version }: evidence.EvidenceReport,
     added: failureTest.Counts,
   ): void {
-    const interval = this.pending.get(route) ?? {
-      target: new Map<ids.InstanceId, failureTest.Counts>(),
-      stable: { requests: 0, failures: 0 },
-    };
+    const interval = this.pending.get(route) ?? emptyInterval();
     this.pending.set(route, interval);
     if (version === this.target) {
-      interval.target.set(instance, sum(interval.target.get(instance), added));
+      addTo(interval.target, instance, added);
     } else {
-      interval.stable = sum(interval.stable, added);
+      interval.stable = failureTest.sum(interval.stable, added);
     }
   }
 
   private takeInterval(share: number): void {
     if (this.pending.size === 0) return;
     this.restarts.setShare(100 * share);
-    const all: RouteInterval = { target: new Map(), stable: { requests: 0, failures: 0 } };
+    const all = emptyInterval();
     for (const { target, stable } of this.pending.values()) {
-      all.stable = sum(all.stable, stable);
-      for (const [instance, counts] of target) {
-        all.target.set(instance, sum(all.target.get(instance), counts));
-      }
+      all.stable = failureTest.sum(all.stable, stable);
+      for (const [instance, counts] of target) addTo(all.target, instance, counts);
     }
     // Intervals without requests of the target give no evidence and use no restart weight.
     const restart = all.target.size > 0 ? this.restarts.next() : 0;
@@ -160,29 +153,25 @@
     for (const { report } of this.reports.values()) {
       const counts = includes(report.version) ? report.routes[route] : undefined;
       if (counts !== undefined) {
-        times.push({ answers: counts.requests - counts.failures, totalMs: counts.totalMs });
+        times.push({ answers: answersOf(counts), totalMs: counts.totalMs });
       }
     }
     return times;
   }
 
-  private sumByRoute(
-    includes: (version: ids.VersionName) => boolean,
-  ): Map<string, evidence.RouteEvidence> {
-    const sums = new Map<string, evidence.RouteEvidence>();
+  private totalOf(includes: (version: ids.VersionName) => boolean): VersionCounts {
+    let counts = failureTest.NO_REQUESTS;
+    let totalMs = 0;
     for (const { report } of this.reports.values()) {
       if (includes(report.version)) {
-        for (const [route, counts] of Object.entries(report.routes)) {
-          const { requests, failures, totalMs } = sums.get(route) ?? NO_EVIDENCE;
-          sums.set(route, {
-            requests: requests + counts.requests,
-            failures: failures + counts.failures,
-            totalMs: totalMs + counts.totalMs,
-          });
+        for (const route of Object.values(report.routes)) {
+          counts = failureTest.sum(counts, route);
+          totalMs += route.totalMs;
         }
       }
     }
-    return sums;
+    const answers = answersOf(counts);
+    return { ...counts, meanMs: answers === 0 ? null : Math.round(totalMs / answers) };
   }
 }
 
@@ -235,6 +224,18 @@
   }
 }
 
+function emptyInterval(): RouteInterval {
+  return { target: new Map(), stable: failureTest.NO_REQUESTS };
+}
+
+function addTo(
+  counts: Map<ids.InstanceId, failureTest.Counts>,
+  instance: ids.InstanceId,
+  added: failureTest.Counts,
+): void {
+  counts.set(instance, failureTest.sum(counts.get(instance) ?? failureTest.NO_REQUESTS, added));
+}
+
 function slow(ratio: number, route: string): ComparisonResult {
   return { passed: false, reason: `${ratio.toFixed(1)} times as slow on ${route}` };
 }
@@ -268,35 +269,16 @@
   return { passed: false, reason: `${failures} of ${requests} requests failed on ${where}` };
 }
 
+function answersOf({ requests, failures }: failureTest.Counts): number {
+  return requests - failures;
+}
+
 /** What was added since the previous counts; a restarted node counts from zero. */
-function subtract(
+function addedSince(
   counts: failureTest.Counts,
   previous: failureTest.Counts | undefined,
 ): failureTest.Counts {
-  if (previous === undefined || counts.requests < previous.requests) {
-    return { requests: counts.requests, failures: counts.failures };
-  }
-  return {
-    requests: counts.requests - previous.requests,
-    failures: Math.max(0, counts.failures - previous.failures),
-  };
-}
-
-function sum(a: failureTest.Counts | undefined, b: failureTest.Counts): failureTest.Counts {
-  return {
-    requests: (a?.requests ?? 0) + b.requests,
-    failures: (a?.failures ?? 0) + b.failures,
-  };
-}
-
-function total(routes: Iterable<evidence.RouteEvidence>): VersionCounts {
-  const all = { ...NO_EVIDENCE };
-  for (const counts of routes) {
-    all.requests += counts.requests;
-    all.failures += counts.failures;
-    all.totalMs += counts.totalMs;
-  }
-  const { requests, failures } = all;
-  const answers = requests - failures;
-  return { requests, failures, meanMs: answers === 0 ? null : Math.round(all.totalMs / answers) };
+  const hasRestarted = previous === undefined || counts.requests < previous.requests;
+  const { requests, failures } = hasRestarted ? counts : failureTest.subtract(counts, previous);
+  return { requests, failures: Math.max(0, failures) };
 }
--- a/packages/node/src/rollouts/sequentialTest.ts
+++ b/packages/node/src/rollouts/sequentialTest.ts
@@ -124,33 +124,23 @@
   }
 }
 
-/**
- * Takes the smallest wealth over the e-process of all servers and those that exclude one server, or
- * group of servers, each. One bad host among several cannot make the version bad on its own,
- * because the e-process that excludes that host sees none of its failures.
- */
+/** Leaves out one server, or group of servers, at a time. */
 class LeaveOneOutEProcess {
-  private readonly byExcludedServer = new Map<string, CombinedEProcess>([
-    ['', new CombinedEProcess()],
-  ]);
-
-  constructor(servers: Iterable<string>) {
-    this.addServers(servers);
-  }
+  private readonly evidence = new eProcess.LeaveOneOut(
+    new CombinedEProcess(),
+    BAD_HOST_LOG_ALLOWANCE,
+  );
 
   addServers(servers: Iterable<string>): void {
-    const all = this.byExcludedServer.get('') ?? new CombinedEProcess();
-    for (const server of servers) {
-      if (!this.byExcludedServer.has(server)) this.byExcludedServer.set(server, all.copy());
-    }
+    this.evidence.addMembers(servers);
   }
 
   step(
-    tablesWithout: (server: string) => ContingencyTable[],
+    tablesWithout: (server: string | null) => ContingencyTable[],
     hypotheses: Hypotheses,
     restart: number,
   ): void {
-    for (const [server, pair] of this.byExcludedServer) {
+    this.evidence.forEach((pair, server) => {
       const tables = tablesWithout(server);
       const relative = ALTERNATIVE_ODDS.map((odds) =>
         sum(tables.map((table) => logOddsRatio(table, odds, hypotheses.nullOdds))),
@@ -159,14 +149,11 @@
         sum(tables.map((table) => logRateRatio(table, rate, hypotheses.nullRate))),
       );
       pair.step(relative, absolute, restart);
-    }
+    });
   }
 
   get log(): number {
-    const [all = -Infinity, ...without] = [...this.byExcludedServer.values()].map(
-      (pair) => pair.log,
-    );
-    return without.length > 1 ? Math.min(all, Math.min(...without) + BAD_HOST_LOG_ALLOWANCE) : all;
+    return this.evidence.log;
   }
 }
 
@@ -231,8 +218,8 @@
   private readonly routes = new Map<string, RouteState>();
 
   private readonly wholeVersion = {
-    errors: new LeaveOneOutEProcess([]),
-    slow: new LeaveOneOutEProcess([]),
+    errors: new LeaveOneOutEProcess(),
+    slow: new LeaveOneOutEProcess(),
   };
 
   private readonly restarts = new eProcess.RestartWeights();
@@ -328,7 +315,7 @@
       ['errors', ERROR_HYPOTHESES],
       ['slow', SLOW_HYPOTHESES],
     ] as const) {
-      const tables = (server: string) => intervals.map((one) => toTable(one, kind, server));
+      const tables = (server: string | null) => intervals.map((one) => toTable(one, kind, server));
       this.wholeVersion[kind].addServers(servers);
       this.wholeVersion[kind].step(tables, hypotheses, weight);
       for (const interval of intervals) {
@@ -471,7 +458,7 @@
     const created = {
       previous: new Map<string, Counts>(),
       reference: evidenceRecorder.emptyBuckets(),
-      eProcesses: { errors: new LeaveOneOutEProcess([]), slow: new LeaveOneOutEProcess([]) },
+      eProcesses: { errors: new LeaveOneOutEProcess(), slow: new LeaveOneOutEProcess() },
       requests: 0,
     };
     this.routes.set(route, created);
@@ -544,10 +531,10 @@
 function toTable(
   interval: RouteInterval,
   kind: 'errors' | 'slow',
-  without: string,
+  without: string | null,
 ): ContingencyTable {
   const { target, stable, servers, slowFrom: from } = interval;
-  const excluded = servers.get(without);
+  const excluded = without === null ? undefined : servers.get(without);
   if (kind === 'errors') {
     return {
       targetCount: target.ok + target.errors - (excluded?.ok ?? 0) - (excluded?.errors ?? 0),
