--- a/packages/mesh/src/routing/versionChooser.ts
+++ b/packages/mesh/src/routing/versionChooser.ts
@@ -48,10 +48,10 @@
   /** Whether the choice allows a version. Versions of rollouts that were replaced midway are not proved. */
   allows(choice: VersionChoice | null, version: ids.VersionName): boolean {
     if (choice === null) return true;
-    if (choice.isTarget || version === choice.target) {
-      return choice.isTarget && version === choice.target;
-    }
-    return !this.options.rollouts.isRollingOut(choice.service, version);
+    if (choice.isTarget) return version === choice.target;
+    return (
+      version !== choice.target && !this.options.rollouts.isRollingOut(choice.service, version)
+    );
   }
 
   /** Records that a request is offered to an upstream of the version, chosen or not. */
