--- a/packages/mesh/src/rollouts/__tests__/rolloutController.test.ts
+++ b/packages/mesh/src/rollouts/__tests__/rolloutController.test.ts
@@ -3,14 +3,13 @@
 import * as timers from 'node:timers/promises';
 import { ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
-import * as fleetStore from '../../config/fleetStore.js';
-import * as storeEra from '../../config/storeEra.js';
 import type * as storePosition from '../../config/storePosition.js';
 import * as members from '../../membership/members.js';
 import type * as phases from '../phases.js';
 import * as rolloutController from '../rolloutController.js';
 import * as rolloutTable from '../rolloutTable.js';
 import * as versionComparison from '../versionComparison.js';
+import * as rolloutStore from './rolloutStore.js';
 
 const SHOP = ids.serviceName('shop');
 const V2 = ids.versionName('v2');
@@ -23,11 +22,7 @@
 }
 
 /** Holds one rollout; writes count only if they are answered in the era of the record. */
-class SingleRolloutStore extends fleetStore.FleetStore {
-  readonly era = new storeEra.StoreEra(fixtures.silentLog());
-
-  readonly configuration = null as never;
-
+class SingleRolloutStore extends rolloutStore.RolloutStore {
   stored: phases.RolloutRecord | null = null;
 
   answerEra = 1;
@@ -55,14 +50,6 @@
     this.stored = { ...record, recorded: outcome, position };
     return Promise.resolve(position);
   }
-
-  registerNode = () => assert.fail('not registered');
-
-  listNodes = () => assert.fail('not listed');
-
-  unregisterNode = () => assert.fail('not unregistered');
-
-  dropConnections = () => assert.fail('connections were dropped');
 }
 
 describe('RolloutController', () => {
--- a/packages/mesh/src/rollouts/__tests__/rolloutSimulation.ts
+++ b/packages/mesh/src/rollouts/__tests__/rolloutSimulation.ts
@@ -9,8 +9,6 @@
 import * as random from 'pure-rand/generator/xoroshiro128plus';
 import * as uniform from 'pure-rand/distribution/uniformFloat64';
 import * as fixtures from '../../__tests__/fixtures.js';
-import * as fleetStore from '../../config/fleetStore.js';
-import * as storeEra from '../../config/storeEra.js';
 import type * as storePosition from '../../config/storePosition.js';
 import * as members from '../../membership/members.js';
 import * as versionChooser from '../../routing/versionChooser.js';
@@ -19,6 +17,7 @@
 import * as rolloutController from '../rolloutController.js';
 import * as rolloutTable from '../rolloutTable.js';
 import * as versionComparison from '../versionComparison.js';
+import * as rolloutStore from './rolloutStore.js';
 
 export const SHOP = ids.serviceName('shop');
 export const STABLE = ids.versionName('v1');
@@ -109,11 +108,7 @@
   ms: number;
 }
 
-class SimulatedStore extends fleetStore.FleetStore {
-  readonly era = new storeEra.StoreEra(fixtures.silentLog());
-
-  readonly configuration = null as never;
-
+class SimulatedStore extends rolloutStore.RolloutStore {
   stored: phases.RolloutRecord;
 
   constructor(
@@ -144,14 +139,6 @@
     this.onWrite(this.stored);
     return Promise.resolve(this.stored.position);
   }
-
-  registerNode = () => assert.fail('not registered');
-
-  listNodes = () => assert.fail('not listed');
-
-  unregisterNode = () => assert.fail('not unregistered');
-
-  dropConnections = () => assert.fail('connections were dropped');
 }
 
 function at(revision: number): storePosition.StorePosition {
