feat(mesh): identify customers by their keys

Configurations carry customers with the digests of their keys, quotas, priorities and home regions, and deltas carry changed customers like routes. Requests of routes that are not public need a known key, else 401. The key is dropped at the entry; the name of the customer and its priority travel with the request, and the queue beside the upstream orders by the priority of the customer first. Invalid entries are reported by path and leave the rest in force. Without customers in the configuration nothing changes.

--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -13,6 +13,9 @@
 export type DomainName = Branded<string, 'DomainName'>;
 export type ServiceName = Branded<string, 'ServiceName'>;
 export type RouteName = Branded<string, 'RouteName'>;
+export type CustomerName = Branded<string, 'CustomerName'>;
+/** SHA-256 of a customer's key, in base64. */
+export type KeyDigest = Branded<string, 'KeyDigest'>;
 /** Version of an upstream's software, for example `v2`. */
 export type VersionName = Branded<string, 'VersionName'>;
 /** Positive integer chosen by the operators. */
@@ -42,6 +45,8 @@
 export const domainName = (value: string) => value as DomainName;
 export const serviceName = (value: string) => value as ServiceName;
 export const routeName = (value: string) => value as RouteName;
+export const customerName = (value: string) => value as CustomerName;
+export const keyDigest = (value: string) => value as KeyDigest;
 export const versionName = (value: string) => value as VersionName;
 export const ticketNumber = (value: number) => value as TicketNumber;
 export const configVersion = (value: number) => value as ConfigVersion;
--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -3,6 +3,7 @@
 import { ids } from '@godwittrack/core';
 import * as pino from 'pino';
 import type * as configuration from '../config/configuration.js';
+import * as customerDirectory from '../customers/customerDirectory.js';
 import type * as localUpstream from '../membership/localUpstream.js';
 import type * as members from '../membership/members.js';
 import * as decisionLog from '../observability/decisionLog.js';
@@ -31,6 +32,8 @@
     maxUpstreams: 2,
     priority: 2,
     destinations: [{ service: ids.serviceName('shop'), weight: 1 }],
+    homeRegions: [],
+    isPublic: false,
     ...overrides,
   };
 }
@@ -43,13 +46,32 @@
   return {
     version: ids.configVersion(version),
     routes: Object.fromEntries(routes.map((each) => [each.name, each])),
-    services: { shop: { name: shop, healthPath: '/health', maxConnections: 100 } },
+    services: {
+      shop: { name: shop, healthPath: '/health', maxConnections: 100, coldStart: null },
+    },
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 1_000_000,
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
+    customers: null,
+  };
+}
+
+/** A customer with the given keys. */
+export function customer(
+  name: string,
+  keys: readonly string[] = [`key-of-${name}`],
+  overrides: Partial<configuration.Customer> = {},
+): configuration.Customer {
+  return {
+    name: ids.customerName(name),
+    keyDigests: keys.map((key) => customerDirectory.digestOf(key)),
+    priority: 0,
+    quota: null,
+    homeRegions: [],
+    ...overrides,
   };
 }
 
@@ -154,7 +176,9 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): headerCodec.CallerHeaders {
     const id = headers['x-id'];
-    return { requestId: typeof id === 'string' ? ids.requestId(id) : null, deadlineMs: null };
+    const requestId = typeof id === 'string' ? ids.requestId(id) : null;
+    const key = headers['x-key'];
+    return { requestId, deadlineMs: null, key: typeof key === 'string' ? key : null };
   }
 
   forwardable(raw: readonly string[]): exchange.FlatHeaders {
@@ -192,6 +216,8 @@
     route: ids.routeName('r'),
     semantics: 'once',
     priority: 1,
+    customer: null,
+    customerPriority: 0,
     callerService: ids.serviceName('s'),
     instance: ids.instanceId('i'),
     targetLeftMs: 100,
--- a/packages/mesh/src/callers/__tests__/callerFixtures.ts
+++ b/packages/mesh/src/callers/__tests__/callerFixtures.ts
@@ -4,6 +4,7 @@
 import { ids, type metrics } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as loopback from '../../__tests__/loopback.js';
+import type * as configuration from '../../config/configuration.js';
 import * as configHolder from '../../config/configHolder.js';
 import * as retryBudget from '../../limits/retryBudget.js';
 import * as members from '../../membership/members.js';
@@ -32,8 +33,14 @@
   address: string;
 }
 
-/** @param listenAddress a free one is chosen by default */
-export async function startCallerServer(listenAddress?: string): Promise<CallerServerFixture> {
+/**
+ * @param listenAddress a free one is chosen by default
+ * @param customers requests need no key by default
+ */
+export async function startCallerServer(
+  listenAddress?: string,
+  customers: configuration.Configuration['customers'] = null,
+): Promise<CallerServerFixture> {
   const nowMs = () => performance.now();
   const { log, lines } = fixtures.recordingLog();
   const metricsRegistry = meters.createMetrics();
@@ -67,14 +74,16 @@
     nowMs,
   });
   const route = fixtures.route('r', { timeoutMs: 30_000, targetLatencyMs: 30_000 });
-  config.offer(fixtures.configurationOf(1, [route]), { origin: 'store', name: 'store' });
+  const cfg = { ...fixtures.configurationOf(1, [route]), customers };
+  config.offer(cfg, { origin: 'store', name: 'store' });
   const address = listenAddress ?? (await loopback.freeAddress());
   await server.listen(address);
   return { server, upstream, metrics: metricsRegistry, lines, address };
 }
 
-export function request(id: string): string {
-  return `GET /r/${id} HTTP/1.1\r\nHost: host.example\r\nX-Id: ${id}\r\n\r\n`;
+export function request(id: string, key?: string): string {
+  const keyHeader = key === undefined ? '' : `X-Key: ${key}\r\n`;
+  return `GET /r/${id} HTTP/1.1\r\nHost: host.example\r\nX-Id: ${id}\r\n${keyHeader}\r\n`;
 }
 
 export function answer(id: string, body: Buffer): exchange.Answer {
@@ -107,7 +116,7 @@
   }
 
   send(...ids_: readonly string[]): void {
-    this.socket.write(ids_.map(request).join(''));
+    this.socket.write(ids_.map((id) => request(id)).join(''));
   }
 
   /** Stops reading, so that most of a large answer stays unwritten; `socket.resume` reads on. */
--- a/packages/mesh/src/callers/__tests__/callerServer.test.ts
+++ b/packages/mesh/src/callers/__tests__/callerServer.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
+import * as fixtures from '../../__tests__/fixtures.js';
 import * as limitedHeap from '../../__tests__/limitedHeap.js';
 import * as loopback from '../../__tests__/loopback.js';
 import * as meters from '../../observability/meters.js';
@@ -51,6 +52,35 @@
     await loopback.until(() => fixture.server.inFlightCount === 0);
   });
 
+  describe('with customers', () => {
+    beforeEach(async () => {
+      fixture.server.closeIdle();
+      const customers = { acme: fixtures.customer('acme', ['k-1']) };
+      fixture = await callerFixtures.startCallerServer(undefined, customers);
+    });
+
+    it('passes a request on under the name of its customer', async () => {
+      const caller = connect();
+      caller.socket.write(callerFixtures.request('1', 'k-1'));
+      await loopback.until(() => fixture.upstream.received.length === 1);
+      assert.equal(fixture.upstream.received[0]!.customer, 'acme');
+    });
+
+    // An unknown key must neither run a request nor appear where others can read it.
+    it('answers 401 to unknown keys, without a trace of the key', async () => {
+      const caller = connect();
+      caller.socket.write(callerFixtures.request('1', 'secret') + callerFixtures.request('2'));
+      await loopback.until(() => caller.answers().length === 2);
+      assert.deepEqual(
+        caller.answers().map(({ status }) => status),
+        [401, 401],
+      );
+      assert.equal(fixture.upstream.received.length, 0);
+      assert.ok(!JSON.stringify(fixture.lines).includes('secret'));
+      assert.ok(!fixture.metrics.render().includes('secret'));
+    });
+  });
+
   describe('while it drains', () => {
     // The first answer closed the connection, and those of the other requests were never written.
     it('answers all pipelined requests that were passed on, and closes after the last', async () => {
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -5,6 +5,7 @@
 import { byteCollector, callerConnections, ids, outgoing, type metrics } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
+import type * as customerDirectory from '../customers/customerDirectory.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
 import type * as dispatcher from '../routing/dispatcher.js';
@@ -286,6 +287,11 @@
     const route = current.routes.find(req.headers.host ?? '', req.url ?? '/');
     if (route === null) return localReply(404, 'no route');
     const caller = this.options.codec.readCaller(req.headers);
+    const customer = identify(current, route, caller.key);
+    if (customer.type === 'unknownKey') {
+      this.options.meters.increment(meters.UNKNOWN_KEYS, { route: route.name });
+      return localReply(401, 'unknown key');
+    }
     const limitMs = Math.min(
       route.timeoutMs,
       caller.deadlineMs ?? Infinity,
@@ -297,9 +303,11 @@
       requestId: caller.requestId ?? ids.requestId(`none-${this.requestSequence}`),
       method: req.method ?? 'GET',
       target: req.url ?? '/',
-      headers: this.options.codec.forwardable(req.rawHeaders),
+      headers: this.options.codec.forwardable(req.rawHeaders, current.customers !== null),
       body,
       route,
+      customer: customer.customer,
+      customerPriority: customer.customerPriority,
       arrivedMs,
       targetAtMs: arrivedMs + route.targetLatencyMs - ageMs,
       deadlineAtMs: arrivedMs + limitMs,
@@ -469,6 +477,15 @@
   }
 }
 
+function identify(
+  { customers }: configHolder.ActiveConfiguration,
+  route: configuration.Route,
+  key: string | null,
+): customerDirectory.Identification {
+  if (customers !== null) return customers.identify(route, key);
+  return { type: 'identified', customer: null, customerPriority: 0 };
+}
+
 function localReply(status: number, message: string, retryAfterMs?: number): LocalReply {
   return { type: 'localReply', status, message, retryAfterMs };
 }
--- a/packages/mesh/src/config/configHolder.ts
+++ b/packages/mesh/src/config/configHolder.ts
@@ -2,11 +2,14 @@
 
 import type * as configuration from './configuration.js';
 import type * as propagation from './propagation.js';
+import * as customerDirectory from '../customers/customerDirectory.js';
 import * as routeTable from '../routing/routeTable.js';
 
 export interface ActiveConfiguration {
   readonly cfg: configuration.Configuration;
   readonly routes: routeTable.RouteTable;
+  /** Null if requests need no keys. */
+  readonly customers: customerDirectory.CustomerDirectory | null;
   /** Monotonic time at which this node activated it. */
   readonly activeSinceMs: number;
 }
@@ -66,7 +69,12 @@
   offer(cfg: configuration.Configuration, source: Source): boolean {
     if (cfg.version <= this.version) return false;
     const previous = this.active?.cfg ?? null;
-    this.active = { cfg, routes: new routeTable.RouteTable(cfg), activeSinceMs: this.nowMs() };
+    this.active = {
+      cfg,
+      routes: new routeTable.RouteTable(cfg),
+      customers: customerDirectory.resolveDirectory(cfg),
+      activeSinceMs: this.nowMs(),
+    };
     this.recent = [cfg, ...this.recent].slice(0, MAX_RECENT_VERSIONS);
     for (const listener of this.listeners) listener(this.active, previous, source);
     return true;
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -4,6 +4,7 @@
  */
 
 export * as configuration from './config/configuration.js';
+export * as customerDirectory from './customers/customerDirectory.js';
 export * as decisionLog from './observability/decisionLog.js';
 export * as fleetStore from './config/fleetStore.js';
 export * as headerCodec from './upstream/headerCodec.js';
--- a/packages/mesh/src/limits/__tests__/admissionQueue.test.ts
+++ b/packages/mesh/src/limits/__tests__/admissionQueue.test.ts
@@ -15,6 +15,7 @@
 ): NamedRequest {
   return {
     name,
+    customerPriority: 0,
     priority: 2,
     targetAtMs: nowMs + 3 * SERVICE_MS,
     deadlineAtMs: nowMs + 8 * SERVICE_MS,
--- a/packages/mesh/src/limits/__tests__/targetMargin.test.ts
+++ b/packages/mesh/src/limits/__tests__/targetMargin.test.ts
@@ -51,6 +51,7 @@
     }
     const trueTargetMs = arrivesAt + TARGET_MS;
     const work: Work = {
+      customerPriority: 0,
       priority: 1,
       trueTargetMs,
       targetAtMs: trueTargetMs - marginOf(MEAN_MS, TARGET_MS),
--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -8,7 +8,9 @@
 import * as rateLimiter from './rateLimiter.js';
 
 export interface AdmissionRequest {
-  /** 0 is the most urgent. */
+  /** Priority of the customer; 0 is the most urgent. */
+  customerPriority: number;
+  /** Priority of the route among those of customers with the same priority; 0 is the most urgent. */
   priority: number;
   /** Monotonic time by which the request should be answered; it is late afterwards. */
   targetAtMs: number;
@@ -240,7 +242,11 @@
     const lateA = isLate(a, nowMs, 0);
     const lateB = isLate(b, nowMs, 0);
     if (lateA !== lateB) return lateA ? 1 : -1;
-    return a.priority - b.priority || a.targetAtMs - b.targetAtMs;
+    return (
+      a.customerPriority - b.customerPriority ||
+      a.priority - b.priority ||
+      a.targetAtMs - b.targetAtMs
+    );
   }
 }
 
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -5,6 +5,7 @@
 export const REQUESTS = 'godwittrack_requests_total';
 export const REQUEST_SECONDS = 'godwittrack_request_seconds';
 export const REFUSALS = 'godwittrack_refusals_total';
+export const UNKNOWN_KEYS = 'godwittrack_unknown_keys_total';
 export const OFFERS = 'godwittrack_offers_total';
 export const RETURNING_REQUESTS = 'godwittrack_returning_requests_total';
 export const LEFT_AGE_SECONDS = 'godwittrack_left_age_seconds';
@@ -22,6 +23,7 @@
 export const CONFIG_ADVERTISED_VERSION = 'godwittrack_config_advertised_version';
 export const CONFIG_REQUESTS = 'godwittrack_config_requests_total';
 export const CONFIG_UNREADABLE = 'godwittrack_config_unreadable_total';
+export const CONFIG_WARNINGS = 'godwittrack_config_warnings_total';
 export const MEMBERS = 'godwittrack_members';
 export const MEMBERS_REACHED = 'godwittrack_members_reached';
 export const LINKS_OPEN = 'godwittrack_links_open';
@@ -42,6 +44,7 @@
   [REQUESTS]: 'Requests of callers on this host, by route and by how they ended.',
   [REQUEST_SECONDS]: 'Time from a request of a caller on this host to its answer, by route.',
   [REFUSALS]: 'Requests of callers on this host that were refused without being run, by reason.',
+  [UNKNOWN_KEYS]: 'Requests of callers on this host without a valid key, by route.',
   [OFFERS]: 'Requests offered to an upstream, by distance and by outcome.',
   [RETURNING_REQUESTS]:
     'Requests that were taken as repeated by their caller after a refusal, by route.',
@@ -66,6 +69,8 @@
   [CONFIG_REQUESTS]:
     'Requests to other nodes for a newer configuration, by origin of the advertised version.',
   [CONFIG_UNREADABLE]: 'Configurations in the store that could not be read and were not taken.',
+  [CONFIG_WARNINGS]:
+    'Fields of configurations that were ignored or replaced by a default, each counted once.',
   [MEMBERS]: 'Nodes that are known, this one included.',
   [MEMBERS_REACHED]: 'Nodes that are not known to be out of reach, this one included.',
   [LINKS_OPEN]: 'Links to other nodes that are open, kept ones and those for requests.',
--- a/packages/mesh/src/peers/__tests__/framedConnection.test.ts
+++ b/packages/mesh/src/peers/__tests__/framedConnection.test.ts
@@ -102,7 +102,8 @@
     const cfg = fixtures.configurationOf(3, routes);
     const { services, limits } = cfg;
     const version = ids.configVersion(4);
-    const delta = { base: cfg.version, version, changed: [], removed: [], services, limits };
+    const changes = { changed: [], removed: [], customers: null };
+    const delta = { base: cfg.version, version, ...changes, services, limits };
     from.connection.send({ type: 'configFull', cfg });
     from.connection.send({ type: 'configDelta', delta });
     assert.deepEqual(exchangeAll(from, to, [1_000]), [
--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -49,6 +49,12 @@
     id: 8,
     req: fixtures.forwardedRequest({ maxWaitMs: 20, crashReport: CRASH_REPORT }),
   },
+  {
+    type: 'request',
+    sentMs: 1,
+    id: 9,
+    req: fixtures.forwardedRequest({ customer: ids.customerName('c'), customerPriority: 2 }),
+  },
   {
     type: 'members',
     members: [fixtures.member('a', { limitPerSecond: 22.7 }), fixtures.member('b')],
@@ -73,6 +79,18 @@
     crashes: [CRASH_REPORT],
   },
   { type: 'configFull', cfg: fixtures.configurationOf(3, [fixtures.route('r')]) },
+  {
+    type: 'configDelta',
+    delta: {
+      base: ids.configVersion(3),
+      version: ids.configVersion(4),
+      changed: [],
+      removed: ['r'],
+      services: {},
+      limits: fixtures.configurationOf(4, []).limits,
+      customers: { changed: [fixtures.customer('c')], removed: ['b'] },
+    },
+  },
   {
     type: 'outcome',
     id: 7,
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -338,14 +338,28 @@
     Math.round(req.deadlineLeftMs),
     Math.round(req.estimateMs),
     Number.isFinite(req.maxWaitMs) ? Math.round(req.maxWaitMs) : null,
-    ...(req.crashReport === null ? [] : [packCrashReport(req.crashReport)]),
+    ...packOptional(req),
   ];
 }
 
+/** Trailing fields that most requests do without. */
+function packOptional({
+  crashReport: report,
+  customer,
+  customerPriority,
+}: exchange.ForwardedRequest): unknown[] {
+  const packedReport = report === null ? null : packCrashReport(report);
+  if (customer !== null || customerPriority !== 0) {
+    return [packedReport, customer, customerPriority];
+  }
+  return packedReport === null ? [] : [packedReport];
+}
+
 function unpackRequest(fields: unknown[]): exchange.ForwardedRequest {
   const [requestId, method, target, headers, body, route, repeatable, priority] = fields;
-  const [callerService, instance, targetLeftMs, deadlineLeftMs, estimateMs, maxWaitMs, report] =
+  const [callerService, instance, targetLeftMs, deadlineLeftMs, estimateMs, maxWaitMs] =
     fields.slice(8);
+  const [report, customer, customerPriority] = fields.slice(14);
   return {
     requestId,
     method,
@@ -361,7 +375,9 @@
     deadlineLeftMs,
     estimateMs,
     maxWaitMs: maxWaitMs ?? Infinity,
-    crashReport: report === undefined ? null : unpackCrashReport(report),
+    crashReport: report == null ? null : unpackCrashReport(report),
+    customer: customer ?? null,
+    customerPriority: customerPriority ?? 0,
     fromOtherHost: true,
   } as exchange.ForwardedRequest;
 }
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -54,6 +54,16 @@
   retryExtra: number;
   /** Share of a service's requests that an unproved version may get between its order and the deadline. */
   maxExposureShare: number;
+  quotaTolerance: QuotaTolerance;
+}
+
+/** By how much the requests of a customer in a sliding window may exceed its quota. */
+export interface QuotaTolerance {
+  windowMs: number;
+  /** Share of the quota of a window. */
+  overage: number;
+  /** Requests, in addition to `overage`. */
+  slack: number;
 }
 
 export interface PlatformAdapter {
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -105,6 +105,8 @@
       headers: [],
       body: Buffer.alloc(0),
       route: fixtures.route('r', { semantics, maxUpstreams }),
+      customer: null,
+      customerPriority: 0,
       arrivedMs: 0,
       targetAtMs,
       deadlineAtMs: 1_000,
--- a/packages/mesh/src/routing/__tests__/spreadOfWork.test.ts
+++ b/packages/mesh/src/routing/__tests__/spreadOfWork.test.ts
@@ -110,6 +110,7 @@
     now += -Math.log(1 - next()) / rate;
     completeWork();
     dispatch({
+      customerPriority: 0,
       priority: 1,
       targetAtMs: now + TARGET_MS,
       deadlineAtMs: now + 5_000,
--- a/packages/mesh/src/routing/__tests__/uplinkLoad.test.ts
+++ b/packages/mesh/src/routing/__tests__/uplinkLoad.test.ts
@@ -128,6 +128,7 @@
       const answerBytes = this.answerSizes.get(req.route)?.value ?? 0;
       const uplinkBytes = answerBytes > frames.MAX_WHOLE_FRAME_BYTES ? answerBytes : 0;
       const work: Work = {
+        customerPriority: req.customerPriority,
         priority: req.priority,
         targetAtMs: now + req.targetLeftMs,
         deadlineAtMs: now + req.deadlineLeftMs,
@@ -287,6 +288,8 @@
       headers: [],
       body: Buffer.alloc(0),
       route,
+      customer: null,
+      customerPriority: 0,
       arrivedMs,
       targetAtMs,
       deadlineAtMs: arrivedMs + route.timeoutMs,
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -37,6 +37,10 @@
   headers: exchange.FlatHeaders;
   body: Buffer;
   route: configuration.Route;
+  /** Null for requests without a customer. */
+  customer: configuration.Customer | null;
+  /** Precedes the priority of the route; 0 where the configuration has no customers. */
+  customerPriority: number;
   /** Monotonic arrival time. */
   arrivedMs: number;
   /** Monotonic time of the route's target latency, counted from the caller's first attempt. */
@@ -439,7 +443,7 @@
     maxWaitMs: number,
   ): exchange.ForwardedRequest {
     const now = this.options.nowMs();
-    const { requestId, method, target, headers, body, route } = req;
+    const { requestId, method, target, headers, body, route, customer, customerPriority } = req;
     return {
       requestId,
       method,
@@ -449,6 +453,8 @@
       route: route.name,
       semantics: route.semantics,
       priority: route.priority,
+      customer: customer?.name ?? null,
+      customerPriority,
       callerService: this.options.callerService(),
       instance: upstream.instance,
       targetLeftMs: req.targetAtMs - now,
--- a/packages/mesh/src/routing/exchange.ts
+++ b/packages/mesh/src/routing/exchange.ts
@@ -17,7 +17,12 @@
   body: Buffer;
   route: ids.RouteName;
   semantics: configuration.Semantics;
+  /** Priority of the route. */
   priority: number;
+  /** Null for requests without a customer. */
+  customer: ids.CustomerName | null;
+  /** Precedes `priority`; 0 where the configuration has no customers. */
+  customerPriority: number;
   /** Service on the host from which the request came. */
   callerService: ids.ServiceName;
   /** The only incarnation of the upstream that may run it. */
--- a/packages/mesh/src/upstream/headerCodec.ts
+++ b/packages/mesh/src/upstream/headerCodec.ts
@@ -7,6 +7,8 @@
   requestId: ids.RequestId | null;
   /** Time that the caller will wait; null if it states none. */
   deadlineMs: number | null;
+  /** Key of the customer; null if the request carries none. Must not be logged or forwarded. */
+  key: string | null;
 }
 
 /** Limit of the rate of requests that an answer states. */
@@ -30,8 +32,11 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): CallerHeaders;
 
-  /** End-to-end headers of a caller's request, without those that the mesh sets itself. */
-  abstract forwardable(rawHeaders: readonly string[]): exchange.FlatHeaders;
+  /**
+   * End-to-end headers of a caller's request, without those that the mesh sets itself.
+   * @param hasCustomers whether callers are identified by keys; then the key is removed too
+   */
+  abstract forwardable(rawHeaders: readonly string[], hasCustomers: boolean): exchange.FlatHeaders;
 
   /** Headers that the mesh adds to a request for the upstream. */
   abstract forUpstream(
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -153,6 +153,7 @@
       req,
       signal,
       settle,
+      customerPriority: req.customerPriority,
       priority: req.priority,
       targetAtMs: now + targetLeftMs - marginMs,
       deadlineAtMs: now + req.deadlineLeftMs,
