refactor(mesh): select candidates apart from the dispatch of a request

The dispatcher held both, and home regions, evacuations and customers would each have added a condition there. Candidates are now collected in one pass without closures per request. Behaviour is unchanged: tests of routing, dispatcher and uplink load pass as before.

--- a/packages/mesh/src/routing/__tests__/candidateSelector.test.ts
+++ b/packages/mesh/src/routing/__tests__/candidateSelector.test.ts
@@ -3,7 +3,9 @@
 import { ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as members from '../../membership/members.js';
+import * as rolloutTable from '../../rollouts/rolloutTable.js';
 import * as candidateSelector from '../candidateSelector.js';
+import * as upstreamStats from '../upstreamStats.js';
 
 const SERVICE = ids.serviceName('shop');
 
@@ -15,12 +17,24 @@
     });
     const table = new members.MemberTable(all[self]!);
     for (const member of all) table.merge(member);
-    const candidates: { node: string; distance: string }[] = [];
-    new candidateSelector.CandidateSelector(table).forEachCandidate(
-      SERVICE,
-      () => true,
-      ({ node }, distance) => candidates.push({ node, distance }),
-    );
+    const rollouts = new rolloutTable.RolloutTable(fixtures.silentLog(), () => 0);
+    const selector = new candidateSelector.CandidateSelector({
+      table,
+      rollouts,
+      versionChooser: fixtures.versionChooserOf(rollouts),
+      upstreamStats: new upstreamStats.UpstreamStats(() => 0),
+      isReachable: () => true,
+      hasOpenLink: () => true,
+      outstandingAt: () => 0,
+    });
+    const { candidates } = selector.select({
+      route: fixtures.route('r'),
+      service: SERVICE,
+      versionChoice: null,
+      targetLeftMs: 300,
+      tried: new Set(),
+      isFirstOffer: true,
+    });
     return candidates;
   }
 
--- a/packages/mesh/src/routing/candidateSelector.ts
+++ b/packages/mesh/src/routing/candidateSelector.ts
@@ -1,13 +1,17 @@
 /**
- * Selects the members that a node considers for a request: all of its own failure domain, and a
- * limited number of each greater distance, so that the cost per request does not grow with the
- * fleet. Members are ranked by rendezvous hashing of the node's id: the order differs between
- * nodes, which spreads their requests evenly over distant members, and is stable on each node,
- * which therefore needs few links.
+ * Selects the upstreams that a node considers for a request: all of its own failure domain, and a limited
+ * number of each greater distance, so that the cost per request does not grow with the fleet.
  */
 
 import { type ids, rendezvous } from '@godwittrack/core';
+import type * as configuration from '../config/configuration.js';
 import * as members from '../membership/members.js';
+import type * as quarantine from '../quarantine/quarantine.js';
+import type * as rolloutTable from '../rollouts/rolloutTable.js';
+import type * as balancer from './balancer.js';
+import * as rankedMembers from './rankedMembers.js';
+import type * as upstreamStats from './upstreamStats.js';
+import type * as versionChooser from './versionChooser.js';
 
 /** Candidates per request at each distance. Members that are not eligible don't count. */
 const MAX_CANDIDATES: Record<members.Distance, number> = {
@@ -17,51 +21,151 @@
   remote: 6,
 };
 
-type ByDistance = Record<members.Distance, members.Member[]>;
+/** What decides which upstreams may get a request now. */
+export interface SelectionRequest {
+  route: configuration.Route;
+  service: ids.ServiceName;
+  /** Null for any version. */
+  versionChoice: versionChooser.VersionChoice | null;
+  targetLeftMs: number;
+  /** Nodes that get no further offer of the request. */
+  tried: ReadonlySet<ids.NodeId>;
+  isFirstOffer: boolean;
+}
+
+export interface Selection {
+  candidates: balancer.Candidate[];
+  /** Shortest time until a member may be asked again that had no capacity lately; null if there is none. */
+  shortestBackoffMs: number | null;
+}
+
+export interface CandidateSelectorOptions {
+  table: members.MemberTable;
+  rollouts: rolloutTable.RolloutTable;
+  versionChooser: versionChooser.VersionChooser;
+  upstreamStats: upstreamStats.UpstreamStats;
+  /** Whether requests can be sent to another node at present. */
+  isReachable: (node: ids.NodeId) => boolean;
+  /** Whether a link to the node is already open. */
+  hasOpenLink: (node: ids.NodeId) => boolean;
+  /** In-flight requests from this node to the other one. */
+  outstandingAt: (node: ids.NodeId) => number;
+}
 
 export class CandidateSelector {
-  /** Ranked members by service, valid for `tableVersion`. */
-  private readonly membersByService = new Map<ids.ServiceName, ByDistance>();
+  private readonly ranked: rankedMembers.RankedMembers;
 
-  private tableVersion = -1;
+  constructor(private readonly options: CandidateSelectorOptions) {
+    this.ranked = new rankedMembers.RankedMembers(options.table);
+  }
 
-  constructor(private readonly table: members.MemberTable) {}
+  /**
+   * Candidates of the chosen version. If it has no usable upstream at all, for example before the first one
+   * of a new version has started, those of the other versions are used.
+   */
+  select(req: SelectionRequest): Selection {
+    const preferred = this.collect(req, req.versionChoice);
+    const isDecided = preferred.candidates.length > 0 || preferred.shortestBackoffMs !== null;
+    if (req.versionChoice === null || isDecided || !req.isFirstOffer) return preferred;
+    return this.collect(req, null);
+  }
 
   /**
-   * Calls `visit` for the candidates of a service, nearest first, leaving out those that are not
-   * eligible.
+   * The first member by rank for a request that upstreams may have ended over. The rank is the same from all
+   * nodes, so that attempts at such a request meet at one upstream instead of ending several.
+   * @param probed nodes that refused for now, which are asked after the others
    */
-  forEachCandidate(
-    service: ids.ServiceName,
-    isEligible: (member: members.Member) => boolean,
-    visit: (member: members.Member, distance: members.Distance) => void,
-  ): void {
-    const byDistance = this.membersOf(service);
+  selectForSuspect(
+    req: SelectionRequest,
+    { fingerprint, ends }: quarantine.SuspectVerdict,
+    probed: ReadonlySet<ids.NodeId>,
+  ): balancer.Candidate[] {
+    const { table } = this.options;
+    const ranked = rendezvous
+      .rank(fingerprint, table.serving(req.service), ({ node }) => node)
+      .filter((member) => this.isUsable(member, req))
+      .filter(({ upstream }) => !ends.has(members.endIdOf(upstream!)));
+    const ofVersion = ranked.filter((each) => this.allows(req.versionChoice, each));
+    const eligible = ofVersion.length > 0 ? ofVersion : ranked;
+    const member = eligible.find(({ node }) => !probed.has(node)) ?? eligible[0];
+    if (member === undefined) return [];
+    const distance = members.distanceBetween(table.self, member);
+    return [this.toCandidate(member, distance, req.route, this.routeAverageMs(req.route))];
+  }
+
+  /** Leaves out nodes that had no capacity a moment ago, which would only delay the refusal. */
+  private collect(
+    req: SelectionRequest,
+    versionChoice: versionChooser.VersionChoice | null,
+  ): Selection {
+    const { upstreamStats: stats } = this.options;
+    const { route, targetLeftMs } = req;
+    const routeAverageMs = this.routeAverageMs(route);
+    const candidates: balancer.Candidate[] = [];
+    let shortestBackoffMs: number | null = null;
+    const byDistance = this.ranked.of(req.service);
     for (const distance of members.DISTANCES) {
       let remaining = MAX_CANDIDATES[distance];
       for (const member of byDistance[distance]) {
         if (remaining === 0) break;
-        if (isEligible(member)) {
-          visit(member, distance);
-          remaining -= 1;
+        if (this.allows(versionChoice, member) && this.isUsable(member, req)) {
+          const backoffMs = stats.fullBackoffMs(member.node, route.name, targetLeftMs);
+          if (backoffMs === 0) {
+            candidates.push(this.toCandidate(member, distance, route, routeAverageMs));
+            remaining -= 1;
+          } else {
+            shortestBackoffMs = Math.min(shortestBackoffMs ?? Infinity, backoffMs);
+          }
         }
       }
     }
+    return { candidates, shortestBackoffMs };
   }
 
-  private membersOf(service: ids.ServiceName): ByDistance {
-    if (this.tableVersion !== this.table.version) {
-      this.membersByService.clear();
-      this.tableVersion = this.table.version;
-    }
-    let byDistance = this.membersByService.get(service);
-    if (byDistance === undefined) {
-      const { self } = this.table;
-      byDistance = { host: [], domain: [], region: [], remote: [] };
-      const ranked = rendezvous.rank(self.node, this.table.serving(service), ({ node }) => node);
-      for (const member of ranked) byDistance[members.distanceBetween(self, member)].push(member);
-      this.membersByService.set(service, byDistance);
-    }
-    return byDistance;
+  private allows(
+    choice: versionChooser.VersionChoice | null,
+    { upstream }: members.Member,
+  ): boolean {
+    return this.options.versionChooser.allows(choice, upstream!.version);
+  }
+
+  private isUsable({ node, upstream }: members.Member, req: SelectionRequest): boolean {
+    const { table, isReachable, rollouts } = this.options;
+    return (
+      !req.tried.has(node) &&
+      rollouts.mayServe(req.service, upstream!.version) &&
+      (node === table.self.node || isReachable(node))
+    );
+  }
+
+  private routeAverageMs({ name, targetLatencyMs }: configuration.Route): number {
+    return this.options.upstreamStats.averageServiceMs(name, targetLatencyMs);
+  }
+
+  private toCandidate(
+    { node, upstream }: members.Member,
+    distance: members.Distance,
+    { name: route }: configuration.Route,
+    routeAverageMs: number,
+  ): balancer.Candidate {
+    const { upstreamStats: stats, table, hasOpenLink, outstandingAt } = this.options;
+    const isSelf = node === table.self.node;
+    return {
+      node,
+      distance,
+      slots: upstream!.slots,
+      limitPerSecond: upstream!.limitPerSecond,
+      load: outstandingAt(node) + stats.loadFromOthers(node),
+      serviceMs: stats.serviceMsAt(node, route, routeAverageMs),
+      transferWaitMs: isSelf ? 0 : this.transferWaitMs(node, route),
+      failureShare: stats.failureShare(node),
+      hasOpenLink: isSelf || hasOpenLink(node),
+    };
+  }
+
+  /** Expected wait of the answer for the uplink of the node's host; small answers overtake large ones. */
+  private transferWaitMs(node: ids.NodeId, route: ids.RouteName): number {
+    const { upstreamStats: stats } = this.options;
+    return stats.hasLargeAnswers(route) ? stats.transferWaitMs(node) : 0;
   }
 }
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -1,10 +1,10 @@
 /** Dispatches a request: selects a version and a node, and retries where the route allows it. */
 
-import { rendezvous, type ids, type metrics } from '@godwittrack/core';
+import type { ids, metrics } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
 import * as admissionQueue from '../limits/admissionQueue.js';
 import type * as retryBudget from '../limits/retryBudget.js';
-import * as members from '../membership/members.js';
+import type * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
 import * as quarantine from '../quarantine/quarantine.js';
@@ -97,7 +97,11 @@
   private readonly candidateSelector: candidateSelector.CandidateSelector;
 
   constructor(private readonly options: DispatcherOptions) {
-    this.candidateSelector = new candidateSelector.CandidateSelector(options.table);
+    this.candidateSelector = new candidateSelector.CandidateSelector({
+      ...options,
+      isReachable: (node) => options.destinationOf(node) !== null,
+      outstandingAt: (node) => this.outstanding.get(node) ?? 0,
+    });
   }
 
   async dispatch(req: CallerRequest, signal: AbortSignal): Promise<exchange.Outcome> {
@@ -179,16 +183,18 @@
       targetLeftMs: req.targetAtMs - now,
       deadlineLeftMs: req.deadlineAtMs - now,
     };
+    const selection = {
+      route: req.route,
+      service,
+      versionChoice,
+      targetLeftMs: profile.targetLeftMs,
+      tried: progress.tried,
+      isFirstOffer: progress.offers === 0,
+    };
     const candidates =
       verdict.type === 'suspect'
-        ? this.candidatesForSuspect(req.route, service, versionChoice, verdict, progress)
-        : this.eligibleCandidates(
-            req.route,
-            service,
-            versionChoice,
-            profile.targetLeftMs,
-            progress,
-          );
+        ? this.candidateSelector.selectForSuspect(selection, verdict, progress.probed)
+        : this.selectCandidates(selection, progress);
     const choice = this.options.balancer.choose(candidates, profile);
     if (choice === null && candidates.length > 0 && progress.offers === 0) {
       progress.reason = 'noRoomInTime';
@@ -196,129 +202,16 @@
     return choice;
   }
 
-  /**
-   * Members of the chosen version. If it has no usable upstream at all, for example before the
-   * first one of a new version has started, those of the other versions are used.
-   */
-  private eligibleCandidates(
-    route: configuration.Route,
-    service: ids.ServiceName,
-    versionChoice: versionChooser.VersionChoice | null,
-    targetLeftMs: number,
+  private selectCandidates(
+    req: candidateSelector.SelectionRequest,
     progress: Progress,
   ): balancer.Candidate[] {
-    const isUsable = (member: members.Member) => this.isUsable(member, service, progress.tried);
-    const collectIf = (isEligible: (member: members.Member) => boolean) =>
-      this.collectCandidates(route, service, targetLeftMs, isEligible, progress);
-    if (versionChoice === null) return collectIf(isUsable).candidates;
-    const preferred = collectIf((member) => this.allows(versionChoice, member) && isUsable(member));
-    if (preferred.candidates.length > 0 || preferred.fullCount > 0 || progress.offers > 0) {
-      return preferred.candidates;
-    }
-    return collectIf(isUsable).candidates;
-  }
-
-  /**
-   * The first member by rank for the request that has not refused it. The rank is the same from all nodes, so
-   * that attempts at a request that ends upstreams meet at one of them instead of ending several.
-   */
-  private candidatesForSuspect(
-    route: configuration.Route,
-    service: ids.ServiceName,
-    versionChoice: versionChooser.VersionChoice | null,
-    { fingerprint, ends }: quarantine.SuspectVerdict,
-    progress: Progress,
-  ): balancer.Candidate[] {
-    const { table, upstreamStats: stats } = this.options;
-    const ranked = rendezvous
-      .rank(fingerprint, table.serving(service), ({ node }) => node)
-      .filter((member) => this.isUsable(member, service, progress.tried))
-      .filter(({ upstream }) => !ends.has(members.endIdOf(upstream!)));
-    const ofVersion = ranked.filter((each) => this.allows(versionChoice, each));
-    const eligible = ofVersion.length > 0 ? ofVersion : ranked;
-    const member = eligible.find(({ node }) => !progress.probed.has(node)) ?? eligible[0];
-    if (member === undefined) return [];
-    const distance = members.distanceBetween(table.self, member);
-    const routeAverageMs = stats.averageServiceMs(route.name, route.targetLatencyMs);
-    return [this.toCandidate(member, distance, route.name, routeAverageMs)];
-  }
-
-  /** Leaves out nodes that had no capacity a moment ago, which would only delay the refusal. */
-  private collectCandidates(
-    route: configuration.Route,
-    service: ids.ServiceName,
-    targetLeftMs: number,
-    isEligible: (member: members.Member) => boolean,
-    progress: Progress,
-  ): { candidates: balancer.Candidate[]; fullCount: number } {
-    const { upstreamStats: stats } = this.options;
-    const routeAverageMs = stats.averageServiceMs(route.name, route.targetLatencyMs);
-    const candidates: balancer.Candidate[] = [];
-    let fullCount = 0;
-    let shortestBackoffMs = Infinity;
-    const hasCapacity = (member: members.Member) => {
-      if (!isEligible(member)) return false;
-      const backoffMs = stats.fullBackoffMs(member.node, route.name, targetLeftMs);
-      if (backoffMs === 0) return true;
-      fullCount += 1;
-      shortestBackoffMs = Math.min(shortestBackoffMs, backoffMs);
-      return false;
-    };
-    this.candidateSelector.forEachCandidate(service, hasCapacity, (member, distance) => {
-      candidates.push(this.toCandidate(member, distance, route.name, routeAverageMs));
-    });
-    if (candidates.length === 0 && fullCount > 0) {
+    const { candidates, shortestBackoffMs } = this.candidateSelector.select(req);
+    if (candidates.length === 0 && shortestBackoffMs !== null) {
       progress.reason = 'noRoomInTime';
       progress.retryAfterMs = Math.max(admissionQueue.MIN_RETRY_AFTER_MS, shortestBackoffMs);
     }
-    return { candidates, fullCount };
-  }
-
-  private allows(
-    choice: versionChooser.VersionChoice | null,
-    { upstream }: members.Member,
-  ): boolean {
-    return this.options.versionChooser.allows(choice, upstream!.version);
-  }
-
-  private isUsable(
-    { node, upstream }: members.Member,
-    service: ids.ServiceName,
-    tried: ReadonlySet<ids.NodeId>,
-  ): boolean {
-    const { table, destinationOf, rollouts } = this.options;
-    return (
-      !tried.has(node) &&
-      rollouts.mayServe(service, upstream!.version) &&
-      (node === table.self.node || destinationOf(node) !== null)
-    );
-  }
-
-  private toCandidate(
-    { node, upstream }: members.Member,
-    distance: members.Distance,
-    route: ids.RouteName,
-    routeAverageMs: number,
-  ): balancer.Candidate {
-    const { upstreamStats: stats, table, hasOpenLink: isConnected } = this.options;
-    return {
-      node,
-      distance,
-      slots: upstream!.slots,
-      limitPerSecond: upstream!.limitPerSecond,
-      load: (this.outstanding.get(node) ?? 0) + stats.loadFromOthers(node),
-      serviceMs: stats.serviceMsAt(node, route, routeAverageMs),
-      transferWaitMs: this.transferWaitMs(node, route),
-      failureShare: stats.failureShare(node),
-      hasOpenLink: node === table.self.node || isConnected(node),
-    };
-  }
-
-  /** Expected wait of the answer for the uplink of the node's host; small answers overtake large ones. */
-  private transferWaitMs(node: ids.NodeId, route: ids.RouteName): number {
-    const { upstreamStats: stats, table } = this.options;
-    const waits = node !== table.self.node && stats.hasLargeAnswers(route);
-    return waits ? stats.transferWaitMs(node) : 0;
+    return candidates;
   }
 
   /** Longest wait for a slot and the uplink at the candidate; beyond it, the request is offered elsewhere. */
