fix: take no answer whose status is not one of HTTP

Checked on every path by which an answer can reach a caller: an upstream that sends the status 000. The reader of answers of the mesh refused it already, and its callers got 502.

Before the change the tests of the client (5 statuses), of forwarding (4) and of frames (9) failed; all pass.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * as eProcess from './eProcess.js';
 export * as failures from './failures.js';
 export * as hash from './hash.js';
+export * as httpStatus from './httpStatus.js';
 export * as ids from './ids.js';
 export * as manifest from './manifest.js';
 export * as metrics from './metrics.js';
--- a/packages/mesh/src/callers/__tests__/callerServer.test.ts
+++ b/packages/mesh/src/callers/__tests__/callerServer.test.ts
@@ -52,6 +52,15 @@
     await loopback.until(() => fixture.server.inFlightCount === 0);
   });
 
+  // Node's own check of the status throws; the request must still get its answer.
+  it('answers 502 in place of an answer without a valid status', async () => {
+    const caller = connect();
+    await pass(caller, '1');
+    fixture.upstream.release({ ...answer('1', Buffer.alloc(0)), status: 0 });
+    await loopback.until(() => caller.answers().length === 1);
+    assert.equal(caller.answers()[0]!.status, 502);
+  });
+
   describe('with customers', () => {
     beforeEach(async () => {
       fixture.server.closeIdle();
--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -196,6 +196,18 @@
     });
   }
 
+  // Written to a caller, such a status would be no answer of HTTP, or an interim one.
+  for (const status of [0, 99, 101, 199, 600, -200, 200.5, '200', null]) {
+    it(`with an answer of status ${status} are read as a lost answer`, () => {
+      const packed = [5, 7, 0, null, status, [], null, 3];
+      assert.deepEqual(decodeOne(addLength(msgpack.encode(packed))), {
+        type: 'outcome',
+        id: 7,
+        delivery: { outcome: exchange.lost('answer without a valid status'), report: null },
+      });
+    });
+  }
+
   it('of random bytes fail with a protocol violation and nothing else', () => {
     fc.assert(
       fc.property(fc.uint8Array({ maxLength: 200 }), (noise) => {
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -7,7 +7,7 @@
 
 import * as zlib from 'node:zlib';
 import * as msgpack from '@msgpack/msgpack';
-import { failures, ids } from '@godwittrack/core';
+import { failures, httpStatus, ids } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
 import type * as members from '../membership/members.js';
 import type * as memberGossip from '../membership/memberGossip.js';
@@ -409,6 +409,9 @@
   const report = unpackReport(load as PackedReport | null);
   if (kind === ANSWER) {
     const [status, headers, body, serviceMs] = rest;
+    if (!httpStatus.isFinal(status)) {
+      return { outcome: exchange.lost('answer without a valid status'), report };
+    }
     const answer = { type: 'answer', status, headers, body: toBuffer(body), serviceMs };
     return { outcome: answer as exchange.Answer, report };
   }
--- a/packages/node/src/records/__tests__/keyGuard.test.ts
+++ b/packages/node/src/records/__tests__/keyGuard.test.ts
@@ -102,6 +102,13 @@
     await refused(createGuard('y'), 'answerNotKept');
   });
 
+  // A node of an earlier release may have recorded the status 000 of an upstream in trouble.
+  it('does not replay an answer whose status is not one of HTTP', async () => {
+    const claim = await granted(createGuard('x'));
+    await claim.complete({ ...testing.answer('done'), status: 0 });
+    await refused(createGuard('y'), 'answerNotKept');
+  });
+
   it('fails a repeat with outcomeUnknown when the dispatcher died after its claim', async () => {
     await granted(createGuard('x'));
     clock.advance(DEADLINE_MS + 1);
--- a/packages/node/src/records/keyGuard.ts
+++ b/packages/node/src/records/keyGuard.ts
@@ -3,7 +3,7 @@
  * dispatch, and afterwards records the answer or releases the claim.
  */
 
-import { backoff, failures, placement as rules } from '@godwittrack/core';
+import { backoff, failures, httpStatus, placement as rules } from '@godwittrack/core';
 import type { clock as clocks, ids, placement as placements } from '@godwittrack/core';
 import { records } from '@godwittrack/protocol';
 import type * as recordPeers from './recordPeers.js';
@@ -313,7 +313,7 @@
     );
     if (completed?.answer !== undefined) {
       const { answer } = completed;
-      if (answer.bodyKept) return { type: 'replayed', answer };
+      if (answer.bodyKept && httpStatus.isFinal(answer.status)) return { type: 'replayed', answer };
       return failures.toError({ type: 'answerNotKept', key, status: answer.status });
     }
     if (count(votes, records.ClaimResult.CLAIM_RESULT_FINGERPRINT_MISMATCH) > 0) {
--- a/packages/node/src/requests/__tests__/forwarding.test.ts
+++ b/packages/node/src/requests/__tests__/forwarding.test.ts
@@ -118,6 +118,18 @@
     );
   });
 
+  // The status of a frame without one reads as 0, and would be written to the caller as 000.
+  it('takes no response from another node whose status is not one of HTTP', async () => {
+    for (const status of [0, 99, 101, 600]) {
+      local.handle = async () => {
+        const response = createResponse(chunksOf([]));
+        return { ...response, head: { ...response.head, status } };
+      };
+      const sent = peer.forward(HEAD, exchange.bufferedBody(), new AbortController().signal);
+      await assert.rejects(sent, (err) => failures.is(err, 'protocolViolation'), String(status));
+    }
+  });
+
   it('reports a response that is cut off as incomplete', async () => {
     async function* broken(): exchange.Body {
       yield Buffer.alloc(70_000);
--- a/packages/node/src/requests/__tests__/upstreamClient.test.ts
+++ b/packages/node/src/requests/__tests__/upstreamClient.test.ts
@@ -1,8 +1,8 @@
 import * as assert from 'node:assert/strict';
 import { once } from 'node:events';
 import * as http from 'node:http';
-import type * as net from 'node:net';
-import { afterEach, beforeEach, describe, it } from 'node:test';
+import * as net from 'node:net';
+import { after, afterEach, before, beforeEach, describe, it } from 'node:test';
 import type { requests } from '@godwittrack/protocol';
 import * as exchange from '../exchange.js';
 import * as upstreamClient from '../upstreamClient.js';
@@ -109,6 +109,41 @@
     }
   });
 
+  // An upstream in trouble has sent the status 000, which Node's parser passes on.
+  describe('a response whose status is not one of HTTP', () => {
+    const listener = net.createServer();
+    let status = '';
+
+    before(async () => {
+      listener.on('connection', (socket) => {
+        socket.on('error', () => socket.destroy());
+        socket.once('data', () => {
+          socket.end(`HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\nok`);
+        });
+      });
+      listener.listen(0, '127.0.0.1');
+      await once(listener, 'listening');
+    });
+
+    after(() => listener.close());
+
+    it('is a failure after which the request may have run', async () => {
+      const { port } = listener.address() as net.AddressInfo;
+      const target = { service: 'back', address: `127.0.0.1:${port}`, connections: 8 };
+      const head = { ...fixtures.HEAD, headers: [HOST] };
+      let ends = 0;
+      const onEnd = () => {
+        ends += 1;
+      };
+      for (const each of ['000', '001', '099', '600', '999']) {
+        status = each;
+        const sent = client.send(target, head, exchange.bufferedBody(), signal, onEnd);
+        await assert.rejects(sent, /started=true/, each);
+      }
+      assert.equal(ends, 0);
+    });
+  });
+
   it('calls onEnd only at the end of the response', async () => {
     // Guards against a slot that is released while the upstream still produces the response.
     let finish = () => {};
--- a/packages/node/src/requests/peerDestination.ts
+++ b/packages/node/src/requests/peerDestination.ts
@@ -3,7 +3,7 @@
  * its peer address. See docs/requestClient.md for the comparison with gRPC streams.
  */
 
-import { failures } from '@godwittrack/core';
+import { failures, httpStatus } from '@godwittrack/core';
 import { requests } from '@godwittrack/protocol';
 import * as exchange from './exchange.js';
 import * as frames from './frames.js';
@@ -136,8 +136,8 @@
     const first = await reader.next();
     if (first?.refusal !== undefined)
       throw failures.toError(refusals.decode(first.refusal, service));
-    if (first?.head === undefined) {
-      const detail = 'the first frame carries no head';
+    if (!httpStatus.isFinal(first?.head?.status)) {
+      const detail = 'the first frame carries no head with a valid status';
       throw failures.toError({ type: 'protocolViolation', peer: this.peer, detail });
     }
     return { head: first.head, body: new ResponseBody(first, reader, incoming, service) };
--- a/packages/node/src/requests/upstreamClient.ts
+++ b/packages/node/src/requests/upstreamClient.ts
@@ -1,6 +1,6 @@
 /** HTTP client to the local upstream, with pooled keep-alive connections. */
 
-import { failures } from '@godwittrack/core';
+import { failures, httpStatus } from '@godwittrack/core';
 import type { requests } from '@godwittrack/protocol';
 import * as exchange from './exchange.js';
 import * as httpClient from './httpClient.js';
@@ -80,6 +80,17 @@
       chunks: body.chunks,
       signal,
     });
+    const status = res.statusCode;
+    if (!httpStatus.isFinal(status)) {
+      res.destroy();
+      const detail = `a response with the status ${status}`;
+      throw failures.toError({
+        type: 'upstreamFailed',
+        service: target.service,
+        detail,
+        started: true,
+      });
+    }
     const upstreamMs = performance.now() - startMs;
     const { service } = target;
     const createFailure = (detail: string) =>
@@ -88,7 +99,7 @@
       .endToEndHeaders(res.rawHeaders)
       .filter(({ name }) => !RESERVED_RESPONSE_HEADERS.has(name.toLowerCase()));
     return {
-      head: { status: res.statusCode ?? 502, headers, requestId: head.requestId, upstreamMs },
+      head: { status, headers, requestId: head.requestId, upstreamMs },
       body: new incomingBody.IncomingBody(res, createFailure, onEnd),
     };
   }
