--- a/packages/mesh/src/__tests__/eventLoop.test.ts
+++ b/packages/mesh/src/__tests__/eventLoop.test.ts
@@ -40,4 +40,11 @@
     now += PERIOD_MS + 700;
     assert.equal(meter.highestMs, 700);
   });
+
+  it('adds up all delays', () => {
+    tickAfter(0);
+    for (let i = 0; i < 30; i += 1) tickAfter(PERIOD_MS + 40);
+    now += PERIOD_MS + 700;
+    assert.equal(meter.totalMs, 30 * 40 + 700);
+  });
 });
--- a/packages/mesh/src/eventLoop.ts
+++ b/packages/mesh/src/eventLoop.ts
@@ -24,6 +24,8 @@
 
   private highestInLastWindowMs = 0;
 
+  private sumMs = 0;
+
   constructor(
     private readonly periodMs: number,
     private readonly nowMs: () => number,
@@ -39,6 +41,7 @@
       this.windowEndsMs = now + LagMeter.WINDOW_MS;
     }
     this.highestInWindowMs = Math.max(this.highestInWindowMs, lagMs);
+    this.sumMs += lagMs;
     this.dueAtMs = now + this.periodMs;
   }
 
@@ -48,6 +51,11 @@
     return Math.max(this.highestInLastWindowMs, this.highestInWindowMs, overdueMs);
   }
 
+  /** Sum of all delays so far, including that of a timer that is overdue now. */
+  get totalMs(): number {
+    return this.sumMs + this.overdueMs(this.nowMs());
+  }
+
   private overdueMs(now: number): number {
     return Math.max(0, now - this.dueAtMs);
   }
