feat(mesh): decide whether the upstream on the host is cold

Cause: upstreams that have just started crash when they get their usual load, and nothing told the mesh. ColdState holds what announcements (cold_remaining_ms) and health checks (Cold-Milliseconds) state; what is not known counts as cold. LocalUpstream publishes the lower of the cold and the stated limit, in the same record as the announcement. ColdWatch has one timer, for the end of the cold time or one health check. An absent or invalid time is unknown, with a warning, and never rejects an announcement. Where the service has no cold start, no listener is told and no timer set.

Ruled out: trusting any announcement after an end of the upstream. Announcements of that incarnation are ignored for 2 s unless they prolong the cold time.

Tests: no second above perSecond x 1.5 + 8 in 40 random lives of 60 s, with late announcements, restarts of the node, ends, turning cold, changes of the configuration and stated limits; one health check; recovery. They fail with a burst of 4 s in the limiter and without the guard against late announcements.

--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -133,6 +133,7 @@
     leaving: false,
     sequence: 1,
     bornMs: 1_000,
+    coldRemainingMs: 0,
     ...overrides,
   };
 }
@@ -192,7 +193,16 @@
   readAnswer(headers: exchange.FlatHeaders): headerCodec.AnswerHeaders {
     const id = headerCodec.headerValue(headers, 'x-id');
     const requestId = id === null ? null : ids.requestId(id);
-    return { requestId, signed: true, notExecuted: false, leaving: false, limit: { type: 'none' } };
+    const coldMs = headerCodec.headerValue(headers, 'x-cold-ms');
+    return {
+      requestId,
+      signed: true,
+      notExecuted: false,
+      leaving: false,
+      limit: { type: 'none' },
+      coldRemainingMs: coldMs === null ? null : Number(coldMs),
+      instance: null,
+    };
   }
 
   returnable(raw: readonly string[]): exchange.FlatHeaders {
--- a/packages/mesh/src/membership/localUpstream.ts
+++ b/packages/mesh/src/membership/localUpstream.ts
@@ -1,6 +1,7 @@
 /** Tracks the upstream on this host: its current incarnation, and whether it accepts requests. */
 
 import type { ids } from '@godwittrack/core';
+import * as coldState from './coldState.js';
 import * as members from './members.js';
 
 /** State that an upstream reports to its node, several times a minute. */
@@ -16,6 +17,8 @@
   sequence: number;
   /** Start time in Unix milliseconds; null if the upstream does not report it. */
   bornMs: number | null;
+  /** Time for which the upstream stays cold; 0 if it is warm, null if it states no valid time. */
+  coldRemainingMs: number | null;
 }
 
 export type AnnouncementOutcome =
@@ -61,13 +64,19 @@
 
   private readonly listeners: ((state: members.UpstreamState | null) => void)[] = [];
 
+  /** State of which the listeners were last told, as JSON. */
+  private notified = 'null';
+
   /** Last announcement that was rejected because it came from an older incarnation. */
   private lastRejected: Announcement | null = null;
 
   constructor(
-    private readonly address: string,
+    readonly address: string,
     private readonly nowMs: () => number = () => performance.now(),
-  ) {}
+    readonly cold: coldState.ColdState = coldState.unprotected(),
+  ) {
+    cold.onChange(() => this.notifyChange());
+  }
 
   onChange(listener: (state: members.UpstreamState | null) => void): void {
     this.listeners.push(listener);
@@ -77,7 +86,7 @@
   get state(): members.UpstreamState | null {
     if (this.current === null) return null;
     const { announcement, hasLeft, limit } = this.current;
-    const limitPerSecond = limit.published;
+    const limitPerSecond = coldState.lowerLimit(limit.published, this.cold.limitPerSecond);
     const { instance, service, version, slots, bornMs } = announcement;
     const leaving = announcement.leaving || hasLeft;
     const accepting = !leaving;
@@ -89,6 +98,11 @@
     return this.current?.limit.stated ?? null;
   }
 
+  /** Requests per second that may start: the lower of the stated limit and that of a cold upstream. */
+  get startLimitPerSecond(): number | null {
+    return coldState.lowerLimit(this.limitPerSecond, this.cold.limitPerSecond);
+  }
+
   /** Records the limit that an answer of the incarnation states; null lifts it. */
   recordLimit(instance: ids.InstanceId, perSecond: number | null): void {
     if (this.current === null || this.current.announcement.instance !== instance) return;
@@ -118,15 +132,24 @@
     const isSame = members.isSameIncarnation(current, next);
     // An upstream that is leaving does not become available again in the same incarnation.
     const leaving = next.leaving || (isSame && current!.leaving);
-    this.replace({
+    this.current = {
       announcement: { ...next, leaving },
       hasLeft: false,
       announcedAtMs: this.nowMs(),
-      limit: isSame ? this.current!.limit : NO_LIMIT,
-    });
+      limit: isSame ? this.keptLimit(this.current!) : NO_LIMIT,
+    };
+    // Before the listeners are told, so that another incarnation is not published without its limit.
+    this.cold.recordAnnouncement(next, isSame);
+    this.notifyChange();
     return 'accepted';
   }
 
+  /** A restored limit that equals that of a cold upstream was not stated by the upstream. */
+  private keptLimit({ announcement, limit }: Incarnation): Limit {
+    const isRestored = announcement.sequence === UNCONFIRMED_SEQUENCE;
+    return isRestored && limit.stated === this.cold.coldPerSecond ? NO_LIMIT : limit;
+  }
+
   /** Whether an apparently older incarnation keeps announcing itself while the current one is silent. */
   private replacesSilentIncarnation(next: Announcement): boolean {
     const previous = this.lastRejected;
@@ -177,20 +200,25 @@
       leaving: false,
       sequence: UNCONFIRMED_SEQUENCE,
       bornMs,
+      coldRemainingMs: null,
     };
-    this.replace({
+    // May include the limit of a cold upstream; see `keptLimit`.
+    this.current = {
       announcement,
       hasLeft: false,
       announcedAtMs: this.nowMs(),
       limit: { stated: limitPerSecond, published: limitPerSecond },
-    });
+    };
+    this.cold.begin(service);
+    this.notifyChange();
   }
 
   /** Drops a restored state that no announcement has confirmed. */
   dropUnconfirmed(): void {
     if (this.current?.announcement.sequence !== UNCONFIRMED_SEQUENCE) return;
     this.current = null;
-    this.notify();
+    this.cold.begin(null);
+    this.notifyChange();
   }
 
   /** Marks an incarnation as departed because it has reported its end. Takes effect immediately. */
@@ -213,13 +241,16 @@
   }
 
   private replace(next: Incarnation): void {
-    const before = JSON.stringify(this.state);
     this.current = next;
-    if (JSON.stringify(this.state) !== before) this.notify();
+    this.notifyChange();
   }
 
-  private notify(): void {
-    for (const listener of this.listeners) listener(this.state);
+  private notifyChange(): void {
+    const { state } = this;
+    const text = JSON.stringify(state);
+    if (text === this.notified) return;
+    this.notified = text;
+    for (const listener of this.listeners) listener(state);
   }
 }
 
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -35,6 +35,11 @@
 export const STORE_WATCHED = 'godwittrack_store_watched';
 export const STORE_ERA = 'godwittrack_store_era';
 export const UPSTREAM_LIMIT = 'godwittrack_upstream_limit';
+export const UPSTREAM_COLD_LIMIT = 'godwittrack_upstream_cold_limit';
+export const COLD_UNKNOWN = 'godwittrack_cold_unknown_total';
+export const HEALTH_CHECKS = 'godwittrack_health_checks_total';
+export const UPSTREAM_STALLS = 'godwittrack_upstream_stalls_total';
+export const UPSTREAM_STALLED = 'godwittrack_upstream_stalled';
 export const UPSTREAM_ENDS = 'godwittrack_upstream_ends_total';
 export const SUSPECT_REQUESTS = 'godwittrack_suspect_requests';
 export const BLOCKED_REQUESTS = 'godwittrack_blocked_requests';
@@ -86,6 +91,13 @@
     'Newest era of the store that is known; it rises when the store is restored from a copy.',
   [UPSTREAM_LIMIT]:
     'Requests per second that the upstream on this host takes by its own statement; 0 without a limit.',
+  [UPSTREAM_COLD_LIMIT]:
+    'Requests per second that the upstream on this host gets while it is cold; 0 without that limit.',
+  [COLD_UNKNOWN]:
+    'Times that it became unknown whether the upstream on this host is cold, by reason.',
+  [HEALTH_CHECKS]: 'Health checks of a cold upstream on this host, by outcome.',
+  [UPSTREAM_STALLS]: 'Times that the upstream on this host stopped responding.',
+  [UPSTREAM_STALLED]: 'Whether the upstream on this host does not respond at present: 1 or 0.',
   [UPSTREAM_ENDS]: 'Ends of the upstream on this host while it ran requests.',
   [SUSPECT_REQUESTS]:
     'Different requests during which an upstream has ended and that no upstream has answered since.',
--- a/packages/mesh/src/upstream/headerCodec.ts
+++ b/packages/mesh/src/upstream/headerCodec.ts
@@ -25,6 +25,10 @@
   /** Whether the upstream states that it is leaving. */
   leaving: boolean;
   limit: StatedLimit;
+  /** Time for which the upstream stays cold, in an answer to a health check; null if not stated. */
+  coldRemainingMs: number | null;
+  /** Incarnation that answers; null if the answer states none. */
+  instance: ids.InstanceId | null;
 }
 
 export abstract class HeaderCodec {
