feat(mesh): enforce the limit of cold upstreams and refuse requests for stalled ones

The rate limiter of the admission queue gets the lower of the cold and the stated limit, so it holds whoever sends. Failed connections and the end of the upstream make the state unknown. The health check takes a slot and a token of the limiter like a request, on a connection of the pool; its answer is no evidence about the version. While the upstream doesn't respond, what waits and what comes is refused (upstreamStalled), and one request at a time tries it.

A wait at a cold upstream that is too long for the sender is refused as limitReached: with waitTooLong, the sender would choose the same upstream again, since its load is low, and queue there with its last offer.

--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -31,6 +31,9 @@
 /** The same, because of the rate that the upstream takes. */
 export const LIMIT_REACHED = 'limitReached';
 
+/** The upstream has stopped responding. */
+export const UPSTREAM_STALLED = 'upstreamStalled';
+
 export type RefusalReason =
   | 'noTimeLeft'
   | typeof QUEUE_TOO_LONG
@@ -39,12 +42,19 @@
   | 'notAccepting';
 
 /** Reasons of refusals that show that the upstream had no capacity for the request. */
-export const FULL_REASONS: ReadonlySet<string> = new Set([QUEUE_TOO_LONG, LIMIT_REACHED]);
+export const FULL_REASONS: ReadonlySet<string> = new Set([
+  QUEUE_TOO_LONG,
+  LIMIT_REACHED,
+  UPSTREAM_STALLED,
+]);
+
+export interface Refused {
+  type: 'refuse';
+  reason: RefusalReason;
+  retryAfterMs: number;
+}
 
-export type Decision =
-  | { type: 'run' }
-  | { type: 'wait' }
-  | { type: 'refuse'; reason: RefusalReason; retryAfterMs: number };
+export type Decision = { type: 'run' } | { type: 'wait' } | Refused;
 
 export interface RefusedRequest<T> {
   request: T;
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -10,6 +10,8 @@
 import * as storeWatcher from '../config/storeWatcher.js';
 import * as eventLoop from '../eventLoop.js';
 import * as retryBudget from '../limits/retryBudget.js';
+import * as coldState from '../membership/coldState.js';
+import * as coldWatch from '../membership/coldWatch.js';
 import * as localUpstream from '../membership/localUpstream.js';
 import * as members from '../membership/members.js';
 import * as decisionLog from '../observability/decisionLog.js';
@@ -114,7 +116,15 @@
   const comparison = new versionComparison.VersionComparison(nowMs);
   const recorder = new evidence.EvidenceRecorder();
   const suspects = new quarantine.Quarantine({ log, nowMs });
-  const upstream = new localUpstream.LocalUpstream(settings.upstreamAddress);
+  const coldStartOf = (service: ids.ServiceName) =>
+    config.current?.cfg.services[service]?.coldStart ?? null;
+  const cold = new coldState.ColdState({
+    coldStartOf,
+    isConfigured: () => config.current !== null,
+    nowMs,
+  });
+  const upstream = new localUpstream.LocalUpstream(settings.upstreamAddress, nowMs, cold);
+  const eventLoopLag = new eventLoop.LagMeter(agent.TICK_MS, nowMs);
   const uplink = new uplinkScheduler.UplinkScheduler(nowMs);
   const local = new localDestination.LocalDestination({
     upstream,
@@ -126,10 +136,11 @@
     quarantine: suspects,
     mayServe: (service, version) => rollouts.mayServe(service, version),
     transferWaitMs: (bytes) => uplink.backlogMs(bytes),
+    stoodStillMs: () => eventLoopLag.totalMs,
     nowMs,
   });
+  createColdWatch(cold, local, config, log, metricsRegistry, nowMs);
   const onEvidence = (report: evidence.EvidenceReport) => comparison.addReport(report);
-  const eventLoopLag = new eventLoop.LagMeter(agent.TICK_MS, nowMs);
   // The watcher and the network refer to each other.
   let watcher: storeWatcher.StoreWatcher;
   const network = new peerNetwork.PeerNetwork({
@@ -182,6 +193,7 @@
     log,
     meters: metricsRegistry,
     callerService: () => settings.service,
+    coldPerSecond: (service) => coldStartOf(service)?.perSecond ?? null,
     nowMs,
   });
   metricsRegistry.gauge(meters.CONFIG_VERSION, () => config.version);
@@ -196,6 +208,8 @@
   metricsRegistry.gauge(meters.STORE_WATCHED, () => Number(watcher.hasStoreContact));
   metricsRegistry.gauge(meters.STORE_ERA, () => platform.store.era.current ?? 0);
   metricsRegistry.gauge(meters.UPSTREAM_LIMIT, () => upstream.limitPerSecond ?? 0);
+  metricsRegistry.gauge(meters.UPSTREAM_COLD_LIMIT, () => cold.limitPerSecond ?? 0);
+  metricsRegistry.gauge(meters.UPSTREAM_STALLED, () => Number(local.isStalled));
   metricsRegistry.gauge(meters.SUSPECT_REQUESTS, () => suspects.count('suspect'));
   metricsRegistry.gauge(meters.BLOCKED_REQUESTS, () => suspects.count('blocked'));
   metricsRegistry.gauge(meters.UPSTREAM_LOAD, () => local.load);
@@ -254,6 +268,24 @@
   return { agent: new agent.Agent(parts), upstream, log, metrics: metricsRegistry, reload };
 }
 
+function createColdWatch(
+  state: coldState.ColdState,
+  local: localDestination.LocalDestination,
+  config: configHolder.ConfigHolder,
+  log: decisionLog.DecisionLog,
+  metricsRegistry: metrics.Metrics,
+  nowMs: () => number,
+): coldWatch.ColdWatch {
+  config.onChange(() => state.review());
+  const checkHealth = (service: ids.ServiceName): Promise<coldWatch.HealthOutcome> => {
+    const path = config.current?.cfg.services[service]?.healthPath;
+    return path === undefined
+      ? Promise.resolve({ type: 'none', reason: 'serviceUnknown' })
+      : local.checkHealth(path);
+  };
+  return new coldWatch.ColdWatch({ state, checkHealth, log, meters: metricsRegistry, nowMs });
+}
+
 function recallUpstream(upstream: localUpstream.LocalUpstream, state: members.UpstreamState): void {
   upstream.restore(state);
   setTimeout(() => upstream.dropUnconfirmed(), RECALL_TTL_MS);
--- a/packages/mesh/src/upstream/__tests__/localDestination.test.ts
+++ b/packages/mesh/src/upstream/__tests__/localDestination.test.ts
@@ -63,6 +63,7 @@
       quarantine: suspects,
       mayServe: () => true,
       transferWaitMs: (bytes) => transferWaitMs(bytes),
+      stoodStillMs: () => 0,
       nowMs: () => performance.now() + clockAheadMs,
     });
     upstream.announce(fixtures.announcement({ address }));
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -3,8 +3,9 @@
 import type { ids, metrics } from '@godwittrack/core';
 import * as admissionQueue from '../limits/admissionQueue.js';
 import * as targetMargin from '../limits/targetMargin.js';
+import type * as coldWatch from '../membership/coldWatch.js';
 import type * as localUpstream from '../membership/localUpstream.js';
-import type * as members from '../membership/members.js';
+import * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
 import * as frames from '../peers/frames.js';
@@ -14,6 +15,8 @@
 import type * as quarantine from '../quarantine/quarantine.js';
 import * as endDetector from './endDetector.js';
 import type * as headerCodec from './headerCodec.js';
+import * as healthCheck from './healthCheck.js';
+import * as responseMonitor from './responseMonitor.js';
 import type * as upstreamConnection from './upstreamConnection.js';
 import type * as upstreamPool from './upstreamPool.js';
 
@@ -23,6 +26,8 @@
 const DOWN_AFTER_FAILURES = 3;
 /** Time for which an upstream that is considered down gets no requests. */
 const DOWN_RETRY_MS = 500;
+/** Retry delay stated while the upstream does not respond; senders stay away for half of it. */
+const STALLED_RETRY_AFTER_MS = 500;
 /** Interval of the checks for waiting requests that can no longer be served. */
 const ADVANCE_INTERVAL_MS = 25;
 
@@ -33,6 +38,8 @@
   /** Expected size of the answer, as far as it waits for the uplink. */
   uplinkBytes: number;
   settle: (outcome: exchange.Outcome) => void;
+  /** Called when it gets a slot. */
+  start: (entry: QueueEntry) => void;
 }
 
 export interface LocalDestinationOptions {
@@ -47,6 +54,8 @@
   mayServe: (service: string, version: string) => boolean;
   /** Time after which the uplink of this host will have sent all answers handed over, and `bytes` more. */
   transferWaitMs: (bytes: number) => number;
+  /** Total time for which this process has stood still. */
+  stoodStillMs: () => number;
   nowMs: () => number;
 }
 
@@ -62,6 +71,8 @@
 
   private readonly endDetector: endDetector.EndDetector;
 
+  private readonly responses: responseMonitor.ResponseMonitor;
+
   /** End of the upstream that was last counted. */
   private countedEnd: ids.UpstreamEndId | null = null;
 
@@ -77,6 +88,11 @@
       current: () => options.upstream.state,
       probe: () => options.pool.probe(),
     });
+    this.responses = new responseMonitor.ResponseMonitor({
+      stoodStillMs: options.stoodStillMs,
+      onChange: (isStalled, details) => this.recordStall(isStalled, details),
+    });
+    options.upstream.cold.onChange(() => this.applyLimit());
     let instance: string | null = null;
     options.upstream.onChange((state) => {
       if (state !== null && state.instance !== instance) {
@@ -85,6 +101,7 @@
         this.connectFailures = 0;
         this.serviceTimes.clear();
         this.answerSizes.clear();
+        this.responses.clear(options.nowMs());
       }
       this.queue.setSlots(state?.slots ?? 0);
       this.applyLimit();
@@ -92,6 +109,11 @@
     });
   }
 
+  /** Whether the upstream has stopped responding. */
+  get isStalled(): boolean {
+    return this.responses.isStalled;
+  }
+
   get load(): number {
     return this.queue.runningCount + this.queue.waitingCount;
   }
@@ -111,10 +133,42 @@
         settle(refusal);
         return;
       }
+      const now = this.options.nowMs();
+      if (this.responses.check(now) && !this.responses.admits(req.semantics, now)) {
+        settle(stalledRefusal());
+        return;
+      }
       this.admit(req, signal, settle);
     });
   }
 
+  /** Sends one health check. It takes a slot and counts against the limit like any request. */
+  checkHealth(path: string): Promise<coldWatch.HealthOutcome> {
+    return new Promise((resolve) => {
+      const { state } = this.options.upstream;
+      const req = state === null ? null : healthCheck.createRequest(state, path);
+      const reason = req === null ? 'upstreamUnknown' : this.refusalReason(req);
+      if (req === null || reason !== null) {
+        resolve({ type: 'none', reason: reason ?? 'upstreamUnknown' });
+        return;
+      }
+      const settle = (outcome: exchange.Outcome) =>
+        resolve({ type: 'none', reason: outcome.type === 'refused' ? outcome.reason : 'lost' });
+      this.admit(req, new AbortController().signal, settle, (entry) => {
+        void this.runHealthCheck(entry).then(resolve);
+      });
+    });
+  }
+
+  private async runHealthCheck(entry: QueueEntry): Promise<coldWatch.HealthOutcome> {
+    const { pool, codec, upstream, nowMs } = this.options;
+    const { req, deadlineAtMs } = entry;
+    const raw = await healthCheck.send(pool, req, upstream.address, deadlineAtMs - nowMs());
+    if (raw.type === 'unsent') this.recordConnectFailure(raw.detail);
+    this.applyUpdate(this.queue.release(entry, nowMs()));
+    return healthCheck.readOutcome(raw, codec, req.instance);
+  }
+
   private refusalOf(req: exchange.ForwardedRequest): exchange.Refusal | null {
     const reason = this.refusalReason(req);
     if (reason !== null) return exchange.refused(reason, RETRY_AFTER_MS);
@@ -136,6 +190,9 @@
     req: exchange.ForwardedRequest,
     signal: AbortSignal,
     settle: (outcome: exchange.Outcome) => void,
+    start: QueueEntry['start'] = (entry) => {
+      void this.run(entry);
+    },
   ): void {
     const now = this.options.nowMs();
     const serviceTime = this.serviceTimes.get(req.route);
@@ -153,6 +210,7 @@
       req,
       signal,
       settle,
+      start,
       customerPriority: req.customerPriority,
       priority: req.priority,
       targetAtMs: now + targetLeftMs - marginMs,
@@ -164,9 +222,13 @@
     };
     const decision = this.queue.offer(entry, now);
     if (decision.type === 'run') {
-      void this.run(entry);
+      entry.start(entry);
     } else if (decision.type === 'refuse') {
-      settle(exchange.refused(decision.reason, decision.retryAfterMs));
+      settle(exchange.refused(this.refusalReasonOf(decision), decision.retryAfterMs));
+    } else if (this.responses.isStalled) {
+      // A probe needs a free slot.
+      settle(stalledRefusal());
+      this.applyUpdate(this.queue.release(entry, now));
     } else {
       const cancelWaiting = () => {
         if (!this.queue.isWaiting(entry)) return;
@@ -179,6 +241,17 @@
     }
   }
 
+  /**
+   * A wait that is too long at a cold upstream counts as lack of capacity, after which the sender asks others
+   * and stays away for a while: with its low load, a cold upstream would be chosen again and again.
+   */
+  private refusalReasonOf({ reason }: admissionQueue.Refused): admissionQueue.RefusalReason {
+    const isOfLimit = this.options.upstream.cold.limitPerSecond !== null;
+    return isOfLimit && reason === admissionQueue.WAIT_TOO_LONG
+      ? admissionQueue.LIMIT_REACHED
+      : reason;
+  }
+
   /** Null before the first answer. */
   private averageServiceMs({ route, estimateMs }: exchange.ForwardedRequest): number | null {
     return this.serviceTimes.get(route)?.valueAt(this.options.nowMs(), estimateMs) ?? null;
@@ -209,6 +282,7 @@
     if (refusal !== null) return refusal;
     const incarnation = this.options.upstream.state!;
     const run = suspects.beginRun(req);
+    const response = this.responses.start(req.route, startedMs);
     const connection = pool.acquire(req.semantics);
     const deadlineLeftMs = entry.deadlineAtMs - startedMs;
     const onAbort = () => {
@@ -228,13 +302,45 @@
     signal.removeEventListener('abort', onAbort);
     pool.release(connection);
     const serviceMs = this.options.nowMs() - startedMs;
+    this.recordResponse(response, raw, serviceMs);
     const id = await this.findEnd(incarnation, raw);
     const end = id === null ? undefined : { id, wasSuspect: run.wasSuspect };
     if (end !== undefined) suspects.recordEnd(req, end, 'self');
+    if (end !== undefined && members.isSameIncarnation(this.options.upstream.state, incarnation))
+      this.options.upstream.cold.invalidate('upstreamEnded');
     run.end();
     return this.toOutcome(req, raw, serviceMs, end);
   }
 
+  private recordResponse(
+    response: responseMonitor.Run,
+    raw: upstreamConnection.RawOutcome,
+    serviceMs: number,
+  ): void {
+    const now = this.options.nowMs();
+    if (raw.type === 'unsent') {
+      this.responses.discard(response, now);
+      return;
+    }
+    if (raw.type === 'broken' && raw.closedBy === 'node') {
+      this.responses.abandon(response, now);
+      return;
+    }
+    const hasWorked = raw.type === 'answer' && raw.answer.status < 400;
+    this.responses.complete(response, hasWorked ? serviceMs : null, now);
+  }
+
+  private recordStall(isStalled: boolean, details: responseMonitor.StallDetails): void {
+    const { log, meters: registry, upstream } = this.options;
+    const message = isStalled
+      ? 'the upstream has stopped responding'
+      : 'the upstream responds again';
+    log.warn('upstream', message, { instance: upstream.state?.instance, ...details });
+    if (!isStalled) return;
+    registry.increment(meters.UPSTREAM_STALLS);
+    this.refuseWaiting(admissionQueue.UPSTREAM_STALLED, STALLED_RETRY_AFTER_MS);
+  }
+
   /** The outcome waits for it, so that the sender of the request knows of the end when it retries. */
   private async findEnd(
     incarnation: members.Incarnation,
@@ -297,7 +403,7 @@
   }
 
   private applyLimit(): void {
-    this.queue.setRate(this.options.upstream.limitPerSecond, this.options.nowMs());
+    this.queue.setRate(this.options.upstream.startLimitPerSecond, this.options.nowMs());
   }
 
   private recordOutcome(entry: QueueEntry, outcome: exchange.Outcome, ms: number): void {
@@ -340,6 +446,7 @@
   }
 
   private recordConnectFailure(detail: string): void {
+    this.options.upstream.cold.invalidate('upstreamUnreachable');
     this.connectFailures += 1;
     if (this.connectFailures < DOWN_AFTER_FAILURES) return;
     this.downUntilMs = this.options.nowMs() + DOWN_RETRY_MS;
@@ -351,9 +458,9 @@
     this.refuseWaiting('upstreamDown');
   }
 
-  private refuseWaiting(reason: string): void {
+  private refuseWaiting(reason: string, retryAfterMs = RETRY_AFTER_MS): void {
     for (const entry of this.queue.clear()) {
-      entry.settle(exchange.refused(reason, RETRY_AFTER_MS));
+      entry.settle(exchange.refused(reason, retryAfterMs));
     }
   }
 
@@ -361,7 +468,7 @@
     for (const { request, reason, retryAfterMs } of update.refused) {
       request.settle(exchange.refused(reason, retryAfterMs));
     }
-    for (const entry of update.started) void this.run(entry);
+    for (const entry of update.started) entry.start(entry);
   }
 
   /** Checks waiting requests regularly, to refuse in time those that can no longer be served. */
@@ -369,12 +476,17 @@
     if (this.timer !== null) return;
     this.timer = setTimeout(() => {
       this.timer = null;
+      this.responses.check(this.options.nowMs());
       this.applyUpdate(this.queue.advance(this.options.nowMs()));
       if (this.queue.waitingCount > 0) this.scheduleAdvance();
     }, ADVANCE_INTERVAL_MS);
   }
 }
 
+function stalledRefusal(): exchange.Refusal {
+  return exchange.refused(admissionQueue.UPSTREAM_STALLED, STALLED_RETRY_AFTER_MS);
+}
+
 function serialize(
   req: exchange.ForwardedRequest,
   codec: headerCodec.HeaderCodec,
