feat(mesh): prefer warm upstreams to cold ones

Cause: a cold upstream is idle, so every sender near it expects no wait there, and all of them would offer it their requests at once. A candidate whose limit is at most the cold rate of its service costs 100 ms more, so warm ones with room come first, in the same region too; while a warm one is free, no wait at a cold one is accepted. Senders derive it from the published limit and their configuration, so the record has no new field.

Ruled out: capacity from the limit alone. At 4 requests per second and 200 ms, it is one request at once, so an idle cold upstream looked as good as a warm one.

--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -83,6 +83,7 @@
     distance: 'domain',
     slots: 10,
     limitPerSecond: null,
+    isCold: false,
     load: 0,
     serviceMs: 100,
     transferWaitMs: 0,
--- a/packages/mesh/src/routing/balancer.ts
+++ b/packages/mesh/src/routing/balancer.ts
@@ -9,6 +9,8 @@
   slots: number;
   /** Requests per second that the upstream takes; null if it states no limit. */
   limitPerSecond: number | null;
+  /** Whether `limitPerSecond` is that of an upstream that has just started, or lower. */
+  isCold: boolean;
   /** In-flight requests: those of this node, and those of other nodes as last reported. */
   load: number;
   /** Average service time of the route's requests at this upstream. */
@@ -61,6 +63,11 @@
 const FULL_SLOWDOWN = 0.3;
 /** Cost at a failure share of 1. */
 const FAILURE_COST_MS = 1_000;
+/**
+ * Cost of a cold upstream, so that those with room come first that are warm, also in another failure domain
+ * of the region. Below the waits that requests with usual target latencies can accept.
+ */
+const COLD_COST_MS = 100;
 /** Least range of the random part of a score, by which nearly equal candidates share the load. */
 const MIN_SCORE_JITTER_MS = 4;
 /** The same as a share of the service time, whose estimate is no more precise than that. */
@@ -84,9 +91,11 @@
     let bestExpectedMs = 0;
     let bestScore = Infinity;
     let nextScore = Infinity;
+    let isWarmFree = false;
     for (const candidate of candidates) {
       const expectedMs = expectedAnswerMs(candidate);
       if (expectedMs <= profile.deadlineLeftMs) {
+        isWarmFree ||= !candidate.isCold && expectedWaitMs(candidate) === 0;
         const jitterMs = Math.max(MIN_SCORE_JITTER_MS, candidate.serviceMs * SCORE_JITTER_SHARE);
         const score = this.score(candidate, expectedMs, profile) + this.random() * jitterMs;
         if (score < bestScore) {
@@ -100,6 +109,9 @@
       }
     }
     if (best === null) return null;
+    if (best.isCold && isWarmFree) {
+      return { candidate: best, expectedMs: bestExpectedMs, maxWaitMs: 0 };
+    }
     const maxWaitMs = expectedWaitMs(best) + best.transferWaitMs + nextScore - bestScore;
     return { candidate: best, expectedMs: bestExpectedMs, maxWaitMs };
   }
@@ -110,6 +122,7 @@
       expectedMs +
       distanceCost(candidate.distance, profile.transferBytes) +
       candidate.failureShare * FAILURE_COST_MS +
+      (candidate.isCold ? COLD_COST_MS : 0) +
       lateMs * 4
     );
   }
--- a/packages/mesh/src/routing/candidateSelector.ts
+++ b/packages/mesh/src/routing/candidateSelector.ts
@@ -50,6 +50,8 @@
   hasOpenLink: (node: ids.NodeId) => boolean;
   /** In-flight requests from this node to the other one. */
   outstandingAt: (node: ids.NodeId) => number;
+  /** Requests per second that a cold upstream of the service takes; null if it needs no protection. */
+  coldPerSecond?: (service: ids.ServiceName) => number | null;
 }
 
 export class CandidateSelector {
@@ -155,6 +157,7 @@
       distance,
       slots: upstream!.slots,
       limitPerSecond: upstream!.limitPerSecond,
+      isCold: this.isCold(upstream!),
       load: outstandingAt(node) + stats.loadFromOthers(node),
       serviceMs: stats.serviceMsAt(node, route, routeAverageMs),
       transferWaitMs: isSelf ? 0 : this.transferWaitMs(node, route),
@@ -163,6 +166,12 @@
     };
   }
 
+  private isCold({ service, limitPerSecond }: members.UpstreamState): boolean {
+    if (limitPerSecond === null) return false;
+    const coldPerSecond = this.options.coldPerSecond?.(service) ?? null;
+    return coldPerSecond !== null && limitPerSecond <= coldPerSecond;
+  }
+
   /** Expected wait of the answer for the uplink of the node's host; small answers overtake large ones. */
   private transferWaitMs(node: ids.NodeId, route: ids.RouteName): number {
     const { upstreamStats: stats } = this.options;
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -66,6 +66,8 @@
   log: observability.DecisionLog;
   meters: metrics.Metrics;
   callerService: () => ids.ServiceName;
+  /** Requests per second that a cold upstream of the service takes; null if it needs no protection. */
+  coldPerSecond?: (service: ids.ServiceName) => number | null;
   nowMs: () => number;
 }
 
--- a/packages/mesh/src/routing/upstreamStats.ts
+++ b/packages/mesh/src/routing/upstreamStats.ts
@@ -166,14 +166,15 @@
     return Math.max(0, backoff.untilMs - this.nowMs());
   }
 
-  /** Records that a node refused a request for lack of slots, or because of its limit, and stated a wait. */
+  /** Records that a node refused a request for lack of capacity, and stated a wait. */
   recordFull(
     node: ids.NodeId,
     route: ids.RouteName,
     targetLeftMs: number,
     { reason, retryAfterMs }: exchange.Refusal,
   ): void {
-    const maxMs = reason === admissionQueue.LIMIT_REACHED ? Infinity : MAX_SLOT_BACKOFF_MS;
+    const isOfSlots = reason === admissionQueue.QUEUE_TOO_LONG;
+    const maxMs = isOfSlots ? MAX_SLOT_BACKOFF_MS : Infinity;
     const untilMs = this.nowMs() + Math.min(maxMs, retryAfterMs * FULL_BACKOFF_SHARE);
     this.statsOf(node).fullBackoffs.set(route, { untilMs, targetLeftMs });
   }
