fix(mesh): keep upstreams cold through late announcements

Change: within these 2 s, no announcement ends the cold time before their end, of any incarnation, and one without a time always makes the state unknown.

--- a/packages/mesh/src/membership/coldState.ts
+++ b/packages/mesh/src/membership/coldState.ts
@@ -28,8 +28,8 @@
 }
 
 /**
- * Announcements of an incarnation are ignored for this time after it seemed to have ended: it may have sent
- * them before. Longer than the usual interval of announcements (1.5 s).
+ * No announcement ends the cold time within this time after the upstream seemed to have ended: the incarnation
+ * that ended may have sent it before. Longer than the usual interval of announcements (1.5 s).
  */
 const LATE_ANNOUNCEMENT_MS = 2_000;
 
@@ -101,11 +101,11 @@
   /** @param isSame whether the announcement is of the same incarnation as the last one */
   recordAnnouncement({ service, coldRemainingMs }: Statement, isSame: boolean): void {
     this.service = service;
-    if (!isSame) {
-      this.trustedFromMs = -Infinity;
-      this.setUnknown('noAnnouncement');
-    }
-    if (this.isTrusted(coldRemainingMs)) this.record(coldRemainingMs);
+    if (!isSame) this.setUnknown('noAnnouncement');
+    const distrustMs = this.trustedFromMs - this.options.nowMs();
+    if (distrustMs <= 0 || coldRemainingMs === null) this.record(coldRemainingMs);
+    else if (!isSame || this.prolongs(coldRemainingMs))
+      this.record(Math.max(coldRemainingMs, distrustMs));
     this.notify();
   }
 
@@ -143,16 +143,9 @@
     return this.service === null ? null : this.options.coldStartOf(this.service);
   }
 
-  /** A late announcement must not end the cold time, but one may always prolong it. */
-  private isTrusted(coldRemainingMs: number | null): boolean {
-    const now = this.options.nowMs();
-    if (now >= this.trustedFromMs) return true;
+  private prolongs(coldRemainingMs: number): boolean {
     const { current } = this;
-    return (
-      current.type === 'known' &&
-      coldRemainingMs !== null &&
-      now + coldRemainingMs > current.warmAtMs
-    );
+    return current.type === 'known' && this.options.nowMs() + coldRemainingMs > current.warmAtMs;
   }
 
   private record(coldRemainingMs: number | null): void {
