--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -83,6 +83,7 @@
     distance: 'domain',
     slots: 10,
     limitPerSecond: null,
+    isCold: false,
     load: 0,
     serviceMs: 100,
     transferWaitMs: 0,
@@ -133,6 +134,7 @@
     leaving: false,
     sequence: 1,
     bornMs: 1_000,
+    coldRemainingMs: 0,
     ...overrides,
   };
 }
@@ -192,7 +194,16 @@
   readAnswer(headers: exchange.FlatHeaders): headerCodec.AnswerHeaders {
     const id = headerCodec.headerValue(headers, 'x-id');
     const requestId = id === null ? null : ids.requestId(id);
-    return { requestId, signed: true, notExecuted: false, leaving: false, limit: { type: 'none' } };
+    const coldMs = headerCodec.headerValue(headers, 'x-cold-ms');
+    return {
+      requestId,
+      signed: true,
+      notExecuted: false,
+      leaving: false,
+      limit: { type: 'none' },
+      coldRemainingMs: coldMs === null ? null : Number(coldMs),
+      instance: null,
+    };
   }
 
   returnable(raw: readonly string[]): exchange.FlatHeaders {
