feat(mesh): order waiting requests by fair shares of customers

Cause: the admission queue has no notion of whose request it is.

Change: requests carry the share that they use. Within equal priorities, the queue orders them by start-time fair queueing; a customer or priority that was served less than 0.4 times the average goes first. A new request takes its place in the order, and those behind it that can no longer be served are refused in the same step. Late requests count against a request only if they are before it. A refusal that a request of another customer would not have got has the reason customerShareReached. Requests without a share are ordered, admitted and refused as before.

Ruled out: sorting on each event; an insertion pass moves only what is out of place.

--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -1,23 +1,19 @@
 /**
  * Admission control for the upstream on a node's host: decides which requests run, wait or are
  * refused, within its slots and the rate that it has stated. Requests that can still be answered
- * within their target latency go first, ordered by priority and then by target time; late ones get
- * the remaining capacity. Requests that cannot be served are refused at once.
+ * within their target latency go first, ordered by priority, by shares and then by target time; late
+ * ones get the remaining capacity. Requests that cannot be served are refused at once, also those that
+ * have waited and give way to others.
  */
 
+import * as fairShare from './fairShare.js';
 import * as rateLimiter from './rateLimiter.js';
+import * as servedShares from './servedShares.js';
+import * as waitingList from './waitingList.js';
 
-export interface AdmissionRequest {
-  /** Priority of the customer; 0 is the most urgent. */
-  customerPriority: number;
-  /** Priority of the route among those of customers with the same priority; 0 is the most urgent. */
-  priority: number;
-  /** Monotonic time by which the request should be answered; it is late afterwards. */
-  targetAtMs: number;
+export interface AdmissionRequest extends waitingList.OrderedRequest {
   /** Monotonic time of the caller's deadline. */
   deadlineAtMs: number;
-  /** Expected service time. */
-  estimateMs: number;
   /** Expected wait of the answer for the uplink of the host. */
   transferWaitMs: number;
   /** Longest wait for a slot and the uplink that the sender accepts; beyond it, it has a better candidate. */
@@ -30,21 +26,35 @@
 export const QUEUE_TOO_LONG = 'queueTooLong';
 /** The same, because of the rate that the upstream takes. */
 export const LIMIT_REACHED = 'limitReached';
+/** The same, because of what its customer has waiting or running; those of others would be accepted. */
+export const CUSTOMER_SHARE_REACHED = 'customerShareReached';
 
 export type RefusalReason =
   | 'noTimeLeft'
   | typeof QUEUE_TOO_LONG
   | typeof LIMIT_REACHED
+  | typeof CUSTOMER_SHARE_REACHED
   | typeof WAIT_TOO_LONG
   | 'notAccepting';
 
 /** Reasons of refusals that show that the upstream had no capacity for the request. */
-export const FULL_REASONS: ReadonlySet<string> = new Set([QUEUE_TOO_LONG, LIMIT_REACHED]);
+export const FULL_REASONS: ReadonlySet<string> = new Set([
+  QUEUE_TOO_LONG,
+  LIMIT_REACHED,
+  CUSTOMER_SHARE_REACHED,
+]);
 
-export type Decision =
+export type Decision<T> =
   | { type: 'run' }
-  | { type: 'wait' }
-  | { type: 'refuse'; reason: RefusalReason; retryAfterMs: number };
+  /** `displaced` are requests that were waiting and can no longer be served. */
+  | { type: 'wait'; displaced: RefusedRequest<T>[] }
+  | Refusal;
+
+interface Refusal {
+  type: 'refuse';
+  reason: RefusalReason;
+  retryAfterMs: number;
+}
 
 export interface RefusedRequest<T> {
   request: T;
@@ -76,7 +86,13 @@
 export class AdmissionQueue<T extends AdmissionRequest> {
   private readonly running = new Set<T>();
 
-  private waiting: T[] = [];
+  private readonly shares = new fairShare.FairShare();
+
+  private readonly served = new servedShares.ServedShares();
+
+  private readonly waiting = new waitingList.WaitingList<T>(this.shares, (request, nowMs) =>
+    isLate(request, nowMs, 0),
+  );
 
   /** Times at which late requests that wait for the rate are refused. */
   private readonly refuseAtMs = new WeakMap<T, number>();
@@ -103,89 +119,125 @@
     return this.waiting.length;
   }
 
+  /** Shares that the order of requests depends on at present. */
+  get shareCount(): number {
+    return this.shares.size;
+  }
+
   isWaiting(request: T): boolean {
-    return this.waiting.includes(request);
+    return this.waiting.find(request) !== null;
   }
 
-  offer(request: T, nowMs: number): Decision {
+  offer(request: T, nowMs: number): Decision<T> {
     if (this.slots === 0) return refuse('notAccepting', MIN_RETRY_AFTER_MS);
     const { transferWaitMs } = request;
     const missingMs = nowMs + timeToAnswerMs(request) - request.deadlineAtMs;
     // Only the wait for the uplink is shorter a moment later.
     if (missingMs > 0) return refuse('noTimeLeft', Math.min(missingMs, transferWaitMs));
     if (transferWaitMs > request.maxWaitMs) return refuse(WAIT_TOO_LONG, transferWaitMs);
+    const goesFirst = this.served.recordOffer(request, nowMs);
     if (
       this.running.size < this.slots &&
       this.waiting.length === 0 &&
       this.limiter.tryTake(nowMs)
     ) {
-      this.running.add(request);
+      this.start(this.waiting.createEntry(request, false, nowMs), nowMs);
       return { type: 'run' };
     }
-    const position = this.positionOf(request, nowMs);
+    this.waiting.refresh(nowMs);
+    const entry = this.waiting.createEntry(request, goesFirst, nowMs);
+    const refusal = this.refusalOf(entry, nowMs);
+    if (refusal !== null) return refusal;
+    this.waiting.insert(entry, this.waiting.positionOf(entry));
+    if (goesFirst) this.served.recordStart(request, nowMs);
+    if (request.share === undefined) return { type: 'wait', displaced: [] };
+    const update: QueueUpdate<T> = { started: [], refused: [] };
+    this.refuseUnservable(update, nowMs);
+    return { type: 'wait', displaced: update.refused };
+  }
+
+  /** @returns null if the request may wait */
+  private refusalOf(entry: waitingList.Entry<T>, nowMs: number): Refusal | null {
+    const { request } = entry;
+    const position = this.waiting.positionOf(entry);
+    const before = this.waiting.ordered.slice(0, position);
     const waitMs = this.expectedWaitMs(position, request.estimateMs, nowMs);
-    if (!this.canWait(request, waitMs, nowMs, this.lateCount(nowMs))) {
-      return refuse(this.fullReason(request, position, waitMs), waitMs);
+    const lateBefore =
+      request.share === undefined ? this.lateCount() : this.lateCountOf(before, nowMs);
+    if (!this.canWait(request, waitMs, nowMs, lateBefore)) {
+      return refuse(this.fullReason(entry, before, waitMs, nowMs), waitMs);
     }
-    if (waitMs + transferWaitMs > request.maxWaitMs) return refuse(WAIT_TOO_LONG, waitMs);
-    this.waiting.splice(position, 0, request);
-    return { type: 'wait' };
+    if (waitMs + request.transferWaitMs > request.maxWaitMs) return refuse(WAIT_TOO_LONG, waitMs);
+    return null;
   }
 
   /** Removes a running request that has ended, or a waiting one that its caller has cancelled. */
   release(request: T, nowMs: number): QueueUpdate<T> {
-    this.running.delete(request);
-    const index = this.waiting.indexOf(request);
-    if (index >= 0) this.waiting.splice(index, 1);
+    const entry = this.running.delete(request) ? null : this.waiting.find(request);
+    if (entry !== null) this.drop(entry, nowMs);
     return this.advance(nowMs);
   }
 
   /** Removes and returns all waiting requests, for example when the upstream leaves. */
   clear(): T[] {
-    const cleared = this.waiting;
-    this.waiting = [];
-    return cleared;
+    this.shares.clear();
+    this.served.clear();
+    return this.waiting.clear().map(({ request }) => request);
   }
 
   /** Starts waiting requests on free slots and refuses those that can no longer be served. */
   advance(nowMs: number): QueueUpdate<T> {
     const update: QueueUpdate<T> = { started: [], refused: [] };
-    this.waiting.sort((a, b) => this.compare(a, b, nowMs));
-    while (this.running.size < this.slots && this.waiting.length > 0) {
-      const next = this.waiting[0]!;
-      if (nowMs + this.reserveMs + timeToAnswerMs(next) > next.deadlineAtMs) {
-        update.refused.push({
-          request: next,
-          reason: 'noTimeLeft',
-          retryAfterMs: MIN_RETRY_AFTER_MS,
-        });
+    this.waiting.refresh(nowMs);
+    while (this.running.size < this.slots && this.waiting.first !== null) {
+      const next = this.waiting.first;
+      const { request } = next;
+      if (nowMs + this.reserveMs + timeToAnswerMs(request) > request.deadlineAtMs) {
+        const retryAfterMs = MIN_RETRY_AFTER_MS;
+        update.refused.push({ request, reason: 'noTimeLeft', retryAfterMs });
+        this.drop(next, nowMs);
       } else if (this.limiter.tryTake(nowMs)) {
-        this.running.add(next);
-        update.started.push(next);
+        this.start(next, nowMs);
+        update.started.push(request);
       } else {
         break;
       }
-      this.waiting.shift();
     }
     this.refuseUnservable(update, nowMs);
+    if (this.running.size === 0 && this.waiting.length === 0) this.shares.clear();
     return update;
   }
 
+  private start(entry: waitingList.Entry<T>, nowMs: number): void {
+    this.running.add(entry.request);
+    this.waiting.start(entry);
+    // Requests that go first are counted while they wait.
+    if (!entry.goesFirst) this.served.recordStart(entry.request, nowMs);
+  }
+
+  private drop(entry: waitingList.Entry<T>, nowMs: number): void {
+    this.waiting.drop(entry);
+    if (entry.goesFirst) this.served.withdrawStart(entry.request, nowMs);
+  }
+
   private refuseUnservable(update: QueueUpdate<T>, nowMs: number): void {
-    const kept: T[] = [];
+    const kept: waitingList.Entry<T>[] = [];
+    const dropped: waitingList.Entry<T>[] = [];
     let lateCount = 0;
-    for (const request of this.waiting) {
+    for (const entry of this.waiting.ordered) {
+      const { request } = entry;
       const waitMs = this.expectedWaitMs(kept.length, request.estimateMs, nowMs);
       if (this.canWait(request, waitMs, nowMs, lateCount)) {
         if (isLate(request, nowMs, waitMs)) lateCount += 1;
-        kept.push(request);
+        kept.push(entry);
       } else {
         const retryAfterMs = clampRetryAfter(waitMs);
-        const reason = this.fullReason(request, kept.length, waitMs);
+        const reason = this.fullReason(entry, kept, waitMs, nowMs);
         update.refused.push({ request, reason, retryAfterMs });
+        dropped.push(entry);
       }
     }
-    this.waiting = kept;
+    for (const entry of dropped) this.drop(entry, nowMs);
   }
 
   private canWait(request: T, waitMs: number, nowMs: number, lateBefore: number): boolean {
@@ -208,8 +260,15 @@
     return endMs;
   }
 
-  private lateCount(nowMs: number): number {
-    return this.waiting.filter((request) => isLate(request, nowMs, 0)).length;
+  private lateCount(): number {
+    return this.waiting.ordered.filter((entry) => entry.isLate).length;
+  }
+
+  /** Requests of the beginning of the order that are late, or will be when they start. */
+  private lateCountOf(beginning: readonly waitingList.Entry<T>[], nowMs: number): number {
+    return beginning.filter(({ request }, ahead) =>
+      isLate(request, nowMs, this.expectedWaitMs(ahead, request.estimateMs, nowMs)),
+    ).length;
   }
 
   /** Expected wait behind `ahead` waiting requests, for a slot and for the rate. */
@@ -217,9 +276,31 @@
     return Math.max(this.slotWaitMs(ahead, estimateMs), this.limiter.waitMs(ahead, nowMs));
   }
 
-  /** Whether a wait is longer than that for a slot, and thus due to the rate. */
-  private fullReason(request: T, ahead: number, waitMs: number): RefusalReason {
-    return waitMs > this.slotWaitMs(ahead, request.estimateMs) ? LIMIT_REACHED : QUEUE_TOO_LONG;
+  private fullReason(
+    entry: waitingList.Entry<T>,
+    before: readonly waitingList.Entry<T>[],
+    waitMs: number,
+    nowMs: number,
+  ): RefusalReason {
+    if (this.isDueToOwnShare(entry, before, nowMs)) return CUSTOMER_SHARE_REACHED;
+    const isDueToSlots = waitMs <= this.slotWaitMs(before.length, entry.request.estimateMs);
+    return isDueToSlots ? QUEUE_TOO_LONG : LIMIT_REACHED;
+  }
+
+  /** Whether the same request of a customer with none waiting or running could wait. */
+  private isDueToOwnShare(
+    entry: waitingList.Entry<T>,
+    before: readonly waitingList.Entry<T>[],
+    nowMs: number,
+  ): boolean {
+    const { request, classKey } = entry;
+    if (request.share === undefined) return false;
+    const ofNewcomer = { ...entry, tag: this.shares.newcomerTag(classKey) };
+    const found = before.findIndex((other) => waitingList.compare(ofNewcomer, other) < 0);
+    if (found < 0) return false;
+    const waitMs = this.expectedWaitMs(found, request.estimateMs, nowMs);
+    const lateBefore = this.lateCountOf(before.slice(0, found), nowMs);
+    return this.canWait(request, waitMs, nowMs, lateBefore);
   }
 
   /** Expected wait for a slot, from the rate at which running requests end. */
@@ -232,22 +313,6 @@
     }
     return ((ahead + 1) * meanMs) / Math.max(1, this.slots);
   }
-
-  private positionOf(request: T, nowMs: number): number {
-    const position = this.waiting.findIndex((other) => this.compare(request, other, nowMs) < 0);
-    return position < 0 ? this.waiting.length : position;
-  }
-
-  private compare(a: T, b: T, nowMs: number): number {
-    const lateA = isLate(a, nowMs, 0);
-    const lateB = isLate(b, nowMs, 0);
-    if (lateA !== lateB) return lateA ? 1 : -1;
-    return (
-      a.customerPriority - b.customerPriority ||
-      a.priority - b.priority ||
-      a.targetAtMs - b.targetAtMs
-    );
-  }
 }
 
 function isLate(request: AdmissionRequest, nowMs: number, waitMs: number): boolean {
@@ -263,6 +328,6 @@
   return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, Math.round(waitMs)));
 }
 
-function refuse(reason: RefusalReason, waitMs: number): Decision {
+function refuse(reason: RefusalReason, waitMs: number): Refusal {
   return { type: 'refuse', reason, retryAfterMs: clampRetryAfter(waitMs) };
 }
