feat(mesh): apply fair shares at upstreams and in the back-off of senders

Cause: senders backed off from a full node by route, so one customer's flood made them refuse the requests of all others; and they refused requests whose wait they expected behind everything that waits, also what an urgent request overtakes.

Change: where the configuration has customers, requests use the share of their customer, or one for each route without a customer. Back-offs are kept by route and customer's priority, and after customerShareReached by route and customer. If all candidates are expected to be too late because of their load, one offer is made to the best, whose node knows the place of the request. Requests that give way are counted and logged. Without customers, keys and offers are those of before.

Ruled out: a load per priority in the report, since the reports are another part's work. Without the back-off by customer, the flood test fails.

--- a/packages/mesh/src/callers/__tests__/callerFixtures.ts
+++ b/packages/mesh/src/callers/__tests__/callerFixtures.ts
@@ -61,6 +61,7 @@
     retryBudget: new retryBudget.RetryBudget({ ratio: 0.2, extra: 64 }, () => 1),
     log,
     meters: metricsRegistry,
+    hasCustomers: () => false,
     callerService: () => ids.serviceName('shop'),
     nowMs,
   });
--- a/packages/mesh/src/limits/__tests__/fairAdmission.test.ts
+++ b/packages/mesh/src/limits/__tests__/fairAdmission.test.ts
@@ -113,11 +113,12 @@
       queue.setSlots(1);
       const [running] = offerTo(queue, {});
       let last = running;
-      for (;;) {
+      for (let i = 0; i < 100; i += 1) {
         const [request, decision] = offerTo(queue, overrides);
         if (decision.type === 'refuse') return { queue, running, last, decision };
         last = request;
       }
+      return assert.fail('the queue is never full');
     }
 
     const displacedBy = ([, decision]: [Request, admissionQueue.Decision<Request>]) =>
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -39,6 +39,9 @@
 export const SUSPECT_REQUESTS = 'godwittrack_suspect_requests';
 export const BLOCKED_REQUESTS = 'godwittrack_blocked_requests';
 export const UPSTREAM_LOAD = 'godwittrack_upstream_load';
+export const UPSTREAM_SHARES = 'godwittrack_upstream_shares';
+export const SHARE_REFUSALS = 'godwittrack_share_refusals_total';
+export const DISPLACED_REQUESTS = 'godwittrack_displaced_requests_total';
 
 const HELP: Record<string, string> = {
   [REQUESTS]: 'Requests of callers on this host, by route and by how they ended.',
@@ -91,6 +94,12 @@
     'Different requests during which an upstream has ended and that no upstream has answered since.',
   [BLOCKED_REQUESTS]: 'Different requests that are sent to no upstream at present.',
   [UPSTREAM_LOAD]: 'Requests running or waiting at the upstream on this host.',
+  [UPSTREAM_SHARES]:
+    'Customers and priorities on whose recent use of the upstream on this host the order of waiting requests depends.',
+  [SHARE_REFUSALS]:
+    'Requests that the node of the upstream on this host refused for the own share of their customer, by customer.',
+  [DISPLACED_REQUESTS]:
+    'Waiting requests for the upstream on this host that were refused for another one, by reason.',
 };
 
 export function createMetrics(): metrics.Metrics {
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -110,6 +110,7 @@
   const self: members.Member = { ...settings.self, sequence: 1, upstream: null };
   const table = new members.MemberTable(self);
   const config = new configHolder.ConfigHolder(nowMs);
+  const hasCustomers = () => config.current?.customers != null;
   const rollouts = new rolloutTable.RolloutTable(log, nowMs);
   const comparison = new versionComparison.VersionComparison(nowMs);
   const recorder = new evidence.EvidenceRecorder();
@@ -125,6 +126,7 @@
     evidence: recorder,
     quarantine: suspects,
     mayServe: (service, version) => rollouts.mayServe(service, version),
+    hasCustomers,
     transferWaitMs: (bytes) => uplink.backlogMs(bytes),
     nowMs,
   });
@@ -182,6 +184,7 @@
     log,
     meters: metricsRegistry,
     callerService: () => settings.service,
+    hasCustomers,
     nowMs,
   });
   metricsRegistry.gauge(meters.CONFIG_VERSION, () => config.version);
@@ -199,6 +202,7 @@
   metricsRegistry.gauge(meters.SUSPECT_REQUESTS, () => suspects.count('suspect'));
   metricsRegistry.gauge(meters.BLOCKED_REQUESTS, () => suspects.count('blocked'));
   metricsRegistry.gauge(meters.UPSTREAM_LOAD, () => local.load);
+  metricsRegistry.gauge(meters.UPSTREAM_SHARES, () => local.shareCount);
   rollouts.onChange(({ phase }, _origin, isRepeated) => {
     if (!isRepeated) metricsRegistry.increment(meters.ROLLOUT_PHASES, { phase });
   });
--- a/packages/mesh/src/routing/__tests__/candidateSelector.test.ts
+++ b/packages/mesh/src/routing/__tests__/candidateSelector.test.ts
@@ -33,6 +33,8 @@
       versionChoice: null,
       targetLeftMs: 300,
       tried: new Set(),
+      customer: null,
+      customerPriority: 0,
       isFirstOffer: true,
     });
     return candidates;
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -28,6 +28,8 @@
 class ScriptedDestination extends exchange.Destination {
   readonly received: exchange.ForwardedRequest[] = [];
 
+  load = 0;
+
   constructor(private readonly script: exchange.Outcome[]) {
     super();
   }
@@ -36,7 +38,7 @@
     this.received.push(req);
     return Promise.resolve({
       outcome: this.script.shift() ?? OK,
-      report: { load: 0, averageServiceMs: null, transferWaitMs: 0 },
+      report: { load: this.load, averageServiceMs: null, transferWaitMs: 0 },
     });
   }
 }
@@ -61,6 +63,7 @@
   let loadBalancer: RecordingBalancer;
   let now: number;
   let suspects: quarantine.Quarantine;
+  let hasCustomers: boolean;
 
   /** Dispatcher on the first of two nodes; the local upstream is preferred. */
   function build(
@@ -88,6 +91,7 @@
       retryBudget: budget,
       log,
       meters: meters.createMetrics(),
+      hasCustomers: () => hasCustomers,
       callerService: () => ids.serviceName('shop'),
       nowMs: () => now,
     });
@@ -124,6 +128,7 @@
 
   beforeEach(() => {
     now = 0;
+    hasCustomers = false;
     suspects = new quarantine.Quarantine({ log: fixtures.silentLog(), nowMs: () => now });
     loadBalancer = new RecordingBalancer(() => 0);
     budget = new retryBudget.RetryBudget({ ratio: 0.2, extra: 100 }, () => 1);
@@ -227,6 +232,37 @@
     });
   });
 
+  // A flood of one customer made its senders refuse the requests of all others on the route.
+  it('backs off for one customer only after a refusal for its own share', async () => {
+    const { signal } = new AbortController();
+    const full = exchange.refused(admissionQueue.CUSTOMER_SHARE_REACHED, 100);
+    const subject = build([[full], [full]]);
+    const requestOf = (name: string) => ({
+      ...request('repeatable'),
+      customer: fixtures.customer(name),
+    });
+    await subject.dispatch(requestOf('a'), signal);
+    const again = await subject.dispatch(requestOf('a'), signal);
+    assert.equal(again.type === 'refused' && again.reason, 'noRoomInTime');
+    assert.equal((await subject.dispatch(requestOf('b'), signal)).type, 'answer');
+  });
+
+  // Reported loads count waiting requests that an urgent one overtakes.
+  it('asks a node with a high load for a place where requests use shares', async () => {
+    const { signal } = new AbortController();
+    const sendTo = (usesShares: boolean) => {
+      hasCustomers = usesShares;
+      const subject = build([[], []], 'a', ['a']);
+      first.load = 1_000;
+      return subject
+        .dispatch(request('repeatable'), signal)
+        .then(() => subject.dispatch(request('repeatable'), signal));
+    };
+    assert.equal((await sendTo(false)).type, 'refused');
+    assert.equal((await sendTo(true)).type, 'answer');
+    assert.equal(first.received[1]!.maxWaitMs, Infinity);
+  });
+
   describe('requests during which upstreams ended', () => {
     const { signal } = new AbortController();
     const endOf = (n: number) => ({ id: ids.upstreamEndId(`e-${n}`), wasSuspect: n > 1 });
--- a/packages/mesh/src/routing/__tests__/uplinkLoad.test.ts
+++ b/packages/mesh/src/routing/__tests__/uplinkLoad.test.ts
@@ -265,6 +265,7 @@
       retryBudget: new retryBudget.RetryBudget({ ratio: 0.2, extra: 100 }, () => 1),
       log,
       meters: meters.createMetrics(),
+      hasCustomers: () => false,
       callerService: () => ids.serviceName('web'),
       nowMs,
     });
--- a/packages/mesh/src/routing/candidateSelector.ts
+++ b/packages/mesh/src/routing/candidateSelector.ts
@@ -27,6 +27,9 @@
   service: ids.ServiceName;
   /** Null for any version. */
   versionChoice: versionChooser.VersionChoice | null;
+  /** Null for requests without a customer. */
+  customer: ids.CustomerName | null;
+  customerPriority: number;
   targetLeftMs: number;
   /** Nodes that get no further offer of the request. */
   tried: ReadonlySet<ids.NodeId>;
@@ -99,7 +102,8 @@
     versionChoice: versionChooser.VersionChoice | null,
   ): Selection {
     const { upstreamStats: stats } = this.options;
-    const { route, targetLeftMs } = req;
+    const { route } = req;
+    const backoffRequest = { ...req, route: route.name };
     const routeAverageMs = this.routeAverageMs(route);
     const candidates: balancer.Candidate[] = [];
     let shortestBackoffMs: number | null = null;
@@ -109,7 +113,7 @@
       for (const member of byDistance[distance]) {
         if (remaining === 0) break;
         if (this.allows(versionChoice, member) && this.isUsable(member, req)) {
-          const backoffMs = stats.fullBackoffMs(member.node, route.name, targetLeftMs);
+          const backoffMs = stats.fullBackoffMs(member.node, backoffRequest);
           if (backoffMs === 0) {
             candidates.push(this.toCandidate(member, distance, route, routeAverageMs));
             remaining -= 1;
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -66,6 +66,8 @@
   log: observability.DecisionLog;
   meters: metrics.Metrics;
   callerService: () => ids.ServiceName;
+  /** Whether requests are ordered by shares of customers. */
+  hasCustomers: () => boolean;
   nowMs: () => number;
 }
 
@@ -187,6 +189,8 @@
       route: req.route,
       service,
       versionChoice,
+      customer: req.customer?.name ?? null,
+      customerPriority: req.customerPriority,
       targetLeftMs: profile.targetLeftMs,
       tried: progress.tried,
       isFirstOffer: progress.offers === 0,
@@ -196,10 +200,13 @@
         ? this.candidateSelector.selectForSuspect(selection, verdict, progress.probed)
         : this.selectCandidates(selection, progress);
     const choice = this.options.balancer.choose(candidates, profile);
-    if (choice === null && candidates.length > 0 && progress.offers === 0) {
-      progress.reason = 'noRoomInTime';
-    }
-    return choice;
+    if (choice !== null || candidates.length === 0 || progress.offers > 0) return choice;
+    progress.reason = 'noRoomInTime';
+    if (!this.options.hasCustomers()) return null;
+    // Loads include waiting requests that this one may overtake; the nodes of the upstreams know its place.
+    const idle = candidates.map((candidate) => ({ ...candidate, load: 0 }));
+    const unlimited = this.options.balancer.choose(idle, profile);
+    return unlimited === null ? null : { ...unlimited, maxWaitMs: Infinity };
   }
 
   private selectCandidates(
@@ -266,7 +273,7 @@
       this.options.quarantine.recordEnd(progress.identity, outcome.end, origin);
     }
     if (report !== null) stats.recordReport(node, req.route.name, report, remaining);
-    return this.handleOutcome(req, node, outcome, progress, forwarded.targetLeftMs);
+    return this.handleOutcome(req, node, outcome, progress, forwarded);
   }
 
   private handleOutcome(
@@ -274,7 +281,7 @@
     node: ids.NodeId,
     outcome: exchange.Outcome,
     progress: Progress,
-    targetLeftMs: number,
+    forwarded: exchange.ForwardedRequest,
   ): exchange.Outcome | null {
     const { upstreamStats: stats } = this.options;
     if (outcome.type === 'refused') {
@@ -283,7 +290,7 @@
       if (REFUSED_FOR_NOW.has(outcome.reason)) progress.probed.add(node);
       else progress.tried.add(node);
       if (admissionQueue.FULL_REASONS.has(outcome.reason)) {
-        stats.recordFull(node, req.route.name, targetLeftMs, outcome);
+        stats.recordFull(node, forwarded, outcome);
       }
       if (outcome.reachedUpstream) {
         progress.sends += 1;
--- a/packages/mesh/src/routing/upstreamStats.ts
+++ b/packages/mesh/src/routing/upstreamStats.ts
@@ -4,6 +4,7 @@
 import * as admissionQueue from '../limits/admissionQueue.js';
 import * as frames from '../peers/frames.js';
 import type * as exchange from './exchange.js';
+import * as fullBackoffs from './fullBackoffs.js';
 
 /** Weight of the newest sample in a moving average. */
 const SAMPLE_WEIGHT = 0.08;
@@ -94,13 +95,6 @@
   atMs: number;
 }
 
-/** A node refused a request for lack of capacity and is not asked again for a while. */
-interface FullBackoff {
-  untilMs: number;
-  /** Time that the request had until its target latency; one with more may be accepted. */
-  targetLeftMs: number;
-}
-
 interface NodeStats {
   failures: number;
   successes: number;
@@ -111,7 +105,7 @@
   averageServiceMs: Map<ids.RouteName, TimedValue>;
   /** Wait of a large answer for the uplink of the node's host. */
   transferWait: TimedValue;
-  fullBackoffs: Map<ids.RouteName, FullBackoff>;
+  fullBackoffs: fullBackoffs.FullBackoffs;
 }
 
 export class UpstreamStats {
@@ -160,22 +154,20 @@
   }
 
   /** @returns time until a node that was full may be asked again; 0 if it may be asked now */
-  fullBackoffMs(node: ids.NodeId, route: ids.RouteName, targetLeftMs: number): number {
-    const backoff = this.nodes.get(node)?.fullBackoffs.get(route);
-    if (backoff === undefined || targetLeftMs > backoff.targetLeftMs) return 0;
-    return Math.max(0, backoff.untilMs - this.nowMs());
+  fullBackoffMs(node: ids.NodeId, req: fullBackoffs.BackoffRequest): number {
+    return this.nodes.get(node)?.fullBackoffs.remainingMs(req, this.nowMs()) ?? 0;
   }
 
   /** Records that a node refused a request for lack of slots, or because of its limit, and stated a wait. */
   recordFull(
     node: ids.NodeId,
-    route: ids.RouteName,
-    targetLeftMs: number,
+    req: fullBackoffs.BackoffRequest,
     { reason, retryAfterMs }: exchange.Refusal,
   ): void {
     const maxMs = reason === admissionQueue.LIMIT_REACHED ? Infinity : MAX_SLOT_BACKOFF_MS;
     const untilMs = this.nowMs() + Math.min(maxMs, retryAfterMs * FULL_BACKOFF_SHARE);
-    this.statsOf(node).fullBackoffs.set(route, { untilMs, targetLeftMs });
+    const isOwnShare = reason === admissionQueue.CUSTOMER_SHARE_REACHED;
+    this.statsOf(node).fullBackoffs.record(req, isOwnShare, untilMs, this.nowMs());
   }
 
   failureShare(node: ids.NodeId): number {
@@ -231,7 +223,7 @@
         loadFromOthers: { value: 0, atMs },
         averageServiceMs: new Map(),
         transferWait: { value: 0, atMs },
-        fullBackoffs: new Map(),
+        fullBackoffs: new fullBackoffs.FullBackoffs(),
       };
       this.nodes.set(node, stats);
     }
--- a/packages/mesh/src/upstream/__tests__/localDestination.test.ts
+++ b/packages/mesh/src/upstream/__tests__/localDestination.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
+import * as eventLoop from '../../eventLoop.js';
 import * as localUpstream from '../../membership/localUpstream.js';
 import * as meters from '../../observability/meters.js';
 import * as frames from '../../peers/frames.js';
@@ -34,10 +35,12 @@
   let recorder: evidence.EvidenceRecorder;
   let sockets: Set<net.Socket>;
   let transferWaitMs: (bytes: number) => number;
+  let hasCustomers: boolean;
 
   beforeEach(async () => {
     transferWaitMs = () => TRANSFER_WAIT_MS;
     clockAheadMs = 0;
+    hasCustomers = false;
     suspects = fixtures.suspects();
     recorder = new evidence.EvidenceRecorder();
     sockets = new Set();
@@ -62,6 +65,7 @@
       evidence: recorder,
       quarantine: suspects,
       mayServe: () => true,
+      hasCustomers: () => hasCustomers,
       transferWaitMs: (bytes) => transferWaitMs(bytes),
       nowMs: () => performance.now() + clockAheadMs,
     });
@@ -131,6 +135,33 @@
     assert.equal(outcome.type === 'refused' && outcome.reason, 'noTimeLeft');
   });
 
+  // A flood of one customer filled the queue, and the requests of others were refused.
+  it('refuses a waiting request of a flooding customer at once for one of another', async () => {
+    hasCustomers = true;
+    upstream.announce(fixtures.announcement({ address, slots: 1, sequence: 2 }));
+    const refused = new Set<number>();
+    const sendAs = (customer: string, route: string) =>
+      send(route, {
+        customer: ids.customerName(customer),
+        estimateMs: 100,
+        targetLeftMs: 350,
+        deadlineLeftMs: 2_000,
+      });
+    const outcomes = [0, 1, 2, 3].map(async (i) => {
+      const { outcome } = await sendAs('flooding', i === 0 ? 'slow' : 'small');
+      if (outcome.type === 'refused') refused.add(i);
+      return outcome;
+    });
+    await eventLoop.nextPoll();
+    assert.equal(refused.size, 0);
+    const other = sendAs('other', 'small');
+    await eventLoop.nextPoll();
+    assert.deepEqual([...refused], [3]);
+    const last = await outcomes[3]!;
+    assert.equal(last.type === 'refused' && last.reason, 'customerShareReached');
+    assert.equal((await other).outcome.type, 'answer');
+  });
+
   // The end of the server looked like a lost answer, so nothing told which requests it had been running.
   describe('when the server ends', () => {
     const END = { id: ids.upstreamEndId('i-1/1000'), wasSuspect: false };
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -35,6 +35,8 @@
   settle: (outcome: exchange.Outcome) => void;
 }
 
+type QueueRefusal = Pick<admissionQueue.RefusedRequest<QueueEntry>, 'reason' | 'retryAfterMs'>;
+
 export interface LocalDestinationOptions {
   upstream: localUpstream.LocalUpstream;
   pool: upstreamPool.UpstreamPool;
@@ -45,6 +47,8 @@
   quarantine: quarantine.Quarantine;
   /** False for versions that were rolled back. */
   mayServe: (service: string, version: string) => boolean;
+  /** Whether requests use shares of the upstream, by customer. */
+  hasCustomers: () => boolean;
   /** Time after which the uplink of this host will have sent all answers handed over, and `bytes` more. */
   transferWaitMs: (bytes: number) => number;
   nowMs: () => number;
@@ -96,6 +100,11 @@
     return this.queue.runningCount + this.queue.waitingCount;
   }
 
+  /** Customers on whose recent requests the order of waiting ones depends. */
+  get shareCount(): number {
+    return this.queue.shareCount;
+  }
+
   send(req: exchange.ForwardedRequest, signal: AbortSignal): Promise<exchange.Delivery> {
     // The reports of other nodes may still be on their way.
     if (req.crashReport !== null) this.options.quarantine.merge([req.crashReport], 'remote');
@@ -161,13 +170,15 @@
       transferWaitMs,
       uplinkBytes,
       maxWaitMs: req.maxWaitMs,
+      share: this.shareOf(req),
     };
     const decision = this.queue.offer(entry, now);
     if (decision.type === 'run') {
       void this.run(entry);
     } else if (decision.type === 'refuse') {
-      settle(exchange.refused(decision.reason, decision.retryAfterMs));
+      this.refuse(entry, decision);
     } else {
+      this.displace(decision.displaced, entry);
       const cancelWaiting = () => {
         if (!this.queue.isWaiting(entry)) return;
         this.countCancel('waiting');
@@ -179,6 +190,12 @@
     }
   }
 
+  /** Requests without a customer use one share for each route; undefined without customers. */
+  private shareOf({ customer, route }: exchange.ForwardedRequest): string | undefined {
+    if (customer === null && !this.options.hasCustomers()) return undefined;
+    return customer ?? `route ${route}`;
+  }
+
   /** Null before the first answer. */
   private averageServiceMs({ route, estimateMs }: exchange.ForwardedRequest): number | null {
     return this.serviceTimes.get(route)?.valueAt(this.options.nowMs(), estimateMs) ?? null;
@@ -358,12 +375,39 @@
   }
 
   private applyUpdate(update: admissionQueue.QueueUpdate<QueueEntry>): void {
-    for (const { request, reason, retryAfterMs } of update.refused) {
-      request.settle(exchange.refused(reason, retryAfterMs));
-    }
+    for (const refusal of update.refused) this.refuse(refusal.request, refusal);
     for (const entry of update.started) void this.run(entry);
   }
 
+  private refuse(entry: QueueEntry, { reason, retryAfterMs }: QueueRefusal): void {
+    if (reason === admissionQueue.CUSTOMER_SHARE_REACHED) {
+      const customer = entry.req.customer ?? 'none';
+      this.options.meters.increment(meters.SHARE_REFUSALS, { customer });
+    }
+    entry.settle(exchange.refused(reason, retryAfterMs));
+  }
+
+  /** Refuses waiting requests that gave way to another one. */
+  private displace(
+    refusals: readonly admissionQueue.RefusedRequest<QueueEntry>[],
+    { req: by }: QueueEntry,
+  ): void {
+    for (const refusal of refusals) {
+      const { req, arrivedMs } = refusal.request;
+      const { reason } = refusal;
+      this.options.meters.increment(meters.DISPLACED_REQUESTS, { reason });
+      const message = 'a waiting request gave way to another one';
+      this.options.log.decision('upstream', req.requestId, message, {
+        route: req.route,
+        customer: req.customer,
+        reason,
+        waitedMs: Math.round(this.options.nowMs() - arrivedMs),
+        by: { requestId: by.requestId, route: by.route, customer: by.customer },
+      });
+      this.refuse(refusal.request, refusal);
+    }
+  }
+
   /** Checks waiting requests regularly, to refuse in time those that can no longer be served. */
   private scheduleAdvance(): void {
     if (this.timer !== null) return;
