feat(mesh): refuse requests before they run where their calls are refused

Cause: calleePressure was not connected.

Change: the server for callers reports requests without a customer and their outcomes, the local destination reports runs and asks before it admits a request. Both only where the configuration has customers. The refusal calleesFull counts as a lack of capacity, so senders back off by route and customer's priority, and chains of calls pass it on.

--- a/packages/mesh/src/callers/__tests__/callerFixtures.ts
+++ b/packages/mesh/src/callers/__tests__/callerFixtures.ts
@@ -6,6 +6,7 @@
 import * as loopback from '../../__tests__/loopback.js';
 import type * as configuration from '../../config/configuration.js';
 import * as configHolder from '../../config/configHolder.js';
+import * as calleePressure from '../../limits/calleePressure.js';
 import * as retryBudget from '../../limits/retryBudget.js';
 import * as members from '../../membership/members.js';
 import * as networkAddress from '../../networkAddress.js';
@@ -66,6 +67,7 @@
     nowMs,
   });
   const server = new callerServer.CallerServer({
+    calleePressure: new calleePressure.CalleePressure(),
     config,
     dispatcher: dispatch,
     codec: new fixtures.TestHeaders(),
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -6,6 +6,7 @@
 import type * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
 import type * as customerDirectory from '../customers/customerDirectory.js';
+import type * as calleePressure from '../limits/calleePressure.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
 import type * as dispatcher from '../routing/dispatcher.js';
@@ -40,6 +41,8 @@
   codec: headerCodec.HeaderCodec;
   /** False until the state of the rollouts is known, which decides what versions may serve. */
   areRolloutsKnown: () => boolean;
+  /** Learns of requests without a customer, where there are customers: the upstream may have made them. */
+  calleePressure: calleePressure.CalleePressure;
   log: observability.DecisionLog;
   meters: metrics.Metrics;
   nowMs: () => number;
@@ -312,7 +315,10 @@
       targetAtMs: arrivedMs + route.targetLatencyMs - ageMs,
       deadlineAtMs: arrivedMs + limitMs,
     };
-    return this.dispatchWithTimeout(callerRequest, limitMs, signal);
+    if (current.customers === null || customer.customer !== null) {
+      return this.dispatchWithTimeout(callerRequest, limitMs, signal);
+    }
+    return this.dispatchCall(callerRequest, limitMs, signal);
   }
 
   /** @returns null if the body is larger than `limitBytes` */
@@ -367,6 +373,19 @@
     return ageMs;
   }
 
+  /** Dispatches a request that the upstream on this host may have made while it runs another one. */
+  private async dispatchCall(
+    req: dispatcher.CallerRequest,
+    limitMs: number,
+    signal: AbortSignal,
+  ): Promise<exchange.Outcome | LocalReply> {
+    const { calleePressure: pressure, nowMs } = this.options;
+    pressure.recordCall(req.route.name, nowMs());
+    const outcome = await this.dispatchWithTimeout(req, limitMs, signal);
+    pressure.recordOutcome(req.route.name, outcome, nowMs());
+    return outcome;
+  }
+
   /** Dispatches a request and answers within `limitMs`, whatever the state of the request. */
   private async dispatchWithTimeout(
     req: dispatcher.CallerRequest,
--- a/packages/mesh/src/limits/admissionQueue.ts
+++ b/packages/mesh/src/limits/admissionQueue.ts
@@ -37,11 +37,15 @@
   | typeof WAIT_TOO_LONG
   | 'notAccepting';
 
+/** The calls that the request makes while it runs are refused at present; see `calleePressure.ts`. */
+export const CALLEES_FULL = 'calleesFull';
+
 /** Reasons of refusals that show that the upstream had no capacity for the request. */
 export const FULL_REASONS: ReadonlySet<string> = new Set([
   QUEUE_TOO_LONG,
   LIMIT_REACHED,
   CUSTOMER_SHARE_REACHED,
+  CALLEES_FULL,
 ]);
 
 export type Decision<T> =
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -41,6 +41,7 @@
 export const UPSTREAM_LOAD = 'godwittrack_upstream_load';
 export const UPSTREAM_SHARES = 'godwittrack_upstream_shares';
 export const SHARE_REFUSALS = 'godwittrack_share_refusals_total';
+export const LIMITED_CALLS = 'godwittrack_limited_calls';
 export const DISPLACED_REQUESTS = 'godwittrack_displaced_requests_total';
 
 const HELP: Record<string, string> = {
@@ -98,6 +99,8 @@
     'Customers and priorities on whose recent use of the upstream on this host the order of waiting requests depends.',
   [SHARE_REFUSALS]:
     'Requests that the node of the upstream on this host refused for the own share of their customer, by customer.',
+  [LIMITED_CALLS]:
+    'Routes whose calls from this host are refused, so that the requests that make them are limited.',
   [DISPLACED_REQUESTS]:
     'Waiting requests for the upstream on this host that were refused for another one, by reason.',
 };
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -9,6 +9,7 @@
 import type * as fleetStore from '../config/fleetStore.js';
 import * as storeWatcher from '../config/storeWatcher.js';
 import * as eventLoop from '../eventLoop.js';
+import * as calleePressure from '../limits/calleePressure.js';
 import * as retryBudget from '../limits/retryBudget.js';
 import * as localUpstream from '../membership/localUpstream.js';
 import * as members from '../membership/members.js';
@@ -117,6 +118,7 @@
   const suspects = new quarantine.Quarantine({ log, nowMs });
   const upstream = new localUpstream.LocalUpstream(settings.upstreamAddress);
   const uplink = new uplinkScheduler.UplinkScheduler(nowMs);
+  const pressure = new calleePressure.CalleePressure();
   const local = new localDestination.LocalDestination({
     upstream,
     pool: new upstreamPool.UpstreamPool(settings.upstreamAddress, platform.codec),
@@ -127,6 +129,7 @@
     quarantine: suspects,
     mayServe: (service, version) => rollouts.mayServe(service, version),
     hasCustomers,
+    calleePressure: pressure,
     transferWaitMs: (bytes) => uplink.backlogMs(bytes),
     nowMs,
   });
@@ -202,6 +205,7 @@
   metricsRegistry.gauge(meters.SUSPECT_REQUESTS, () => suspects.count('suspect'));
   metricsRegistry.gauge(meters.BLOCKED_REQUESTS, () => suspects.count('blocked'));
   metricsRegistry.gauge(meters.UPSTREAM_LOAD, () => local.load);
+  metricsRegistry.gauge(meters.LIMITED_CALLS, () => pressure.limitedCount);
   metricsRegistry.gauge(meters.UPSTREAM_SHARES, () => local.shareCount);
   rollouts.onChange(({ phase }, _origin, isRepeated) => {
     if (!isRepeated) metricsRegistry.increment(meters.ROLLOUT_PHASES, { phase });
@@ -229,6 +233,7 @@
       dispatcher: dispatch,
       areRolloutsKnown: () => rollouts.isSynced,
       codec: platform.codec,
+      calleePressure: pressure,
       log,
       meters: metricsRegistry,
       nowMs,
--- a/packages/mesh/src/upstream/__tests__/localDestination.test.ts
+++ b/packages/mesh/src/upstream/__tests__/localDestination.test.ts
@@ -4,6 +4,7 @@
 import { ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as eventLoop from '../../eventLoop.js';
+import * as calleePressure from '../../limits/calleePressure.js';
 import * as localUpstream from '../../membership/localUpstream.js';
 import * as meters from '../../observability/meters.js';
 import * as frames from '../../peers/frames.js';
@@ -36,11 +37,13 @@
   let sockets: Set<net.Socket>;
   let transferWaitMs: (bytes: number) => number;
   let hasCustomers: boolean;
+  let pressure: calleePressure.CalleePressure;
 
   beforeEach(async () => {
     transferWaitMs = () => TRANSFER_WAIT_MS;
     clockAheadMs = 0;
     hasCustomers = false;
+    pressure = new calleePressure.CalleePressure();
     suspects = fixtures.suspects();
     recorder = new evidence.EvidenceRecorder();
     sockets = new Set();
@@ -57,6 +60,7 @@
     const codec = new fixtures.TestHeaders();
     pool = new upstreamPool.UpstreamPool(address, codec);
     subject = new localDestination.LocalDestination({
+      calleePressure: pressure,
       upstream,
       pool,
       codec,
@@ -162,6 +166,14 @@
     assert.equal((await other).outcome.type, 'answer');
   });
 
+  // Requests ran until their calls were refused, and their work was lost.
+  it('refuses requests whose calls are refused, where the configuration has customers', async () => {
+    pressure.tryStart = () => ({ type: 'refuse', retryAfterMs: 300 });
+    assert.equal((await send('small')).outcome.type, 'answer');
+    hasCustomers = true;
+    assert.deepEqual((await send('small')).outcome, exchange.refused('calleesFull', 300));
+  });
+
   // The end of the server looked like a lost answer, so nothing told which requests it had been running.
   describe('when the server ends', () => {
     const END = { id: ids.upstreamEndId('i-1/1000'), wasSuspect: false };
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -2,6 +2,7 @@
 
 import type { ids, metrics } from '@godwittrack/core';
 import * as admissionQueue from '../limits/admissionQueue.js';
+import type * as calleePressure from '../limits/calleePressure.js';
 import * as targetMargin from '../limits/targetMargin.js';
 import type * as localUpstream from '../membership/localUpstream.js';
 import type * as members from '../membership/members.js';
@@ -49,6 +50,8 @@
   mayServe: (service: string, version: string) => boolean;
   /** Whether requests use shares of the upstream, by customer. */
   hasCustomers: () => boolean;
+  /** Used where requests use shares. */
+  calleePressure: calleePressure.CalleePressure;
   /** Time after which the uplink of this host will have sent all answers handed over, and `bytes` more. */
   transferWaitMs: (bytes: number) => number;
   nowMs: () => number;
@@ -86,6 +89,7 @@
       if (state !== null && state.instance !== instance) {
         instance = state.instance;
         options.pool.clear();
+        options.calleePressure.clear();
         this.connectFailures = 0;
         this.serviceTimes.clear();
         this.answerSizes.clear();
@@ -172,10 +176,12 @@
       maxWaitMs: req.maxWaitMs,
       share: this.shareOf(req),
     };
+    if (!this.mayCall(entry, now)) return;
     const decision = this.queue.offer(entry, now);
     if (decision.type === 'run') {
       void this.run(entry);
     } else if (decision.type === 'refuse') {
+      this.options.calleePressure.withdrawStart(req.route);
       this.refuse(entry, decision);
     } else {
       this.displace(decision.displaced, entry);
@@ -190,6 +196,20 @@
     }
   }
 
+  /** @returns false for a request that is refused because its calls would be */
+  private mayCall({ req, settle, share }: QueueEntry, nowMs: number): boolean {
+    if (share === undefined) return true;
+    const { route, requestId, customer, customerPriority } = req;
+    const start = this.options.calleePressure.tryStart(route, customerPriority, nowMs);
+    if (start.type === 'start') return true;
+    const retryAfterMs = Math.max(admissionQueue.MIN_RETRY_AFTER_MS, start.retryAfterMs);
+    const message = 'a request was refused since calls of its route are';
+    const fields = { route, customer, retryAfterMs: Math.round(retryAfterMs) };
+    this.options.log.decision('upstream', requestId, message, fields);
+    settle(exchange.refused(admissionQueue.CALLEES_FULL, retryAfterMs));
+    return false;
+  }
+
   /** Requests without a customer use one share for each route; undefined without customers. */
   private shareOf({ customer, route }: exchange.ForwardedRequest): string | undefined {
     if (customer === null && !this.options.hasCustomers()) return undefined;
@@ -210,8 +230,12 @@
   private async run(entry: QueueEntry): Promise<void> {
     const startedMs = this.options.nowMs();
     this.expectedBytes += entry.uplinkBytes;
+    const { calleePressure: pressure } = this.options;
+    const run = entry.share === undefined ? null : pressure.beginRun(entry.req.route, startedMs);
     const outcome = await this.sendToUpstream(entry, startedMs);
     const endedMs = this.options.nowMs();
+    const isComplete = outcome.type === 'answer' && outcome.status < 500;
+    if (run !== null) pressure.endRun(run, isComplete, endedMs);
     this.recordOutcome(entry, outcome, endedMs - startedMs);
     this.applyUpdate(this.queue.release(entry, endedMs));
     entry.settle(outcome);
