test(mesh): serve a customer as usual again after its flood

Cause: nothing checked the recovery after a flood of 8 times.

Change: streams of the model may start and end; half a second after the flood, more than 0.98 of the customer's requests must be served.

--- a/packages/mesh/src/limits/__tests__/fairAdmission.test.ts
+++ b/packages/mesh/src/limits/__tests__/fairAdmission.test.ts
@@ -37,6 +37,17 @@
       for (const { refused } of Object.values(others))
         assert.equal(refused.noRoomInTime, undefined);
     });
+
+    it('is forgotten soon after it ends', () => {
+      const large = { customer: 'large', perSecond: 0.2 * CAPACITY };
+      const { usual, ...others } = simulate([
+        { ...large, name: 'flood', perSecond: 8 * large.perSecond, untilMs: 8_000 },
+        { ...large, name: 'usual', fromMs: 8_500 },
+        ...customers(5, 0.1 * CAPACITY),
+      ]);
+      assert.ok(shareOf(usual!) > 0.98, `${shareOf(usual!)}`);
+      assert.ok(lowestShare(others, 'flood') > 0.95);
+    });
   });
 
   it('serves many small customers beside a large one that uses what they leave', () => {
--- a/packages/mesh/src/limits/__tests__/loadModel.ts
+++ b/packages/mesh/src/limits/__tests__/loadModel.ts
@@ -25,6 +25,8 @@
   priority?: number;
   targetMs?: number;
   deadlineMs?: number;
+  fromMs?: number;
+  untilMs?: number;
 }
 
 export interface Tally {
@@ -139,7 +141,9 @@
     if (clock.now % ADVANCE_MS === 0)
       queues.forEach((queue, i) => apply(i, queue.advance(clock.now)));
     for (const stream of streams) {
-      const mean = (stream.perSecond * TICK_MS) / 1_000;
+      const { perSecond, fromMs = 0, untilMs = DURATION_MS } = stream;
+      const isActive = clock.now >= fromMs && clock.now < untilMs;
+      const mean = isActive ? (perSecond * TICK_MS) / 1_000 : 0;
       for (let sum = -Math.log(1 - next()); sum < mean; sum -= Math.log(1 - next())) arrive(stream);
     }
   }
