--- a/packages/mesh/src/callers/__tests__/callerFixtures.ts
+++ b/packages/mesh/src/callers/__tests__/callerFixtures.ts
@@ -6,6 +6,7 @@
 import * as loopback from '../../__tests__/loopback.js';
 import type * as configuration from '../../config/configuration.js';
 import * as configHolder from '../../config/configHolder.js';
+import * as calleePressure from '../../limits/calleePressure.js';
 import * as retryBudget from '../../limits/retryBudget.js';
 import * as members from '../../membership/members.js';
 import * as networkAddress from '../../networkAddress.js';
@@ -61,10 +62,12 @@
     retryBudget: new retryBudget.RetryBudget({ ratio: 0.2, extra: 64 }, () => 1),
     log,
     meters: metricsRegistry,
+    hasCustomers: () => false,
     callerService: () => ids.serviceName('shop'),
     nowMs,
   });
   const server = new callerServer.CallerServer({
+    calleePressure: new calleePressure.CalleePressure(),
     config,
     dispatcher: dispatch,
     codec: new fixtures.TestHeaders(),
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -9,6 +9,7 @@
 import type * as fleetStore from '../config/fleetStore.js';
 import * as storeWatcher from '../config/storeWatcher.js';
 import * as eventLoop from '../eventLoop.js';
+import * as calleePressure from '../limits/calleePressure.js';
 import * as retryBudget from '../limits/retryBudget.js';
 import * as coldState from '../membership/coldState.js';
 import * as coldWatch from '../membership/coldWatch.js';
@@ -112,6 +113,7 @@
   const self: members.Member = { ...settings.self, sequence: 1, upstream: null };
   const table = new members.MemberTable(self);
   const config = new configHolder.ConfigHolder(nowMs);
+  const hasCustomers = () => config.current?.customers != null;
   const rollouts = new rolloutTable.RolloutTable(log, nowMs);
   const comparison = new versionComparison.VersionComparison(nowMs);
   const recorder = new evidence.EvidenceRecorder();
@@ -126,6 +128,7 @@
   const upstream = new localUpstream.LocalUpstream(settings.upstreamAddress, nowMs, cold);
   const eventLoopLag = new eventLoop.LagMeter(agent.TICK_MS, nowMs);
   const uplink = new uplinkScheduler.UplinkScheduler(nowMs);
+  const pressure = new calleePressure.CalleePressure();
   const local = new localDestination.LocalDestination({
     upstream,
     pool: new upstreamPool.UpstreamPool(settings.upstreamAddress, platform.codec),
@@ -135,6 +138,8 @@
     evidence: recorder,
     quarantine: suspects,
     mayServe: (service, version) => rollouts.mayServe(service, version),
+    hasCustomers,
+    calleePressure: pressure,
     transferWaitMs: (bytes) => uplink.backlogMs(bytes),
     stoodStillMs: () => eventLoopLag.totalMs,
     nowMs,
@@ -194,6 +199,7 @@
     meters: metricsRegistry,
     callerService: () => settings.service,
     coldPerSecond: (service) => coldStartOf(service)?.perSecond ?? null,
+    hasCustomers,
     nowMs,
   });
   metricsRegistry.gauge(meters.CONFIG_VERSION, () => config.version);
@@ -213,6 +219,8 @@
   metricsRegistry.gauge(meters.SUSPECT_REQUESTS, () => suspects.count('suspect'));
   metricsRegistry.gauge(meters.BLOCKED_REQUESTS, () => suspects.count('blocked'));
   metricsRegistry.gauge(meters.UPSTREAM_LOAD, () => local.load);
+  metricsRegistry.gauge(meters.LIMITED_CALLS, () => pressure.limitedCount);
+  metricsRegistry.gauge(meters.UPSTREAM_SHARES, () => local.shareCount);
   rollouts.onChange(({ phase }, _origin, isRepeated) => {
     if (!isRepeated) metricsRegistry.increment(meters.ROLLOUT_PHASES, { phase });
   });
@@ -239,6 +247,7 @@
       dispatcher: dispatch,
       areRolloutsKnown: () => rollouts.isSynced,
       codec: platform.codec,
+      calleePressure: pressure,
       log,
       meters: metricsRegistry,
       nowMs,
--- a/packages/mesh/src/upstream/__tests__/localDestination.test.ts
+++ b/packages/mesh/src/upstream/__tests__/localDestination.test.ts
@@ -6,6 +6,8 @@
 import * as fixtures from '../../__tests__/fixtures.js';
 import type * as configuration from '../../config/configuration.js';
 import * as coldState from '../../membership/coldState.js';
+import * as eventLoop from '../../eventLoop.js';
+import * as calleePressure from '../../limits/calleePressure.js';
 import * as localUpstream from '../../membership/localUpstream.js';
 import * as meters from '../../observability/meters.js';
 import * as frames from '../../peers/frames.js';
@@ -39,12 +41,16 @@
   let recorder: evidence.EvidenceRecorder;
   let sockets: Set<net.Socket>;
   let transferWaitMs: (bytes: number) => number;
+  let hasCustomers: boolean;
+  let pressure: calleePressure.CalleePressure;
 
   beforeEach(async () => {
     transferWaitMs = () => TRANSFER_WAIT_MS;
     clockAheadMs = 0;
     coldStart = null;
     received = [];
+    hasCustomers = false;
+    pressure = new calleePressure.CalleePressure();
     suspects = fixtures.suspects();
     recorder = new evidence.EvidenceRecorder();
     sockets = new Set();
@@ -64,6 +70,7 @@
     const codec = new fixtures.TestHeaders();
     pool = new upstreamPool.UpstreamPool(address, codec);
     subject = new localDestination.LocalDestination({
+      calleePressure: pressure,
       upstream,
       pool,
       codec,
@@ -72,6 +79,7 @@
       evidence: recorder,
       quarantine: suspects,
       mayServe: () => true,
+      hasCustomers: () => hasCustomers,
       transferWaitMs: (bytes) => transferWaitMs(bytes),
       stoodStillMs: () => 0,
       nowMs,
@@ -144,6 +152,41 @@
     assert.equal(outcome.type === 'refused' && outcome.reason, 'noTimeLeft');
   });
 
+  // A flood of one customer filled the queue, and the requests of others were refused.
+  it('refuses a waiting request of a flooding customer at once for one of another', async () => {
+    hasCustomers = true;
+    upstream.announce(fixtures.announcement({ address, slots: 1, sequence: 2 }));
+    const refused = new Set<number>();
+    const sendAs = (customer: string, route: string) =>
+      send(route, {
+        customer: ids.customerName(customer),
+        estimateMs: 100,
+        targetLeftMs: 350,
+        deadlineLeftMs: 2_000,
+      });
+    const outcomes = [0, 1, 2, 3].map(async (i) => {
+      const { outcome } = await sendAs('flooding', i === 0 ? 'slow' : 'small');
+      if (outcome.type === 'refused') refused.add(i);
+      return outcome;
+    });
+    await eventLoop.nextPoll();
+    assert.equal(refused.size, 0);
+    const other = sendAs('other', 'small');
+    await eventLoop.nextPoll();
+    assert.deepEqual([...refused], [3]);
+    const last = await outcomes[3]!;
+    assert.equal(last.type === 'refused' && last.reason, 'customerShareReached');
+    assert.equal((await other).outcome.type, 'answer');
+  });
+
+  // Requests ran until their calls were refused, and their work was lost.
+  it('refuses requests whose calls are refused, where the configuration has customers', async () => {
+    pressure.tryStart = () => ({ type: 'refuse', retryAfterMs: 300 });
+    assert.equal((await send('small')).outcome.type, 'answer');
+    hasCustomers = true;
+    assert.deepEqual((await send('small')).outcome, exchange.refused('calleesFull', 300));
+  });
+
   // The end of the server looked like a lost answer, so nothing told which requests it had been running.
   describe('when the server ends', () => {
     const END = { id: ids.upstreamEndId('i-1/1000'), wasSuspect: false };
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -2,6 +2,7 @@
 
 import type { ids, metrics } from '@godwittrack/core';
 import * as admissionQueue from '../limits/admissionQueue.js';
+import type * as calleePressure from '../limits/calleePressure.js';
 import * as targetMargin from '../limits/targetMargin.js';
 import type * as coldWatch from '../membership/coldWatch.js';
 import type * as localUpstream from '../membership/localUpstream.js';
@@ -42,6 +43,8 @@
   start: (entry: QueueEntry) => void;
 }
 
+type QueueRefusal = Pick<admissionQueue.RefusedRequest<QueueEntry>, 'reason' | 'retryAfterMs'>;
+
 export interface LocalDestinationOptions {
   upstream: localUpstream.LocalUpstream;
   pool: upstreamPool.UpstreamPool;
@@ -52,6 +55,10 @@
   quarantine: quarantine.Quarantine;
   /** False for versions that were rolled back. */
   mayServe: (service: string, version: string) => boolean;
+  /** Whether requests use shares of the upstream, by customer. */
+  hasCustomers: () => boolean;
+  /** Used where requests use shares. */
+  calleePressure: calleePressure.CalleePressure;
   /** Time after which the uplink of this host will have sent all answers handed over, and `bytes` more. */
   transferWaitMs: (bytes: number) => number;
   /** Total time for which this process has stood still. */
@@ -98,6 +105,7 @@
       if (state !== null && state.instance !== instance) {
         instance = state.instance;
         options.pool.clear();
+        options.calleePressure.clear();
         this.connectFailures = 0;
         this.serviceTimes.clear();
         this.answerSizes.clear();
@@ -118,6 +126,11 @@
     return this.queue.runningCount + this.queue.waitingCount;
   }
 
+  /** Customers on whose recent requests the order of waiting ones depends. */
+  get shareCount(): number {
+    return this.queue.shareCount;
+  }
+
   send(req: exchange.ForwardedRequest, signal: AbortSignal): Promise<exchange.Delivery> {
     // The reports of other nodes may still be on their way.
     if (req.crashReport !== null) this.options.quarantine.merge([req.crashReport], 'remote');
@@ -219,17 +232,23 @@
       transferWaitMs,
       uplinkBytes,
       maxWaitMs: req.maxWaitMs,
+      share: this.shareOf(req),
     };
+    if (!this.mayCall(entry, now)) return;
     const decision = this.queue.offer(entry, now);
     if (decision.type === 'run') {
       entry.start(entry);
     } else if (decision.type === 'refuse') {
-      settle(exchange.refused(this.refusalReasonOf(decision), decision.retryAfterMs));
+      this.options.calleePressure.withdrawStart(req.route);
+      this.refuse(entry, { ...decision, reason: this.refusalReasonOf(decision) });
     } else if (this.responses.isStalled) {
       // A probe needs a free slot.
+      this.displace(decision.displaced, entry);
+      this.options.calleePressure.withdrawStart(req.route);
       settle(stalledRefusal());
       this.applyUpdate(this.queue.release(entry, now));
     } else {
+      this.displace(decision.displaced, entry);
       const cancelWaiting = () => {
         if (!this.queue.isWaiting(entry)) return;
         this.countCancel('waiting');
@@ -252,6 +271,26 @@
       : reason;
   }
 
+  /** @returns false for a request that is refused because its calls would be */
+  private mayCall({ req, settle, share }: QueueEntry, nowMs: number): boolean {
+    if (share === undefined) return true;
+    const { route, requestId, customer, customerPriority } = req;
+    const start = this.options.calleePressure.tryStart(route, customerPriority, nowMs);
+    if (start.type === 'start') return true;
+    const retryAfterMs = Math.max(admissionQueue.MIN_RETRY_AFTER_MS, start.retryAfterMs);
+    const message = 'a request was refused since calls of its route are';
+    const fields = { route, customer, retryAfterMs: Math.round(retryAfterMs) };
+    this.options.log.decision('upstream', requestId, message, fields);
+    settle(exchange.refused(admissionQueue.CALLEES_FULL, retryAfterMs));
+    return false;
+  }
+
+  /** Requests without a customer use one share for each route; undefined without customers. */
+  private shareOf({ customer, route }: exchange.ForwardedRequest): string | undefined {
+    if (customer === null && !this.options.hasCustomers()) return undefined;
+    return customer ?? `route ${route}`;
+  }
+
   /** Null before the first answer. */
   private averageServiceMs({ route, estimateMs }: exchange.ForwardedRequest): number | null {
     return this.serviceTimes.get(route)?.valueAt(this.options.nowMs(), estimateMs) ?? null;
@@ -266,8 +305,12 @@
   private async run(entry: QueueEntry): Promise<void> {
     const startedMs = this.options.nowMs();
     this.expectedBytes += entry.uplinkBytes;
+    const { calleePressure: pressure } = this.options;
+    const run = entry.share === undefined ? null : pressure.beginRun(entry.req.route, startedMs);
     const outcome = await this.sendToUpstream(entry, startedMs);
     const endedMs = this.options.nowMs();
+    const isComplete = outcome.type === 'answer' && outcome.status < 500;
+    if (run !== null) pressure.endRun(run, isComplete, endedMs);
     this.recordOutcome(entry, outcome, endedMs - startedMs);
     this.applyUpdate(this.queue.release(entry, endedMs));
     entry.settle(outcome);
@@ -465,12 +508,39 @@
   }
 
   private applyUpdate(update: admissionQueue.QueueUpdate<QueueEntry>): void {
-    for (const { request, reason, retryAfterMs } of update.refused) {
-      request.settle(exchange.refused(reason, retryAfterMs));
-    }
+    for (const refusal of update.refused) this.refuse(refusal.request, refusal);
     for (const entry of update.started) entry.start(entry);
   }
 
+  private refuse(entry: QueueEntry, { reason, retryAfterMs }: QueueRefusal): void {
+    if (reason === admissionQueue.CUSTOMER_SHARE_REACHED) {
+      const customer = entry.req.customer ?? 'none';
+      this.options.meters.increment(meters.SHARE_REFUSALS, { customer });
+    }
+    entry.settle(exchange.refused(reason, retryAfterMs));
+  }
+
+  /** Refuses waiting requests that gave way to another one. */
+  private displace(
+    refusals: readonly admissionQueue.RefusedRequest<QueueEntry>[],
+    { req: by }: QueueEntry,
+  ): void {
+    for (const refusal of refusals) {
+      const { req, arrivedMs } = refusal.request;
+      const { reason } = refusal;
+      this.options.meters.increment(meters.DISPLACED_REQUESTS, { reason });
+      const message = 'a waiting request gave way to another one';
+      this.options.log.decision('upstream', req.requestId, message, {
+        route: req.route,
+        customer: req.customer,
+        reason,
+        waitedMs: Math.round(this.options.nowMs() - arrivedMs),
+        by: { requestId: by.requestId, route: by.route, customer: by.customer },
+      });
+      this.refuse(refusal.request, refusal);
+    }
+  }
+
   /** Checks waiting requests regularly, to refuse in time those that can no longer be served. */
   private scheduleAdvance(): void {
     if (this.timer !== null) return;
