feat(mesh): end the back-off from a full upstream at a random moment

Cause: all nodes that a full upstream had refused asked it again at the same moment. Change: the back-off is 0.5 to 1.5 times its former length. The weight of a reported load is available apart from the load, for the estimates that follow.

--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -174,7 +174,7 @@
       maxExposureShare: settings.maxExposureShare,
       random: nextRandom,
     }),
-    upstreamStats: new upstreamStats.UpstreamStats(nowMs),
+    upstreamStats: new upstreamStats.UpstreamStats(nowMs, nextRandom),
     retryBudget: new retryBudget.RetryBudget(
       { ratio: settings.retryRatio, extra: settings.retryExtra },
       () => table.size,
--- a/packages/mesh/src/routing/__tests__/routing.test.ts
+++ b/packages/mesh/src/routing/__tests__/routing.test.ts
@@ -7,6 +7,7 @@
 import * as configuration from '../../config/configuration.js';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as balancer from '../balancer.js';
+import * as exchange from '../exchange.js';
 import * as routeTable from '../routeTable.js';
 import * as trafficSplitter from '../trafficSplitter.js';
 import * as upstreamStats from '../upstreamStats.js';
@@ -203,4 +204,20 @@
     now += 250;
     assert.equal(stats.transferWaitMs(node), 0);
   });
+
+  // Guards against nodes that all return to a full upstream at the same moment.
+  it('ends the back-offs from a full upstream at different moments', () => {
+    const route = ids.routeName('r');
+    const node = ids.nodeId('a');
+    const ends = Array.from({ length: 20 }, (_, i) => {
+      const stats = new upstreamStats.UpstreamStats(
+        () => 0,
+        () => i / 20,
+      );
+      stats.recordFull(node, route, 300, exchange.refused('queueTooLong', 100));
+      return stats.fullBackoffMs(node, route, 300);
+    });
+    assert.equal(new Set(ends.map(Math.round)).size, 20);
+    assert.ok(Math.min(...ends) >= 25 && Math.max(...ends) <= 75, String(ends));
+  });
 });
--- a/packages/mesh/src/routing/upstreamStats.ts
+++ b/packages/mesh/src/routing/upstreamStats.ts
@@ -23,6 +23,8 @@
 const MAX_SLOT_BACKOFF_MS = 100;
 /** Half-life of a reported load: its requests are assumed to end at this rate. */
 const LOAD_HALF_LIFE_MS = 250;
+/** The end of a back-off is spread by this share of it in both directions, so that nodes return in turns. */
+const BACKOFF_SPREAD = 0.5;
 
 function decayTowards(assumedMs: number, measuredMs: number, ageMs: number): number {
   return assumedMs + (measuredMs - assumedMs) * 0.5 ** (ageMs / SERVICE_TIME_HALF_LIFE_MS);
@@ -105,8 +107,8 @@
   failures: number;
   successes: number;
   decayedAtMs: number;
-  /** In-flight requests that other nodes sent there. */
-  loadFromOthers: TimedValue;
+  /** In-flight requests that other nodes sent there; null before the first report. */
+  loadFromOthers: TimedValue | null;
   /** Average service time at the upstream, by route. */
   averageServiceMs: Map<ids.RouteName, TimedValue>;
   /** Wait of a large answer for the uplink of the node's host. */
@@ -121,7 +123,11 @@
 
   private readonly nodes = new Map<ids.NodeId, NodeStats>();
 
-  constructor(private readonly nowMs: () => number) {}
+  /** @param random in [0, 1); with the default, back-offs are not spread */
+  constructor(
+    private readonly nowMs: () => number,
+    private readonly random: () => number = () => 0.5,
+  ) {}
 
   /** Average service time of a route over all upstreams. */
   averageServiceMs(route: ids.RouteName, targetLatencyMs: number): number {
@@ -146,10 +152,21 @@
     return decayTowards(routeAverageMs, atNode.value, this.nowMs() - atNode.atMs);
   }
 
+  /** Reported load, in proportion to the weight of the report. */
   loadFromOthers(node: ids.NodeId): number {
+    return this.reportedLoad(node) * this.reportWeight(node);
+  }
+
+  /** In-flight requests of other nodes, as last reported. */
+  reportedLoad(node: ids.NodeId): number {
+    return this.nodes.get(node)?.loadFromOthers?.value ?? 0;
+  }
+
+  /** Weight of the last reported load: 1 for a new report, 0 without any. */
+  reportWeight(node: ids.NodeId): number {
     const load = this.nodes.get(node)?.loadFromOthers;
-    if (load === undefined) return 0;
-    return load.value * 0.5 ** ((this.nowMs() - load.atMs) / LOAD_HALF_LIFE_MS);
+    if (load == null) return 0;
+    return 0.5 ** ((this.nowMs() - load.atMs) / LOAD_HALF_LIFE_MS);
   }
 
   /** Wait of a large answer for the uplink of a node's host; 0 without a recent report. */
@@ -174,7 +191,9 @@
     { reason, retryAfterMs }: exchange.Refusal,
   ): void {
     const maxMs = reason === admissionQueue.LIMIT_REACHED ? Infinity : MAX_SLOT_BACKOFF_MS;
-    const untilMs = this.nowMs() + Math.min(maxMs, retryAfterMs * FULL_BACKOFF_SHARE);
+    const backoffMs = Math.min(maxMs, retryAfterMs * FULL_BACKOFF_SHARE);
+    const spread = 1 + BACKOFF_SPREAD * (2 * this.random() - 1);
+    const untilMs = this.nowMs() + backoffMs * spread;
     this.statsOf(node).fullBackoffs.set(route, { untilMs, targetLeftMs });
   }
 
@@ -228,7 +247,7 @@
         failures: 0,
         successes: 0,
         decayedAtMs: atMs,
-        loadFromOthers: { value: 0, atMs },
+        loadFromOthers: null,
         averageServiceMs: new Map(),
         transferWait: { value: 0, atMs },
         fullBackoffs: new Map(),
