feat(mesh): draw upstreams by free capacity, estimate old loads by the average

Cause: nodes took the best of all candidates from reports that decayed to zero within moments, so that a full upstream looked idle to all of them, and all chose the fastest upstreams. Change: the best of two candidates drawn by capacity and free share; an old report moves towards the average of the candidates at that distance. A request crosses failure domains only for an upstream better than all near it, and does not wait past its target while there is another candidate. Cost of distance unchanged. Ruled out: best of all with averages, one or three draws, lateness probability (docs/design/evenLoad.md). Result: spreadOfWork.test.ts passes unchanged.

--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -84,6 +84,8 @@
     slots: 10,
     limitPerSecond: null,
     load: 0,
+    reportedLoad: 0,
+    reportWeight: 1,
     serviceMs: 100,
     transferWaitMs: 0,
     failureShare: 0,
--- a/packages/mesh/src/routing/balancer.ts
+++ b/packages/mesh/src/routing/balancer.ts
@@ -1,16 +1,19 @@
-/** Load balancer: chooses the node for a request, near ones first while they have capacity. */
+/**
+ * Load balancer: chooses the node for a request, near ones first while they have capacity. Among candidates of
+ * similar distance, a `ChoiceStrategy` decides.
+ */
 
 import type { ids } from '@godwittrack/core';
 import type * as members from '../membership/members.js';
+import * as choiceStrategy from './choiceStrategy.js';
+import * as loadEstimates from './loadEstimates.js';
 
-export interface Candidate {
+export interface Candidate extends loadEstimates.KnownLoad {
   node: ids.NodeId;
   distance: members.Distance;
   slots: number;
   /** Requests per second that the upstream takes; null if it states no limit. */
   limitPerSecond: number | null;
-  /** In-flight requests: those of this node, and those of other nodes as last reported. */
-  load: number;
   /** Average service time of the route's requests at this upstream. */
   serviceMs: number;
   /** Wait of the answer for the uplink of the host; 0 for answers that are small enough to overtake others. */
@@ -61,10 +64,17 @@
 const FULL_SLOWDOWN = 0.3;
 /** Cost at a failure share of 1. */
 const FAILURE_COST_MS = 1_000;
-/** Least range of the random part of a score, by which nearly equal candidates share the load. */
-const MIN_SCORE_JITTER_MS = 4;
-/** The same as a share of the service time, whose estimate is no more precise than that. */
-const SCORE_JITTER_SHARE = 0.08;
+/**
+ * Differences of scores that the strategy treats as considerable, as a share of the average service time. Lower
+ * values send more requests to the fastest upstreams, higher ones spread them in proportion to the capacities.
+ */
+const SPREAD_SHARE = 1;
+const MIN_SPREAD_MS = 8;
+/**
+ * Time until the target latency that a request keeps when it waits, in service times: a service time has a wide
+ * range, and waits are estimated from it. With less, more requests are late above the capacity of the service.
+ */
+const WAIT_RESERVE_SHARE = 2;
 
 export interface Choice {
   candidate: Candidate;
@@ -72,68 +82,138 @@
   expectedMs: number;
   /** Longest wait for a slot and the uplink before the second-best candidate is better; Infinity if none. */
   maxWaitMs: number;
+  /** Network round-trip time. */
+  roundTripMs: number;
+  /** Whether another candidate nearby is expected to have a free slot. */
+  otherHasRoom: boolean;
+}
+
+/** A candidate with its expected times. */
+interface Assessment extends choiceStrategy.Option {
+  candidate: Candidate;
+  expectedMs: number;
+  /** Expected wait for a slot. */
+  waitMs: number;
 }
 
 export class Balancer {
+  private readonly strategy: choiceStrategy.ChoiceStrategy;
+
   /** @param random in [0, 1) */
-  constructor(private readonly random: () => number) {}
+  constructor(random: () => number, strategy?: choiceStrategy.ChoiceStrategy) {
+    this.strategy = strategy ?? new choiceStrategy.BestOfDrawn(random);
+  }
 
   /** @returns null if no candidate is expected to answer before the caller's deadline */
   choose(candidates: readonly Candidate[], profile: RequestProfile): Choice | null {
-    let best: Candidate | null = null;
-    let bestExpectedMs = 0;
-    let bestScore = Infinity;
-    let nextScore = Infinity;
+    const estimates = new loadEstimates.LoadEstimates();
+    for (const each of candidates) estimates.add(each.distance, each, capacityOf(each));
+    const near: Assessment[] = [];
+    const far: Assessment[] = [];
+    let serviceMs = 0;
     for (const candidate of candidates) {
-      const expectedMs = expectedAnswerMs(candidate);
-      if (expectedMs <= profile.deadlineLeftMs) {
-        const jitterMs = Math.max(MIN_SCORE_JITTER_MS, candidate.serviceMs * SCORE_JITTER_SHARE);
-        const score = this.score(candidate, expectedMs, profile) + this.random() * jitterMs;
-        if (score < bestScore) {
-          nextScore = bestScore;
-          best = candidate;
-          bestExpectedMs = expectedMs;
-          bestScore = score;
-        } else {
-          nextScore = Math.min(nextScore, score);
-        }
+      const assessed = assess(candidate, estimates, profile);
+      if (assessed.expectedMs <= profile.deadlineLeftMs) {
+        serviceMs += candidate.serviceMs;
+        const isNear = loadEstimates.groupOf(candidate.distance) === 'near';
+        (isNear ? near : far).push(assessed);
       }
     }
-    if (best === null) return null;
-    const maxWaitMs = expectedWaitMs(best) + best.transferWaitMs + nextScore - bestScore;
-    return { candidate: best, expectedMs: bestExpectedMs, maxWaitMs };
+    const count = near.length + far.length;
+    if (count === 0) return null;
+    const spreadMs = Math.max(MIN_SPREAD_MS, (SPREAD_SHARE * serviceMs) / count);
+    const chosen = this.chooseByDistance(near, far, spreadMs);
+    return {
+      candidate: chosen.candidate,
+      expectedMs: chosen.expectedMs,
+      maxWaitMs: maxWaitMs(chosen, nextScore(chosen, near, far), profile),
+      roundTripMs: ROUND_TRIP_MS[chosen.candidate.distance],
+      otherHasRoom: near.some((each) => each !== chosen && hasRoom(each)),
+    };
   }
 
-  private score(candidate: Candidate, expectedMs: number, profile: RequestProfile): number {
-    const lateMs = Math.max(0, expectedMs - profile.targetLeftMs);
-    return (
-      expectedMs +
-      distanceCost(candidate.distance, profile.transferBytes) +
-      candidate.failureShare * FAILURE_COST_MS +
-      lateMs * 4
-    );
+  /**
+   * A request leaves the failure domain only for an upstream that is better than all in it. Compared with the
+   * one that was drawn there, a farther one would often be better by chance.
+   */
+  private chooseByDistance(
+    near: readonly Assessment[],
+    far: readonly Assessment[],
+    spreadMs: number,
+  ): Assessment {
+    const bestNear = lowestScore(near);
+    if (lowestScore(far) < bestNear) {
+      const chosen = far[this.strategy.choose(far, spreadMs)]!;
+      if (chosen.score < bestNear) return chosen;
+    }
+    return near[this.strategy.choose(near, spreadMs)]!;
   }
 }
 
-function distanceCost(distance: members.Distance, transferBytes: number): number {
-  const kilobytes = Math.min(MAX_COUNTED_KB, transferBytes / 1_024);
-  return DISTANCE_COST_MS[distance] + DISTANCE_COST_MS_PER_KB[distance] * kilobytes;
+/** Whether a further request is expected to find a free slot. */
+function hasRoom({ candidate, freeShare }: Assessment): boolean {
+  return freeShare * capacityOf(candidate) >= 1;
 }
 
-/** Expected time until the answer: network round trip, waits for a slot and the uplink, and service time. */
-export function expectedAnswerMs(candidate: Candidate): number {
-  const { serviceMs: meanMs, distance, hasOpenLink: isConnected, transferWaitMs } = candidate;
-  const usage = Math.min(1, candidate.load / Math.max(1, candidate.slots));
-  const roundTripMs = ROUND_TRIP_MS[distance] * (isConnected ? 1 : 2);
-  const waitMs = expectedWaitMs(candidate) + transferWaitMs;
-  return roundTripMs + waitMs + meanMs * (1 + FULL_SLOWDOWN * usage * usage);
+function lowestScore(options: readonly Assessment[]): number {
+  let lowest = Infinity;
+  for (const { score } of options) lowest = Math.min(lowest, score);
+  return lowest;
+}
+
+/** Score of the best candidate that was not chosen; Infinity if there is none. */
+function nextScore(chosen: Assessment, ...groups: readonly Assessment[][]): number {
+  let next = Infinity;
+  for (const group of groups) {
+    for (const option of group) if (option !== chosen) next = Math.min(next, option.score);
+  }
+  return next;
+}
+
+/** A request doesn't wait past its target while it can be offered to another candidate. */
+function maxWaitMs(
+  { candidate, waitMs, score }: Assessment,
+  next: number,
+  { targetLeftMs }: RequestProfile,
+): number {
+  if (next === Infinity) return Infinity;
+  const betterThanNextMs = waitMs + candidate.transferWaitMs + next - score;
+  const onTimeMs = targetLeftMs - WAIT_RESERVE_SHARE * candidate.serviceMs;
+  return Math.min(betterThanNextMs, Math.max(candidate.transferWaitMs, onTimeMs));
 }
 
-/** Expected wait for a slot. */
-function expectedWaitMs(candidate: Candidate): number {
+function assess(
+  candidate: Candidate,
+  estimates: loadEstimates.LoadEstimates,
+  profile: RequestProfile,
+): Assessment {
+  const { serviceMs, distance, hasOpenLink: isConnected, transferWaitMs, failureShare } = candidate;
   const capacity = capacityOf(candidate);
-  const queued = Math.max(0, candidate.load + 1 - capacity);
-  return (queued * candidate.serviceMs) / capacity;
+  const { load, queued } = estimates.estimate(distance, candidate, capacity);
+  const usage = Math.min(1, load / Math.max(1, candidate.slots));
+  const roundTripMs = ROUND_TRIP_MS[distance] * (isConnected ? 1 : 2);
+  const waitMs = (queued * serviceMs) / capacity;
+  const answerMs = serviceMs * (1 + FULL_SLOWDOWN * usage * usage);
+  const expectedMs = roundTripMs + waitMs + transferWaitMs + answerMs;
+  const lateMs = Math.max(0, expectedMs - profile.targetLeftMs);
+  const score =
+    expectedMs +
+    distanceCost(distance, profile.transferBytes) +
+    failureShare * FAILURE_COST_MS +
+    lateMs * 4;
+  return {
+    candidate,
+    expectedMs,
+    waitMs,
+    score,
+    capacityPerSecond: (capacity * 1_000) / serviceMs,
+    freeShare: Math.max(0, 1 - load / capacity),
+  };
+}
+
+function distanceCost(distance: members.Distance, transferBytes: number): number {
+  const kilobytes = Math.min(MAX_COUNTED_KB, transferBytes / 1_024);
+  return DISTANCE_COST_MS[distance] + DISTANCE_COST_MS_PER_KB[distance] * kilobytes;
 }
 
 /**
--- a/packages/mesh/src/routing/candidateSelector.ts
+++ b/packages/mesh/src/routing/candidateSelector.ts
@@ -156,6 +156,8 @@
       slots: upstream!.slots,
       limitPerSecond: upstream!.limitPerSecond,
       load: outstandingAt(node) + stats.loadFromOthers(node),
+      reportedLoad: stats.reportedLoad(node),
+      reportWeight: stats.reportWeight(node),
       serviceMs: stats.serviceMsAt(node, route, routeAverageMs),
       transferWaitMs: isSelf ? 0 : this.transferWaitMs(node, route),
       failureShare: stats.failureShare(node),
--- /dev/null
+++ b/packages/mesh/src/routing/choiceStrategy.ts
@@ -0,0 +1,71 @@
+/** Strategies that choose one of several candidates whose scores are known. */
+
+/** A candidate as seen by a strategy. Lower scores are better. */
+export interface Option {
+  score: number;
+  /** Requests per second that the upstream can serve. */
+  capacityPerSecond: number;
+  /** Estimated free share of that capacity, 0 to 1. */
+  freeShare: number;
+}
+
+export abstract class ChoiceStrategy {
+  /**
+   * @param options at least one
+   * @param spreadMs difference of scores that counts as considerable
+   * @returns index of the chosen option
+   */
+  abstract choose(options: readonly Option[], spreadMs: number): number;
+}
+
+/**
+ * Least free share that counts in a draw. Otherwise, upstreams that were all full at the last report would never
+ * be drawn, and those that are barely full would be treated like those with long queues, which the score tells.
+ */
+const MIN_FREE_SHARE = 0.06;
+
+/**
+ * Draws a few options at random and chooses the best of them (power of two choices), so that nodes with the same
+ * reports don't choose the same upstream at the same moment. The probability of an option is proportional to its
+ * capacity and to the square of its free share, and lower for worse scores. With the free share itself instead of
+ * its square, 9.7 % of the requests in the model wait although another upstream would answer sooner, not 4.4 %.
+ */
+export class BestOfDrawn extends ChoiceStrategy {
+  /**
+   * @param random in [0, 1)
+   * @param draws number of draws; with one, the load of the options matters too little; with three, fast upstreams
+   * are overloaded more often
+   */
+  constructor(
+    private readonly random: () => number,
+    private readonly draws = 2,
+  ) {
+    super();
+  }
+
+  choose(options: readonly Option[], spreadMs: number): number {
+    if (options.length === 1) return 0;
+    let best = Infinity;
+    for (const { score } of options) best = Math.min(best, score);
+    const cumulative = new Float64Array(options.length);
+    let sum = 0;
+    options.forEach(({ score, capacityPerSecond, freeShare }, i) => {
+      const free = Math.max(MIN_FREE_SHARE, freeShare);
+      sum += capacityPerSecond * free * free * Math.exp((best - score) / spreadMs);
+      cumulative[i] = sum;
+    });
+    let chosen = this.draw(cumulative, sum);
+    for (let drawn = 1; drawn < this.draws; drawn += 1) {
+      const other = this.draw(cumulative, sum);
+      if (options[other]!.score < options[chosen]!.score) chosen = other;
+    }
+    return chosen;
+  }
+
+  private draw(cumulative: Float64Array, sum: number): number {
+    const at = this.random() * sum;
+    const index = cumulative.findIndex((bound) => at < bound);
+    // Rounding can make `at` equal to the last bound.
+    return index < 0 ? cumulative.length - 1 : index;
+  }
+}
--- a/packages/mesh/src/routing/upstreamStats.ts
+++ b/packages/mesh/src/routing/upstreamStats.ts
@@ -21,8 +21,11 @@
 const FULL_BACKOFF_SHARE = 0.5;
 /** Upper bound of that time for a wait for a slot, since one can become free at any moment. */
 const MAX_SLOT_BACKOFF_MS = 100;
-/** Half-life of a reported load: its requests are assumed to end at this rate. */
-const LOAD_HALF_LIFE_MS = 250;
+/**
+ * Half-life of the weight of a reported load. With 250 ms, reports of nodes with few requests have hardly any
+ * weight, and in the model 1.6 times as many requests wait although another upstream would answer sooner.
+ */
+const LOAD_HALF_LIFE_MS = 600;
 /** The end of a back-off is spread by this share of it in both directions, so that nodes return in turns. */
 const BACKOFF_SPREAD = 0.5;
 
