feat(mesh): count offers to upstreams without a free slot

Cause: an operator could not tell uneven load from a full failure domain. Change: godwittrack_crowded_offers_total, by result (full, waited) and by whether another upstream nearby was expected to have room. Nothing is counted for offers that start at once.

--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -7,6 +7,7 @@
 export const REFUSALS = 'godwittrack_refusals_total';
 export const UNKNOWN_KEYS = 'godwittrack_unknown_keys_total';
 export const OFFERS = 'godwittrack_offers_total';
+export const CROWDED_OFFERS = 'godwittrack_crowded_offers_total';
 export const RETURNING_REQUESTS = 'godwittrack_returning_requests_total';
 export const LEFT_AGE_SECONDS = 'godwittrack_left_age_seconds';
 export const LEFT_WORK_SECONDS = 'godwittrack_left_work_seconds';
@@ -46,6 +47,8 @@
   [REFUSALS]: 'Requests of callers on this host that were refused without being run, by reason.',
   [UNKNOWN_KEYS]: 'Requests of callers on this host without a valid key, by route.',
   [OFFERS]: 'Requests offered to an upstream, by distance and by outcome.',
+  [CROWDED_OFFERS]:
+    'Offers to an upstream that refused for lack of slots or let the request wait, by whether another one was known to have room.',
   [RETURNING_REQUESTS]:
     'Requests that were taken as repeated by their caller after a refusal, by route.',
   [LEFT_AGE_SECONDS]:
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -12,6 +12,7 @@
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
 import type * as balancer from './balancer.js';
 import * as candidateSelector from './candidateSelector.js';
+import * as crowdedOffers from './crowdedOffers.js';
 import * as exchange from './exchange.js';
 import type * as upstreamStats from './upstreamStats.js';
 import type * as trafficSplitter from './trafficSplitter.js';
@@ -96,7 +97,10 @@
 
   private readonly candidateSelector: candidateSelector.CandidateSelector;
 
+  private readonly crowdedOffers: crowdedOffers.CrowdedOffers;
+
   constructor(private readonly options: DispatcherOptions) {
+    this.crowdedOffers = new crowdedOffers.CrowdedOffers(options.meters);
     this.candidateSelector = new candidateSelector.CandidateSelector({
       ...options,
       isReachable: (node) => options.destinationOf(node) !== null,
@@ -256,7 +260,9 @@
       verdict,
       this.maxWait(req, choice, verdict, progress),
     );
+    const offeredMs = this.options.nowMs();
     const { outcome, report } = await destination.send(forwarded, signal);
+    this.crowdedOffers.record(choice, outcome, this.options.nowMs() - offeredMs);
     const remaining = this.outstanding.get(node)! - 1;
     this.outstanding.set(node, remaining);
     this.options.meters.increment(meters.OFFERS, { distance, outcome: outcome.type });
