--- a/packages/mesh/src/routing/__tests__/unevenDemand.test.ts
+++ b/packages/mesh/src/routing/__tests__/unevenDemand.test.ts
@@ -38,8 +38,10 @@
 
   // Guards against queues that make most answers late once demand exceeds the capacity.
   it('answers most requests above the capacity in time', () => {
-    const measured = loadModel.simulate({ load: 1.3, demand: EQUAL, endMs: 12_000 });
+    const measured = loadModel.simulate({ load: 1.3, demand: EQUAL });
     assert.ok(measured.refused < 0.26, String(measured.refused));
     assert.ok(measured.late < 0.37, String(measured.late));
+    // Without a reserve until the target, requests wait about 30 ms longer.
+    assert.ok(measured.meanMs < 445, String(measured.meanMs));
   });
 });
