--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -85,6 +85,8 @@
     limitPerSecond: null,
     isCold: false,
     load: 0,
+    reportedLoad: 0,
+    reportWeight: 1,
     serviceMs: 100,
     transferWaitMs: 0,
     failureShare: 0,
--- a/packages/mesh/src/routing/candidateSelector.ts
+++ b/packages/mesh/src/routing/candidateSelector.ts
@@ -163,6 +163,8 @@
       limitPerSecond: upstream!.limitPerSecond,
       isCold: this.isCold(upstream!),
       load: outstandingAt(node) + stats.loadFromOthers(node),
+      reportedLoad: stats.reportedLoad(node),
+      reportWeight: stats.reportWeight(node),
       serviceMs: stats.serviceMsAt(node, route, routeAverageMs),
       transferWaitMs: isSelf ? 0 : this.transferWaitMs(node, route),
       failureShare: stats.failureShare(node),
