--- a/packages/mesh/src/routing/__tests__/choiceStrategy.test.ts
+++ b/packages/mesh/src/routing/__tests__/choiceStrategy.test.ts
@@ -17,8 +17,9 @@
     for (let i = 0; i < 4_000; i += 1) counts[strategy.choose(options, 200)]! += 1;
     return counts.map((count) => count / 4_000);
   };
-  const option = (score: number, freeShare: number) => ({
-    score,
+  const option = (score: number, freeShare: number, penaltyMs = 0) => ({
+    score: score + penaltyMs,
+    penaltyMs,
     capacityPerSecond: 40,
     freeShare,
   });
@@ -30,12 +31,35 @@
     }
   });
 
+  // Requests that may run only once are lost at an upstream that fails, however much room it has.
+  it('hardly chooses an upstream that fails many requests while another has room', () => {
+    const [failing] = sharesOf([option(100, 0.9, 400), option(150, 0.4)]);
+    assert.ok(failing! < 0.001, String(failing));
+  });
+
   it('hardly chooses a full upstream, and chooses one if all are full', () => {
     assert.ok(sharesOf([option(100, 0), option(110, 0.8)])[0]! < 0.05);
     assert.equal(sharesOf([option(900, 0)])[0], 1);
   });
 });
 
+describe('LowestScore', () => {
+  // In an overload, requests that were drawn into long queues were refused while shorter ones had room.
+  it('chooses the shortest queue, and spreads requests over equal ones', () => {
+    const strategy = new choiceStrategy.LowestScore(seeded());
+    const options = [900, 400, 400, 700].map((score) => ({
+      score,
+      penaltyMs: 0,
+      capacityPerSecond: 40,
+      freeShare: 0,
+    }));
+    const counts = [0, 0, 0, 0];
+    for (let i = 0; i < 1_000; i += 1) counts[strategy.choose(options, 200)]! += 1;
+    assert.deepEqual([counts[0], counts[3]], [0, 0]);
+    assert.ok(Math.min(counts[1]!, counts[2]!) > 400, String(counts));
+  });
+});
+
 describe('LoadEstimates', () => {
   // Guards against upstreams that look idle to every node a moment after they were full.
   it('assumes the average of the neighbours for an old report', () => {
--- a/packages/mesh/src/routing/balancer.ts
+++ b/packages/mesh/src/routing/balancer.ts
@@ -104,11 +104,17 @@
 }
 
 export class Balancer {
-  private readonly strategy: choiceStrategy.ChoiceStrategy;
+  private readonly withRoom: choiceStrategy.ChoiceStrategy;
 
-  /** @param random in [0, 1) */
-  constructor(random: () => number, strategy?: choiceStrategy.ChoiceStrategy) {
-    this.strategy = strategy ?? new choiceStrategy.BestOfDrawn(random);
+  private readonly withoutRoom: choiceStrategy.ChoiceStrategy;
+
+  /**
+   * @param random in [0, 1)
+   * @param withRoom strategy while a candidate is expected to have a free slot
+   */
+  constructor(random: () => number, withRoom?: choiceStrategy.ChoiceStrategy) {
+    this.withRoom = withRoom ?? new choiceStrategy.BestOfDrawn(random);
+    this.withoutRoom = new choiceStrategy.LowestScore(random);
   }
 
   /** @returns null if no candidate is expected to answer before the caller's deadline */
@@ -155,10 +161,15 @@
   ): Assessment {
     const bestNear = lowestScore(near);
     if (lowestScore(far) < bestNear) {
-      const chosen = far[this.strategy.choose(far, spreadMs)]!;
+      const chosen = this.chooseOne(far, spreadMs);
       if (chosen.score < bestNear) return chosen;
     }
-    return near[this.strategy.choose(near, spreadMs)]!;
+    return this.chooseOne(near, spreadMs);
+  }
+
+  private chooseOne(options: readonly Assessment[], spreadMs: number): Assessment {
+    const strategy = options.some(hasRoom) ? this.withRoom : this.withoutRoom;
+    return options[strategy.choose(options, spreadMs)]!;
   }
 }
 
@@ -208,17 +219,17 @@
   const answerMs = serviceMs * (1 + FULL_SLOWDOWN * usage * usage);
   const expectedMs = roundTripMs + waitMs + transferWaitMs + answerMs;
   const lateMs = Math.max(0, expectedMs - profile.targetLeftMs);
-  const score =
-    expectedMs +
+  const penaltyMs =
     distanceCost(distance, profile.transferBytes) +
     failureShare * FAILURE_COST_MS +
-    (candidate.isCold ? COLD_COST_MS : 0) +
-    lateMs * 4;
+    (candidate.isCold ? COLD_COST_MS : 0);
+  const score = expectedMs + penaltyMs + lateMs * 4;
   return {
     candidate,
     expectedMs,
     waitMs,
     score,
+    penaltyMs,
     capacityPerSecond: (capacity * 1_000) / serviceMs,
     freeShare: Math.max(0, 1 - load / capacity),
   };
