--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -3,7 +3,9 @@
 import { ids } from '@godwittrack/core';
 import * as pino from 'pino';
 import type * as configuration from '../config/configuration.js';
+import type * as storePosition from '../config/storePosition.js';
 import * as customerDirectory from '../customers/customerDirectory.js';
+import * as evacuationTable from '../evacuations/evacuationTable.js';
 import type * as localUpstream from '../membership/localUpstream.js';
 import type * as members from '../membership/members.js';
 import * as decisionLog from '../observability/decisionLog.js';
@@ -153,6 +155,17 @@
   return new decisionLog.DecisionLog(logger, () => performance.now(), meters.createMetrics());
 }
 
+/** A position in the store. */
+export function positionOf(revision: number, era = 1): storePosition.StorePosition {
+  return { era: ids.storeEra(era), revision };
+}
+
+/** A table of a deployment that uses evacuations. */
+export function evacuations(): evacuationTable.EvacuationTable {
+  const nowMs = () => performance.now();
+  return new evacuationTable.EvacuationTable({ isEnabled: true, log: silentLog(), nowMs });
+}
+
 export function suspects(): quarantine.Quarantine {
   return new quarantine.Quarantine({ log: silentLog(), nowMs: () => performance.now() });
 }
