feat(mesh): read, watch and spread the evacuations

Cause: the set of evacuated failure domains must reach each node within 5 s, also when the watching node of a failure domain is lost, and a node that starts must know it before it serves. Ruled out: one watch per node, since calls to the store are billed; applying the changes of a watch to the newest entries, which a read may have overtaken. A node is ready once it knows the set.

--- a/packages/mesh/src/callers/__tests__/callerFixtures.ts
+++ b/packages/mesh/src/callers/__tests__/callerFixtures.ts
@@ -68,7 +68,7 @@
     config,
     dispatcher: dispatch,
     codec: new fixtures.TestHeaders(),
-    areRolloutsKnown: () => true,
+    isStateKnown: () => true,
     log,
     meters: metricsRegistry,
     nowMs,
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -38,8 +38,8 @@
   config: configHolder.ConfigHolder;
   dispatcher: dispatcher.Dispatcher;
   codec: headerCodec.HeaderCodec;
-  /** False until the state of the rollouts is known, which decides what versions may serve. */
-  areRolloutsKnown: () => boolean;
+  /** False until the rollouts and the evacuations are known, which decide what upstreams may serve. */
+  isStateKnown: () => boolean;
   log: observability.DecisionLog;
   meters: metrics.Metrics;
   nowMs: () => number;
@@ -270,7 +270,7 @@
       req.resume();
       return stoppingReply();
     }
-    const current = this.options.areRolloutsKnown() ? this.options.config.current : null;
+    const current = this.options.isStateKnown() ? this.options.config.current : null;
     if (current === null) {
       req.resume();
       return localReply(503, 'no configuration yet', NO_CONFIG_RETRY_MS);
--- a/packages/mesh/src/config/__tests__/storeWatcher.test.ts
+++ b/packages/mesh/src/config/__tests__/storeWatcher.test.ts
@@ -4,6 +4,7 @@
 import { backoff, failures, ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as loopback from '../../__tests__/loopback.js';
+import type * as evacuationTable from '../../evacuations/evacuationTable.js';
 import * as members from '../../membership/members.js';
 import * as fleetStore from '../fleetStore.js';
 import * as storeWatcher from '../storeWatcher.js';
@@ -117,6 +118,43 @@
   override readonly name = 'other';
 }
 
+describe('WatchedEvacuations', () => {
+  /** Answers with the given revisions and changes in order. */
+  class Entries extends fleetStore.Watchable<evacuationTable.EntryChange[]> {
+    constructor(private readonly answers: [number, string?][]) {
+      super();
+    }
+
+    read(): Promise<fleetStore.ReadResult<evacuationTable.EntryChange[]>> {
+      const [revision, name] = this.answers.shift()!;
+      const change = { domain: ids.domainName(name ?? ''), isEvacuated: true };
+      const value = name === undefined ? [] : [change];
+      return Promise.resolve({ cursor: fixtures.positionOf(revision), value });
+    }
+
+    watch = () => this.read();
+  }
+
+  // A watch ended late, after a read on a new connection, and its changes were applied to the newer entries.
+  // One that had lost its history answered with nothing, and its position outranked the next list.
+  it('applies changes to the entries from which the watch began, and no position without them', async () => {
+    const table = fixtures.evacuations();
+    const { signal } = new AbortController();
+    const source = new Entries([[40, 'd1'], [50], [45, 'd2'], [60], [55, 'd3'], [70, 'd4']]);
+    const watched = new storeWatcher.WatchedEvacuations(source, table);
+    const domains = () => table.shared()!.domains.join();
+    const first = await watched.read(signal, 'any');
+    await watched.read(signal, 'new');
+    await watched.watch(first, 1, signal);
+    assert.equal(domains(), '');
+    const silent = await watched.watch(first, 1, signal);
+    await watched.read(signal, 'any');
+    assert.equal(domains(), 'd3');
+    await watched.watch(silent, 1, signal);
+    assert.equal(domains(), 'd1,d4');
+  });
+});
+
 describe('StoreWatcher', { timeout: 20_000 }, () => {
   const first = fixtures.member('a');
   const second = fixtures.member('b');
--- a/packages/mesh/src/config/fleetStore.ts
+++ b/packages/mesh/src/config/fleetStore.ts
@@ -1,6 +1,7 @@
 /** Interface of the durable store that all nodes share. Each platform provides an adapter. */
 
 import type * as configuration from './configuration.js';
+import type * as evacuationTable from '../evacuations/evacuationTable.js';
 import type * as members from '../membership/members.js';
 import type * as phases from '../rollouts/phases.js';
 import type * as storeEra from './storeEra.js';
@@ -42,6 +43,9 @@
 
   abstract readonly rollouts: Watchable<phases.RolloutRecord[]>;
 
+  /** Evacuated failure domains; an entry counts whether or not its contents can be read. */
+  abstract readonly evacuations: Watchable<evacuationTable.EntryChange[]>;
+
   /**
    * Records the phase of a rollout, unless the stored rollout has changed since it was read.
    * @returns the position of the write; null on a concurrent write, or if the store was restored from a
--- a/packages/mesh/src/config/storeWatcher.ts
+++ b/packages/mesh/src/config/storeWatcher.ts
@@ -6,6 +6,7 @@
  */
 
 import { backoff, failures, type ids } from '@godwittrack/core';
+import type * as evacuationTable from '../evacuations/evacuationTable.js';
 import type * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import type * as phases from '../rollouts/phases.js';
@@ -42,7 +43,9 @@
     signal: AbortSignal,
     connection: fleetStore.ConnectionChoice,
   ): Promise<fleetStore.Cursor> {
-    return this.applyResult(await this.source.read(signal, connection));
+    const { value, cursor } = await this.source.read(signal, connection);
+    this.apply(value, cursor, null);
+    return cursor;
   }
 
   /** Waits up to `waitMs` for a change after `cursor`, and applies it. */
@@ -51,16 +54,21 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<fleetStore.Cursor> {
-    return this.applyResult(await this.source.watch(cursor, waitMs, signal));
-  }
-
-  private applyResult({ value, cursor }: fleetStore.ReadResult<T>): fleetStore.Cursor {
-    this.apply(value);
-    return cursor;
+    const result = await this.source.watch(cursor, waitMs, signal);
+    this.apply(result.value, result.cursor, cursor);
+    return result.cursor;
   }
 
-  /** @param value null if nothing changed or if the value cannot be decoded */
-  protected abstract apply(value: T | null): void;
+  /**
+   * @param value null if nothing changed or if the value cannot be decoded
+   * @param cursor position up to which the value was read
+   * @param since cursor of the watch that has returned the value; null if it was read in full
+   */
+  protected abstract apply(
+    value: T | null,
+    cursor: fleetStore.Cursor,
+    since: fleetStore.Cursor | null,
+  ): void;
 }
 
 export class WatchedConfiguration extends WatchedResource<configuration.Configuration> {
@@ -94,6 +102,39 @@
   }
 }
 
+export class WatchedEvacuations extends WatchedResource<evacuationTable.EntryChange[]> {
+  readonly name = 'evacuations';
+
+  /**
+   * The entries at each cursor. A read can overtake a watch, so changes must be applied to the entries from
+   * which the watch began.
+   */
+  private readonly entries = new WeakMap<fleetStore.Cursor, ReadonlySet<ids.DomainName>>();
+
+  constructor(
+    source: fleetStore.Watchable<evacuationTable.EntryChange[]>,
+    private readonly evacuations: evacuationTable.EvacuationTable,
+  ) {
+    super(source);
+  }
+
+  protected apply(
+    changes: evacuationTable.EntryChange[] | null,
+    cursor: fleetStore.Cursor,
+    since: fleetStore.Cursor | null,
+  ): void {
+    const entries = new Set(since === null ? [] : this.entries.get(since));
+    for (const { domain, isEvacuated } of changes ?? []) {
+      if (isEvacuated) entries.add(domain);
+      else entries.delete(domain);
+    }
+    this.entries.set(cursor, entries);
+    // A store that has lost its history may answer a watch with nothing, so the position stands for no set.
+    const isRead = since === null || (changes !== null && changes.length > 0);
+    if (isRead) this.evacuations.applyStored(cursor, entries);
+  }
+}
+
 export interface StoreWatcherOptions {
   table: members.MemberTable;
   /** Reachable nodes of the same failure domain; the first one watches the store. */
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -6,6 +6,7 @@
 export * as configuration from './config/configuration.js';
 export * as customerDirectory from './customers/customerDirectory.js';
 export * as decisionLog from './observability/decisionLog.js';
+export type * as evacuationTable from './evacuations/evacuationTable.js';
 export * as fleetStore from './config/fleetStore.js';
 export * as headerCodec from './upstream/headerCodec.js';
 export * as localUpstream from './membership/localUpstream.js';
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -6,6 +6,9 @@
 export const REQUEST_SECONDS = 'godwittrack_request_seconds';
 export const REFUSALS = 'godwittrack_refusals_total';
 export const UNKNOWN_KEYS = 'godwittrack_unknown_keys_total';
+export const EVACUATED_DOMAINS = 'godwittrack_evacuated_domains';
+export const EVACUATED = 'godwittrack_evacuated';
+export const PLACEMENT_REFUSALS = 'godwittrack_placement_refusals_total';
 export const OFFERS = 'godwittrack_offers_total';
 export const RETURNING_REQUESTS = 'godwittrack_returning_requests_total';
 export const LEFT_AGE_SECONDS = 'godwittrack_left_age_seconds';
@@ -45,6 +48,10 @@
   [REQUEST_SECONDS]: 'Time from a request of a caller on this host to its answer, by route.',
   [REFUSALS]: 'Requests of callers on this host that were refused without being run, by reason.',
   [UNKNOWN_KEYS]: 'Requests of callers on this host without a valid key, by route.',
+  [EVACUATED_DOMAINS]: 'Evacuated failure domains that this node knows of.',
+  [EVACUATED]: 'Whether the failure domain of this node is evacuated: 1 or 0.',
+  [PLACEMENT_REFUSALS]:
+    'Requests that this node refused for the place of the upstream on this host, by reason.',
   [OFFERS]: 'Requests offered to an upstream, by distance and by outcome.',
   [RETURNING_REQUESTS]:
     'Requests that were taken as repeated by their caller after a refusal, by route.',
--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -6,6 +6,7 @@
 import * as fc from 'fast-check';
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as configuration from '../../config/configuration.js';
+import type * as evacuationTable from '../../evacuations/evacuationTable.js';
 import type * as crashRecords from '../../quarantine/crashRecords.js';
 import type * as phases from '../../rollouts/phases.js';
 import * as exchange from '../../routing/exchange.js';
@@ -41,6 +42,12 @@
   ],
 };
 
+const EVACUATIONS: evacuationTable.EvacuationSet = {
+  position: { era: ids.storeEra(2), revision: 16 },
+  domains: [ids.domainName('d1')],
+  held: [{ domain: ids.domainName('d2'), leftMs: 40 }],
+};
+
 const FRAMES: frames.Frame[] = [
   REQUEST,
   {
@@ -62,6 +69,7 @@
   { type: 'ping' },
   { type: 'cancel', id: 7 },
   { type: 'rollouts', states: [ROLLOUT] },
+  { type: 'evacuations', set: EVACUATIONS },
   { type: 'beacon', configVersion: 4, storeEra: ids.storeEra(2) },
   {
     type: 'stateSummary',
@@ -77,6 +85,7 @@
     rolloutsKnown: false,
     storeEra: null,
     crashes: [CRASH_REPORT],
+    evacuations: { ...EVACUATIONS, held: [] },
   },
   { type: 'configFull', cfg: fixtures.configurationOf(3, [fixtures.route('r')]) },
   {
@@ -208,6 +217,14 @@
     );
   });
 
+  it('with malformed evacuations fail with a protocol violation', () => {
+    const framed = frames.encode({ type: 'evacuations', set: EVACUATIONS });
+    const [code] = msgpack.decode(framed.subarray(4)) as [number];
+    for (const set of [1, [], [1, 'r', []], [1, 2, [3]], [1, 2, ['d'], [['d', 'x']]]]) {
+      assert.throws(() => decodeOne(addLength(msgpack.encode([code, set]))), failures.FailureError);
+    }
+  });
+
   // Guards against uncompressed configurations: at the start of a fleet, those that one node sent to the
   // others of its failure domain occupied its uplink for seconds.
   describe('of configurations', () => {
--- a/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
@@ -5,7 +5,9 @@
 import * as fixtures from '../../__tests__/fixtures.js';
 import * as loopback from '../../__tests__/loopback.js';
 import * as configHolder from '../../config/configHolder.js';
+import * as propagation from '../../config/propagation.js';
 import * as storeEra from '../../config/storeEra.js';
+import type * as evacuationTable from '../../evacuations/evacuationTable.js';
 import * as eventLoop from '../../eventLoop.js';
 import * as members from '../../membership/members.js';
 import * as meters from '../../observability/meters.js';
@@ -29,6 +31,7 @@
   table: members.MemberTable;
   config: configHolder.ConfigHolder;
   rollouts: rolloutTable.RolloutTable;
+  evacuations: evacuationTable.EvacuationTable;
   suspects: quarantine.Quarantine;
   era: storeEra.StoreEra;
   network: peerNetwork.PeerNetwork;
@@ -48,6 +51,7 @@
   const table = new members.MemberTable(self);
   const config = new configHolder.ConfigHolder(nowMs);
   const rollouts = new rolloutTable.RolloutTable(log, nowMs);
+  const evacuations = fixtures.evacuations();
   const era = new storeEra.StoreEra(log);
   const suspects = new quarantine.Quarantine({ log, nowMs });
   const restored: members.UpstreamState[] = [];
@@ -57,6 +61,7 @@
     table,
     config,
     rollouts,
+    evacuations,
     quarantine: suspects,
     uplink,
     storeEra: era,
@@ -86,6 +91,7 @@
     table,
     config,
     rollouts,
+    evacuations,
     suspects,
     era,
     network,
@@ -156,6 +162,26 @@
     });
   });
 
+  it('spreads evacuations over relays and to nodes that start later, also if a frame is lost', async () => {
+    const domain = ids.domainName('d9');
+    const watching = await start('a', 'd1');
+    const relay = await start('b', 'd2');
+    relay.evacuations.onUpdate((set, origin) => {
+      relay.network.broadcast({ type: 'evacuations', set }, propagation.scopeOf(origin));
+    });
+    const other = await start('c', 'd2');
+    relay.network.addNodes([watching.self]);
+    other.network.addNodes([relay.self]);
+    await loopback.until(() => [watching, relay].every(({ network }) => network.openLinks > 0));
+    // No frame tells of it at once.
+    watching.evacuations.applyStored(fixtures.positionOf(7), [domain]);
+    await loopback.until(() => other.evacuations.isEvacuated(domain));
+    const joining = await start('d', 'd2');
+    joining.network.addNodes([other.self]);
+    await loopback.until(() => joining.evacuations.isSynced);
+    assert.ok(joining.evacuations.isEvacuated(domain));
+  });
+
   // A node that did not watch the store itself never learned that there are no rollouts, and therefore
   // refused every request.
   it('delivers the rollouts to a node that connected before they were known', async () => {
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -9,12 +9,14 @@
 import * as msgpack from '@msgpack/msgpack';
 import { failures, ids } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
+import type * as evacuationTable from '../evacuations/evacuationTable.js';
 import type * as members from '../membership/members.js';
 import type * as memberGossip from '../membership/memberGossip.js';
 import type * as crashRecords from '../quarantine/crashRecords.js';
 import type * as phases from '../rollouts/phases.js';
 import type * as evidence from '../rollouts/evidence.js';
 import * as exchange from '../routing/exchange.js';
+import * as evacuationCodec from './evacuationCodec.js';
 
 export const MAX_FRAME_BYTES = 80 * 1024 * 1024;
 /**
@@ -36,6 +38,8 @@
   /** Whether `rollouts` is complete. */
   rolloutsKnown: boolean;
   storeEra?: KnownEra;
+  /** Absent if the sender knows no set, or the deployment uses none. */
+  evacuations?: evacuationTable.EvacuationSet;
   /** Not complete: reports that are new, or repeated ones. */
   crashes?: crashRecords.CrashReport[];
 }
@@ -81,6 +85,7 @@
   | { type: 'stateSummaryRequest' }
   | { type: 'rollouts'; states: phases.RolloutState[] }
   | { type: 'evidence'; report: evidence.EvidenceReport }
+  | { type: 'evacuations'; set: evacuationTable.EvacuationSet }
   /** Part of a large frame; the frame is complete with the `last` piece of its transfer. */
   | { type: 'piece'; transfer: number; last: boolean; bytes: Buffer }
   /** Number of bytes in pieces that have arrived since the previous acknowledgement. */
@@ -115,6 +120,7 @@
   'pieceAck',
   'dropTransfer',
   'deflated',
+  'evacuations',
 ];
 /** Frame types that may be wrapped in a `deflated` frame. */
 const DEFLATED_TYPES: ReadonlySet<string | undefined> = new Set(['configFull', 'configDelta']);
@@ -179,11 +185,20 @@
       return [code, { states: frame.states.map(packRollout) }];
     case 'hello':
     case 'stateSummary': {
-      const { type, crashes, ...fields } = frame;
+      const { type, crashes, evacuations, ...fields } = frame;
       const rollouts = frame.rollouts.map(packRollout);
-      if (crashes === undefined) return [code, { ...fields, rollouts }];
-      return [code, { ...fields, rollouts, crashes: crashes.map(packCrashReport) }];
+      return [
+        code,
+        {
+          ...fields,
+          rollouts,
+          crashes: crashes?.map(packCrashReport),
+          evacuations: evacuations && evacuationCodec.pack(evacuations),
+        },
+      ];
     }
+    case 'evacuations':
+      return [code, evacuationCodec.pack(frame.set)];
     default: {
       const { type, ...fields } = frame;
       return [code, fields];
@@ -223,13 +238,18 @@
   if (type === 'piece') return unpackPiece(first, rest);
   if (type === 'pieceAck') return { type, bytes: toCount(first) };
   if (type === 'dropTransfer') return { type, transfer: toCount(first) };
+  if (type === 'evacuations') return { type, set: evacuationCodec.unpack(first) };
   if (type === undefined) throw new Error(`type code ${code}`);
   const frame = { type, ...(first as object) } as Frame;
   if (frame.type === 'rollouts') return { ...frame, states: unpackRollouts(frame.states) };
   if (frame.type === 'hello' || frame.type === 'stateSummary') {
-    const summary = { ...frame, rollouts: unpackRollouts(frame.rollouts) };
-    if (frame.crashes === undefined) return summary;
-    return { ...summary, crashes: (frame.crashes as unknown[]).map(unpackCrashReport) };
+    const { crashes, evacuations } = frame;
+    return {
+      ...frame,
+      rollouts: unpackRollouts(frame.rollouts),
+      ...(crashes && { crashes: (crashes as unknown[]).map(unpackCrashReport) }),
+      ...(evacuations && { evacuations: evacuationCodec.unpack(evacuations) }),
+    };
   }
   return frame;
 }
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -9,6 +9,7 @@
 import type * as configHolder from '../config/configHolder.js';
 import type * as propagation from '../config/propagation.js';
 import type * as storeEra from '../config/storeEra.js';
+import type * as evacuationTable from '../evacuations/evacuationTable.js';
 import * as eventLoop from '../eventLoop.js';
 import type * as members from '../membership/members.js';
 import * as memberGossip from '../membership/memberGossip.js';
@@ -38,6 +39,7 @@
   table: members.MemberTable;
   config: configHolder.ConfigHolder;
   rollouts: rolloutTable.RolloutTable;
+  evacuations: evacuationTable.EvacuationTable;
   quarantine: quarantine.Quarantine;
   uplink: uplinkScheduler.UplinkScheduler;
   storeEra: storeEra.StoreEra;
@@ -261,7 +263,7 @@
   }
 
   private handleFrame(sender: Sender, frame: frames.Frame): void {
-    const { config, rollouts, onBeacon, onEvidence } = this.options;
+    const { config, rollouts, evacuations, onBeacon, onEvidence } = this.options;
     switch (frame.type) {
       case 'members':
       case 'digests':
@@ -282,8 +284,9 @@
         onBeacon(sender.from.node);
         this.observeEra(sender, frame.storeEra);
         this.onVersionAdvertised(sender, frame.configVersion);
-        // A joining node does not read the rollouts from the store itself if another node watches it.
-        if (!rollouts.isSynced) sender.reply({ type: 'stateSummaryRequest' });
+        // A joining node does not read the store itself if another node watches it.
+        if (!rollouts.isSynced || !evacuations.isSynced)
+          sender.reply({ type: 'stateSummaryRequest' });
         break;
       case 'stateSummaryRequest':
         sender.reply(this.stateSummary());
@@ -294,6 +297,9 @@
       case 'rollouts':
         rollouts.merge(frame.states, this.originOf(sender.from));
         break;
+      case 'evacuations':
+        evacuations.merge(frame.set, this.originOf(sender.from));
+        break;
       case 'evidence':
         onEvidence(frame.report);
         break;
@@ -332,11 +338,12 @@
   }
 
   private mergeState(sender: Sender, state: frames.SharedState): void {
-    const { quarantine: suspects, rollouts } = this.options;
+    const { quarantine: suspects, rollouts, evacuations } = this.options;
     const origin = this.originOf(sender.from);
     this.observeEra(sender, state.storeEra);
     // Before this node counts as synced, so that it serves with the reports.
     suspects.merge(state.crashes ?? [], origin);
+    if (state.evacuations !== undefined) evacuations.merge(state.evacuations, origin);
     rollouts.merge(state.rollouts, origin);
     if (state.rolloutsKnown) rollouts.markSynced();
     this.onVersionAdvertised(sender, state.configVersion);
@@ -348,12 +355,14 @@
 
   private sharedState(crashes = this.options.quarantine.repeatedReports()): frames.SharedState {
     const { config, rollouts, storeEra: era } = this.options;
+    const evacuations = this.options.evacuations.shared();
     return {
       configVersion: config.version,
       rollouts: rollouts.states(),
       rolloutsKnown: rollouts.isSynced,
       storeEra: era.current,
       ...(crashes.length === 0 ? {} : { crashes }),
+      ...(evacuations === null ? {} : { evacuations }),
     };
   }
 
--- a/packages/mesh/src/process/__tests__/constantStore.ts
+++ b/packages/mesh/src/process/__tests__/constantStore.ts
@@ -3,6 +3,7 @@
 import { backoff, failures, ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
 import type * as configuration from '../../config/configuration.js';
+import type * as evacuationTable from '../../evacuations/evacuationTable.js';
 import * as fleetStore from '../../config/fleetStore.js';
 import * as storeEra from '../../config/storeEra.js';
 import type * as storePosition from '../../config/storePosition.js';
@@ -42,6 +43,8 @@
 
   readonly rollouts = new ConstantResource<phases.RolloutRecord[]>([]);
 
+  readonly evacuations = new ConstantResource<evacuationTable.EntryChange[]>([]);
+
   recordRollout(): Promise<storePosition.StorePosition> {
     return Promise.resolve(POSITION);
   }
--- a/packages/mesh/src/process/__tests__/stoppableNode.ts
+++ b/packages/mesh/src/process/__tests__/stoppableNode.ts
@@ -25,6 +25,7 @@
       retryExtra: 64,
       maxExposureShare: 0.1,
       quotaTolerance: { windowMs: 5_000, overage: 0.1, slack: 20 },
+      evacuations: false,
     },
     { store, codec: new fixtures.TestHeaders() },
     fixtures.silentLog(),
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -6,6 +6,7 @@
 import type * as fleetStore from '../config/fleetStore.js';
 import * as propagation from '../config/propagation.js';
 import * as storeWatcher from '../config/storeWatcher.js';
+import type * as evacuationTable from '../evacuations/evacuationTable.js';
 import type * as eventLoop from '../eventLoop.js';
 import type * as localUpstream from '../membership/localUpstream.js';
 import * as members from '../membership/members.js';
@@ -57,6 +58,7 @@
   table: members.MemberTable;
   config: configHolder.ConfigHolder;
   rollouts: rolloutTable.RolloutTable;
+  evacuations: evacuationTable.EvacuationTable;
   quarantine: quarantine.Quarantine;
   upstream: localUpstream.LocalUpstream;
   evidence: evidence.EvidenceRecorder;
@@ -98,7 +100,9 @@
 
   /** Whether callers should send new requests to this node; reported to readiness probes. */
   get ready(): boolean {
-    return !this.isStopping && this.parts.config.current !== null && this.parts.rollouts.isSynced;
+    const { config, rollouts, evacuations } = this.parts;
+    const isInformed = config.current !== null && rollouts.isSynced && evacuations.isSynced;
+    return !this.isStopping && isInformed;
   }
 
   async start(): Promise<void> {
@@ -181,16 +185,18 @@
   }
 
   private review(startedMs: number): void {
-    const { watcher, network, quarantine: suspects, nowMs } = this.parts;
+    const { watcher, network, quarantine: suspects, evacuations, table, nowMs } = this.parts;
     // Until the list of nodes is known, this node cannot tell whether another one watches the store.
     if (this.joined || nowMs() - startedMs > JOIN_TIMEOUT_MS) watcher.updateRole();
     suspects.prune();
+    evacuations.review();
+    if (this.joined) evacuations.warnOfUnknown(() => table.domains());
     network.maintain();
   }
 
   private subscribe(): void {
     const { upstream, network, config, rollouts, watcher, evidence: recorder, log } = this.parts;
-    const { store, quarantine: suspects } = this.parts;
+    const { store, quarantine: suspects, evacuations } = this.parts;
     let previousState: members.UpstreamState | null = null;
     upstream.onChange((state) => {
       log.info('upstream', 'upstream state changed', { ...state });
@@ -213,6 +219,9 @@
     rollouts.onChange((state, origin) => {
       network.broadcast({ type: 'rollouts', states: [state] }, propagation.scopeOf(origin));
     });
+    evacuations.onUpdate((set, origin) => {
+      network.broadcast({ type: 'evacuations', set }, propagation.scopeOf(origin));
+    });
     suspects.onChange((reports, origin) => {
       network.announceCrashes(reports, propagation.scopeOf(origin));
     });
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -8,6 +8,7 @@
 import * as configHolder from '../config/configHolder.js';
 import type * as fleetStore from '../config/fleetStore.js';
 import * as storeWatcher from '../config/storeWatcher.js';
+import * as evacuationTable from '../evacuations/evacuationTable.js';
 import * as eventLoop from '../eventLoop.js';
 import * as retryBudget from '../limits/retryBudget.js';
 import * as localUpstream from '../membership/localUpstream.js';
@@ -55,6 +56,8 @@
   /** Share of a service's requests that an unproved version may get between its order and the deadline. */
   maxExposureShare: number;
   quotaTolerance: QuotaTolerance;
+  /** Whether operators evacuate failure domains; if not, the store is not asked for it. */
+  evacuations: boolean;
 }
 
 /** By how much the requests of a customer in a sliding window may exceed its quota. */
@@ -111,6 +114,11 @@
   const table = new members.MemberTable(self);
   const config = new configHolder.ConfigHolder(nowMs);
   const rollouts = new rolloutTable.RolloutTable(log, nowMs);
+  const evacuations = new evacuationTable.EvacuationTable({
+    isEnabled: settings.evacuations,
+    log,
+    nowMs,
+  });
   const comparison = new versionComparison.VersionComparison(nowMs);
   const recorder = new evidence.EvidenceRecorder();
   const suspects = new quarantine.Quarantine({ log, nowMs });
@@ -136,6 +144,7 @@
     table,
     config,
     rollouts,
+    evacuations,
     quarantine: suspects,
     uplink,
     storeEra: platform.store.era,
@@ -151,6 +160,9 @@
     [
       new storeWatcher.WatchedConfiguration(platform.store.configuration, config),
       new storeWatcher.WatchedRollouts(platform.store.rollouts, rollouts),
+      ...(settings.evacuations
+        ? [new storeWatcher.WatchedEvacuations(platform.store.evacuations, evacuations)]
+        : []),
     ],
     {
       table,
@@ -199,6 +211,8 @@
   metricsRegistry.gauge(meters.SUSPECT_REQUESTS, () => suspects.count('suspect'));
   metricsRegistry.gauge(meters.BLOCKED_REQUESTS, () => suspects.count('blocked'));
   metricsRegistry.gauge(meters.UPSTREAM_LOAD, () => local.load);
+  metricsRegistry.gauge(meters.EVACUATED_DOMAINS, () => evacuations.size);
+  metricsRegistry.gauge(meters.EVACUATED, () => Number(evacuations.isEvacuated(self.domain)));
   rollouts.onChange(({ phase }, _origin, isRepeated) => {
     if (!isRepeated) metricsRegistry.increment(meters.ROLLOUT_PHASES, { phase });
   });
@@ -208,6 +222,7 @@
     table,
     config,
     rollouts,
+    evacuations,
     quarantine: suspects,
     upstream,
     evidence: recorder,
@@ -223,7 +238,7 @@
     callers: new callerServer.CallerServer({
       config,
       dispatcher: dispatch,
-      areRolloutsKnown: () => rollouts.isSynced,
+      isStateKnown: () => rollouts.isSynced && evacuations.isSynced,
       codec: platform.codec,
       log,
       meters: metricsRegistry,
--- a/packages/mesh/src/rollouts/__tests__/rolloutStore.ts
+++ b/packages/mesh/src/rollouts/__tests__/rolloutStore.ts
@@ -9,6 +9,8 @@
 
   readonly configuration = null as never;
 
+  readonly evacuations = null as never;
+
   registerNode = () => assert.fail('not registered');
 
   listNodes = () => assert.fail('not listed');
