feat(mesh): keep requests at home and out of evacuated failure domains

Cause: requests could reach any upstream of their service, and a link that was opened to a reassigned address wrote their bodies to whichever host has it now. Ruled out: versions of configurations in each request; confirmation of each new link for all requests, which costs a round trip; five offers within a place that the sender does not know to be excluded. Change: candidates outside the home regions or in evacuated failure domains are left out, also for suspects. The node beside the upstream checks again, and refuses waiting requests when its failure domain is evacuated. After such a refusal the sender leaves out the whole place. Requests with home regions state the shortest wait, and are written to a link after its first frame only.

--- a/packages/mesh/src/__tests__/fixtures.ts
+++ b/packages/mesh/src/__tests__/fixtures.ts
@@ -239,6 +239,7 @@
     maxWaitMs: Infinity,
     crashReport: null,
     fromOtherHost: true,
+    isConfined: false,
     ...overrides,
   };
 }
--- a/packages/mesh/src/callers/__tests__/callerFixtures.ts
+++ b/packages/mesh/src/callers/__tests__/callerFixtures.ts
@@ -53,6 +53,7 @@
     destinationOf: () => null,
     hasOpenLink: () => false,
     rollouts,
+    evacuations: fixtures.evacuations(),
     quarantine: fixtures.suspects(),
     balancer: new balancer.Balancer(() => 0),
     trafficSplitter: new trafficSplitter.TrafficSplitter(() => 0),
--- a/packages/mesh/src/peers/__tests__/peerLink.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerLink.test.ts
@@ -101,11 +101,11 @@
   let silent: net.Server | null = null;
   let link: peerLink.PeerLink;
 
-  async function listen(address: string): Promise<void> {
+  async function listen(address: string, record = RECORD): Promise<void> {
     server = new peerServer.PeerServer({
       destination,
       uplink: fixtures.uplink(),
-      selfRecord: () => RECORD,
+      selfRecord: () => record,
       onFrame: () => {},
       onProtocolViolation: () => {},
     });
@@ -153,6 +153,34 @@
     await loopback.until(() => !link.acceptsRequests);
   });
 
+  /** Sends a request with home regions to an address that belongs to the given node by now. */
+  async function sendConfined(owner: string): Promise<exchange.Delivery> {
+    const address = await loopback.freeAddress();
+    await listen(address, fixtures.member(owner));
+    link = createLink(address, false, ({ type }) => {
+      if (type === 'misdirected') link.retire();
+    });
+    const req = fixtures.forwardedRequest({ semantics: 'repeatable', isConfined: true });
+    return link.send(req, new AbortController().signal);
+  }
+
+  // The address of an upstream's host had been given to a host in another region, which got the body.
+  it('sends a request with home regions to the intended node', async () => {
+    const answered = sendConfined('b');
+    await loopback.until(() => destination.received.length === 1);
+    destination.release();
+    assert.equal((await answered).outcome.type, 'lost');
+  });
+
+  it(
+    'sends no request with home regions to another node at the address',
+    { timeout: 5_000 },
+    async () => {
+      assert.equal((await sendConfined('other')).outcome.type, 'refused');
+      assert.equal(destination.received.length, 0);
+    },
+  );
+
   // After the loss of a member record, nodes kept sending requests for an incarnation that had ended.
   it('receives the current record of a node with a refusal caused by an outdated one', async () => {
     const address = await loopback.freeAddress();
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -399,6 +399,7 @@
     customer: customer ?? null,
     customerPriority: customerPriority ?? 0,
     fromOtherHost: true,
+    isConfined: false,
   } as exchange.ForwardedRequest;
 }
 
--- a/packages/mesh/src/peers/peerLink.ts
+++ b/packages/mesh/src/peers/peerLink.ts
@@ -86,6 +86,12 @@
   /** Whether data has arrived on this connection. A frozen node accepts connections but sends nothing. */
   private hasResponded = false;
 
+  /**
+   * Whether a frame has arrived on this connection. If the address belongs to another node by now, the first
+   * frame says so.
+   */
+  private isConfirmed = false;
+
   private stopped = false;
 
   /** Whether no more requests may be sent on this connection. */
@@ -240,10 +246,13 @@
 
   /**
    * Whether the request may be written now. A request that must run at most once waits until the node has
-   * responded on this connection, since a frozen node would run it after resuming.
+   * responded on this connection, since a frozen node would run it after resuming. One with home regions
+   * waits until the node is confirmed, since another node at its address may be in another region.
    */
-  private mayWrite({ semantics }: exchange.ForwardedRequest): boolean {
-    return this.connected && (this.hasResponded || semantics === 'repeatable');
+  private mayWrite({ semantics, isConfined }: exchange.ForwardedRequest): boolean {
+    if (!this.connected) return false;
+    if (isConfined) return this.isConfirmed && !this.retired;
+    return this.hasResponded || semantics === 'repeatable';
   }
 
   private writeCall(call: PendingCall): void {
@@ -326,6 +335,7 @@
       this.connected = true;
       this.backoff.reset();
       this.hasResponded = false;
+      this.isConfirmed = false;
       this.retired = false;
       this.receivedAtMs = performance.now();
       this.connectedAtMs = this.receivedAtMs;
@@ -350,7 +360,10 @@
         this.options.onReachabilityChanged(this);
       }
       try {
-        for (const frame of connection.receive(chunk)) this.handleFrame(frame);
+        for (const frame of connection.receive(chunk)) {
+          this.handleFrame(frame);
+          this.confirm();
+        }
       } catch (err) {
         this.fail('protocolViolation', String(err), socket);
       }
@@ -359,6 +372,13 @@
     socket.on('close', () => this.fail('closed', 'connection closed', socket));
   }
 
+  /** Called after the first frame on a connection has been handled, and after later ones. */
+  private confirm(): void {
+    if (this.isConfirmed) return;
+    this.isConfirmed = true;
+    this.writeUnsent();
+  }
+
   private handleFrame(frame: frames.Frame): void {
     if (frame.type === 'outcome') {
       const call = this.pendingCalls.get(frame.id);
@@ -373,9 +393,12 @@
     }
   }
 
-  /** Sends no more requests on this connection; pending ones still complete. */
+  /** Sends no more requests on this connection; those that have been written still complete. */
   retire(): void {
     this.retired = true;
+    for (const [id, { unsentFrame }] of this.pendingCalls) {
+      if (unsentFrame?.req.isConfined) this.refuseUnsent(id, 'peerUnreachable');
+    }
     this.options.onReachabilityChanged(this);
   }
 
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -30,6 +30,7 @@
 import * as versionChooser from '../routing/versionChooser.js';
 import type * as headerCodec from '../upstream/headerCodec.js';
 import * as localDestination from '../upstream/localDestination.js';
+import * as placementCheck from '../upstream/placementCheck.js';
 import * as upstreamPool from '../upstream/upstreamPool.js';
 import * as agent from './agent.js';
 
@@ -132,6 +133,7 @@
     meters: metricsRegistry,
     evidence: recorder,
     quarantine: suspects,
+    placement: new placementCheck.PlacementCheck({ self, config, evacuations }),
     mayServe: (service, version) => rollouts.mayServe(service, version),
     transferWaitMs: (bytes) => uplink.backlogMs(bytes),
     nowMs,
@@ -178,6 +180,7 @@
     destinationOf: (node) => network.linkForRequests(node),
     hasOpenLink: (node) => network.hasReadyLink(node),
     rollouts,
+    evacuations,
     quarantine: suspects,
     balancer: new balancer.Balancer(nextRandom),
     trafficSplitter: new trafficSplitter.TrafficSplitter(nextRandom),
--- a/packages/mesh/src/routing/__tests__/candidateSelector.test.ts
+++ b/packages/mesh/src/routing/__tests__/candidateSelector.test.ts
@@ -10,7 +10,12 @@
 const SERVICE = ids.serviceName('shop');
 
 describe('CandidateSelector', () => {
-  function candidatesOf(size: number, self: number): { node: string; distance: string }[] {
+  function candidatesOf(
+    size: number,
+    self: number,
+    placement: ids.RegionName[] | null = null,
+    evacuated: string[] = [],
+  ): { node: ids.NodeId; distance: string }[] {
     const all = Array.from({ length: size }, (_, i) => {
       const domain = i % 10;
       return fixtures.member(`n${i}`, {}, `d${domain}`, `r${domain % 2}`);
@@ -18,24 +23,32 @@
     const table = new members.MemberTable(all[self]!);
     for (const member of all) table.merge(member);
     const rollouts = new rolloutTable.RolloutTable(fixtures.silentLog(), () => 0);
+    const evacuations = fixtures.evacuations();
+    evacuations.applyStored(fixtures.positionOf(1), evacuated.map(ids.domainName));
     const selector = new candidateSelector.CandidateSelector({
       table,
       rollouts,
+      evacuations,
       versionChooser: fixtures.versionChooserOf(rollouts),
       upstreamStats: new upstreamStats.UpstreamStats(() => 0),
       isReachable: () => true,
       hasOpenLink: () => true,
       outstandingAt: () => 0,
     });
-    const { candidates } = selector.select({
+    const req = {
       route: fixtures.route('r'),
       service: SERVICE,
       versionChoice: null,
+      placement,
       targetLeftMs: 300,
-      tried: new Set(),
+      tried: new Set<ids.NodeId>(),
       isFirstOffer: true,
-    });
-    return candidates;
+    };
+    const fingerprint = ids.requestFingerprint(`f.${self}`);
+    const ends = new Set<never>();
+    const verdict = { type: 'suspect', fingerprint, ends, wasBlocked: false } as const;
+    const forSuspect = selector.selectForSuspect(req, verdict, new Set());
+    return [...selector.select(req).candidates, ...(placement === null ? [] : forSuspect)];
   }
 
   for (const size of [30, 100, 300, 800]) {
@@ -47,6 +60,17 @@
     });
   }
 
+  // Guards against limits per distance that count excluded members, and against a way to a candidate, such as
+  // that of suspects, that forgets the home regions or the evacuation.
+  it('considers as many members at a distant home as usual, and none elsewhere', () => {
+    for (let self = 0; self < 20; self += 2) {
+      const candidates = candidatesOf(100, self, [ids.regionName('r1')], ['d1']);
+      assert.equal(candidates.length, 6 + 1);
+      const domains = candidates.map(({ node }) => Number(node.slice(1)) % 10);
+      assert.ok(domains.every((domain) => domain % 2 === 1 && domain !== 1));
+    }
+  });
+
   it('differs between nodes, so that distant servers are used evenly', () => {
     const uses = new Map<string, number>();
     for (let self = 0; self < 300; self += 1) {
--- a/packages/mesh/src/routing/__tests__/dispatcher.test.ts
+++ b/packages/mesh/src/routing/__tests__/dispatcher.test.ts
@@ -11,6 +11,7 @@
 import * as balancer from '../balancer.js';
 import * as dispatcher from '../dispatcher.js';
 import * as exchange from '../exchange.js';
+import * as placement from '../placement.js';
 import * as upstreamStats from '../upstreamStats.js';
 import * as trafficSplitter from '../trafficSplitter.js';
 
@@ -61,17 +62,20 @@
   let loadBalancer: RecordingBalancer;
   let now: number;
   let suspects: quarantine.Quarantine;
+  const evacuations = fixtures.evacuations();
 
   /** Dispatcher on the first of two nodes; the local upstream is preferred. */
   function build(
     scripts: [exchange.Outcome[], exchange.Outcome[]],
     self = 'a',
     nodes = ['a', 'b'],
+    placeOf = (_: string) => 'p',
   ): dispatcher.Dispatcher {
     first = new ScriptedDestination(scripts[0]);
     second = new ScriptedDestination(scripts[1]);
-    const table = new members.MemberTable(fixtures.member(self));
-    for (const node of nodes) if (node !== self) table.merge(fixtures.member(node));
+    const memberOf = (node: string) => fixtures.member(node, {}, placeOf(node), placeOf(node));
+    const table = new members.MemberTable(memberOf(self));
+    for (const node of nodes) if (node !== self) table.merge(memberOf(node));
     const log = fixtures.silentLog();
     rollouts = new rolloutTable.RolloutTable(log, () => now);
     return new dispatcher.Dispatcher({
@@ -80,6 +84,7 @@
       destinationOf: () => second,
       hasOpenLink: () => true,
       rollouts,
+      evacuations,
       quarantine: suspects,
       balancer: loadBalancer,
       trafficSplitter: new trafficSplitter.TrafficSplitter(() => 0),
@@ -227,6 +232,62 @@
     });
   });
 
+  // Node a is in region and failure domain p, b to d are in q, e is in s.
+  describe('requests that only some places may serve', () => {
+    const { signal } = new AbortController();
+    const buildPlaces = (ofSelf: exchange.Outcome[], ofOthers: exchange.Outcome[]) =>
+      build(
+        [ofSelf, ofOthers],
+        'a',
+        ['a', 'b', 'c', 'd', 'e'],
+        (n) => ({ a: 'p', e: 's' })[n] ?? 'q',
+      );
+    const receivers = () =>
+      second.received
+        .map(({ instance }) => instance)
+        .sort()
+        .join();
+
+    function requestFor(...homes: string[]): dispatcher.CallerRequest {
+      const plain = request('repeatable', 5);
+      return { ...plain, route: { ...plain.route, homeRegions: homes.map(ids.regionName) } };
+    }
+
+    // Guards against the body of a request that a near upstream outside its home gets when all are busy.
+    it('go nowhere else when all at home are full, and state the shortest wait', async () => {
+      const full = (ms: number) => exchange.refused('queueTooLong', ms);
+      const subject = buildPlaces([], [full(300), full(120), full(250)]);
+      assert.deepEqual(await subject.dispatch(requestFor('q'), signal), full(120));
+      assert.equal(receivers(), 'i-b,i-c,i-d');
+      now = 20;
+      const next = await subject.dispatch(requestFor('q'), signal);
+      assert.deepEqual(next, exchange.refused('noRoomInTime', 100));
+      const absent = await subject.dispatch(requestFor('z'), signal);
+      assert.deepEqual(absent, exchange.refused('noUpstreamAtHome', 100));
+      assert.deepEqual([first.received.length, second.received.length], [0, 3]);
+    });
+
+    // Guards against five offers within one place that the sender does not know to be excluded.
+    for (const reason of [placement.OUTSIDE_HOME, placement.EVACUATED]) {
+      it(`leave out the whole place after a refusal (${reason})`, async () => {
+        const refusal = exchange.refused(reason, 100);
+        const subject = buildPlaces([refusal], [refusal, refusal]);
+        assert.deepEqual(await subject.dispatch(requestFor(), signal), refusal);
+        assert.match(receivers(), /^i-[bcd],i-e$/);
+      });
+    }
+
+    it('are refused at once if all of it is evacuated', async () => {
+      const subject = buildPlaces([], []);
+      evacuations.applyStored(fixtures.positionOf(1), ['p', 'q'].map(ids.domainName));
+      const outcome = await subject.dispatch(requestFor('p', 'q'), signal);
+      assert.deepEqual(outcome, exchange.refused('evacuated', placement.EVACUATED_RETRY_MS));
+      await subject.dispatch(requestFor(), signal);
+      assert.equal(receivers(), 'i-e');
+      evacuations.applyStored(fixtures.positionOf(2), []);
+    });
+  });
+
   describe('requests during which upstreams ended', () => {
     const { signal } = new AbortController();
     const endOf = (n: number) => ({ id: ids.upstreamEndId(`e-${n}`), wasSuspect: n > 1 });
--- a/packages/mesh/src/routing/__tests__/uplinkLoad.test.ts
+++ b/packages/mesh/src/routing/__tests__/uplinkLoad.test.ts
@@ -257,6 +257,7 @@
       destinationOf: (node) => links.get(node) ?? null,
       hasOpenLink: () => true,
       rollouts,
+      evacuations: fixtures.evacuations(),
       quarantine: fixtures.suspects(),
       balancer: new balancer.Balancer(next),
       trafficSplitter: new trafficSplitter.TrafficSplitter(next),
--- a/packages/mesh/src/routing/candidateSelector.ts
+++ b/packages/mesh/src/routing/candidateSelector.ts
@@ -5,10 +5,12 @@
 
 import { type ids, rendezvous } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
+import type * as evacuationTable from '../evacuations/evacuationTable.js';
 import * as members from '../membership/members.js';
 import type * as quarantine from '../quarantine/quarantine.js';
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
 import type * as balancer from './balancer.js';
+import * as placements from './placement.js';
 import * as rankedMembers from './rankedMembers.js';
 import type * as upstreamStats from './upstreamStats.js';
 import type * as versionChooser from './versionChooser.js';
@@ -21,12 +23,22 @@
   remote: 6,
 };
 
+/** No upstream of the service is known, or none can be reached. */
+export const NO_UPSTREAM = 'noUpstream';
+/** There are upstreams of the service, but none in the home regions of the request. */
+export const NO_UPSTREAM_AT_HOME = 'noUpstreamAtHome';
+
+export type AbsenceReason =
+  typeof NO_UPSTREAM | typeof NO_UPSTREAM_AT_HOME | typeof placements.EVACUATED;
+
 /** What decides which upstreams may get a request now. */
 export interface SelectionRequest {
   route: configuration.Route;
   service: ids.ServiceName;
   /** Null for any version. */
   versionChoice: versionChooser.VersionChoice | null;
+  /** Regions that may serve the request. */
+  placement: placements.Placement;
   targetLeftMs: number;
   /** Nodes that get no further offer of the request. */
   tried: ReadonlySet<ids.NodeId>;
@@ -37,11 +49,14 @@
   candidates: balancer.Candidate[];
   /** Shortest time until a member may be asked again that had no capacity lately; null if there is none. */
   shortestBackoffMs: number | null;
+  /** Shortest rest of the waits that such members have stated; only for requests with home regions. */
+  shortestStatedMs: number | null;
 }
 
 export interface CandidateSelectorOptions {
   table: members.MemberTable;
   rollouts: rolloutTable.RolloutTable;
+  evacuations: evacuationTable.EvacuationTable;
   versionChooser: versionChooser.VersionChooser;
   upstreamStats: upstreamStats.UpstreamStats;
   /** Whether requests can be sent to another node at present. */
@@ -93,16 +108,41 @@
     return [this.toCandidate(member, distance, req.route, this.routeAverageMs(req.route))];
   }
 
+  /** Why a request has no candidate at all, whichever nodes it was offered to. */
+  absenceReason({ service, placement }: SelectionRequest): AbsenceReason {
+    const { table, evacuations } = this.options;
+    const serving = table.serving(service);
+    const atHome = serving.filter((member) => placements.allows(placement, member));
+    if (atHome.length === 0) return serving.length > 0 ? NO_UPSTREAM_AT_HOME : NO_UPSTREAM;
+    const isEvacuated = atHome.every(({ domain }) => evacuations.isEvacuated(domain));
+    return isEvacuated ? placements.EVACUATED : NO_UPSTREAM;
+  }
+
+  /**
+   * After a refusal for the place of a node, adds the other nodes of that place to `tried`: the sender may not
+   * know of an evacuation or of new home regions, and would make all offers there.
+   */
+  leaveOutPlace(refusing: members.Member, reason: string, tried: Set<ids.NodeId>): void {
+    if (reason !== placements.OUTSIDE_HOME && reason !== placements.EVACUATED) return;
+    const { domain, region, upstream } = refusing;
+    for (const member of this.options.table.serving(upstream!.service)) {
+      const isSamePlace =
+        reason === placements.EVACUATED ? member.domain === domain : member.region === region;
+      if (isSamePlace) tried.add(member.node);
+    }
+  }
+
   /** Leaves out nodes that had no capacity a moment ago, which would only delay the refusal. */
   private collect(
     req: SelectionRequest,
     versionChoice: versionChooser.VersionChoice | null,
   ): Selection {
     const { upstreamStats: stats } = this.options;
-    const { route, targetLeftMs } = req;
+    const { route, targetLeftMs, placement } = req;
     const routeAverageMs = this.routeAverageMs(route);
     const candidates: balancer.Candidate[] = [];
     let shortestBackoffMs: number | null = null;
+    let shortestStatedMs: number | null = null;
     const byDistance = this.ranked.of(req.service);
     for (const distance of members.DISTANCES) {
       let remaining = MAX_CANDIDATES[distance];
@@ -115,11 +155,15 @@
             remaining -= 1;
           } else {
             shortestBackoffMs = Math.min(shortestBackoffMs ?? Infinity, backoffMs);
+            if (placement !== null) {
+              const statedMs = stats.statedWaitMs(member.node, route.name);
+              shortestStatedMs = Math.min(shortestStatedMs ?? Infinity, statedMs);
+            }
           }
         }
       }
     }
-    return { candidates, shortestBackoffMs };
+    return { candidates, shortestBackoffMs, shortestStatedMs };
   }
 
   private allows(
@@ -129,10 +173,13 @@
     return this.options.versionChooser.allows(choice, upstream!.version);
   }
 
-  private isUsable({ node, upstream }: members.Member, req: SelectionRequest): boolean {
-    const { table, isReachable, rollouts } = this.options;
+  private isUsable(member: members.Member, req: SelectionRequest): boolean {
+    const { table, isReachable, rollouts, evacuations } = this.options;
+    const { node, upstream } = member;
     return (
       !req.tried.has(node) &&
+      placements.allows(req.placement, member) &&
+      !evacuations.isEvacuated(member.domain) &&
       rollouts.mayServe(req.service, upstream!.version) &&
       (node === table.self.node || isReachable(node))
     );
--- a/packages/mesh/src/routing/dispatcher.ts
+++ b/packages/mesh/src/routing/dispatcher.ts
@@ -3,6 +3,7 @@
 import type { ids, metrics } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
 import * as admissionQueue from '../limits/admissionQueue.js';
+import type * as evacuationTable from '../evacuations/evacuationTable.js';
 import type * as retryBudget from '../limits/retryBudget.js';
 import type * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
@@ -13,6 +14,7 @@
 import type * as balancer from './balancer.js';
 import * as candidateSelector from './candidateSelector.js';
 import * as exchange from './exchange.js';
+import * as placements from './placement.js';
 import type * as upstreamStats from './upstreamStats.js';
 import type * as trafficSplitter from './trafficSplitter.js';
 import type * as versionChooser from './versionChooser.js';
@@ -30,6 +32,16 @@
   quarantine.BESIDE_SUSPECT,
 ]);
 
+/** Nobody was asked: every upstream was expected to answer too late, or had no room a moment ago. */
+const NO_ROOM_IN_TIME = 'noRoomInTime';
+
+/** Reasons of refusals for lack of room, with the time until there is some. */
+const WAIT_REASONS: ReadonlySet<string> = new Set([
+  ...admissionQueue.FULL_REASONS,
+  admissionQueue.WAIT_TOO_LONG,
+  NO_ROOM_IN_TIME,
+]);
+
 export interface CallerRequest {
   requestId: ids.RequestId;
   method: string;
@@ -57,6 +69,7 @@
   /** Whether a link to the node is already open. */
   hasOpenLink: (node: ids.NodeId) => boolean;
   rollouts: rolloutTable.RolloutTable;
+  evacuations: evacuationTable.EvacuationTable;
   quarantine: quarantine.Quarantine;
   balancer: balancer.Balancer;
   trafficSplitter: trafficSplitter.TrafficSplitter;
@@ -73,6 +86,8 @@
 interface Progress {
   /** What identifies the request, whichever attempt it is. */
   identity: requestFingerprint.IdentifiedRequest;
+  /** Regions that may serve the request. */
+  placement: placements.Placement;
   /** Nodes that get no further offer of this request. */
   tried: Set<ids.NodeId>;
   /** Nodes that refused for now; the next offer to them accepts any wait, also beside other suspects. */
@@ -85,6 +100,8 @@
   paidRetries: number;
   offers: number;
   retryAfterMs: number;
+  /** Shortest wait that a node at home has stated; Infinity if none has, or for requests without home regions. */
+  shortestWaitMs: number;
   reason: string;
   /** Most recent answer with a status of 500 or more. */
   failure: exchange.Answer | null;
@@ -111,6 +128,7 @@
     const { method, target, headers, body } = req;
     const progress: Progress = {
       identity: { method, target, headers, body, callerService: this.options.callerService() },
+      placement: placements.resolvePlacement(req.route, req.customer),
       tried: new Set(),
       probed: new Set(),
       started: 0,
@@ -118,7 +136,8 @@
       paidRetries: 0,
       offers: 0,
       retryAfterMs: DEFAULT_RETRY_MS,
-      reason: 'noUpstream',
+      shortestWaitMs: Infinity,
+      reason: candidateSelector.NO_UPSTREAM,
       failure: null,
     };
     while (progress.offers < MAX_OFFERS && !signal.aborted) {
@@ -142,8 +161,12 @@
 
   /** Outcome of a request that is not offered again. */
   private giveUp(req: CallerRequest, progress: Progress): exchange.Outcome {
-    const { started, failure, reason, retryAfterMs, offers, tried } = progress;
+    const { started, failure, reason, offers, tried } = progress;
     if (failure !== null) return failure;
+    const isFull = WAIT_REASONS.has(reason) && Number.isFinite(progress.shortestWaitMs);
+    const retryAfterMs = isFull
+      ? Math.max(admissionQueue.MIN_RETRY_AFTER_MS, progress.shortestWaitMs)
+      : progress.retryAfterMs;
     this.options.log.decision('dispatch', req.requestId, 'a request was given up', {
       route: req.route.name,
       reason,
@@ -187,6 +210,7 @@
       route: req.route,
       service,
       versionChoice,
+      placement: progress.placement,
       targetLeftMs: profile.targetLeftMs,
       tried: progress.tried,
       isFirstOffer: progress.offers === 0,
@@ -195,9 +219,15 @@
       verdict.type === 'suspect'
         ? this.candidateSelector.selectForSuspect(selection, verdict, progress.probed)
         : this.selectCandidates(selection, progress);
+    if (candidates.length === 0 && progress.reason === candidateSelector.NO_UPSTREAM) {
+      progress.reason = this.candidateSelector.absenceReason(selection);
+      if (progress.reason === placements.EVACUATED) {
+        progress.retryAfterMs = placements.EVACUATED_RETRY_MS;
+      }
+    }
     const choice = this.options.balancer.choose(candidates, profile);
     if (choice === null && candidates.length > 0 && progress.offers === 0) {
-      progress.reason = 'noRoomInTime';
+      progress.reason = NO_ROOM_IN_TIME;
     }
     return choice;
   }
@@ -206,9 +236,13 @@
     req: candidateSelector.SelectionRequest,
     progress: Progress,
   ): balancer.Candidate[] {
-    const { candidates, shortestBackoffMs } = this.candidateSelector.select(req);
+    const selection = this.candidateSelector.select(req);
+    const { candidates, shortestBackoffMs, shortestStatedMs } = selection;
+    if (shortestStatedMs !== null) {
+      progress.shortestWaitMs = Math.min(progress.shortestWaitMs, shortestStatedMs);
+    }
     if (candidates.length === 0 && shortestBackoffMs !== null) {
-      progress.reason = 'noRoomInTime';
+      progress.reason = NO_ROOM_IN_TIME;
       progress.retryAfterMs = Math.max(admissionQueue.MIN_RETRY_AFTER_MS, shortestBackoffMs);
     }
     return candidates;
@@ -255,6 +289,7 @@
       member.upstream,
       verdict,
       this.maxWait(req, choice, verdict, progress),
+      progress.placement !== null,
     );
     const { outcome, report } = await destination.send(forwarded, signal);
     const remaining = this.outstanding.get(node)! - 1;
@@ -266,6 +301,9 @@
       this.options.quarantine.recordEnd(progress.identity, outcome.end, origin);
     }
     if (report !== null) stats.recordReport(node, req.route.name, report, remaining);
+    if (outcome.type === 'refused') {
+      this.candidateSelector.leaveOutPlace(member, outcome.reason, progress.tried);
+    }
     return this.handleOutcome(req, node, outcome, progress, forwarded.targetLeftMs);
   }
 
@@ -280,6 +318,9 @@
     if (outcome.type === 'refused') {
       progress.retryAfterMs = outcome.retryAfterMs;
       progress.reason = outcome.reason;
+      if (progress.placement !== null && WAIT_REASONS.has(outcome.reason)) {
+        progress.shortestWaitMs = Math.min(progress.shortestWaitMs, outcome.retryAfterMs);
+      }
       if (REFUSED_FOR_NOW.has(outcome.reason)) progress.probed.add(node);
       else progress.tried.add(node);
       if (admissionQueue.FULL_REASONS.has(outcome.reason)) {
@@ -334,6 +375,7 @@
     upstream: members.UpstreamState,
     verdict: quarantine.Verdict,
     maxWaitMs: number,
+    isConfined: boolean,
   ): exchange.ForwardedRequest {
     const now = this.options.nowMs();
     const { requestId, method, target, headers, body, route, customer, customerPriority } = req;
@@ -357,6 +399,7 @@
       crashReport:
         verdict.type === 'suspect' ? this.options.quarantine.reportOn(verdict.fingerprint) : null,
       fromOtherHost: node !== this.options.table.self.node,
+      isConfined,
     };
   }
 }
--- a/packages/mesh/src/routing/exchange.ts
+++ b/packages/mesh/src/routing/exchange.ts
@@ -40,6 +40,8 @@
   crashReport: crashRecords.CrashReport | null;
   /** Whether another host has sent it, so that the answer crosses the uplink of the upstream's host. */
   fromOtherHost: boolean;
+  /** Whether home regions restrict the upstream, so that no other node may get the body. */
+  isConfined: boolean;
 }
 
 export interface Answer {
--- a/packages/mesh/src/routing/upstreamStats.ts
+++ b/packages/mesh/src/routing/upstreamStats.ts
@@ -99,6 +99,8 @@
   untilMs: number;
   /** Time that the request had until its target latency; one with more may be accepted. */
   targetLeftMs: number;
+  /** End of the wait that the node has stated. */
+  statedUntilMs: number;
 }
 
 interface NodeStats {
@@ -166,6 +168,12 @@
     return Math.max(0, backoff.untilMs - this.nowMs());
   }
 
+  /** @returns what is left of the wait that a full node has stated; 0 if it has stated none */
+  statedWaitMs(node: ids.NodeId, route: ids.RouteName): number {
+    const backoff = this.nodes.get(node)?.fullBackoffs.get(route);
+    return backoff === undefined ? 0 : Math.max(0, backoff.statedUntilMs - this.nowMs());
+  }
+
   /** Records that a node refused a request for lack of slots, or because of its limit, and stated a wait. */
   recordFull(
     node: ids.NodeId,
@@ -175,7 +183,8 @@
   ): void {
     const maxMs = reason === admissionQueue.LIMIT_REACHED ? Infinity : MAX_SLOT_BACKOFF_MS;
     const untilMs = this.nowMs() + Math.min(maxMs, retryAfterMs * FULL_BACKOFF_SHARE);
-    this.statsOf(node).fullBackoffs.set(route, { untilMs, targetLeftMs });
+    const statedUntilMs = this.nowMs() + retryAfterMs;
+    this.statsOf(node).fullBackoffs.set(route, { untilMs, targetLeftMs, statedUntilMs });
   }
 
   failureShare(node: ids.NodeId): number {
--- a/packages/mesh/src/upstream/__tests__/localDestination.test.ts
+++ b/packages/mesh/src/upstream/__tests__/localDestination.test.ts
@@ -3,6 +3,8 @@
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { ids } from '@godwittrack/core';
 import * as fixtures from '../../__tests__/fixtures.js';
+import * as configHolder from '../../config/configHolder.js';
+import type * as evacuationTable from '../../evacuations/evacuationTable.js';
 import * as localUpstream from '../../membership/localUpstream.js';
 import * as meters from '../../observability/meters.js';
 import * as frames from '../../peers/frames.js';
@@ -10,6 +12,7 @@
 import * as evidence from '../../rollouts/evidence.js';
 import * as exchange from '../../routing/exchange.js';
 import * as localDestination from '../localDestination.js';
+import * as placementCheck from '../placementCheck.js';
 import * as upstreamPool from '../upstreamPool.js';
 
 const LARGE = 'large';
@@ -31,6 +34,9 @@
   let clockAheadMs: number;
   let upstream: localUpstream.LocalUpstream;
   let suspects: quarantine.Quarantine;
+  let config: configHolder.ConfigHolder;
+  let evacuations: evacuationTable.EvacuationTable;
+  const self = fixtures.member('a');
   let recorder: evidence.EvidenceRecorder;
   let sockets: Set<net.Socket>;
   let transferWaitMs: (bytes: number) => number;
@@ -39,6 +45,9 @@
     transferWaitMs = () => TRANSFER_WAIT_MS;
     clockAheadMs = 0;
     suspects = fixtures.suspects();
+    config = new configHolder.ConfigHolder(() => 0);
+    evacuations = fixtures.evacuations();
+    evacuations.applyStored(fixtures.positionOf(1), []);
     recorder = new evidence.EvidenceRecorder();
     sockets = new Set();
     server = net.createServer((socket) => {
@@ -61,6 +70,7 @@
       meters: meters.createMetrics(),
       evidence: recorder,
       quarantine: suspects,
+      placement: new placementCheck.PlacementCheck({ self, config, evacuations }),
       mayServe: () => true,
       transferWaitMs: (bytes) => transferWaitMs(bytes),
       nowMs: () => performance.now() + clockAheadMs,
@@ -175,6 +185,37 @@
     });
   });
 
+  // Requests that had been admitted before the evacuation started at the upstream long after it.
+  it('refuses waiting and new requests while evacuated, and lets running ones end', async () => {
+    const evacuated = exchange.refused('evacuated', 1_000);
+    upstream.announce(fixtures.announcement({ address, sequence: 2, slots: 1 }));
+    const [running, waiting] = [send('slow'), send('small')];
+    const first = Promise.race([running.then(() => 'running'), waiting.then(() => 'waiting')]);
+    evacuations.applyStored(fixtures.positionOf(2), [self.domain]);
+    assert.equal(await first, 'waiting');
+    assert.deepEqual((await waiting).outcome, evacuated);
+    assert.deepEqual((await send('small')).outcome, evacuated);
+    assert.equal((await running).outcome.type, 'answer');
+    evacuations.applyStored(fixtures.positionOf(3), []);
+    assert.equal((await send('small')).outcome.type, 'answer');
+  });
+
+  // Guards against senders whose configuration is older than that of this node, and a node that has just started.
+  it('refuses requests whose route or customer has its home elsewhere', async () => {
+    const homeRegions = [ids.regionName('r2')];
+    const routes = [fixtures.route('free'), fixtures.route('bound', { homeRegions })];
+    const customer = fixtures.customer('c', [], { homeRegions });
+    const cfg = { ...fixtures.configurationOf(1, routes), customers: { c: customer } };
+    config.offer(cfg, { origin: 'store', name: 'store' });
+    const outside = exchange.refused('outsideHome', 100);
+    assert.deepEqual((await send('bound')).outcome, outside);
+    assert.deepEqual((await send('free', { customer: customer.name })).outcome, outside);
+    assert.equal((await send('free')).outcome.type, 'answer');
+    const starting = { self, config, evacuations: fixtures.evacuations() };
+    const check = new placementCheck.PlacementCheck(starting);
+    assert.equal(check.refusalReason(fixtures.forwardedRequest()), 'evacuationsUnknown');
+  });
+
   describe('requests that are suspects', () => {
     const suspectOf = (route: string) => fixtures.forwardedRequest({ target: `/${route}/` });
     const endOf = (n: number) => ({ id: ids.upstreamEndId(`e-${n}`), wasSuspect: n > 1 });
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -10,10 +10,12 @@
 import * as frames from '../peers/frames.js';
 import * as exchange from '../routing/exchange.js';
 import type * as evidence from '../rollouts/evidence.js';
+import * as placements from '../routing/placement.js';
 import * as upstreamStats from '../routing/upstreamStats.js';
 import type * as quarantine from '../quarantine/quarantine.js';
 import * as endDetector from './endDetector.js';
 import type * as headerCodec from './headerCodec.js';
+import type * as placementCheck from './placementCheck.js';
 import type * as upstreamConnection from './upstreamConnection.js';
 import type * as upstreamPool from './upstreamPool.js';
 
@@ -43,6 +45,7 @@
   meters: metrics.Metrics;
   evidence: evidence.EvidenceRecorder;
   quarantine: quarantine.Quarantine;
+  placement: placementCheck.PlacementCheck;
   /** False for versions that were rolled back. */
   mayServe: (service: string, version: string) => boolean;
   /** Time after which the uplink of this host will have sent all answers handed over, and `bytes` more. */
@@ -77,6 +80,7 @@
       current: () => options.upstream.state,
       probe: () => options.pool.probe(),
     });
+    options.placement.onEvacuated(() => this.refuseEvacuated());
     let instance: string | null = null;
     options.upstream.onChange((state) => {
       if (state !== null && state.instance !== instance) {
@@ -118,7 +122,38 @@
   private refusalOf(req: exchange.ForwardedRequest): exchange.Refusal | null {
     const reason = this.refusalReason(req);
     if (reason !== null) return exchange.refused(reason, RETRY_AFTER_MS);
-    return this.options.quarantine.refusalOf(req);
+    return this.placementRefusalOf(req) ?? this.options.quarantine.refusalOf(req);
+  }
+
+  private placementRefusalOf(req: exchange.ForwardedRequest): exchange.Refusal | null {
+    const { placement, log, meters: registry } = this.options;
+    const reason = placement.refusalReason(req);
+    if (reason === null) return null;
+    registry.increment(meters.PLACEMENT_REFUSALS, { reason });
+    if (reason === placements.EVACUATED) {
+      return exchange.refused(reason, placements.EVACUATED_RETRY_MS);
+    }
+    const { requestId, route, customer, callerService } = req;
+    log.decision('upstream', requestId, 'a request was refused for the place of the upstream', {
+      reason,
+      route,
+      customer,
+      callerService,
+    });
+    return exchange.refused(reason, RETRY_AFTER_MS);
+  }
+
+  /** Requests that wait are offered elsewhere by their senders; running ones go on. */
+  private refuseEvacuated(): void {
+    const { log, meters: registry } = this.options;
+    const { runningCount: running, waitingCount: waiting } = this.queue;
+    log.info('upstream', 'waiting requests refused, the failure domain is evacuated', {
+      waiting,
+      running,
+    });
+    const reason = placements.EVACUATED;
+    for (let i = 0; i < waiting; i += 1) registry.increment(meters.PLACEMENT_REFUSALS, { reason });
+    this.refuseWaiting(reason, placements.EVACUATED_RETRY_MS);
   }
 
   /** Reason why the upstream must not get a request now, whatever it is; null if it may. */
@@ -351,9 +386,9 @@
     this.refuseWaiting('upstreamDown');
   }
 
-  private refuseWaiting(reason: string): void {
+  private refuseWaiting(reason: string, retryAfterMs = RETRY_AFTER_MS): void {
     for (const entry of this.queue.clear()) {
-      entry.settle(exchange.refused(reason, RETRY_AFTER_MS));
+      entry.settle(exchange.refused(reason, retryAfterMs));
     }
   }
 
