--- a/playground/src/usersPlatform/__tests__/fleet.test.ts
+++ b/playground/src/usersPlatform/__tests__/fleet.test.ts
@@ -60,6 +60,13 @@
     assert.ok(received.deadlineMs > 0 && received.deadlineMs <= 700);
   });
 
+  it('does not ask the store for evacuations, which cost calls, without their bound', () => {
+    assert.deepEqual(
+      [...store.calls.keys()].filter((call) => call.includes('evacuations')),
+      [],
+    );
+  });
+
   it('serves counters of requests and of calls to the store', async () => {
     await fleet.call(shop, '/view/metrics');
     const res = await fetch(`http://${shop.metricsAddress}/metrics`);
--- a/playground/src/usersPlatform/fleet.ts
+++ b/playground/src/usersPlatform/fleet.ts
@@ -32,11 +32,14 @@
   service: string;
   version?: string;
   zone?: string;
+  region?: string;
   slots?: number;
+  /** Bounds in addition to those that all hosts have. */
+  bounds?: readonly string[];
 }
 
 export async function startHost(storeAddress: string, options: HostOptions): Promise<Host> {
-  const { name, service, version = 'v1', zone = 'z-a', slots = 4 } = options;
+  const { name, service, version = 'v1', zone = 'z-a', region = 'r-a', slots = 4 } = options;
   const app = new application.ApplicationStandIn(service, `i-${name}`, version, slots);
   const appAddress = await app.start();
   const [callerAddress, readyAddress, controlAddress, peerAddress, metricsAddress] =
@@ -46,10 +49,15 @@
     node_name: name,
     ip: '127.0.0.1',
     zone,
-    region: 'r-a',
+    region,
     listen: { outbound: callerAddress, ready: readyAddress, control: controlAddress },
     internal_port_range: [peerPort, peerPort],
-    bounds: ['grace_period_s=4', 'retry_budget_ratio=0.2', 'budget_extra_retries=64'],
+    bounds: [
+      'grace_period_s=4',
+      'retry_budget_ratio=0.2',
+      'budget_extra_retries=64',
+      ...(options.bounds ?? []),
+    ],
     app_address: appAddress,
     service,
     platform: { address: storeAddress },
--- a/playground/src/usersPlatform/objectStore.ts
+++ b/playground/src/usersPlatform/objectStore.ts
@@ -172,6 +172,14 @@
     this.operatorWrites.push({ kind, name, spec, atMs: performance.now() });
   }
 
+  /** Deletes an object, as an operator does. */
+  remove(kind: string, name: string): void {
+    const object = this.read(kind, name);
+    if (object === undefined) throw new Error(`${kind}/${name} does not exist`);
+    this.objects.get(kind)!.delete(name);
+    this.record(kind, object, true);
+  }
+
   read(kind: string, name: string): StoredObject | undefined {
     return this.objects.get(kind)?.get(name);
   }
@@ -264,8 +272,7 @@
     if (expected !== undefined && expected !== current.metadata.revision)
       return { status: 409, body: current };
     if (method === 'DELETE') {
-      this.objects.get(kind)!.delete(name!);
-      this.record(kind, current, true);
+      this.remove(kind, name!);
       return { status: 200, body: current };
     }
     const change = isStatusSubresource ? { status: body.status } : { spec: body.spec };
