--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -39,8 +39,8 @@
   config: configHolder.ConfigHolder;
   dispatcher: dispatcher.Dispatcher;
   codec: headerCodec.HeaderCodec;
-  /** False until the state of the rollouts is known, which decides what versions may serve. */
-  areRolloutsKnown: () => boolean;
+  /** False until the rollouts and the evacuations are known, which decide what upstreams may serve. */
+  isStateKnown: () => boolean;
   /** Learns of requests without a customer, where there are customers: the upstream may have made them. */
   calleePressure: calleePressure.CalleePressure;
   log: observability.DecisionLog;
@@ -273,7 +273,7 @@
       req.resume();
       return stoppingReply();
     }
-    const current = this.options.areRolloutsKnown() ? this.options.config.current : null;
+    const current = this.options.isStateKnown() ? this.options.config.current : null;
     if (current === null) {
       req.resume();
       return localReply(503, 'no configuration yet', NO_CONFIG_RETRY_MS);
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -8,6 +8,7 @@
 import * as configHolder from '../config/configHolder.js';
 import type * as fleetStore from '../config/fleetStore.js';
 import * as storeWatcher from '../config/storeWatcher.js';
+import * as evacuationTable from '../evacuations/evacuationTable.js';
 import * as eventLoop from '../eventLoop.js';
 import * as calleePressure from '../limits/calleePressure.js';
 import * as retryBudget from '../limits/retryBudget.js';
@@ -32,6 +33,7 @@
 import * as versionChooser from '../routing/versionChooser.js';
 import type * as headerCodec from '../upstream/headerCodec.js';
 import * as localDestination from '../upstream/localDestination.js';
+import * as placementCheck from '../upstream/placementCheck.js';
 import * as upstreamPool from '../upstream/upstreamPool.js';
 import * as agent from './agent.js';
 
@@ -58,6 +60,8 @@
   /** Share of a service's requests that an unproved version may get between its order and the deadline. */
   maxExposureShare: number;
   quotaTolerance: QuotaTolerance;
+  /** Whether operators evacuate failure domains; if not, the store is not asked for it. */
+  evacuations: boolean;
 }
 
 /** By how much the requests of a customer in a sliding window may exceed its quota. */
@@ -115,6 +119,11 @@
   const config = new configHolder.ConfigHolder(nowMs);
   const hasCustomers = () => config.current?.customers != null;
   const rollouts = new rolloutTable.RolloutTable(log, nowMs);
+  const evacuations = new evacuationTable.EvacuationTable({
+    isEnabled: settings.evacuations,
+    log,
+    nowMs,
+  });
   const comparison = new versionComparison.VersionComparison(nowMs);
   const recorder = new evidence.EvidenceRecorder();
   const suspects = new quarantine.Quarantine({ log, nowMs });
@@ -137,6 +146,7 @@
     meters: metricsRegistry,
     evidence: recorder,
     quarantine: suspects,
+    placement: new placementCheck.PlacementCheck({ self, config, evacuations }),
     mayServe: (service, version) => rollouts.mayServe(service, version),
     hasCustomers,
     calleePressure: pressure,
@@ -145,6 +155,10 @@
     nowMs,
   });
   createColdWatch(cold, local, config, log, metricsRegistry, nowMs);
+  evacuations.onChange(({ removed }) => {
+    // Upstreams may have become cold while they got no requests.
+    if (removed.includes(self.domain)) cold.invalidate('evacuationEnded');
+  });
   const onEvidence = (report: evidence.EvidenceReport) => comparison.addReport(report);
   // The watcher and the network refer to each other.
   let watcher: storeWatcher.StoreWatcher;
@@ -152,6 +166,7 @@
     table,
     config,
     rollouts,
+    evacuations,
     quarantine: suspects,
     uplink,
     storeEra: platform.store.era,
@@ -167,6 +182,9 @@
     [
       new storeWatcher.WatchedConfiguration(platform.store.configuration, config),
       new storeWatcher.WatchedRollouts(platform.store.rollouts, rollouts),
+      ...(settings.evacuations
+        ? [new storeWatcher.WatchedEvacuations(platform.store.evacuations, evacuations)]
+        : []),
     ],
     {
       table,
@@ -182,6 +200,7 @@
     destinationOf: (node) => network.linkForRequests(node),
     hasOpenLink: (node) => network.hasReadyLink(node),
     rollouts,
+    evacuations,
     quarantine: suspects,
     balancer: new balancer.Balancer(nextRandom),
     trafficSplitter: new trafficSplitter.TrafficSplitter(nextRandom),
@@ -221,6 +240,8 @@
   metricsRegistry.gauge(meters.UPSTREAM_LOAD, () => local.load);
   metricsRegistry.gauge(meters.LIMITED_CALLS, () => pressure.limitedCount);
   metricsRegistry.gauge(meters.UPSTREAM_SHARES, () => local.shareCount);
+  metricsRegistry.gauge(meters.EVACUATED_DOMAINS, () => evacuations.size);
+  metricsRegistry.gauge(meters.EVACUATED, () => Number(evacuations.isEvacuated(self.domain)));
   rollouts.onChange(({ phase }, _origin, isRepeated) => {
     if (!isRepeated) metricsRegistry.increment(meters.ROLLOUT_PHASES, { phase });
   });
@@ -230,6 +251,7 @@
     table,
     config,
     rollouts,
+    evacuations,
     quarantine: suspects,
     upstream,
     evidence: recorder,
@@ -245,7 +267,7 @@
     callers: new callerServer.CallerServer({
       config,
       dispatcher: dispatch,
-      areRolloutsKnown: () => rollouts.isSynced,
+      isStateKnown: () => rollouts.isSynced && evacuations.isSynced,
       codec: platform.codec,
       calleePressure: pressure,
       log,
--- a/packages/mesh/src/routing/fullBackoffs.ts
+++ b/packages/mesh/src/routing/fullBackoffs.ts
@@ -18,8 +18,13 @@
   targetLeftMs: number;
 }
 
-interface FullBackoff {
+export interface BackoffTimes {
   untilMs: number;
+  /** End of the wait that the node has stated. */
+  statedUntilMs: number;
+}
+
+interface FullBackoff extends BackoffTimes {
   /** Time that the request had until its target latency; one with more may be accepted. */
   targetLeftMs: number;
 }
@@ -38,9 +43,16 @@
     return Math.max(ofPriority, ofCustomer);
   }
 
+  /** @returns what is left of the longest wait that the node has stated; 0 if it has stated none */
+  statedWaitMs(req: BackoffRequest, nowMs: number): number {
+    const ofPriority = this.byPriority.get(priorityKey(req))?.statedUntilMs ?? 0;
+    const ofCustomer = this.byCustomer?.get(customerKey(req))?.statedUntilMs ?? 0;
+    return Math.max(0, Math.max(ofPriority, ofCustomer) - nowMs);
+  }
+
   /** @param isOwnShare whether the requests of other customers would have been accepted */
-  record(req: BackoffRequest, isOwnShare: boolean, untilMs: number, nowMs: number): void {
-    const backoff = { untilMs, targetLeftMs: req.targetLeftMs };
+  record(req: BackoffRequest, isOwnShare: boolean, times: BackoffTimes, nowMs: number): void {
+    const backoff = { ...times, targetLeftMs: req.targetLeftMs };
     if (!isOwnShare) {
       this.byPriority.set(priorityKey(req), backoff);
       return;
--- a/packages/mesh/src/routing/upstreamStats.ts
+++ b/packages/mesh/src/routing/upstreamStats.ts
@@ -158,6 +158,11 @@
     return this.nodes.get(node)?.fullBackoffs.remainingMs(req, this.nowMs()) ?? 0;
   }
 
+  /** @returns what is left of the wait that a full node has stated; 0 if it has stated none */
+  statedWaitMs(node: ids.NodeId, req: fullBackoffs.BackoffRequest): number {
+    return this.nodes.get(node)?.fullBackoffs.statedWaitMs(req, this.nowMs()) ?? 0;
+  }
+
   /** Records that a node refused a request for lack of capacity, and stated a wait. */
   recordFull(
     node: ids.NodeId,
@@ -168,7 +173,8 @@
     const maxMs = isOfSlots ? MAX_SLOT_BACKOFF_MS : Infinity;
     const untilMs = this.nowMs() + Math.min(maxMs, retryAfterMs * FULL_BACKOFF_SHARE);
     const isOwnShare = reason === admissionQueue.CUSTOMER_SHARE_REACHED;
-    this.statsOf(node).fullBackoffs.record(req, isOwnShare, untilMs, this.nowMs());
+    const times = { untilMs, statedUntilMs: this.nowMs() + retryAfterMs };
+    this.statsOf(node).fullBackoffs.record(req, isOwnShare, times, this.nowMs());
   }
 
   failureShare(node: ids.NodeId): number {
--- a/packages/mesh/src/upstream/healthCheck.ts
+++ b/packages/mesh/src/upstream/healthCheck.ts
@@ -36,6 +36,7 @@
     estimateMs: ESTIMATE_MS,
     maxWaitMs: Infinity,
     crashReport: null,
+    isConfined: false,
     fromOtherHost: false,
   };
 }
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -12,12 +12,14 @@
 import * as frames from '../peers/frames.js';
 import * as exchange from '../routing/exchange.js';
 import type * as evidence from '../rollouts/evidence.js';
+import * as placements from '../routing/placement.js';
 import * as upstreamStats from '../routing/upstreamStats.js';
 import type * as quarantine from '../quarantine/quarantine.js';
 import * as endDetector from './endDetector.js';
 import type * as headerCodec from './headerCodec.js';
 import * as healthCheck from './healthCheck.js';
 import * as responseMonitor from './responseMonitor.js';
+import type * as placementCheck from './placementCheck.js';
 import type * as upstreamConnection from './upstreamConnection.js';
 import type * as upstreamPool from './upstreamPool.js';
 
@@ -53,6 +55,7 @@
   meters: metrics.Metrics;
   evidence: evidence.EvidenceRecorder;
   quarantine: quarantine.Quarantine;
+  placement: placementCheck.PlacementCheck;
   /** False for versions that were rolled back. */
   mayServe: (service: string, version: string) => boolean;
   /** Whether requests use shares of the upstream, by customer. */
@@ -100,6 +103,7 @@
       onChange: (isStalled, details) => this.recordStall(isStalled, details),
     });
     options.upstream.cold.onChange(() => this.applyLimit());
+    options.placement.onEvacuated(() => this.refuseEvacuated());
     let instance: string | null = null;
     options.upstream.onChange((state) => {
       if (state !== null && state.instance !== instance) {
@@ -185,7 +189,38 @@
   private refusalOf(req: exchange.ForwardedRequest): exchange.Refusal | null {
     const reason = this.refusalReason(req);
     if (reason !== null) return exchange.refused(reason, RETRY_AFTER_MS);
-    return this.options.quarantine.refusalOf(req);
+    return this.placementRefusalOf(req) ?? this.options.quarantine.refusalOf(req);
+  }
+
+  private placementRefusalOf(req: exchange.ForwardedRequest): exchange.Refusal | null {
+    const { placement, log, meters: registry } = this.options;
+    const reason = placement.refusalReason(req);
+    if (reason === null) return null;
+    registry.increment(meters.PLACEMENT_REFUSALS, { reason });
+    if (reason === placements.EVACUATED) {
+      return exchange.refused(reason, placements.EVACUATED_RETRY_MS);
+    }
+    const { requestId, route, customer, callerService } = req;
+    log.decision('upstream', requestId, 'a request was refused for the place of the upstream', {
+      reason,
+      route,
+      customer,
+      callerService,
+    });
+    return exchange.refused(reason, RETRY_AFTER_MS);
+  }
+
+  /** Requests that wait are offered elsewhere by their senders; running ones go on. */
+  private refuseEvacuated(): void {
+    const { log, meters: registry } = this.options;
+    const { runningCount: running, waitingCount: waiting } = this.queue;
+    log.info('upstream', 'waiting requests refused, the failure domain is evacuated', {
+      waiting,
+      running,
+    });
+    const reason = placements.EVACUATED;
+    for (let i = 0; i < waiting; i += 1) registry.increment(meters.PLACEMENT_REFUSALS, { reason });
+    this.refuseWaiting(reason, placements.EVACUATED_RETRY_MS);
   }
 
   /** Reason why the upstream must not get a request now, whatever it is; null if it may. */
