test(mesh): quotas in each kind of failure

The random model seldom meets a given failure with the flood that would show it. Each failure has its own test now: owner killed, frozen, cut off, stopped, two candidates that cannot reach each other, a long partition with removed members, no owner at all, a lower limit, refused requests. They showed that a seat that stops left its customers without an owner until the next review; seats now review at once. A model that did not send the asks after a redirected reply was corrected.

--- a/packages/mesh/src/quotas/__tests__/quotaFleet.ts
+++ b/packages/mesh/src/quotas/__tests__/quotaFleet.ts
@@ -20,6 +20,8 @@
 };
 const FLUSH_MS = 3;
 const LINK_SILENT_MS = 3_000;
+/** Longest time from an admission until the request is refused for another reason. */
+const MAX_REFUSAL_MS = 100;
 const DOMAINS = 4;
 
 export interface Host {
@@ -150,7 +152,13 @@
       host.node.tick(clock());
       this.at(this.now + quotaOwners.VOTE_INTERVAL_MS, () => this.execute(host, tick));
     };
-    this.at(this.now + this.random() * 200, () => this.execute(host, tick));
+    this.at(this.now + this.random() * 200, () =>
+      this.execute(host, () => {
+        if (host.run !== run) return;
+        host.node.activate(clock());
+        tick();
+      }),
+    );
   }
 
   introduce(host: Host, others: readonly Host[]): void {
@@ -252,7 +260,7 @@
     if (decision.type === 'refused') return;
     if (req.isReleased) {
       const release = () => host.node.release(customer, decision.permit, this.now + host.offsetMs);
-      this.schedule(host, this.random() * 300, release);
+      this.schedule(host, this.random() * MAX_REFUSAL_MS, release);
       return;
     }
     const runs = this.runs.get(customer) ?? [];
@@ -331,6 +339,7 @@
       this.send(to, from, answer);
     };
     to.node.receive(from.name, message, reply, this.now + to.offsetMs);
+    if (to.node.hasRequests) this.schedule(to, FLUSH_MS, () => this.flush(to));
   }
 }
 
--- a/packages/mesh/src/quotas/quotaClient.ts
+++ b/packages/mesh/src/quotas/quotaClient.ts
@@ -36,9 +36,14 @@
 /** Null for requests that the floor admitted; they cannot be returned. */
 export type UsedPermit = heldPermits.Permit | null;
 
-export type Decision =
-  | { type: 'admitted'; source: PermitSource; permit: UsedPermit }
-  | { type: 'refused'; reason: 'overQuota' | 'noQuotaOwner'; retryAfterMs: number };
+export type Decision = { type: 'admitted'; source: PermitSource; permit: UsedPermit } | Refused;
+
+export interface Refused {
+  type: 'refused';
+  reason: 'overQuota' | 'noQuotaOwner';
+  /** Time until the next request would be within the quota, or until there may be an owner. */
+  retryAfterMs: number;
+}
 
 interface Waiter {
   sinceMs: number;
--- a/packages/mesh/src/quotas/quotaNode.ts
+++ b/packages/mesh/src/quotas/quotaNode.ts
@@ -146,6 +146,13 @@
     }
   }
 
+  /** To be called when the first customer gets a quota, before `tick`. */
+  activate(nowMs: number): void {
+    this.refreshSeats(nowMs);
+    this.owners.activate(this.seatTable.seats, nowMs);
+    this.tick(nowMs);
+  }
+
   /** To be called every `VOTE_INTERVAL_MS`. */
   tick(nowMs: number): void {
     this.refreshSeats(nowMs);
--- a/packages/mesh/src/quotas/quotaOwners.ts
+++ b/packages/mesh/src/quotas/quotaOwners.ts
@@ -84,6 +84,11 @@
 
   private isLeaving = false;
 
+  /** Whether a seat that was voted for has announced that it stops. */
+  private hasLeaver = false;
+
+  private activatedMs: number;
+
   constructor(
     private readonly self: ids.NodeId,
     /** Different in each run of the process. */
@@ -92,22 +97,31 @@
     seats: quotaSeats.SeatSet,
   ) {
     this.current = seats;
+    this.activatedMs = startedMs;
     this.adopt(seats, startedMs);
   }
 
+  /** Starts to vote; there were no quotas before. */
+  activate(seats: quotaSeats.SeatSet, nowMs: number): void {
+    this.activatedMs = nowMs;
+    // All nodes have known these seats since before.
+    this.adopt(seats, this.startedMs);
+  }
+
   get isSeat(): boolean {
     return this.current.has(this.self);
   }
 
-  /** Announces that this node is no owner from now on. */
+  /** Announces that this node stops, so that others are voted for. */
   leave(nowMs: number): void {
     this.isLeaving = true;
     this.review(nowMs);
   }
 
-  /** Whether `update` is due without delay: for a handover, or since others vote by a new set of seats. */
+  /** Whether `update` is due without delay, for a handover. */
   isUpdateDue(nowMs: number): boolean {
-    return this.ownViews.length > 1 || (this.pending !== null && this.pending.adoptAtMs <= nowMs);
+    const isPendingDue = this.pending !== null && this.pending.adoptAtMs <= nowMs;
+    return this.ownViews.length > 1 || isPendingDue || this.hasLeaver;
   }
 
   /** Reviews which seats are voted for. @returns whether that has changed, so that it is sent at once */
@@ -118,6 +132,7 @@
 
   private review(nowMs: number): boolean {
     const seats = this.current;
+    this.hasLeaver = false;
     const excluded = seats.seats.filter((seat) => !this.isCandidate(seat, nowMs));
     const [active] = this.ownViews;
     const view = seatViews.keyed({ digest: seats.digest, excluded });
@@ -183,6 +198,7 @@
       isLeaving: vote.isLeaving,
     });
     this.groups = null;
+    this.hasLeaver ||= vote.isLeaving && known?.isLeaving !== true;
     // All seats move to a new set at about the same time, so that few votes are split between two owners.
     if (this.pending !== null && vote.views[0]?.digest === this.pending.digest) {
       this.pending.adoptAtMs = nowMs;
@@ -205,7 +221,7 @@
 
   /** Whether this seat grants permits: it has a majority of the votes, or had it a short time ago. */
   mayGrant(nowMs: number): boolean {
-    return this.isSeat && !this.isLeaving && nowMs - this.hadMajorityMs <= MINORITY_MS;
+    return this.isSeat && nowMs - this.hadMajorityMs <= MINORITY_MS;
   }
 
   /** Whether the seats of a majority have voted, whatever for, at the last review. */
@@ -260,7 +276,8 @@
     if (seat === this.self) return !this.isLeaving;
     const peer = this.peers.get(seat);
     const sinceMs = this.knownSince.get(seat)!;
-    const isStarting = sinceMs - this.startedMs <= START_MS && nowMs - sinceMs <= CONTACT_MS;
+    const isNew = sinceMs - this.startedMs <= START_MS && nowMs - sinceMs <= CONTACT_MS;
+    const isStarting = isNew || nowMs - this.activatedMs <= CONTACT_MS;
     if (isStarting) return peer?.isLeaving !== true;
     if (peer === undefined || peer.isLeaving || !this.isInContact(seat, nowMs)) return false;
     const active = this.ownViews[0]?.view;
