feat(mesh): admit requests of customers within their quotas

Requests of a customer with a quota get a permit before their dispatch; 429 with Retry-After otherwise. Frames are quotaRequest, quotaGrant and quotaVote, appended to the list of types. A timer per customer and asks sent without collecting were ruled out, for CPU and traffic.

--- a/packages/mesh/src/callers/__tests__/callerFixtures.ts
+++ b/packages/mesh/src/callers/__tests__/callerFixtures.ts
@@ -11,6 +11,7 @@
 import * as networkAddress from '../../networkAddress.js';
 import * as meters from '../../observability/meters.js';
 import * as rolloutTable from '../../rollouts/rolloutTable.js';
+import type * as quotaClient from '../../quotas/quotaClient.js';
 import * as balancer from '../../routing/balancer.js';
 import * as dispatcher from '../../routing/dispatcher.js';
 import type * as exchange from '../../routing/exchange.js';
@@ -30,6 +31,8 @@
   upstream: fixtures.HeldDestination;
   metrics: metrics.Metrics;
   lines: fixtures.LogLine[];
+  /** Decides on requests of customers with a quota; admits them by default. */
+  quotas: { decision: quotaClient.Decision; released: quotaClient.UsedPermit[] };
   address: string;
 }
 
@@ -64,11 +67,19 @@
     callerService: () => ids.serviceName('shop'),
     nowMs,
   });
+  const quotas: CallerServerFixture['quotas'] = {
+    decision: { type: 'admitted', source: 'held', permit: { requestId: 1, expiresMs: Infinity } },
+    released: [],
+  };
   const server = new callerServer.CallerServer({
     config,
     dispatcher: dispatch,
     codec: new fixtures.TestHeaders(),
     areRolloutsKnown: () => true,
+    quotas: {
+      admit: () => quotas.decision,
+      release: (_customer, permit) => quotas.released.push(permit),
+    },
     log,
     meters: metricsRegistry,
     nowMs,
@@ -78,7 +89,7 @@
   config.offer(cfg, { origin: 'store', name: 'store' });
   const address = listenAddress ?? (await loopback.freeAddress());
   await server.listen(address);
-  return { server, upstream, metrics: metricsRegistry, lines, address };
+  return { server, upstream, metrics: metricsRegistry, lines, quotas, address };
 }
 
 export function request(id: string, key?: string): string {
@@ -124,6 +135,10 @@
     this.socket.once('data', () => this.socket.pause());
   }
 
+  received(): string {
+    return Buffer.concat(this.chunks).toString('latin1');
+  }
+
   /** Answers that have arrived completely. @throws Error if other bytes have arrived between them */
   answers(): ReceivedAnswer[] {
     const answers: ReceivedAnswer[] = [];
--- a/packages/mesh/src/callers/__tests__/callerServer.test.ts
+++ b/packages/mesh/src/callers/__tests__/callerServer.test.ts
@@ -4,6 +4,7 @@
 import * as limitedHeap from '../../__tests__/limitedHeap.js';
 import * as loopback from '../../__tests__/loopback.js';
 import * as meters from '../../observability/meters.js';
+import * as exchange from '../../routing/exchange.js';
 import * as callerFixtures from './callerFixtures.js';
 
 /** Old space of a worker that serves callers. */
@@ -81,6 +82,41 @@
     });
   });
 
+  describe('with quotas', () => {
+    beforeEach(async () => {
+      fixture.server.closeIdle();
+      const quota = { ratePerSecond: 10, burst: 5 };
+      const customers = { acme: fixtures.customer('acme', ['k-1'], { quota }) };
+      fixture = await callerFixtures.startCallerServer(undefined, customers);
+    });
+
+    // A refused request must not run, and the caller must learn when the next one is within the quota.
+    it('answers 429 with the time to wait to a request over its quota', async () => {
+      fixture.quotas.decision = { type: 'refused', reason: 'overQuota', retryAfterMs: 62 };
+      const caller = connect();
+      caller.socket.write(callerFixtures.request('1', 'k-1'));
+      await loopback.until(() => caller.answers().length === 1);
+      assert.equal(caller.answers()[0]!.status, 429);
+      assert.match(caller.received(), /\r\nRetry-After: 0\.062\r\n/);
+      assert.equal(fixture.upstream.received.length, 0);
+    });
+
+    // Refusals for lack of capacity used up the quota of a customer that stayed below it.
+    it('returns the permit of a request that was refused, and of no other', async () => {
+      const caller = connect();
+      const run = async (id: string, outcome: exchange.Outcome) => {
+        caller.socket.write(callerFixtures.request(id, 'k-1'));
+        await loopback.until(() => fixture.upstream.received.length === Number(id));
+        fixture.upstream.release(outcome);
+        await loopback.until(() => caller.answers().length === Number(id));
+      };
+      await run('1', callerFixtures.answer('1', Buffer.alloc(0)));
+      assert.equal(fixture.quotas.released.length, 0);
+      await run('2', exchange.refused('test', 10));
+      assert.equal(fixture.quotas.released.length, 1);
+    });
+  });
+
   describe('while it drains', () => {
     // The first answer closed the connection, and those of the other requests were never written.
     it('answers all pipelined requests that were passed on, and closes after the last', async () => {
--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -8,6 +8,8 @@
 import type * as customerDirectory from '../customers/customerDirectory.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
+import type * as quotaClient from '../quotas/quotaClient.js';
+import type * as quotaService from '../quotas/quotaService.js';
 import type * as dispatcher from '../routing/dispatcher.js';
 import * as exchange from '../routing/exchange.js';
 import type * as headerCodec from '../upstream/headerCodec.js';
@@ -40,6 +42,7 @@
   codec: headerCodec.HeaderCodec;
   /** False until the state of the rollouts is known, which decides what versions may serve. */
   areRolloutsKnown: () => boolean;
+  quotas: Pick<quotaService.QuotaService, 'admit' | 'release'>;
   log: observability.DecisionLog;
   meters: metrics.Metrics;
   nowMs: () => number;
@@ -292,15 +295,26 @@
       this.options.meters.increment(meters.UNKNOWN_KEYS, { route: route.name });
       return localReply(401, 'unknown key');
     }
+    this.requestSequence += 1;
+    const requestId = caller.requestId ?? ids.requestId(`none-${this.requestSequence}`);
+    let permit: quotaClient.UsedPermit = null;
+    let waitedMs = 0;
+    const quotaCustomer = customer.customer?.quota == null ? null : customer.customer.name;
+    if (quotaCustomer !== null) {
+      const identifiedMs = this.options.nowMs();
+      const decision = await this.options.quotas.admit(quotaCustomer, requestId);
+      if (decision.type === 'refused') return this.refuseByQuota(route, arrivedMs, decision);
+      permit = decision.permit;
+      waitedMs = this.options.nowMs() - identifiedMs;
+    }
     const limitMs = Math.min(
       route.timeoutMs,
       caller.deadlineMs ?? Infinity,
       Math.max(0, this.answerByMs - arrivedMs),
     );
     const ageMs = this.earlierAttemptsMs(req.socket, route, caller.deadlineMs);
-    this.requestSequence += 1;
     const callerRequest: dispatcher.CallerRequest = {
-      requestId: caller.requestId ?? ids.requestId(`none-${this.requestSequence}`),
+      requestId,
       method: req.method ?? 'GET',
       target: req.url ?? '/',
       headers: this.options.codec.forwardable(req.rawHeaders, current.customers !== null),
@@ -312,7 +326,24 @@
       targetAtMs: arrivedMs + route.targetLatencyMs - ageMs,
       deadlineAtMs: arrivedMs + limitMs,
     };
-    return this.dispatchWithTimeout(callerRequest, limitMs, signal);
+    const outcome = await this.dispatchWithTimeout(callerRequest, limitMs - waitedMs, signal);
+    if (quotaCustomer !== null && outcome.type === 'refused') {
+      this.options.quotas.release(quotaCustomer, permit);
+    }
+    return outcome;
+  }
+
+  private refuseByQuota(
+    { name: route }: configuration.Route,
+    arrivedMs: number,
+    { reason, retryAfterMs }: quotaClient.Refused,
+  ): LocalReply {
+    const { meters: registry, nowMs } = this.options;
+    registry.increment(meters.REQUESTS, { route, outcome: 'refused' });
+    registry.increment(meters.REFUSALS, { reason });
+    registry.observeMs(meters.REQUEST_SECONDS, nowMs() - arrivedMs, { route });
+    this.attemptAge.recordFailure(route);
+    return localReply(429, `not run: ${reason}`, retryAfterMs);
   }
 
   /** @returns null if the body is larger than `limitBytes` */
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -39,6 +39,12 @@
 export const SUSPECT_REQUESTS = 'godwittrack_suspect_requests';
 export const BLOCKED_REQUESTS = 'godwittrack_blocked_requests';
 export const UPSTREAM_LOAD = 'godwittrack_upstream_load';
+export const QUOTA_DECISIONS = 'godwittrack_quota_decisions_total';
+export const QUOTA_REFUSALS = 'godwittrack_quota_refusals_total';
+export const QUOTA_WAIT_SECONDS = 'godwittrack_quota_wait_seconds';
+export const QUOTA_FRAMES = 'godwittrack_quota_frames_total';
+export const QUOTA_EVENTS = 'godwittrack_quota_events_total';
+export const QUOTA_OWNED = 'godwittrack_quota_owned';
 
 const HELP: Record<string, string> = {
   [REQUESTS]: 'Requests of callers on this host, by route and by how they ended.',
@@ -91,6 +97,14 @@
     'Different requests during which an upstream has ended and that no upstream has answered since.',
   [BLOCKED_REQUESTS]: 'Different requests that are sent to no upstream at present.',
   [UPSTREAM_LOAD]: 'Requests running or waiting at the upstream on this host.',
+  [QUOTA_DECISIONS]:
+    'Requests of customers with a quota, by how they were admitted or why they were refused.',
+  [QUOTA_REFUSALS]: 'Requests refused for their quota, by customer.',
+  [QUOTA_WAIT_SECONDS]: 'Time that requests waited for a permit of their quota.',
+  [QUOTA_FRAMES]: 'Frames about quotas that were sent, by type.',
+  [QUOTA_EVENTS]:
+    'Changes of the owners of quotas that this node took part in or noticed, by type.',
+  [QUOTA_OWNED]: 'Customers of which this node owns the quota or a part of it.',
 };
 
 export function createMetrics(): metrics.Metrics {
--- a/packages/mesh/src/peers/__tests__/frames.test.ts
+++ b/packages/mesh/src/peers/__tests__/frames.test.ts
@@ -41,8 +41,35 @@
   ],
 };
 
+const CUSTOMER = ids.customerName('c');
+
 const FRAMES: frames.Frame[] = [
   REQUEST,
+  {
+    type: 'quotaRequest',
+    id: 3,
+    asks: [{ customer: CUSTOMER, wanted: 2 }],
+    returned: [{ customer: CUSTOMER, count: 1, requestId: 2 }],
+  },
+  {
+    type: 'quotaGrant',
+    id: 3,
+    grants: [
+      { customer: CUSTOMER, granted: 2, retryAfterMs: 0, isOwner: true, owner: null },
+      { customer: CUSTOMER, granted: 0, retryAfterMs: 40, isOwner: true, owner: null },
+      { customer: CUSTOMER, granted: 0, retryAfterMs: 0, isOwner: false, owner: null },
+      { customer: CUSTOMER, granted: 0, retryAfterMs: 0, isOwner: false, owner: ids.nodeId('n') },
+    ],
+  },
+  {
+    type: 'quotaVote',
+    run: 5,
+    stampMs: 10.25,
+    echoRun: 4,
+    echoMs: 9.5,
+    views: [{ digest: 77, excluded: [ids.nodeId('n')] }],
+    isLeaving: false,
+  },
   {
     type: 'request',
     sentMs: 1,
--- a/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/mesh/src/peers/__tests__/peerNetwork.test.ts
@@ -64,6 +64,7 @@
     meters: metricsRegistry,
     onBeacon: () => {},
     onEvidence: () => {},
+    onQuotaMessage: () => {},
     onPreviousUpstream: (upstream) => restored.push(upstream),
   });
   const server = new peerServer.PeerServer({
--- a/packages/mesh/src/peers/frames.ts
+++ b/packages/mesh/src/peers/frames.ts
@@ -12,6 +12,7 @@
 import type * as members from '../membership/members.js';
 import type * as memberGossip from '../membership/memberGossip.js';
 import type * as crashRecords from '../quarantine/crashRecords.js';
+import * as quotaMessages from '../quotas/quotaMessages.js';
 import type * as phases from '../rollouts/phases.js';
 import type * as evidence from '../rollouts/evidence.js';
 import * as exchange from '../routing/exchange.js';
@@ -61,6 +62,7 @@
   | Hello
   | RequestFrame
   | memberGossip.GossipMessage
+  | quotaMessages.QuotaMessage
   /** A record of the receiver from before its restart, newer than its current one. */
   | { type: 'previousState'; member: members.Member }
   /** The connection was intended for `node`, whose address now belongs to the sender. */
@@ -115,6 +117,9 @@
   'pieceAck',
   'dropTransfer',
   'deflated',
+  'quotaRequest',
+  'quotaGrant',
+  'quotaVote',
 ];
 /** Frame types that may be wrapped in a `deflated` frame. */
 const DEFLATED_TYPES: ReadonlySet<string | undefined> = new Set(['configFull', 'configDelta']);
@@ -162,6 +167,7 @@
 
 function pack(frame: Frame): unknown[] {
   const code = FRAME_TYPES.indexOf(frame.type);
+  if (quotaMessages.isQuotaMessage(frame)) return [code, ...quotaMessages.pack(frame)];
   switch (frame.type) {
     case 'request':
       return [code, frame.id, frame.sentMs, ...packRequest(frame.req)];
@@ -224,6 +230,7 @@
   if (type === 'pieceAck') return { type, bytes: toCount(first) };
   if (type === 'dropTransfer') return { type, transfer: toCount(first) };
   if (type === undefined) throw new Error(`type code ${code}`);
+  if (quotaMessages.isQuotaType(type)) return quotaMessages.unpack(type, [first, ...rest]);
   const frame = { type, ...(first as object) } as Frame;
   if (frame.type === 'rollouts') return { ...frame, states: unpackRollouts(frame.states) };
   if (frame.type === 'hello' || frame.type === 'stateSummary') {
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -17,6 +17,7 @@
 import * as meters from '../observability/meters.js';
 import type * as crashRecords from '../quarantine/crashRecords.js';
 import type * as quarantine from '../quarantine/quarantine.js';
+import * as quotaMessages from '../quotas/quotaMessages.js';
 import type * as evidence from '../rollouts/evidence.js';
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
 import * as configurationRequests from './configurationRequests.js';
@@ -45,6 +46,11 @@
   meters: metrics.Metrics;
   onBeacon: (node: ids.NodeId) => void;
   onEvidence: (report: evidence.EvidenceReport) => void;
+  onQuotaMessage: (
+    from: ids.NodeId,
+    message: quotaMessages.QuotaMessage,
+    reply: (response: frames.Frame) => void,
+  ) => void;
   eventLoopLag: eventLoop.LagMeter;
   /** Another node has sent the upstream state that this node published before a restart. */
   onPreviousUpstream: (upstream: members.UpstreamState) => void;
@@ -123,11 +129,12 @@
     return this.links.get(node)?.isReady ?? false;
   }
 
-  /** Sends a frame to a node; dropped if its link is not connected. */
-  sendFrame(node: ids.NodeId, frame: frames.Frame): void {
+  /** Sends a frame to a node; dropped if its link is not connected. @returns false if it was dropped */
+  sendFrame(node: ids.NodeId, frame: frames.Frame): boolean {
     const link = this.ensureLink(node);
     link?.open();
     link?.sendFrame(frame);
+    return link?.isOpen ?? false;
   }
 
   /** Members not known to be unreachable, including this node. */
@@ -262,6 +269,10 @@
 
   private handleFrame(sender: Sender, frame: frames.Frame): void {
     const { config, rollouts, onBeacon, onEvidence } = this.options;
+    if (quotaMessages.isQuotaMessage(frame)) {
+      this.options.onQuotaMessage(sender.from.node, frame, sender.reply);
+      return;
+    }
     switch (frame.type) {
       case 'members':
       case 'digests':
@@ -404,6 +415,11 @@
     else config.offer(configuration.applyDelta(base, delta), this.sourceOf(sender));
   }
 
+  /** Whether the node is a member and not known to be unreachable. */
+  isReachableMember(node: ids.NodeId): boolean {
+    return this.options.table.get(node) !== undefined && this.isReachable(node);
+  }
+
   private isReachable(node: ids.NodeId): boolean {
     if (node === this.options.table.self.node) return true;
     const link = this.links.get(node);
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -15,6 +15,7 @@
 import type * as quarantine from '../quarantine/quarantine.js';
 import * as evidence from '../rollouts/evidence.js';
 import * as phases from '../rollouts/phases.js';
+import type * as quotaService from '../quotas/quotaService.js';
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
 import type * as rolloutController from '../rollouts/rolloutController.js';
 
@@ -63,6 +64,7 @@
   network: peerNetwork.PeerNetwork;
   peers: peerServer.PeerServer;
   callers: callerServer.CallerServer;
+  quotas: quotaService.QuotaService;
   watcher: storeWatcher.StoreWatcher;
   controller: rolloutController.RolloutController;
   store: fleetStore.FleetStore;
@@ -101,6 +103,11 @@
     return !this.isStopping && this.parts.config.current !== null && this.parts.rollouts.isSynced;
   }
 
+  /** Whether the list of nodes has been read from the store. */
+  get isJoined(): boolean {
+    return this.joined;
+  }
+
   async start(): Promise<void> {
     const { settings, self, peers, callers, network, eventLoopLag, nowMs } = this.parts;
     this.subscribe();
@@ -142,6 +149,7 @@
     if (self.upstream === null || !self.upstream.accepting) void this.unregister();
     await backoff.sleep(WITHDRAW_AFTER_MS);
     this.withdrawn = true;
+    this.parts.quotas.leave();
     this.publishUpstream(self.upstream);
     await backoff.sleep(DRAIN_AFTER_MS - WITHDRAW_AFTER_MS);
     peers.refuseNew();
@@ -161,6 +169,7 @@
     await this.waitWhile(() => peers.hasOpenSessions || callers.hasEndingConnections, closeByMs);
     if (this.timer !== null) clearInterval(this.timer);
     this.parts.watcher.stop();
+    this.parts.quotas.stop();
     network.stop();
     peers.close();
     callers.recordUnanswered();
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -18,6 +18,8 @@
 import * as peerServer from '../peers/peerServer.js';
 import * as uplinkScheduler from '../peers/uplinkScheduler.js';
 import * as quarantine from '../quarantine/quarantine.js';
+import * as quotaService from '../quotas/quotaService.js';
+import type * as quotaTolerance from '../quotas/quotaTolerance.js';
 import * as evidence from '../rollouts/evidence.js';
 import * as rolloutTable from '../rollouts/rolloutTable.js';
 import * as rolloutController from '../rollouts/rolloutController.js';
@@ -54,16 +56,7 @@
   retryExtra: number;
   /** Share of a service's requests that an unproved version may get between its order and the deadline. */
   maxExposureShare: number;
-  quotaTolerance: QuotaTolerance;
-}
-
-/** By how much the requests of a customer in a sliding window may exceed its quota. */
-export interface QuotaTolerance {
-  windowMs: number;
-  /** Share of the quota of a window. */
-  overage: number;
-  /** Requests, in addition to `overage`. */
-  slack: number;
+  quotaTolerance: quotaTolerance.QuotaTolerance;
 }
 
 export interface PlatformAdapter {
@@ -130,8 +123,9 @@
   });
   const onEvidence = (report: evidence.EvidenceReport) => comparison.addReport(report);
   const eventLoopLag = new eventLoop.LagMeter(agent.TICK_MS, nowMs);
-  // The watcher and the network refer to each other.
+  // The network refers to these, and they to it.
   let watcher: storeWatcher.StoreWatcher;
+  let quotas: quotaService.QuotaService;
   const network = new peerNetwork.PeerNetwork({
     table,
     config,
@@ -143,6 +137,7 @@
     meters: metricsRegistry,
     onBeacon: (node) => watcher.recordBeacon(node),
     onEvidence,
+    onQuotaMessage: (from, message, reply) => quotas.receive(from, message, reply),
     eventLoopLag,
     onPreviousUpstream: (state) => recallUpstream(upstream, state),
   });
@@ -160,6 +155,17 @@
       nowMs,
     },
   );
+  let isJoined = () => false;
+  quotas = new quotaService.QuotaService({
+    table,
+    config,
+    network,
+    tolerance: settings.quotaTolerance,
+    areMembersKnown: () => table.size > 1 || isJoined(),
+    log,
+    meters: metricsRegistry,
+    nowMs,
+  });
   const dispatch = new dispatcher.Dispatcher({
     table,
     local,
@@ -199,6 +205,7 @@
   metricsRegistry.gauge(meters.SUSPECT_REQUESTS, () => suspects.count('suspect'));
   metricsRegistry.gauge(meters.BLOCKED_REQUESTS, () => suspects.count('blocked'));
   metricsRegistry.gauge(meters.UPSTREAM_LOAD, () => local.load);
+  metricsRegistry.gauge(meters.QUOTA_OWNED, () => quotas.owned);
   rollouts.onChange(({ phase }, _origin, isRepeated) => {
     if (!isRepeated) metricsRegistry.increment(meters.ROLLOUT_PHASES, { phase });
   });
@@ -224,11 +231,13 @@
       config,
       dispatcher: dispatch,
       areRolloutsKnown: () => rollouts.isSynced,
+      quotas,
       codec: platform.codec,
       log,
       meters: metricsRegistry,
       nowMs,
     }),
+    quotas,
     watcher,
     controller: new rolloutController.RolloutController({
       table,
@@ -251,7 +260,9 @@
   const reload = (next: MeshSettings) => {
     settings = next;
   };
-  return { agent: new agent.Agent(parts), upstream, log, metrics: metricsRegistry, reload };
+  const meshAgent = new agent.Agent(parts);
+  isJoined = () => meshAgent.isJoined;
+  return { agent: meshAgent, upstream, log, metrics: metricsRegistry, reload };
 }
 
 function recallUpstream(upstream: localUpstream.LocalUpstream, state: members.UpstreamState): void {
--- a/packages/mesh/src/quotas/quotaMessages.ts
+++ b/packages/mesh/src/quotas/quotaMessages.ts
@@ -65,8 +65,14 @@
 
 export type QuotaMessage = QuotaRequest | QuotaGrant | QuotaVote;
 
+const TYPES: ReadonlySet<string> = new Set(['quotaRequest', 'quotaGrant', 'quotaVote']);
+
+export function isQuotaType(type: string): type is QuotaMessage['type'] {
+  return TYPES.has(type);
+}
+
 export function isQuotaMessage(message: { type: string }): message is QuotaMessage {
-  return ['quotaRequest', 'quotaGrant', 'quotaVote'].includes(message.type);
+  return isQuotaType(message.type);
 }
 
 /** Fields of a frame after its type code. */
