fix(mesh): move votes a second after the last frame of a lost owner

The votes echo stamps that arrived before, so that they end 1 s after its last frame, however late that is noticed.

--- a/packages/mesh/src/quotas/quotaOwners.ts
+++ b/packages/mesh/src/quotas/quotaOwners.ts
@@ -287,16 +287,18 @@
 
   /**
    * Whether a retired view restricts the votes no longer: each seat that could own by it has echoed a later
-   * frame, or their votes by it have ended.
+   * frame, or the votes that it has by this view have ended.
    */
   private isReplaced({ view, retired }: OwnView, nowMs: number): boolean {
     if (retired === null) return false;
-    if (nowMs - retired.atMs > VOTE_MS) return true;
     const seats = this.views.seatsOf(view);
-    if (seats === null) return false;
+    if (seats === null) return nowMs - retired.atMs > VOTE_MS;
     return seats.every((seat) => {
-      if (seat === this.self || view.excluded.includes(seat)) return true;
-      return (this.peers.get(seat)?.echoedMs ?? -Infinity) > retired.lastStampMs;
+      const peer = this.peers.get(seat);
+      if (seat === this.self || view.excluded.includes(seat) || peer === undefined) return true;
+      // The votes echo stamps that had arrived here before.
+      const newestEchoMs = Math.min(retired.atMs, peer.receivedMs);
+      return peer.echoedMs > retired.lastStampMs || nowMs - newestEchoMs > VOTE_MS;
     });
   }
 
