--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -9,6 +9,8 @@
 import type * as calleePressure from '../limits/calleePressure.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
+import type * as quotaClient from '../quotas/quotaClient.js';
+import type * as quotaService from '../quotas/quotaService.js';
 import type * as dispatcher from '../routing/dispatcher.js';
 import * as exchange from '../routing/exchange.js';
 import type * as headerCodec from '../upstream/headerCodec.js';
@@ -43,6 +45,7 @@
   isStateKnown: () => boolean;
   /** Learns of requests without a customer, where there are customers: the upstream may have made them. */
   calleePressure: calleePressure.CalleePressure;
+  quotas: Pick<quotaService.QuotaService, 'admit' | 'release'>;
   log: observability.DecisionLog;
   meters: metrics.Metrics;
   nowMs: () => number;
@@ -295,15 +298,26 @@
       this.options.meters.increment(meters.UNKNOWN_KEYS, { route: route.name });
       return localReply(401, 'unknown key');
     }
+    this.requestSequence += 1;
+    const requestId = caller.requestId ?? ids.requestId(`none-${this.requestSequence}`);
+    let permit: quotaClient.UsedPermit = null;
+    let waitedMs = 0;
+    const quotaCustomer = customer.customer?.quota == null ? null : customer.customer.name;
+    if (quotaCustomer !== null) {
+      const identifiedMs = this.options.nowMs();
+      const decision = await this.options.quotas.admit(quotaCustomer, requestId);
+      if (decision.type === 'refused') return this.refuseByQuota(route, arrivedMs, decision);
+      permit = decision.permit;
+      waitedMs = this.options.nowMs() - identifiedMs;
+    }
     const limitMs = Math.min(
       route.timeoutMs,
       caller.deadlineMs ?? Infinity,
       Math.max(0, this.answerByMs - arrivedMs),
     );
     const ageMs = this.earlierAttemptsMs(req.socket, route, caller.deadlineMs);
-    this.requestSequence += 1;
     const callerRequest: dispatcher.CallerRequest = {
-      requestId: caller.requestId ?? ids.requestId(`none-${this.requestSequence}`),
+      requestId,
       method: req.method ?? 'GET',
       target: req.url ?? '/',
       headers: this.options.codec.forwardable(req.rawHeaders, current.customers !== null),
@@ -315,10 +329,28 @@
       targetAtMs: arrivedMs + route.targetLatencyMs - ageMs,
       deadlineAtMs: arrivedMs + limitMs,
     };
-    if (current.customers === null || customer.customer !== null) {
-      return this.dispatchWithTimeout(callerRequest, limitMs, signal);
+    const timeLeftMs = limitMs - waitedMs;
+    const outcome =
+      current.customers === null || customer.customer !== null
+        ? await this.dispatchWithTimeout(callerRequest, timeLeftMs, signal)
+        : await this.dispatchCall(callerRequest, timeLeftMs, signal);
+    if (quotaCustomer !== null && outcome.type === 'refused') {
+      this.options.quotas.release(quotaCustomer, permit);
     }
-    return this.dispatchCall(callerRequest, limitMs, signal);
+    return outcome;
+  }
+
+  private refuseByQuota(
+    { name: route }: configuration.Route,
+    arrivedMs: number,
+    { reason, retryAfterMs }: quotaClient.Refused,
+  ): LocalReply {
+    const { meters: registry, nowMs } = this.options;
+    registry.increment(meters.REQUESTS, { route, outcome: 'refused' });
+    registry.increment(meters.REFUSALS, { reason });
+    registry.observeMs(meters.REQUEST_SECONDS, nowMs() - arrivedMs, { route });
+    this.attemptAge.recordFailure(route);
+    return localReply(429, `not run: ${reason}`, retryAfterMs);
   }
 
   /** @returns null if the body is larger than `limitBytes` */
--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -51,6 +51,12 @@
 export const SHARE_REFUSALS = 'godwittrack_share_refusals_total';
 export const LIMITED_CALLS = 'godwittrack_limited_calls';
 export const DISPLACED_REQUESTS = 'godwittrack_displaced_requests_total';
+export const QUOTA_DECISIONS = 'godwittrack_quota_decisions_total';
+export const QUOTA_REFUSALS = 'godwittrack_quota_refusals_total';
+export const QUOTA_WAIT_SECONDS = 'godwittrack_quota_wait_seconds';
+export const QUOTA_FRAMES = 'godwittrack_quota_frames_total';
+export const QUOTA_EVENTS = 'godwittrack_quota_events_total';
+export const QUOTA_OWNED = 'godwittrack_quota_owned';
 
 const HELP: Record<string, string> = {
   [REQUESTS]: 'Requests of callers on this host, by route and by how they ended.',
@@ -122,6 +128,14 @@
     'Routes whose calls from this host are refused, so that the requests that make them are limited.',
   [DISPLACED_REQUESTS]:
     'Waiting requests for the upstream on this host that were refused for another one, by reason.',
+  [QUOTA_DECISIONS]:
+    'Requests of customers with a quota, by how they were admitted or why they were refused.',
+  [QUOTA_REFUSALS]: 'Requests refused for their quota, by customer.',
+  [QUOTA_WAIT_SECONDS]: 'Time that requests waited for a permit of their quota.',
+  [QUOTA_FRAMES]: 'Frames about quotas that were sent, by type.',
+  [QUOTA_EVENTS]:
+    'Changes of the owners of quotas that this node took part in or noticed, by type.',
+  [QUOTA_OWNED]: 'Customers of which this node owns the quota or a part of it.',
 };
 
 export function createMetrics(): metrics.Metrics {
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -22,6 +22,8 @@
 import * as peerServer from '../peers/peerServer.js';
 import * as uplinkScheduler from '../peers/uplinkScheduler.js';
 import * as quarantine from '../quarantine/quarantine.js';
+import * as quotaService from '../quotas/quotaService.js';
+import type * as quotaTolerance from '../quotas/quotaTolerance.js';
 import * as evidence from '../rollouts/evidence.js';
 import * as rolloutTable from '../rollouts/rolloutTable.js';
 import * as rolloutController from '../rollouts/rolloutController.js';
@@ -59,20 +61,11 @@
   retryExtra: number;
   /** Share of a service's requests that an unproved version may get between its order and the deadline. */
   maxExposureShare: number;
-  quotaTolerance: QuotaTolerance;
+  quotaTolerance: quotaTolerance.QuotaTolerance;
   /** Whether operators evacuate failure domains; if not, the store is not asked for it. */
   evacuations: boolean;
 }
 
-/** By how much the requests of a customer in a sliding window may exceed its quota. */
-export interface QuotaTolerance {
-  windowMs: number;
-  /** Share of the quota of a window. */
-  overage: number;
-  /** Requests, in addition to `overage`. */
-  slack: number;
-}
-
 export interface PlatformAdapter {
   store: fleetStore.FleetStore;
   codec: headerCodec.HeaderCodec;
@@ -160,8 +153,9 @@
     if (removed.includes(self.domain)) cold.invalidate('evacuationEnded');
   });
   const onEvidence = (report: evidence.EvidenceReport) => comparison.addReport(report);
-  // The watcher and the network refer to each other.
+  // The network refers to these, and they to it.
   let watcher: storeWatcher.StoreWatcher;
+  let quotas: quotaService.QuotaService;
   const network = new peerNetwork.PeerNetwork({
     table,
     config,
@@ -174,6 +168,7 @@
     meters: metricsRegistry,
     onBeacon: (node) => watcher.recordBeacon(node),
     onEvidence,
+    onQuotaMessage: (from, message, reply) => quotas.receive(from, message, reply),
     eventLoopLag,
     onPreviousUpstream: (state) => recallUpstream(upstream, state),
   });
@@ -194,6 +189,17 @@
       nowMs,
     },
   );
+  let isJoined = () => false;
+  quotas = new quotaService.QuotaService({
+    table,
+    config,
+    network,
+    tolerance: settings.quotaTolerance,
+    areMembersKnown: () => table.size > 1 || isJoined(),
+    log,
+    meters: metricsRegistry,
+    nowMs,
+  });
   const dispatch = new dispatcher.Dispatcher({
     table,
     local,
@@ -242,6 +248,7 @@
   metricsRegistry.gauge(meters.UPSTREAM_SHARES, () => local.shareCount);
   metricsRegistry.gauge(meters.EVACUATED_DOMAINS, () => evacuations.size);
   metricsRegistry.gauge(meters.EVACUATED, () => Number(evacuations.isEvacuated(self.domain)));
+  metricsRegistry.gauge(meters.QUOTA_OWNED, () => quotas.owned);
   rollouts.onChange(({ phase }, _origin, isRepeated) => {
     if (!isRepeated) metricsRegistry.increment(meters.ROLLOUT_PHASES, { phase });
   });
@@ -268,12 +275,14 @@
       config,
       dispatcher: dispatch,
       isStateKnown: () => rollouts.isSynced && evacuations.isSynced,
+      quotas,
       codec: platform.codec,
       calleePressure: pressure,
       log,
       meters: metricsRegistry,
       nowMs,
     }),
+    quotas,
     watcher,
     controller: new rolloutController.RolloutController({
       table,
@@ -296,7 +305,9 @@
   const reload = (next: MeshSettings) => {
     settings = next;
   };
-  return { agent: new agent.Agent(parts), upstream, log, metrics: metricsRegistry, reload };
+  const meshAgent = new agent.Agent(parts);
+  isJoined = () => meshAgent.isJoined;
+  return { agent: meshAgent, upstream, log, metrics: metricsRegistry, reload };
 }
 
 function createColdWatch(
