--- a/packages/mesh/src/observability/meters.ts
+++ b/packages/mesh/src/observability/meters.ts
@@ -6,6 +6,9 @@
 export const REQUEST_SECONDS = 'godwittrack_request_seconds';
 export const REFUSALS = 'godwittrack_refusals_total';
 export const UNKNOWN_KEYS = 'godwittrack_unknown_keys_total';
+export const EVACUATED_DOMAINS = 'godwittrack_evacuated_domains';
+export const EVACUATED = 'godwittrack_evacuated';
+export const PLACEMENT_REFUSALS = 'godwittrack_placement_refusals_total';
 export const OFFERS = 'godwittrack_offers_total';
 export const CROWDED_OFFERS = 'godwittrack_crowded_offers_total';
 export const RETURNING_REQUESTS = 'godwittrack_returning_requests_total';
@@ -49,12 +52,22 @@
 export const SHARE_REFUSALS = 'godwittrack_share_refusals_total';
 export const LIMITED_CALLS = 'godwittrack_limited_calls';
 export const DISPLACED_REQUESTS = 'godwittrack_displaced_requests_total';
+export const QUOTA_DECISIONS = 'godwittrack_quota_decisions_total';
+export const QUOTA_REFUSALS = 'godwittrack_quota_refusals_total';
+export const QUOTA_WAIT_SECONDS = 'godwittrack_quota_wait_seconds';
+export const QUOTA_FRAMES = 'godwittrack_quota_frames_total';
+export const QUOTA_EVENTS = 'godwittrack_quota_events_total';
+export const QUOTA_OWNED = 'godwittrack_quota_owned';
 
 const HELP: Record<string, string> = {
   [REQUESTS]: 'Requests of callers on this host, by route and by how they ended.',
   [REQUEST_SECONDS]: 'Time from a request of a caller on this host to its answer, by route.',
   [REFUSALS]: 'Requests of callers on this host that were refused without being run, by reason.',
   [UNKNOWN_KEYS]: 'Requests of callers on this host without a valid key, by route.',
+  [EVACUATED_DOMAINS]: 'Evacuated failure domains that this node knows of.',
+  [EVACUATED]: 'Whether the failure domain of this node is evacuated: 1 or 0.',
+  [PLACEMENT_REFUSALS]:
+    'Requests that this node refused for the place of the upstream on this host, by reason.',
   [OFFERS]: 'Requests offered to an upstream, by distance and by outcome.',
   [CROWDED_OFFERS]:
     'Offers to an upstream that refused for lack of slots or let the request wait, by whether another one was known to have room.',
@@ -118,6 +131,14 @@
     'Routes whose calls from this host are refused, so that the requests that make them are limited.',
   [DISPLACED_REQUESTS]:
     'Waiting requests for the upstream on this host that were refused for another one, by reason.',
+  [QUOTA_DECISIONS]:
+    'Requests of customers with a quota, by how they were admitted or why they were refused.',
+  [QUOTA_REFUSALS]: 'Requests refused for their quota, by customer.',
+  [QUOTA_WAIT_SECONDS]: 'Time that requests waited for a permit of their quota.',
+  [QUOTA_FRAMES]: 'Frames about quotas that were sent, by type.',
+  [QUOTA_EVENTS]:
+    'Changes of the owners of quotas that this node took part in or noticed, by type.',
+  [QUOTA_OWNED]: 'Customers of which this node owns the quota or a part of it.',
 };
 
 export function createMetrics(): metrics.Metrics {
--- a/packages/mesh/src/peers/peerNetwork.ts
+++ b/packages/mesh/src/peers/peerNetwork.ts
@@ -9,6 +9,7 @@
 import type * as configHolder from '../config/configHolder.js';
 import type * as propagation from '../config/propagation.js';
 import type * as storeEra from '../config/storeEra.js';
+import type * as evacuationTable from '../evacuations/evacuationTable.js';
 import * as eventLoop from '../eventLoop.js';
 import type * as members from '../membership/members.js';
 import * as memberGossip from '../membership/memberGossip.js';
@@ -17,6 +18,7 @@
 import * as meters from '../observability/meters.js';
 import type * as crashRecords from '../quarantine/crashRecords.js';
 import type * as quarantine from '../quarantine/quarantine.js';
+import * as quotaMessages from '../quotas/quotaMessages.js';
 import type * as evidence from '../rollouts/evidence.js';
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
 import * as configurationRequests from './configurationRequests.js';
@@ -38,6 +40,7 @@
   table: members.MemberTable;
   config: configHolder.ConfigHolder;
   rollouts: rolloutTable.RolloutTable;
+  evacuations: evacuationTable.EvacuationTable;
   quarantine: quarantine.Quarantine;
   uplink: uplinkScheduler.UplinkScheduler;
   storeEra: storeEra.StoreEra;
@@ -45,6 +48,11 @@
   meters: metrics.Metrics;
   onBeacon: (node: ids.NodeId) => void;
   onEvidence: (report: evidence.EvidenceReport) => void;
+  onQuotaMessage: (
+    from: ids.NodeId,
+    message: quotaMessages.QuotaMessage,
+    reply: (response: frames.Frame) => void,
+  ) => void;
   eventLoopLag: eventLoop.LagMeter;
   /** Another node has sent the upstream state that this node published before a restart. */
   onPreviousUpstream: (upstream: members.UpstreamState) => void;
@@ -123,11 +131,12 @@
     return this.links.get(node)?.isReady ?? false;
   }
 
-  /** Sends a frame to a node; dropped if its link is not connected. */
-  sendFrame(node: ids.NodeId, frame: frames.Frame): void {
+  /** Sends a frame to a node; dropped if its link is not connected. @returns false if it was dropped */
+  sendFrame(node: ids.NodeId, frame: frames.Frame): boolean {
     const link = this.ensureLink(node);
     link?.open();
     link?.sendFrame(frame);
+    return link?.isOpen ?? false;
   }
 
   /** Members not known to be unreachable, including this node. */
@@ -261,7 +270,11 @@
   }
 
   private handleFrame(sender: Sender, frame: frames.Frame): void {
-    const { config, rollouts, onBeacon, onEvidence } = this.options;
+    const { config, rollouts, evacuations, onBeacon, onEvidence } = this.options;
+    if (quotaMessages.isQuotaMessage(frame)) {
+      this.options.onQuotaMessage(sender.from.node, frame, sender.reply);
+      return;
+    }
     switch (frame.type) {
       case 'members':
       case 'digests':
@@ -282,8 +295,9 @@
         onBeacon(sender.from.node);
         this.observeEra(sender, frame.storeEra);
         this.onVersionAdvertised(sender, frame.configVersion);
-        // A joining node does not read the rollouts from the store itself if another node watches it.
-        if (!rollouts.isSynced) sender.reply({ type: 'stateSummaryRequest' });
+        // A joining node does not read the store itself if another node watches it.
+        if (!rollouts.isSynced || !evacuations.isSynced)
+          sender.reply({ type: 'stateSummaryRequest' });
         break;
       case 'stateSummaryRequest':
         sender.reply(this.stateSummary());
@@ -294,6 +308,9 @@
       case 'rollouts':
         rollouts.merge(frame.states, this.originOf(sender.from));
         break;
+      case 'evacuations':
+        evacuations.merge(frame.set, this.originOf(sender.from));
+        break;
       case 'evidence':
         onEvidence(frame.report);
         break;
@@ -332,11 +349,12 @@
   }
 
   private mergeState(sender: Sender, state: frames.SharedState): void {
-    const { quarantine: suspects, rollouts } = this.options;
+    const { quarantine: suspects, rollouts, evacuations } = this.options;
     const origin = this.originOf(sender.from);
     this.observeEra(sender, state.storeEra);
     // Before this node counts as synced, so that it serves with the reports.
     suspects.merge(state.crashes ?? [], origin);
+    if (state.evacuations !== undefined) evacuations.merge(state.evacuations, origin);
     rollouts.merge(state.rollouts, origin);
     if (state.rolloutsKnown) rollouts.markSynced();
     this.onVersionAdvertised(sender, state.configVersion);
@@ -348,12 +366,14 @@
 
   private sharedState(crashes = this.options.quarantine.repeatedReports()): frames.SharedState {
     const { config, rollouts, storeEra: era } = this.options;
+    const evacuations = this.options.evacuations.shared();
     return {
       configVersion: config.version,
       rollouts: rollouts.states(),
       rolloutsKnown: rollouts.isSynced,
       storeEra: era.current,
       ...(crashes.length === 0 ? {} : { crashes }),
+      ...(evacuations === null ? {} : { evacuations }),
     };
   }
 
@@ -404,6 +424,11 @@
     else config.offer(configuration.applyDelta(base, delta), this.sourceOf(sender));
   }
 
+  /** Whether the node is a member and not known to be unreachable. */
+  isReachableMember(node: ids.NodeId): boolean {
+    return this.options.table.get(node) !== undefined && this.isReachable(node);
+  }
+
   private isReachable(node: ids.NodeId): boolean {
     if (node === this.options.table.self.node) return true;
     const link = this.links.get(node);
--- a/packages/mesh/src/process/agent.ts
+++ b/packages/mesh/src/process/agent.ts
@@ -6,6 +6,7 @@
 import type * as fleetStore from '../config/fleetStore.js';
 import * as propagation from '../config/propagation.js';
 import * as storeWatcher from '../config/storeWatcher.js';
+import type * as evacuationTable from '../evacuations/evacuationTable.js';
 import type * as eventLoop from '../eventLoop.js';
 import type * as localUpstream from '../membership/localUpstream.js';
 import * as members from '../membership/members.js';
@@ -15,6 +16,7 @@
 import type * as quarantine from '../quarantine/quarantine.js';
 import * as evidence from '../rollouts/evidence.js';
 import * as phases from '../rollouts/phases.js';
+import type * as quotaService from '../quotas/quotaService.js';
 import type * as rolloutTable from '../rollouts/rolloutTable.js';
 import type * as rolloutController from '../rollouts/rolloutController.js';
 
@@ -57,12 +59,14 @@
   table: members.MemberTable;
   config: configHolder.ConfigHolder;
   rollouts: rolloutTable.RolloutTable;
+  evacuations: evacuationTable.EvacuationTable;
   quarantine: quarantine.Quarantine;
   upstream: localUpstream.LocalUpstream;
   evidence: evidence.EvidenceRecorder;
   network: peerNetwork.PeerNetwork;
   peers: peerServer.PeerServer;
   callers: callerServer.CallerServer;
+  quotas: quotaService.QuotaService;
   watcher: storeWatcher.StoreWatcher;
   controller: rolloutController.RolloutController;
   store: fleetStore.FleetStore;
@@ -98,7 +102,14 @@
 
   /** Whether callers should send new requests to this node; reported to readiness probes. */
   get ready(): boolean {
-    return !this.isStopping && this.parts.config.current !== null && this.parts.rollouts.isSynced;
+    const { config, rollouts, evacuations } = this.parts;
+    const isInformed = config.current !== null && rollouts.isSynced && evacuations.isSynced;
+    return !this.isStopping && isInformed;
+  }
+
+  /** Whether the list of nodes has been read from the store. */
+  get isJoined(): boolean {
+    return this.joined;
   }
 
   async start(): Promise<void> {
@@ -142,6 +153,7 @@
     if (self.upstream === null || !self.upstream.accepting) void this.unregister();
     await backoff.sleep(WITHDRAW_AFTER_MS);
     this.withdrawn = true;
+    this.parts.quotas.leave();
     this.publishUpstream(self.upstream);
     await backoff.sleep(DRAIN_AFTER_MS - WITHDRAW_AFTER_MS);
     peers.refuseNew();
@@ -161,6 +173,7 @@
     await this.waitWhile(() => peers.hasOpenSessions || callers.hasEndingConnections, closeByMs);
     if (this.timer !== null) clearInterval(this.timer);
     this.parts.watcher.stop();
+    this.parts.quotas.stop();
     network.stop();
     peers.close();
     callers.recordUnanswered();
@@ -181,16 +194,18 @@
   }
 
   private review(startedMs: number): void {
-    const { watcher, network, quarantine: suspects, nowMs } = this.parts;
+    const { watcher, network, quarantine: suspects, evacuations, table, nowMs } = this.parts;
     // Until the list of nodes is known, this node cannot tell whether another one watches the store.
     if (this.joined || nowMs() - startedMs > JOIN_TIMEOUT_MS) watcher.updateRole();
     suspects.prune();
+    evacuations.review();
+    if (this.joined) evacuations.warnOfUnknown(() => table.domains());
     network.maintain();
   }
 
   private subscribe(): void {
     const { upstream, network, config, rollouts, watcher, evidence: recorder, log } = this.parts;
-    const { store, quarantine: suspects } = this.parts;
+    const { store, quarantine: suspects, evacuations } = this.parts;
     let previousState: members.UpstreamState | null = null;
     upstream.onChange((state) => {
       log.info('upstream', 'upstream state changed', { ...state });
@@ -213,6 +228,9 @@
     rollouts.onChange((state, origin) => {
       network.broadcast({ type: 'rollouts', states: [state] }, propagation.scopeOf(origin));
     });
+    evacuations.onUpdate((set, origin) => {
+      network.broadcast({ type: 'evacuations', set }, propagation.scopeOf(origin));
+    });
     suspects.onChange((reports, origin) => {
       network.announceCrashes(reports, propagation.scopeOf(origin));
     });
--- a/packages/mesh/src/process/wiring.ts
+++ b/packages/mesh/src/process/wiring.ts
@@ -8,6 +8,7 @@
 import * as configHolder from '../config/configHolder.js';
 import type * as fleetStore from '../config/fleetStore.js';
 import * as storeWatcher from '../config/storeWatcher.js';
+import * as evacuationTable from '../evacuations/evacuationTable.js';
 import * as eventLoop from '../eventLoop.js';
 import * as calleePressure from '../limits/calleePressure.js';
 import * as retryBudget from '../limits/retryBudget.js';
@@ -21,6 +22,8 @@
 import * as peerServer from '../peers/peerServer.js';
 import * as uplinkScheduler from '../peers/uplinkScheduler.js';
 import * as quarantine from '../quarantine/quarantine.js';
+import * as quotaService from '../quotas/quotaService.js';
+import type * as quotaTolerance from '../quotas/quotaTolerance.js';
 import * as evidence from '../rollouts/evidence.js';
 import * as rolloutTable from '../rollouts/rolloutTable.js';
 import * as rolloutController from '../rollouts/rolloutController.js';
@@ -32,6 +35,7 @@
 import * as versionChooser from '../routing/versionChooser.js';
 import type * as headerCodec from '../upstream/headerCodec.js';
 import * as localDestination from '../upstream/localDestination.js';
+import * as placementCheck from '../upstream/placementCheck.js';
 import * as upstreamPool from '../upstream/upstreamPool.js';
 import * as agent from './agent.js';
 
@@ -57,16 +61,9 @@
   retryExtra: number;
   /** Share of a service's requests that an unproved version may get between its order and the deadline. */
   maxExposureShare: number;
-  quotaTolerance: QuotaTolerance;
-}
-
-/** By how much the requests of a customer in a sliding window may exceed its quota. */
-export interface QuotaTolerance {
-  windowMs: number;
-  /** Share of the quota of a window. */
-  overage: number;
-  /** Requests, in addition to `overage`. */
-  slack: number;
+  quotaTolerance: quotaTolerance.QuotaTolerance;
+  /** Whether operators evacuate failure domains; if not, the store is not asked for it. */
+  evacuations: boolean;
 }
 
 export interface PlatformAdapter {
@@ -115,6 +112,11 @@
   const config = new configHolder.ConfigHolder(nowMs);
   const hasCustomers = () => config.current?.customers != null;
   const rollouts = new rolloutTable.RolloutTable(log, nowMs);
+  const evacuations = new evacuationTable.EvacuationTable({
+    isEnabled: settings.evacuations,
+    log,
+    nowMs,
+  });
   const comparison = new versionComparison.VersionComparison(nowMs);
   const recorder = new evidence.EvidenceRecorder();
   const suspects = new quarantine.Quarantine({ log, nowMs });
@@ -137,6 +139,7 @@
     meters: metricsRegistry,
     evidence: recorder,
     quarantine: suspects,
+    placement: new placementCheck.PlacementCheck({ self, config, evacuations }),
     mayServe: (service, version) => rollouts.mayServe(service, version),
     hasCustomers,
     calleePressure: pressure,
@@ -145,13 +148,19 @@
     nowMs,
   });
   createColdWatch(cold, local, config, log, metricsRegistry, nowMs);
+  evacuations.onChange(({ removed }) => {
+    // Upstreams may have become cold while they got no requests.
+    if (removed.includes(self.domain)) cold.invalidate('evacuationEnded');
+  });
   const onEvidence = (report: evidence.EvidenceReport) => comparison.addReport(report);
-  // The watcher and the network refer to each other.
+  // The network refers to these, and they to it.
   let watcher: storeWatcher.StoreWatcher;
+  let quotas: quotaService.QuotaService;
   const network = new peerNetwork.PeerNetwork({
     table,
     config,
     rollouts,
+    evacuations,
     quarantine: suspects,
     uplink,
     storeEra: platform.store.era,
@@ -159,6 +168,7 @@
     meters: metricsRegistry,
     onBeacon: (node) => watcher.recordBeacon(node),
     onEvidence,
+    onQuotaMessage: (from, message, reply) => quotas.receive(from, message, reply),
     eventLoopLag,
     onPreviousUpstream: (state) => recallUpstream(upstream, state),
   });
@@ -167,6 +177,9 @@
     [
       new storeWatcher.WatchedConfiguration(platform.store.configuration, config),
       new storeWatcher.WatchedRollouts(platform.store.rollouts, rollouts),
+      ...(settings.evacuations
+        ? [new storeWatcher.WatchedEvacuations(platform.store.evacuations, evacuations)]
+        : []),
     ],
     {
       table,
@@ -176,12 +189,24 @@
       nowMs,
     },
   );
+  let isJoined = () => false;
+  quotas = new quotaService.QuotaService({
+    table,
+    config,
+    network,
+    tolerance: settings.quotaTolerance,
+    areMembersKnown: () => table.size > 1 || isJoined(),
+    log,
+    meters: metricsRegistry,
+    nowMs,
+  });
   const dispatch = new dispatcher.Dispatcher({
     table,
     local,
     destinationOf: (node) => network.linkForRequests(node),
     hasOpenLink: (node) => network.hasReadyLink(node),
     rollouts,
+    evacuations,
     quarantine: suspects,
     balancer: new balancer.Balancer(nextRandom),
     trafficSplitter: new trafficSplitter.TrafficSplitter(nextRandom),
@@ -221,6 +246,9 @@
   metricsRegistry.gauge(meters.UPSTREAM_LOAD, () => local.load);
   metricsRegistry.gauge(meters.LIMITED_CALLS, () => pressure.limitedCount);
   metricsRegistry.gauge(meters.UPSTREAM_SHARES, () => local.shareCount);
+  metricsRegistry.gauge(meters.EVACUATED_DOMAINS, () => evacuations.size);
+  metricsRegistry.gauge(meters.EVACUATED, () => Number(evacuations.isEvacuated(self.domain)));
+  metricsRegistry.gauge(meters.QUOTA_OWNED, () => quotas.owned);
   rollouts.onChange(({ phase }, _origin, isRepeated) => {
     if (!isRepeated) metricsRegistry.increment(meters.ROLLOUT_PHASES, { phase });
   });
@@ -230,6 +258,7 @@
     table,
     config,
     rollouts,
+    evacuations,
     quarantine: suspects,
     upstream,
     evidence: recorder,
@@ -245,13 +274,15 @@
     callers: new callerServer.CallerServer({
       config,
       dispatcher: dispatch,
-      areRolloutsKnown: () => rollouts.isSynced,
+      isStateKnown: () => rollouts.isSynced && evacuations.isSynced,
+      quotas,
       codec: platform.codec,
       calleePressure: pressure,
       log,
       meters: metricsRegistry,
       nowMs,
     }),
+    quotas,
     watcher,
     controller: new rolloutController.RolloutController({
       table,
@@ -274,7 +305,9 @@
   const reload = (next: MeshSettings) => {
     settings = next;
   };
-  return { agent: new agent.Agent(parts), upstream, log, metrics: metricsRegistry, reload };
+  const meshAgent = new agent.Agent(parts);
+  isJoined = () => meshAgent.isJoined;
+  return { agent: meshAgent, upstream, log, metrics: metricsRegistry, reload };
 }
 
 function createColdWatch(
