--- a/packages/mesh/src/routing/__tests__/loadModel.ts
+++ b/packages/mesh/src/routing/__tests__/loadModel.ts
@@ -194,6 +194,7 @@
     const createKnowledge = () => {
       const stats = new upstreamStats.UpstreamStats(() => clock.nowMs, next);
       const selector = new candidateSelector.CandidateSelector({
+        evacuations: fixtures.evacuations(),
         table,
         rollouts,
         versionChooser: fixtures.versionChooserOf(rollouts),
@@ -242,6 +243,7 @@
         versionChoice: null,
         customer: null,
         customerPriority: 0,
+        placement: null,
         targetLeftMs,
         tried,
         isFirstOffer: offers === 1,
