feat(mesh): check and compare configurations

Cause: decoding accepts configurations that do not do what is meant, such as two routes with the same host and prefix, and nothing tells an operator what a new version changes.

Change: pure functions over decoded configurations: entries that no request can use, limits that contradict each other, whether a version would be activated, and a comparison field by field that counts keys only.

Ruled out as contradictions: several attempts on routes whose requests run once (the dispatcher offers a request again after an upstream refused it without running it), a body limit below the header limit (independent of each other).

--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -4,6 +4,10 @@
  */
 
 export * as configuration from './config/configuration.js';
+export * as configurationCheck from './config/configurationCheck.js';
+export * as configurationDiff from './config/configurationDiff.js';
+export type * as configurationFinding from './config/configurationFinding.js';
+export type * as configurationPlace from './config/configurationPlace.js';
 export * as customerDirectory from './customers/customerDirectory.js';
 export * as decisionLog from './observability/decisionLog.js';
 export * as fleetStore from './config/fleetStore.js';
