feat(cli): check a configuration before it is sent

Cause: the checks of configuration files could not be called by operators.

Change: godwittrack config check FILE [--against FILE] [--json].

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -4,6 +4,7 @@
 import type { BaseContext } from 'clipanion';
 import * as adminCommand from './adminCommand.js';
 import { AuditCommand } from './commands/audit.js';
+import { ConfigCheckCommand } from './commands/configCheck.js';
 import { ExplainRequestCommand, ExplainRolloutCommand } from './commands/explain.js';
 import { HelpCommand } from './commands/help.js';
 import { NodeListCommand } from './commands/nodeList.js';
@@ -21,6 +22,7 @@
 
 const COMMANDS = [
   AuditCommand,
+  ConfigCheckCommand,
   ExplainRequestCommand,
   ExplainRolloutCommand,
   HelpCommand,
--- a/packages/cli/src/commands/help.ts
+++ b/packages/cli/src/commands/help.ts
@@ -5,7 +5,7 @@
 import * as nodes from '../nodes.js';
 
 /** Command prefixes, such as `ticket`, that are not commands themselves. */
-const COMMAND_GROUPS = ['ticket', 'rollout', 'upstream', 'node'];
+const COMMAND_GROUPS = ['config', 'ticket', 'rollout', 'upstream', 'node'];
 
 const GLOBAL_OPTIONS = `Options of every command:
   --node URL   node to call; may be repeated or hold several URLs separated by commas;
--- a/packages/cli/src/exitCodes.ts
+++ b/packages/cli/src/exitCodes.ts
@@ -44,7 +44,8 @@
   0  success
   1  unexpected failure, such as a malformed response
   2  usage: unknown command, option or argument, or unreadable file
-  3  invalid input: the ticket or request was refused and changed nothing
+  3  invalid input: the ticket or request was refused and changed nothing, or a checked
+     configuration has errors
   4  conflict: ticketConflict, ticketReused, or the rollout was superseded while waiting
   5  not found
   6  node or platform unavailable
