--- a/packages/mesh/src/quotas/quotaClient.ts
+++ b/packages/mesh/src/quotas/quotaClient.ts
@@ -9,10 +9,13 @@
 import * as heldPermits from './heldPermits.js';
 import type * as quotaMessages from './quotaMessages.js';
 
-/** Longest wait of a request for a permit; several round trips between regions on a busy machine. */
-export const MAX_WAIT_MS = 150;
+/**
+ * Longest wait of a request for a permit. Covers the opening of a link to another region on a busy host, which
+ * takes longer than an exchange on an open one; a refusal costs the caller more than this wait.
+ */
+export const MAX_WAIT_MS = 400;
 /** Time without a reply after which an owner counts as out of reach. */
-export const REPLY_TIMEOUT_MS = 300;
+export const REPLY_TIMEOUT_MS = 500;
 /** Permits are asked for ahead for the demand of this time. */
 const AHEAD_MS = 200;
 /** Lower rates would let most permits that are asked for ahead expire. */
