--- a/packages/mesh/src/membership/coldWatch.ts
+++ b/packages/mesh/src/membership/coldWatch.ts
@@ -70,11 +70,10 @@
       this.unknownRound = state.round;
       this.unknownSinceMs = nowMs();
     }
-    if (this.checkedRound === state.round) return null;
     const dueMs = this.unknownSinceMs + CHECK_DELAY_MS;
-    return reason === 'notStated'
-      ? Math.max(dueMs, this.checkedAtMs + NOT_STATED_INTERVAL_MS)
-      : dueMs;
+    // No announcement will tell, so the check is repeated.
+    if (reason === 'notStated') return Math.max(dueMs, this.checkedAtMs + NOT_STATED_INTERVAL_MS);
+    return this.checkedRound === state.round ? null : dueMs;
   }
 
   /** @param atMs null for no timer */
@@ -107,6 +106,8 @@
     this.checkedRound = state.round;
     this.checkedAtMs = nowMs();
     const outcome = await checkHealth(service);
+    // Sets the timer for the next check where one is due.
+    if (outcome.type !== 'answer' || outcome.coldRemainingMs === null) this.review();
     registry.increment(meters.HEALTH_CHECKS, { outcome: outcome.type });
     log.info('upstream', 'health check of a cold upstream', { service, ...outcome });
     if (outcome.type === 'answer') state.recordHealth(epoch, outcome.coldRemainingMs);
--- a/packages/mesh/src/quotas/quotaFloor.ts
+++ b/packages/mesh/src/quotas/quotaFloor.ts
@@ -12,6 +12,8 @@
   tolerance: quotaTolerance.QuotaTolerance;
   /** All members of the fleet, including those that were removed a short time ago. */
   members: () => readonly ids.NodeId[];
+  /** False until the list of nodes has been received; a node that knows few members takes too large a part. */
+  areMembersKnown: () => boolean;
   /** Requests before a restart are unknown, so the first window admits none. */
   startedMs: number;
 }
@@ -33,7 +35,7 @@
   tryAdmit(customer: ids.CustomerName, quota: configuration.Quota, nowMs: number): boolean {
     const { startedMs, tolerance } = this.options;
     const windowStartMs = nowMs - tolerance.windowMs;
-    if (startedMs >= windowStartMs) return false;
+    if (startedMs >= windowStartMs || !this.options.areMembersKnown()) return false;
     const part = this.partOf(customer, quota);
     if (part === 0) return false;
     const recent = (this.admitted.get(customer) ?? []).filter((atMs) => atMs >= windowStartMs);
--- a/packages/mesh/src/quotas/quotaNode.ts
+++ b/packages/mesh/src/quotas/quotaNode.ts
@@ -85,6 +85,7 @@
       self,
       tolerance,
       members: () => this.members,
+      areMembersKnown: options.areMembersKnown,
       startedMs,
     });
     this.client = new quotaClient.QuotaClient({
