test(playground): upstream stand-ins state their cold time and record customers

Soaks with customers need an upstream that says how long it stays cold, in announcements and in health check responses, and that records the customer and the headers of each request. Health checks were answered with 421 before, since they name no instance; they are now answered with 200 and are not recorded as requests. A node process takes its region and further bounds. A server that is down no longer announces itself.

--- a/playground/src/usersPlatform/application.ts
+++ b/playground/src/usersPlatform/application.ts
@@ -3,6 +3,9 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 
+/** Health path of the configurations in the tests. */
+const HEALTH_PATH = '/health';
+
 export interface ReceivedRequest {
   id: string;
   method: string;
@@ -11,6 +14,10 @@
   callerService: string;
   deadlineMs: number;
   expectedInstance: string;
+  /** Customer that the node named; empty for none. */
+  customer: string;
+  /** Names and values in turn, as received. */
+  rawHeaders: readonly string[];
 }
 
 export type RequestHandler = (
@@ -30,6 +37,9 @@
   /** Whether all answers say that the server leaves. */
   saysLeaving = false;
 
+  /** Monotonic time until which the server is cold, as it states in announcements and health checks. */
+  coldUntilMs = -Infinity;
+
   private sequence = 0;
 
   private address = '';
@@ -56,6 +66,10 @@
     return this.address;
   }
 
+  private get coldRemainingMs(): number {
+    return Math.max(0, Math.ceil(this.coldUntilMs - performance.now()));
+  }
+
   get isRunning(): boolean {
     return this.server.listening;
   }
@@ -86,7 +100,7 @@
       version: this.version,
       slots: this.slots,
       state,
-      cold_remaining_ms: 0,
+      cold_remaining_ms: this.coldRemainingMs,
       sequence: this.sequence,
       born: this.bornMs,
     };
@@ -111,7 +125,15 @@
       callerService: header('caller-service'),
       deadlineMs: Number(header('deadline-milliseconds')),
       expectedInstance: header('expected-instance'),
+      customer: header('tenant-name'),
+      rawHeaders: req.rawHeaders,
     };
+    if (received.target === HEALTH_PATH) {
+      res.setHeader('Cold-Milliseconds', String(this.coldRemainingMs));
+      res.setHeader('Instance-Id', this.instance);
+      res.end();
+      return;
+    }
     res.setHeader('Attempt-Id', received.id);
     if (this.statedLimit !== null) res.setHeader('Server-Limit', this.statedLimit);
     if (this.saysLeaving) res.setHeader('Server-Leaving', '1');
--- a/playground/src/usersPlatform/nodeProcess.ts
+++ b/playground/src/usersPlatform/nodeProcess.ts
@@ -21,6 +21,10 @@
   storeAddress: string;
   graceSeconds: number;
   app: application.ApplicationStandIn;
+  /** Default `r-a`. */
+  region?: string;
+  /** Bounds in addition to those that all nodes have. */
+  bounds?: readonly string[];
 }
 
 export class NodeProcess {
@@ -38,7 +42,7 @@
     group: processes.ProcessGroup,
     options: NodeProcessOptions,
   ): Promise<NodeProcess> {
-    const { name, zone, service, storeAddress, graceSeconds, app } = options;
+    const { name, zone, service, storeAddress, graceSeconds, app, region = 'r-a' } = options;
     const appAddress = await app.start();
     const [caller, ready, control, peer] = (await ports.allocateAddresses(ADDRESSES_PER_NODE)) as [
       string,
@@ -51,13 +55,14 @@
       node_name: name,
       ip: '127.0.0.1',
       zone,
-      region: 'r-a',
+      region,
       listen: { outbound: caller, ready, control },
       internal_port_range: [peerPort, peerPort],
       bounds: [
         `grace_period_s=${graceSeconds}`,
         'retry_budget_ratio=0.2',
         'budget_extra_retries=64',
+        ...(options.bounds ?? []),
       ],
       app_address: appAddress,
       service,
@@ -74,11 +79,11 @@
     return new NodeProcess(name, caller, ready, control, program, app);
   }
 
-  /** Announces the server until `signal` aborts, also while no node listens. */
+  /** Announces the server while it runs until `signal` aborts, also while no node listens. */
   async announceUntil(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       // The server tries again with its next announcement.
-      await this.app.announce(this.controlAddress).catch(() => 0);
+      if (this.app.isRunning) await this.app.announce(this.controlAddress).catch(() => 0);
       await new Promise((resolve) => {
         setTimeout(resolve, ANNOUNCE_INTERVAL_MS);
       });
