refactor(mesh): move the queue of requests for the upstream out of localDestination.ts

Subclassing AdmissionQueue was ruled out, since it is pure and takes the time as an argument. No change of behaviour.

--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -20,33 +20,15 @@
 import * as healthCheck from './healthCheck.js';
 import * as responseMonitor from './responseMonitor.js';
 import type * as placementCheck from './placementCheck.js';
+import * as requestQueue from './requestQueue.js';
 import type * as upstreamConnection from './upstreamConnection.js';
 import type * as upstreamPool from './upstreamPool.js';
+import * as upstreamRefusals from './upstreamRefusals.js';
 
-/** Retry delay stated with refusals other than those of the admission queue. */
-const RETRY_AFTER_MS = 100;
 /** Consecutive connect failures after which the upstream is considered down. */
 const DOWN_AFTER_FAILURES = 3;
 /** Time for which an upstream that is considered down gets no requests. */
 const DOWN_RETRY_MS = 500;
-/** Retry delay stated while the upstream does not respond; senders stay away for half of it. */
-const STALLED_RETRY_AFTER_MS = 500;
-/** Interval of the checks for waiting requests that can no longer be served. */
-const ADVANCE_INTERVAL_MS = 25;
-
-interface QueueEntry extends admissionQueue.AdmissionRequest {
-  arrivedMs: number;
-  req: exchange.ForwardedRequest;
-  signal: AbortSignal;
-  /** Expected size of the answer, as far as it waits for the uplink. */
-  uplinkBytes: number;
-  settle: (outcome: exchange.Outcome) => void;
-  /** Called when it gets a slot. */
-  start: (entry: QueueEntry) => void;
-}
-
-type QueueRefusal = Pick<admissionQueue.RefusedRequest<QueueEntry>, 'reason' | 'retryAfterMs'>;
-
 export interface LocalDestinationOptions {
   upstream: localUpstream.LocalUpstream;
   pool: upstreamPool.UpstreamPool;
@@ -70,7 +52,7 @@
 }
 
 export class LocalDestination extends exchange.Destination {
-  private readonly queue = new admissionQueue.AdmissionQueue<QueueEntry>();
+  private readonly queue: requestQueue.RequestQueue;
 
   private readonly serviceTimes = new upstreamStats.RouteAverages();
 
@@ -90,8 +72,6 @@
 
   private downUntilMs = 0;
 
-  private timer: NodeJS.Timeout | null = null;
-
   constructor(private readonly options: LocalDestinationOptions) {
     super();
     this.endDetector = new endDetector.EndDetector({
@@ -102,6 +82,12 @@
       stoodStillMs: options.stoodStillMs,
       onChange: (isStalled, details) => this.recordStall(isStalled, details),
     });
+    this.queue = new requestQueue.RequestQueue({
+      log: options.log,
+      meters: options.meters,
+      nowMs: options.nowMs,
+      beforeAdvance: (nowMs) => this.responses.check(nowMs),
+    });
     options.upstream.cold.onChange(() => this.applyLimit());
     options.placement.onEvacuated(() => this.refuseEvacuated());
     let instance: string | null = null;
@@ -117,7 +103,7 @@
       }
       this.queue.setSlots(state?.slots ?? 0);
       this.applyLimit();
-      if (state === null || !state.accepting) this.refuseWaiting('notAccepting');
+      if (state === null || !state.accepting) this.queue.refuseWaiting('notAccepting');
     });
   }
 
@@ -152,7 +138,7 @@
       }
       const now = this.options.nowMs();
       if (this.responses.check(now) && !this.responses.admits(req.semantics, now)) {
-        settle(stalledRefusal());
+        settle(upstreamRefusals.stalled());
         return;
       }
       this.admit(req, signal, settle);
@@ -177,18 +163,18 @@
     });
   }
 
-  private async runHealthCheck(entry: QueueEntry): Promise<coldWatch.HealthOutcome> {
+  private async runHealthCheck(entry: requestQueue.QueueEntry): Promise<coldWatch.HealthOutcome> {
     const { pool, codec, upstream, nowMs } = this.options;
     const { req, deadlineAtMs } = entry;
     const raw = await healthCheck.send(pool, req, upstream.address, deadlineAtMs - nowMs());
     if (raw.type === 'unsent') this.recordConnectFailure(raw.detail);
-    this.applyUpdate(this.queue.release(entry, nowMs()));
+    this.queue.release(entry, nowMs());
     return healthCheck.readOutcome(raw, codec, req.instance);
   }
 
   private refusalOf(req: exchange.ForwardedRequest): exchange.Refusal | null {
     const reason = this.refusalReason(req);
-    if (reason !== null) return exchange.refused(reason, RETRY_AFTER_MS);
+    if (reason !== null) return exchange.refused(reason, upstreamRefusals.RETRY_AFTER_MS);
     return this.placementRefusalOf(req) ?? this.options.quarantine.refusalOf(req);
   }
 
@@ -207,7 +193,7 @@
       customer,
       callerService,
     });
-    return exchange.refused(reason, RETRY_AFTER_MS);
+    return exchange.refused(reason, upstreamRefusals.RETRY_AFTER_MS);
   }
 
   /** Requests that wait are offered elsewhere by their senders; running ones go on. */
@@ -220,7 +206,7 @@
     });
     const reason = placements.EVACUATED;
     for (let i = 0; i < waiting; i += 1) registry.increment(meters.PLACEMENT_REFUSALS, { reason });
-    this.refuseWaiting(reason, placements.EVACUATED_RETRY_MS);
+    this.queue.refuseWaiting(reason, placements.EVACUATED_RETRY_MS);
   }
 
   /** Reason why the upstream must not get a request now, whatever it is; null if it may. */
@@ -238,7 +224,7 @@
     req: exchange.ForwardedRequest,
     signal: AbortSignal,
     settle: (outcome: exchange.Outcome) => void,
-    start: QueueEntry['start'] = (entry) => {
+    start: requestQueue.QueueEntry['start'] = (entry) => {
       void this.run(entry);
     },
   ): void {
@@ -253,7 +239,7 @@
       serviceTime?.deviation ?? null,
       targetLeftMs - transferWaitMs,
     );
-    const entry: QueueEntry = {
+    const entry: requestQueue.QueueEntry = {
       arrivedMs: now,
       req,
       signal,
@@ -275,23 +261,23 @@
       entry.start(entry);
     } else if (decision.type === 'refuse') {
       this.options.calleePressure.withdrawStart(req.route);
-      this.refuse(entry, { ...decision, reason: this.refusalReasonOf(decision) });
+      this.queue.refuse(entry, { ...decision, reason: this.refusalReasonOf(decision) });
     } else if (this.responses.isStalled) {
       // A probe needs a free slot.
-      this.displace(decision.displaced, entry);
+      this.queue.displace(decision.displaced, entry);
       this.options.calleePressure.withdrawStart(req.route);
-      settle(stalledRefusal());
-      this.applyUpdate(this.queue.release(entry, now));
+      settle(upstreamRefusals.stalled());
+      this.queue.release(entry, now);
     } else {
-      this.displace(decision.displaced, entry);
+      this.queue.displace(decision.displaced, entry);
       const cancelWaiting = () => {
         if (!this.queue.isWaiting(entry)) return;
         this.countCancel('waiting');
-        settle(exchange.refused('cancelled', RETRY_AFTER_MS));
-        this.applyUpdate(this.queue.release(entry, this.options.nowMs()));
+        settle(exchange.refused('cancelled', upstreamRefusals.RETRY_AFTER_MS));
+        this.queue.release(entry, this.options.nowMs());
       };
       signal.addEventListener('abort', cancelWaiting, { once: true });
-      this.scheduleAdvance();
+      this.queue.scheduleAdvance();
     }
   }
 
@@ -307,7 +293,7 @@
   }
 
   /** @returns false for a request that is refused because its calls would be */
-  private mayCall({ req, settle, share }: QueueEntry, nowMs: number): boolean {
+  private mayCall({ req, settle, share }: requestQueue.QueueEntry, nowMs: number): boolean {
     if (share === undefined) return true;
     const { route, requestId, customer, customerPriority } = req;
     const start = this.options.calleePressure.tryStart(route, customerPriority, nowMs);
@@ -337,7 +323,7 @@
     return fromOtherHost && bytes > frames.MAX_WHOLE_FRAME_BYTES ? bytes : 0;
   }
 
-  private async run(entry: QueueEntry): Promise<void> {
+  private async run(entry: requestQueue.QueueEntry): Promise<void> {
     const startedMs = this.options.nowMs();
     this.expectedBytes += entry.uplinkBytes;
     const { calleePressure: pressure } = this.options;
@@ -347,13 +333,16 @@
     const isComplete = outcome.type === 'answer' && outcome.status < 500;
     if (run !== null) pressure.endRun(run, isComplete, endedMs);
     this.recordOutcome(entry, outcome, endedMs - startedMs);
-    this.applyUpdate(this.queue.release(entry, endedMs));
+    this.queue.release(entry, endedMs);
     entry.settle(outcome);
     // From here on the answer is in the backlog of the uplink.
     this.expectedBytes -= entry.uplinkBytes;
   }
 
-  private async sendToUpstream(entry: QueueEntry, startedMs: number): Promise<exchange.Outcome> {
+  private async sendToUpstream(
+    entry: requestQueue.QueueEntry,
+    startedMs: number,
+  ): Promise<exchange.Outcome> {
     const { req, signal } = entry;
     const { pool, quarantine: suspects } = this.options;
     const refusal = this.refusalOf(req);
@@ -416,7 +405,10 @@
     log.warn('upstream', message, { instance: upstream.state?.instance, ...details });
     if (!isStalled) return;
     registry.increment(meters.UPSTREAM_STALLS);
-    this.refuseWaiting(admissionQueue.UPSTREAM_STALLED, STALLED_RETRY_AFTER_MS);
+    this.queue.refuseWaiting(
+      admissionQueue.UPSTREAM_STALLED,
+      upstreamRefusals.STALLED_RETRY_AFTER_MS,
+    );
   }
 
   /** The outcome waits for it, so that the sender of the request knows of the end when it retries. */
@@ -440,7 +432,7 @@
   ): exchange.Outcome {
     if (raw.type === 'unsent') {
       this.recordConnectFailure(raw.detail);
-      return exchange.refused('upstreamUnreachable', RETRY_AFTER_MS);
+      return exchange.refused('upstreamUnreachable', upstreamRefusals.RETRY_AFTER_MS);
     }
     this.connectFailures = 0;
     if (raw.type === 'broken') return exchange.lost(raw.detail, end);
@@ -449,7 +441,7 @@
     if (answerInfo.leaving) this.options.upstream.recordLeaving(req.instance);
     this.recordLimit(req.instance, answerInfo, status);
     if (answerInfo.notExecuted || status === 421) {
-      return exchange.refused(`upstream${status}`, RETRY_AFTER_MS, true);
+      return exchange.refused(`upstream${status}`, upstreamRefusals.RETRY_AFTER_MS, true);
     }
     if (status < 300 && !answerInfo.signed) return exchange.lost('answer without signature');
     if (status < 500) this.options.quarantine.recordAnswer(req);
@@ -484,7 +476,11 @@
     this.queue.setRate(this.options.upstream.startLimitPerSecond, this.options.nowMs());
   }
 
-  private recordOutcome(entry: QueueEntry, outcome: exchange.Outcome, ms: number): void {
+  private recordOutcome(
+    entry: requestQueue.QueueEntry,
+    outcome: exchange.Outcome,
+    ms: number,
+  ): void {
     const { req } = entry;
     const { state } = this.options.upstream;
     const { meters: registry } = this.options;
@@ -533,63 +529,8 @@
       detail,
       failures: this.connectFailures,
     });
-    this.refuseWaiting('upstreamDown');
+    this.queue.refuseWaiting('upstreamDown');
   }
-
-  private refuseWaiting(reason: string, retryAfterMs = RETRY_AFTER_MS): void {
-    for (const entry of this.queue.clear()) {
-      entry.settle(exchange.refused(reason, retryAfterMs));
-    }
-  }
-
-  private applyUpdate(update: admissionQueue.QueueUpdate<QueueEntry>): void {
-    for (const refusal of update.refused) this.refuse(refusal.request, refusal);
-    for (const entry of update.started) entry.start(entry);
-  }
-
-  private refuse(entry: QueueEntry, { reason, retryAfterMs }: QueueRefusal): void {
-    if (reason === admissionQueue.CUSTOMER_SHARE_REACHED) {
-      const customer = entry.req.customer ?? 'none';
-      this.options.meters.increment(meters.SHARE_REFUSALS, { customer });
-    }
-    entry.settle(exchange.refused(reason, retryAfterMs));
-  }
-
-  /** Refuses waiting requests that gave way to another one. */
-  private displace(
-    refusals: readonly admissionQueue.RefusedRequest<QueueEntry>[],
-    { req: by }: QueueEntry,
-  ): void {
-    for (const refusal of refusals) {
-      const { req, arrivedMs } = refusal.request;
-      const { reason } = refusal;
-      this.options.meters.increment(meters.DISPLACED_REQUESTS, { reason });
-      const message = 'a waiting request gave way to another one';
-      this.options.log.decision('upstream', req.requestId, message, {
-        route: req.route,
-        customer: req.customer,
-        reason,
-        waitedMs: Math.round(this.options.nowMs() - arrivedMs),
-        by: { requestId: by.requestId, route: by.route, customer: by.customer },
-      });
-      this.refuse(refusal.request, refusal);
-    }
-  }
-
-  /** Checks waiting requests regularly, to refuse in time those that can no longer be served. */
-  private scheduleAdvance(): void {
-    if (this.timer !== null) return;
-    this.timer = setTimeout(() => {
-      this.timer = null;
-      this.responses.check(this.options.nowMs());
-      this.applyUpdate(this.queue.advance(this.options.nowMs()));
-      if (this.queue.waitingCount > 0) this.scheduleAdvance();
-    }, ADVANCE_INTERVAL_MS);
-  }
-}
-
-function stalledRefusal(): exchange.Refusal {
-  return exchange.refused(admissionQueue.UPSTREAM_STALLED, STALLED_RETRY_AFTER_MS);
 }
 
 function serialize(
