refactor(mesh): move refusals before admission out of localDestination.ts

UpstreamRefusals decides whether the upstream may get a request (its state, its version, its place, suspects), and ConnectFailures for how long it gets none after refused connections. Both were spread over localDestination.ts. PlacementCheck was left as it is: it knows nothing of metrics and logs. No change of behaviour.

--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -15,6 +15,7 @@
 import * as placements from '../routing/placement.js';
 import * as upstreamStats from '../routing/upstreamStats.js';
 import type * as quarantine from '../quarantine/quarantine.js';
+import * as connectFailures from './connectFailures.js';
 import * as endDetector from './endDetector.js';
 import type * as headerCodec from './headerCodec.js';
 import * as healthCheck from './healthCheck.js';
@@ -25,10 +26,6 @@
 import type * as upstreamPool from './upstreamPool.js';
 import * as upstreamRefusals from './upstreamRefusals.js';
 
-/** Consecutive connect failures after which the upstream is considered down. */
-const DOWN_AFTER_FAILURES = 3;
-/** Time for which an upstream that is considered down gets no requests. */
-const DOWN_RETRY_MS = 500;
 export interface LocalDestinationOptions {
   upstream: localUpstream.LocalUpstream;
   pool: upstreamPool.UpstreamPool;
@@ -68,9 +65,9 @@
   /** End of the upstream that was last counted. */
   private countedEnd: ids.UpstreamEndId | null = null;
 
-  private connectFailures = 0;
+  private readonly connectFailures: connectFailures.ConnectFailures;
 
-  private downUntilMs = 0;
+  private readonly refusals: upstreamRefusals.UpstreamRefusals;
 
   constructor(private readonly options: LocalDestinationOptions) {
     super();
@@ -88,6 +85,22 @@
       nowMs: options.nowMs,
       beforeAdvance: (nowMs) => this.responses.check(nowMs),
     });
+    this.connectFailures = new connectFailures.ConnectFailures({
+      upstream: options.upstream,
+      log: options.log,
+      nowMs: options.nowMs,
+      onDown: () => this.queue.refuseWaiting('upstreamDown'),
+    });
+    this.refusals = new upstreamRefusals.UpstreamRefusals({
+      upstream: options.upstream,
+      connectFailures: this.connectFailures,
+      log: options.log,
+      meters: options.meters,
+      quarantine: options.quarantine,
+      placement: options.placement,
+      mayServe: options.mayServe,
+      nowMs: options.nowMs,
+    });
     options.upstream.cold.onChange(() => this.applyLimit());
     options.placement.onEvacuated(() => this.refuseEvacuated());
     let instance: string | null = null;
@@ -96,7 +109,7 @@
         instance = state.instance;
         options.pool.clear();
         options.calleePressure.clear();
-        this.connectFailures = 0;
+        this.connectFailures.clear();
         this.serviceTimes.clear();
         this.answerSizes.clear();
         this.responses.clear(options.nowMs());
@@ -131,7 +144,7 @@
         const report = { load: this.load, averageServiceMs: averageMs, transferWaitMs };
         resolve({ outcome, report });
       };
-      const refusal = this.refusalOf(req);
+      const refusal = this.refusals.refusalOf(req);
       if (refusal !== null) {
         settle(refusal);
         return;
@@ -150,7 +163,7 @@
     return new Promise((resolve) => {
       const { state } = this.options.upstream;
       const req = state === null ? null : healthCheck.createRequest(state, path);
-      const reason = req === null ? 'upstreamUnknown' : this.refusalReason(req);
+      const reason = req === null ? 'upstreamUnknown' : this.refusals.refusalReason(req);
       if (req === null || reason !== null) {
         resolve({ type: 'none', reason: reason ?? 'upstreamUnknown' });
         return;
@@ -167,35 +180,11 @@
     const { pool, codec, upstream, nowMs } = this.options;
     const { req, deadlineAtMs } = entry;
     const raw = await healthCheck.send(pool, req, upstream.address, deadlineAtMs - nowMs());
-    if (raw.type === 'unsent') this.recordConnectFailure(raw.detail);
+    if (raw.type === 'unsent') this.connectFailures.record(raw.detail);
     this.queue.release(entry, nowMs());
     return healthCheck.readOutcome(raw, codec, req.instance);
   }
 
-  private refusalOf(req: exchange.ForwardedRequest): exchange.Refusal | null {
-    const reason = this.refusalReason(req);
-    if (reason !== null) return exchange.refused(reason, upstreamRefusals.RETRY_AFTER_MS);
-    return this.placementRefusalOf(req) ?? this.options.quarantine.refusalOf(req);
-  }
-
-  private placementRefusalOf(req: exchange.ForwardedRequest): exchange.Refusal | null {
-    const { placement, log, meters: registry } = this.options;
-    const reason = placement.refusalReason(req);
-    if (reason === null) return null;
-    registry.increment(meters.PLACEMENT_REFUSALS, { reason });
-    if (reason === placements.EVACUATED) {
-      return exchange.refused(reason, placements.EVACUATED_RETRY_MS);
-    }
-    const { requestId, route, customer, callerService } = req;
-    log.decision('upstream', requestId, 'a request was refused for the place of the upstream', {
-      reason,
-      route,
-      customer,
-      callerService,
-    });
-    return exchange.refused(reason, upstreamRefusals.RETRY_AFTER_MS);
-  }
-
   /** Requests that wait are offered elsewhere by their senders; running ones go on. */
   private refuseEvacuated(): void {
     const { log, meters: registry } = this.options;
@@ -209,17 +198,6 @@
     this.queue.refuseWaiting(reason, placements.EVACUATED_RETRY_MS);
   }
 
-  /** Reason why the upstream must not get a request now, whatever it is; null if it may. */
-  private refusalReason(req: exchange.ForwardedRequest): string | null {
-    const { state } = this.options.upstream;
-    if (state === null) return 'upstreamUnknown';
-    if (!state.accepting) return 'upstreamLeaving';
-    if (state.instance !== req.instance) return 'otherIncarnation';
-    if (!this.options.mayServe(state.service, state.version)) return 'versionTakenBack';
-    if (this.options.nowMs() < this.downUntilMs) return 'upstreamDown';
-    return null;
-  }
-
   private admit(
     req: exchange.ForwardedRequest,
     signal: AbortSignal,
@@ -345,7 +323,7 @@
   ): Promise<exchange.Outcome> {
     const { req, signal } = entry;
     const { pool, quarantine: suspects } = this.options;
-    const refusal = this.refusalOf(req);
+    const refusal = this.refusals.refusalOf(req);
     if (refusal !== null) return refusal;
     const incarnation = this.options.upstream.state!;
     const run = suspects.beginRun(req);
@@ -431,10 +409,10 @@
     end: exchange.UpstreamEnd | undefined,
   ): exchange.Outcome {
     if (raw.type === 'unsent') {
-      this.recordConnectFailure(raw.detail);
+      this.connectFailures.record(raw.detail);
       return exchange.refused('upstreamUnreachable', upstreamRefusals.RETRY_AFTER_MS);
     }
-    this.connectFailures = 0;
+    this.connectFailures.clear();
     if (raw.type === 'broken') return exchange.lost(raw.detail, end);
     const { status, headers, body } = raw.answer;
     const answerInfo = this.options.codec.readAnswer(headers);
@@ -518,19 +496,6 @@
     this.options.meters.increment(meters.UPSTREAM_ENDS);
     return true;
   }
-
-  private recordConnectFailure(detail: string): void {
-    this.options.upstream.cold.invalidate('upstreamUnreachable');
-    this.connectFailures += 1;
-    if (this.connectFailures < DOWN_AFTER_FAILURES) return;
-    this.downUntilMs = this.options.nowMs() + DOWN_RETRY_MS;
-    this.options.log.info('upstream', 'the upstream does not accept connections', {
-      instance: this.options.upstream.state?.instance,
-      detail,
-      failures: this.connectFailures,
-    });
-    this.queue.refuseWaiting('upstreamDown');
-  }
 }
 
 function serialize(
