refactor(mesh): move the recording of outcomes out of localDestination.ts

OutcomeRecorder records metrics, evidence for rollouts and logs of requests that ran; AnswerStatistics holds service times and sizes of answers, which admission and load reports use as well, and therefore is a module of its own. No change of behaviour.

--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -9,18 +9,18 @@
 import * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
-import * as frames from '../peers/frames.js';
 import * as exchange from '../routing/exchange.js';
 import type * as evidence from '../rollouts/evidence.js';
 import * as placements from '../routing/placement.js';
-import * as upstreamStats from '../routing/upstreamStats.js';
 import type * as quarantine from '../quarantine/quarantine.js';
+import * as answerStatistics from './answerStatistics.js';
 import * as connectFailures from './connectFailures.js';
 import * as endDetector from './endDetector.js';
 import type * as headerCodec from './headerCodec.js';
 import * as healthCheck from './healthCheck.js';
 import * as responseMonitor from './responseMonitor.js';
 import type * as placementCheck from './placementCheck.js';
+import * as outcomeRecorder from './outcomeRecorder.js';
 import * as requestQueue from './requestQueue.js';
 import type * as upstreamConnection from './upstreamConnection.js';
 import type * as upstreamPool from './upstreamPool.js';
@@ -51,9 +51,7 @@
 export class LocalDestination extends exchange.Destination {
   private readonly queue: requestQueue.RequestQueue;
 
-  private readonly serviceTimes = new upstreamStats.RouteAverages();
-
-  private readonly answerSizes = new upstreamStats.RouteAverages();
+  private readonly statistics = new answerStatistics.AnswerStatistics();
 
   /** Expected size of the large answers to running requests of other hosts. */
   private expectedBytes = 0;
@@ -62,8 +60,7 @@
 
   private readonly responses: responseMonitor.ResponseMonitor;
 
-  /** End of the upstream that was last counted. */
-  private countedEnd: ids.UpstreamEndId | null = null;
+  private readonly recorder: outcomeRecorder.OutcomeRecorder;
 
   private readonly connectFailures: connectFailures.ConnectFailures;
 
@@ -101,6 +98,15 @@
       mayServe: options.mayServe,
       nowMs: options.nowMs,
     });
+    this.recorder = new outcomeRecorder.OutcomeRecorder({
+      upstream: options.upstream,
+      statistics: this.statistics,
+      log: options.log,
+      meters: options.meters,
+      evidence: options.evidence,
+      load: () => this.load,
+      nowMs: options.nowMs,
+    });
     options.upstream.cold.onChange(() => this.applyLimit());
     options.placement.onEvacuated(() => this.refuseEvacuated());
     let instance: string | null = null;
@@ -110,8 +116,7 @@
         options.pool.clear();
         options.calleePressure.clear();
         this.connectFailures.clear();
-        this.serviceTimes.clear();
-        this.answerSizes.clear();
+        this.statistics.clear();
         this.responses.clear(options.nowMs());
       }
       this.queue.setSlots(state?.slots ?? 0);
@@ -139,7 +144,7 @@
     if (req.crashReport !== null) this.options.quarantine.merge([req.crashReport], 'remote');
     return new Promise((resolve) => {
       const settle = (outcome: exchange.Outcome) => {
-        const averageMs = this.averageServiceMs(req);
+        const averageMs = this.statistics.averageServiceMs(req, this.options.nowMs());
         const transferWaitMs = this.options.transferWaitMs(this.expectedBytes);
         const report = { load: this.load, averageServiceMs: averageMs, transferWaitMs };
         resolve({ outcome, report });
@@ -207,14 +212,13 @@
     },
   ): void {
     const now = this.options.nowMs();
-    const serviceTime = this.serviceTimes.get(req.route);
-    const estimateMs = this.averageServiceMs(req) ?? req.estimateMs;
+    const estimateMs = this.statistics.averageServiceMs(req, now) ?? req.estimateMs;
     const { targetLeftMs } = req;
-    const uplinkBytes = this.uplinkBytes(req);
+    const uplinkBytes = this.statistics.uplinkBytes(req);
     const transferWaitMs = uplinkBytes === 0 ? 0 : this.options.transferWaitMs(this.expectedBytes);
     const marginMs = targetMargin.targetMargin(
       estimateMs,
-      serviceTime?.deviation ?? null,
+      this.statistics.serviceDeviationMs(req.route),
       targetLeftMs - transferWaitMs,
     );
     const entry: requestQueue.QueueEntry = {
@@ -290,17 +294,6 @@
     return customer ?? `route ${route}`;
   }
 
-  /** Null before the first answer. */
-  private averageServiceMs({ route, estimateMs }: exchange.ForwardedRequest): number | null {
-    return this.serviceTimes.get(route)?.valueAt(this.options.nowMs(), estimateMs) ?? null;
-  }
-
-  /** Expected size of an answer that waits for the uplink; 0 for small ones, which overtake the others. */
-  private uplinkBytes({ fromOtherHost, route }: exchange.ForwardedRequest): number {
-    const bytes = this.answerSizes.get(route)?.value ?? 0;
-    return fromOtherHost && bytes > frames.MAX_WHOLE_FRAME_BYTES ? bytes : 0;
-  }
-
   private async run(entry: requestQueue.QueueEntry): Promise<void> {
     const startedMs = this.options.nowMs();
     this.expectedBytes += entry.uplinkBytes;
@@ -310,7 +303,7 @@
     const endedMs = this.options.nowMs();
     const isComplete = outcome.type === 'answer' && outcome.status < 500;
     if (run !== null) pressure.endRun(run, isComplete, endedMs);
-    this.recordOutcome(entry, outcome, endedMs - startedMs);
+    this.recorder.record(entry, outcome, endedMs - startedMs);
     this.queue.release(entry, endedMs);
     entry.settle(outcome);
     // From here on the answer is in the backlog of the uplink.
@@ -453,49 +446,6 @@
   private applyLimit(): void {
     this.queue.setRate(this.options.upstream.startLimitPerSecond, this.options.nowMs());
   }
-
-  private recordOutcome(
-    entry: requestQueue.QueueEntry,
-    outcome: exchange.Outcome,
-    ms: number,
-  ): void {
-    const { req } = entry;
-    const { state } = this.options.upstream;
-    const { meters: registry } = this.options;
-    const labels = { route: req.route };
-    registry.increment(meters.UPSTREAM_REQUESTS, { outcome: outcome.type });
-    registry.observeMs(meters.UPSTREAM_SECONDS, ms, labels);
-    registry.observeMs(meters.WAIT_SECONDS, this.options.nowMs() - ms - entry.arrivedMs, labels);
-    if (outcome.type === 'answer' && outcome.status < 500) {
-      const now = this.options.nowMs();
-      this.serviceTimes.add(req.route, ms, now);
-      this.answerSizes.add(req.route, outcome.body.length, now);
-    }
-    const cancelled = entry.signal.aborted || outcome.type === 'refused';
-    const isOfCountedEnd = outcome.type === 'lost' && !this.countEnd(outcome.end);
-    if (state !== null && state.instance === req.instance && !cancelled && !isOfCountedEnd) {
-      const failed = outcome.type === 'lost' || outcome.status >= 500;
-      this.options.evidence.record(req.route, failed, ms);
-    }
-    if (outcome.type !== 'answer' || outcome.status >= 500) {
-      this.options.log.decision('upstream', req.requestId, 'the upstream failed a request', {
-        route: req.route,
-        instance: req.instance,
-        outcome: outcome.type === 'answer' ? outcome.status : outcome,
-        serviceMs: Math.round(ms),
-        load: this.load,
-      });
-    }
-  }
-
-  /** @returns false for further requests of an end, of which one at most is the cause */
-  private countEnd(end: exchange.UpstreamEnd | undefined): boolean {
-    if (end === undefined) return true;
-    if (end.id === this.countedEnd) return false;
-    this.countedEnd = end.id;
-    this.options.meters.increment(meters.UPSTREAM_ENDS);
-    return true;
-  }
 }
 
 function serialize(
