refactor(mesh): move the run of a request out of localDestination.ts

UpstreamRunner sends one request to the upstream, observes the response and finds out about an end of the upstream; AnswerEvaluator turns what came back into an outcome and reads limits from it. No change of behaviour.

--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -1,30 +1,29 @@
-/** The upstream on this host as a destination: admits and sends requests, evaluates answers. */
+/** The upstream on this host as a destination: admits requests and has them run. */
 
-import type { ids, metrics } from '@godwittrack/core';
+import type { metrics } from '@godwittrack/core';
 import * as admissionQueue from '../limits/admissionQueue.js';
 import type * as calleePressure from '../limits/calleePressure.js';
 import * as targetMargin from '../limits/targetMargin.js';
 import type * as coldWatch from '../membership/coldWatch.js';
 import type * as localUpstream from '../membership/localUpstream.js';
-import * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
 import * as exchange from '../routing/exchange.js';
 import type * as evidence from '../rollouts/evidence.js';
 import * as placements from '../routing/placement.js';
 import type * as quarantine from '../quarantine/quarantine.js';
+import * as answerEvaluator from './answerEvaluator.js';
 import * as answerStatistics from './answerStatistics.js';
 import * as connectFailures from './connectFailures.js';
-import * as endDetector from './endDetector.js';
 import type * as headerCodec from './headerCodec.js';
 import * as healthCheck from './healthCheck.js';
-import * as responseMonitor from './responseMonitor.js';
-import type * as placementCheck from './placementCheck.js';
 import * as outcomeRecorder from './outcomeRecorder.js';
+import type * as placementCheck from './placementCheck.js';
 import * as requestQueue from './requestQueue.js';
-import type * as upstreamConnection from './upstreamConnection.js';
+import * as responseMonitor from './responseMonitor.js';
 import type * as upstreamPool from './upstreamPool.js';
 import * as upstreamRefusals from './upstreamRefusals.js';
+import * as upstreamRunner from './upstreamRunner.js';
 
 export interface LocalDestinationOptions {
   upstream: localUpstream.LocalUpstream;
@@ -56,56 +55,48 @@
   /** Expected size of the large answers to running requests of other hosts. */
   private expectedBytes = 0;
 
-  private readonly endDetector: endDetector.EndDetector;
-
   private readonly responses: responseMonitor.ResponseMonitor;
 
   private readonly recorder: outcomeRecorder.OutcomeRecorder;
 
+  private readonly runner: upstreamRunner.UpstreamRunner;
+
   private readonly connectFailures: connectFailures.ConnectFailures;
 
   private readonly refusals: upstreamRefusals.UpstreamRefusals;
 
   constructor(private readonly options: LocalDestinationOptions) {
     super();
-    this.endDetector = new endDetector.EndDetector({
-      current: () => options.upstream.state,
-      probe: () => options.pool.probe(),
-    });
     this.responses = new responseMonitor.ResponseMonitor({
       stoodStillMs: options.stoodStillMs,
       onChange: (isStalled, details) => this.recordStall(isStalled, details),
     });
     this.queue = new requestQueue.RequestQueue({
-      log: options.log,
-      meters: options.meters,
-      nowMs: options.nowMs,
+      ...options,
       beforeAdvance: (nowMs) => this.responses.check(nowMs),
     });
     this.connectFailures = new connectFailures.ConnectFailures({
-      upstream: options.upstream,
-      log: options.log,
-      nowMs: options.nowMs,
+      ...options,
       onDown: () => this.queue.refuseWaiting('upstreamDown'),
     });
     this.refusals = new upstreamRefusals.UpstreamRefusals({
-      upstream: options.upstream,
+      ...options,
       connectFailures: this.connectFailures,
-      log: options.log,
-      meters: options.meters,
-      quarantine: options.quarantine,
-      placement: options.placement,
-      mayServe: options.mayServe,
-      nowMs: options.nowMs,
     });
     this.recorder = new outcomeRecorder.OutcomeRecorder({
-      upstream: options.upstream,
+      ...options,
       statistics: this.statistics,
-      log: options.log,
-      meters: options.meters,
-      evidence: options.evidence,
       load: () => this.load,
-      nowMs: options.nowMs,
+    });
+    this.runner = new upstreamRunner.UpstreamRunner({
+      ...options,
+      refusals: this.refusals,
+      responses: this.responses,
+      evaluator: new answerEvaluator.AnswerEvaluator({
+        ...options,
+        connectFailures: this.connectFailures,
+        onLimitChange: () => this.applyLimit(),
+      }),
     });
     options.upstream.cold.onChange(() => this.applyLimit());
     options.placement.onEvacuated(() => this.refuseEvacuated());
@@ -254,7 +245,7 @@
       this.queue.displace(decision.displaced, entry);
       const cancelWaiting = () => {
         if (!this.queue.isWaiting(entry)) return;
-        this.countCancel('waiting');
+        this.options.meters.increment(meters.CANCELS, { stage: 'waiting' });
         settle(exchange.refused('cancelled', upstreamRefusals.RETRY_AFTER_MS));
         this.queue.release(entry, this.options.nowMs());
       };
@@ -299,7 +290,7 @@
     this.expectedBytes += entry.uplinkBytes;
     const { calleePressure: pressure } = this.options;
     const run = entry.share === undefined ? null : pressure.beginRun(entry.req.route, startedMs);
-    const outcome = await this.sendToUpstream(entry, startedMs);
+    const outcome = await this.runner.run(entry, startedMs);
     const endedMs = this.options.nowMs();
     const isComplete = outcome.type === 'answer' && outcome.status < 500;
     if (run !== null) pressure.endRun(run, isComplete, endedMs);
@@ -310,64 +301,6 @@
     this.expectedBytes -= entry.uplinkBytes;
   }
 
-  private async sendToUpstream(
-    entry: requestQueue.QueueEntry,
-    startedMs: number,
-  ): Promise<exchange.Outcome> {
-    const { req, signal } = entry;
-    const { pool, quarantine: suspects } = this.options;
-    const refusal = this.refusals.refusalOf(req);
-    if (refusal !== null) return refusal;
-    const incarnation = this.options.upstream.state!;
-    const run = suspects.beginRun(req);
-    const response = this.responses.start(req.route, startedMs);
-    const connection = pool.acquire(req.semantics);
-    const deadlineLeftMs = entry.deadlineAtMs - startedMs;
-    const onAbort = () => {
-      // A request that may run only once goes on: its effect is wanted, or unknown if interrupted.
-      const isRepeatable = req.semantics === 'repeatable';
-      this.countCancel(isRepeatable ? 'running' : 'kept');
-      if (isRepeatable) connection.destroy('cancelled');
-    };
-    const timer = setTimeout(() => connection.destroy('deadline'), deadlineLeftMs);
-    signal.addEventListener('abort', onAbort, { once: true });
-    const raw = await connection.send(
-      req.requestId,
-      serialize(req, this.options.codec, deadlineLeftMs),
-      req.method,
-    );
-    clearTimeout(timer);
-    signal.removeEventListener('abort', onAbort);
-    pool.release(connection);
-    const serviceMs = this.options.nowMs() - startedMs;
-    this.recordResponse(response, raw, serviceMs);
-    const id = await this.findEnd(incarnation, raw);
-    const end = id === null ? undefined : { id, wasSuspect: run.wasSuspect };
-    if (end !== undefined) suspects.recordEnd(req, end, 'self');
-    if (end !== undefined && members.isSameIncarnation(this.options.upstream.state, incarnation))
-      this.options.upstream.cold.invalidate('upstreamEnded');
-    run.end();
-    return this.toOutcome(req, raw, serviceMs, end);
-  }
-
-  private recordResponse(
-    response: responseMonitor.Run,
-    raw: upstreamConnection.RawOutcome,
-    serviceMs: number,
-  ): void {
-    const now = this.options.nowMs();
-    if (raw.type === 'unsent') {
-      this.responses.discard(response, now);
-      return;
-    }
-    if (raw.type === 'broken' && raw.closedBy === 'node') {
-      this.responses.abandon(response, now);
-      return;
-    }
-    const hasWorked = raw.type === 'answer' && raw.answer.status < 400;
-    this.responses.complete(response, hasWorked ? serviceMs : null, now);
-  }
-
   private recordStall(isStalled: boolean, details: responseMonitor.StallDetails): void {
     const { log, meters: registry, upstream } = this.options;
     const message = isStalled
@@ -382,82 +315,7 @@
     );
   }
 
-  /** The outcome waits for it, so that the sender of the request knows of the end when it retries. */
-  private async findEnd(
-    incarnation: members.Incarnation,
-    raw: upstreamConnection.RawOutcome,
-  ): Promise<ids.UpstreamEndId | null> {
-    if (raw.type !== 'broken' || raw.closedBy === 'node') return null;
-    return this.endDetector.findEnd(incarnation);
-  }
-
-  private countCancel(stage: 'waiting' | 'running' | 'kept'): void {
-    this.options.meters.increment(meters.CANCELS, { stage });
-  }
-
-  private toOutcome(
-    req: exchange.ForwardedRequest,
-    raw: upstreamConnection.RawOutcome,
-    serviceMs: number,
-    end: exchange.UpstreamEnd | undefined,
-  ): exchange.Outcome {
-    if (raw.type === 'unsent') {
-      this.connectFailures.record(raw.detail);
-      return exchange.refused('upstreamUnreachable', upstreamRefusals.RETRY_AFTER_MS);
-    }
-    this.connectFailures.clear();
-    if (raw.type === 'broken') return exchange.lost(raw.detail, end);
-    const { status, headers, body } = raw.answer;
-    const answerInfo = this.options.codec.readAnswer(headers);
-    if (answerInfo.leaving) this.options.upstream.recordLeaving(req.instance);
-    this.recordLimit(req.instance, answerInfo, status);
-    if (answerInfo.notExecuted || status === 421) {
-      return exchange.refused(`upstream${status}`, upstreamRefusals.RETRY_AFTER_MS, true);
-    }
-    if (status < 300 && !answerInfo.signed) return exchange.lost('answer without signature');
-    if (status < 500) this.options.quarantine.recordAnswer(req);
-    const returned = this.options.codec.returnable(headers);
-    return { type: 'answer', status, headers: returned, body, serviceMs };
-  }
-
-  /** A limit holds until an answer of the upstream states another one, or a successful one states none. */
-  private recordLimit(
-    instance: ids.InstanceId,
-    { limit, signed }: headerCodec.AnswerHeaders,
-    status: number,
-  ): void {
-    const { upstream, log } = this.options;
-    if (limit.type === 'unreadable') {
-      log.warn('upstream', 'unreadable limit ignored', { instance, limit: limit.text });
-      return;
-    }
-    if (limit.type === 'none' && (!signed || status >= 300)) return;
-    const perSecond = limit.type === 'rate' ? limit.perSecond : null;
-    if (upstream.limitPerSecond === perSecond) return;
-    log.info('upstream', 'limit changed', {
-      instance,
-      perSecond,
-      previous: upstream.limitPerSecond,
-    });
-    upstream.recordLimit(instance, perSecond);
-    this.applyLimit();
-  }
-
   private applyLimit(): void {
     this.queue.setRate(this.options.upstream.startLimitPerSecond, this.options.nowMs());
   }
 }
-
-function serialize(
-  req: exchange.ForwardedRequest,
-  codec: headerCodec.HeaderCodec,
-  deadlineLeftMs: number,
-): Buffer {
-  const lines = [`${req.method} ${req.target} HTTP/1.1`];
-  const headers = [...req.headers, ...codec.forUpstream(req, deadlineLeftMs)];
-  for (let i = 0; i < headers.length; i += 2) lines.push(`${headers[i]}: ${headers[i + 1]}`);
-  if (req.body.length > 0 || req.method === 'POST' || req.method === 'PUT') {
-    lines.push(`Content-Length: ${req.body.length}`);
-  }
-  return Buffer.concat([Buffer.from(`${lines.join('\r\n')}\r\n\r\n`, 'latin1'), req.body]);
-}
