refactor(mesh): move the records of interrupted answers out of callerServer.ts

OpenAnswers now holds the requests that are not answered completely and records those whose connection ends before. No change of behaviour.

--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -18,6 +18,7 @@
 import * as networkAddress from '../networkAddress.js';
 import * as attemptAge from './attemptAge.js';
 import * as connectionCloser from './connectionCloser.js';
+import * as openAnswers from './openAnswers.js';
 
 /** Added to the configured timeouts, so that callers may reuse a connection until their end. */
 const TIMEOUT_SLACK_MS = 2_000;
@@ -59,16 +60,6 @@
   retryAfterMs?: number;
 }
 
-/** A request whose answer has not been handed to the kernel completely. */
-interface OpenAnswer {
-  arrivedMs: number;
-  /** Number of unfinished earlier requests on the same connection. */
-  ahead: number;
-  res: http.ServerResponse;
-  /** Whether the connection has ended before the answer was complete. */
-  isInterrupted: boolean;
-}
-
 export class CallerServer {
   private readonly server: http.Server;
 
@@ -82,7 +73,7 @@
   /** Ends each request that waits for its dispatch; called at `answerByMs`. */
   private readonly abandonWaiting = new Set<() => void>();
 
-  private readonly openAnswers = new Set<OpenAnswer>();
+  private readonly openAnswers: openAnswers.OpenAnswers;
 
   private requestSequence = 1;
 
@@ -101,6 +92,7 @@
   private readonly answered = new WeakSet<net.Socket>();
 
   constructor(private readonly options: CallerServerOptions) {
+    this.openAnswers = new openAnswers.OpenAnswers(options);
     this.attemptAge = new attemptAge.AttemptAge(options.nowMs);
     this.server = http.createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -181,7 +173,7 @@
     const openAnswer = { arrivedMs, ahead: 0, res, isInterrupted: false };
     const pipelineEntry = this.connections.track(req.socket, (closedBy) => {
       disconnectedMs = this.options.nowMs();
-      this.recordInterrupted(openAnswer, closedBy);
+      this.openAnswers.recordInterrupted(openAnswer, closedBy);
       controller.abort();
       this.endBodyRead(req.socket);
     });
@@ -200,7 +192,7 @@
         this.writeLocalReply(req, res, reply, pipelineEntry);
       }
     } finally {
-      if (disconnectedMs !== null) this.recordDisconnect(openAnswer, disconnectedMs);
+      if (disconnectedMs !== null) this.openAnswers.recordDisconnect(openAnswer, disconnectedMs);
       await outgoing.waitUntilFlushed(res, controller.signal);
       pipelineEntry.end();
       this.openAnswers.delete(openAnswer);
@@ -226,45 +218,9 @@
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
   }
 
-  /** A small age means that the caller had disconnected before its request was read. */
-  private recordDisconnect({ arrivedMs, ahead, res }: OpenAnswer, disconnectedMs: number): void {
-    const { log, meters: registry, nowMs } = this.options;
-    const ageMs = disconnectedMs - arrivedMs;
-    const workedOnMs = nowMs() - disconnectedMs;
-    const labels = { position: ahead === 0 ? 'first' : 'behind' };
-    registry.observeMs(meters.LEFT_AGE_SECONDS, ageMs, labels);
-    registry.observeMs(meters.LEFT_WORK_SECONDS, workedOnMs, labels);
-    const message = 'the caller disconnected before its answer was written';
-    log.decision('callers', this.requestIdOf(res), message, {
-      ahead,
-      ageMs: Math.round(ageMs),
-      workedOnMs: Math.round(workedOnMs),
-    });
-  }
-
-  private requestIdOf({ req }: http.ServerResponse): string {
-    return this.options.codec.readCaller(req.headers).requestId ?? 'none';
-  }
-
   /** Records the requests that get no complete answer because the process exits. */
   recordUnanswered(): void {
-    for (const openAnswer of this.openAnswers) this.recordInterrupted(openAnswer, 'node');
-  }
-
-  private recordInterrupted(openAnswer: OpenAnswer, closedBy: callerConnections.ClosedBy): void {
-    if (openAnswer.isInterrupted) return;
-    openAnswer.isInterrupted = true;
-    const { arrivedMs, ahead, res } = openAnswer;
-    const { log, meters: registry, nowMs } = this.options;
-    registry.increment(meters.INTERRUPTED_ANSWERS, { closedBy });
-    const message = 'a connection ended before its answer was complete';
-    log.decision('callers', this.requestIdOf(res), message, {
-      closedBy,
-      ahead,
-      ageMs: Math.round(nowMs() - arrivedMs),
-      hasAnswer: res.headersSent,
-      unwrittenBytes: res.writableLength,
-    });
+    this.openAnswers.recordUnanswered();
   }
 
   private async answer(
