refactor(mesh): move the reading of bodies out of callerServer.ts

BodyReader reads a body up to a limit and can end the reading with what has arrived, after a parse error or a disconnect. No change of behaviour.

--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -2,7 +2,7 @@
 
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import { byteCollector, callerConnections, ids, outgoing, type metrics } from '@godwittrack/core';
+import { callerConnections, ids, outgoing, type metrics } from '@godwittrack/core';
 import type * as configuration from '../config/configuration.js';
 import type * as configHolder from '../config/configHolder.js';
 import type * as customerDirectory from '../customers/customerDirectory.js';
@@ -17,6 +17,7 @@
 import * as eventLoop from '../eventLoop.js';
 import * as networkAddress from '../networkAddress.js';
 import * as attemptAge from './attemptAge.js';
+import * as bodyReader from './bodyReader.js';
 import * as connectionCloser from './connectionCloser.js';
 import * as openAnswers from './openAnswers.js';
 
@@ -85,8 +86,7 @@
     (socket) => this.answered.has(socket) && !this.connections.isInUse(socket),
   );
 
-  /** Ends the reading of a body on a connection, with what has arrived of it. */
-  private readonly bodyReads = new WeakMap<net.Socket, () => void>();
+  private readonly bodies = new bodyReader.BodyReader();
 
   /** Connections on which a request was answered. */
   private readonly answered = new WeakSet<net.Socket>();
@@ -175,7 +175,7 @@
       disconnectedMs = this.options.nowMs();
       this.openAnswers.recordInterrupted(openAnswer, closedBy);
       controller.abort();
-      this.endBodyRead(req.socket);
+      this.bodies.end(req.socket);
     });
     openAnswer.ahead = pipelineEntry.ahead;
     this.openAnswers.add(openAnswer);
@@ -211,7 +211,7 @@
     if (this.connections.isInUse(socket)) {
       // Anything written now would be taken for the answer to an earlier request.
       this.closer.markClosing(socket);
-      this.endBodyRead(socket);
+      this.bodies.end(socket);
       return;
     }
     const status = code === 'HPE_HEADER_OVERFLOW' ? MALFORMED.headersTooLarge : MALFORMED.other;
@@ -239,7 +239,7 @@
     }
     const { limits } = current.cfg;
     if (headerBytes(req) > limits.maxHeaderBytes) return localReply(431, 'headers too large');
-    const body = await this.readBody(req, limits.maxBodyBytes);
+    const body = await this.bodies.read(req, limits.maxBodyBytes);
     if (body === null) return localReply(413, 'body too large');
     if (!req.complete) return localReply(400, 'the request ended early');
     await eventLoop.nextPoll();
@@ -309,42 +309,6 @@
     return localReply(429, `not run: ${reason}`, retryAfterMs);
   }
 
-  /** @returns null if the body is larger than `limitBytes` */
-  private async readBody(req: http.IncomingMessage, limitBytes: number): Promise<Buffer | null> {
-    if (Number(req.headers['content-length'] ?? 0) > limitBytes) return null;
-    if (
-      req.headers['content-length'] === undefined &&
-      req.headers['transfer-encoding'] === undefined
-    ) {
-      return Buffer.alloc(0);
-    }
-    return new Promise((resolve) => {
-      const received = new byteCollector.ByteCollector();
-      const settle = (body: Buffer | null) => {
-        this.bodyReads.delete(req.socket);
-        resolve(body);
-      };
-      const end = () => settle(received.take());
-      // After a parse error, Node ends neither the request nor its connection.
-      this.bodyReads.set(req.socket, end);
-      const add = (chunk: Buffer) => {
-        if (received.length + chunk.length <= limitBytes) {
-          received.append(chunk);
-          return;
-        }
-        req.off('data', add);
-        received.clear();
-        settle(null);
-      };
-      req.on('data', add);
-      for (const event of ['end', 'close', 'error']) req.on(event, end);
-    });
-  }
-
-  private endBodyRead(socket: net.Socket): void {
-    this.bodyReads.get(socket)?.();
-  }
-
   /** Estimated time that the caller spent on earlier attempts; it retries on new connections. */
   private earlierAttemptsMs(
     socket: net.Socket,
