refactor(mesh): move the writing of answers out of callerServer.ts

AnswerWriter writes outcomes and local replies and announces whether the connection closes. It therefore also knows which connections have answered a request, and whether the node drains them. localReply.ts holds the responses that the node gives by itself, which admission and dispatch create too. No change of behaviour.

--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -16,9 +16,11 @@
 import type * as headerCodec from '../upstream/headerCodec.js';
 import * as eventLoop from '../eventLoop.js';
 import * as networkAddress from '../networkAddress.js';
+import * as answerWriter from './answerWriter.js';
 import * as attemptAge from './attemptAge.js';
 import * as bodyReader from './bodyReader.js';
 import * as connectionCloser from './connectionCloser.js';
+import * as localReply from './localReply.js';
 import * as openAnswers from './openAnswers.js';
 
 /** Added to the configured timeouts, so that callers may reuse a connection until their end. */
@@ -30,8 +32,6 @@
 const LISTEN_BACKLOG = 1_024;
 /** Retry delay stated while there is no configuration. */
 const NO_CONFIG_RETRY_MS = 250;
-/** Retry delay stated while the process is about to exit. */
-const STOPPING_RETRY_MS = 50;
 
 /** Status lines of answers to requests that cannot be parsed. */
 const MALFORMED = {
@@ -53,19 +53,9 @@
   nowMs: () => number;
 }
 
-/** A response that this node gives by itself, without an upstream. */
-interface LocalReply {
-  type: 'localReply';
-  status: number;
-  message: string;
-  retryAfterMs?: number;
-}
-
 export class CallerServer {
   private readonly server: http.Server;
 
-  private draining = false;
-
   private refusesRequests = false;
 
   /** Monotonic time by which each request must be answered, since the process exits soon after. */
@@ -82,14 +72,14 @@
 
   private readonly connections = new callerConnections.CallerConnections();
 
-  private readonly closer = new connectionCloser.ConnectionCloser(
-    (socket) => this.answered.has(socket) && !this.connections.isInUse(socket),
-  );
+  private readonly closer: connectionCloser.ConnectionCloser =
+    new connectionCloser.ConnectionCloser(
+      (socket) => this.writer.hasAnswered(socket) && !this.connections.isInUse(socket),
+    );
 
   private readonly bodies = new bodyReader.BodyReader();
 
-  /** Connections on which a request was answered. */
-  private readonly answered = new WeakSet<net.Socket>();
+  private readonly writer = new answerWriter.AnswerWriter(this.closer);
 
   constructor(private readonly options: CallerServerOptions) {
     this.openAnswers = new openAnswers.OpenAnswers(options);
@@ -141,7 +131,7 @@
 
   /** From now on, each answer closes its connection. */
   drain(): void {
-    this.draining = true;
+    this.writer.drain();
   }
 
   /** Refuses new requests; those in flight continue. */
@@ -154,7 +144,7 @@
    * open; its first request is refused.
    */
   closeIdle(): void {
-    this.draining = true;
+    this.writer.drain();
     this.refusesRequests = true;
     this.server.close();
     this.server.closeIdleConnections();
@@ -184,12 +174,12 @@
       // Answers are written in the order of their requests. Node stops reading a connection while
       // large answers wait to be written, and would then not notice that the caller closes it.
       await pipelineEntry.turn;
-      if (!controller.signal.aborted) this.write(req, res, outcome, pipelineEntry);
+      if (!controller.signal.aborted) this.writer.write(req, res, outcome, pipelineEntry);
     } catch (err) {
       this.options.log.warn('callers', 'a request failed unexpectedly', { err: String(err) });
       if (!res.headersSent) {
-        const reply = localReply(502, 'internal failure');
-        this.writeLocalReply(req, res, reply, pipelineEntry);
+        const reply = localReply.createReply(502, 'internal failure');
+        this.writer.writeLocalReply(req, res, reply, pipelineEntry);
       }
     } finally {
       if (disconnectedMs !== null) this.openAnswers.recordDisconnect(openAnswer, disconnectedMs);
@@ -227,32 +217,33 @@
     req: http.IncomingMessage,
     arrivedMs: number,
     signal: AbortSignal,
-  ): Promise<exchange.Outcome | LocalReply> {
+  ): Promise<exchange.Outcome | localReply.LocalReply> {
     if (this.refusesRequests) {
       req.resume();
-      return stoppingReply();
+      return localReply.createStoppingReply();
     }
     const current = this.options.isStateKnown() ? this.options.config.current : null;
     if (current === null) {
       req.resume();
-      return localReply(503, 'no configuration yet', NO_CONFIG_RETRY_MS);
+      return localReply.createReply(503, 'no configuration yet', NO_CONFIG_RETRY_MS);
     }
     const { limits } = current.cfg;
-    if (headerBytes(req) > limits.maxHeaderBytes) return localReply(431, 'headers too large');
+    if (headerBytes(req) > limits.maxHeaderBytes)
+      return localReply.createReply(431, 'headers too large');
     const body = await this.bodies.read(req, limits.maxBodyBytes);
-    if (body === null) return localReply(413, 'body too large');
-    if (!req.complete) return localReply(400, 'the request ended early');
+    if (body === null) return localReply.createReply(413, 'body too large');
+    if (!req.complete) return localReply.createReply(400, 'the request ended early');
     await eventLoop.nextPoll();
     if (signal.aborted) return exchange.cancelled();
     // The body may have taken long.
-    if (this.refusesRequests) return stoppingReply();
+    if (this.refusesRequests) return localReply.createStoppingReply();
     const route = current.routes.find(req.headers.host ?? '', req.url ?? '/');
-    if (route === null) return localReply(404, 'no route');
+    if (route === null) return localReply.createReply(404, 'no route');
     const caller = this.options.codec.readCaller(req.headers);
     const customer = identify(current, route, caller.key);
     if (customer.type === 'unknownKey') {
       this.options.meters.increment(meters.UNKNOWN_KEYS, { route: route.name });
-      return localReply(401, 'unknown key');
+      return localReply.createReply(401, 'unknown key');
     }
     this.requestSequence += 1;
     const requestId = caller.requestId ?? ids.requestId(`none-${this.requestSequence}`);
@@ -300,13 +291,13 @@
     { name: route }: configuration.Route,
     arrivedMs: number,
     { reason, retryAfterMs }: quotaClient.Refused,
-  ): LocalReply {
+  ): localReply.LocalReply {
     const { meters: registry, nowMs } = this.options;
     registry.increment(meters.REQUESTS, { route, outcome: 'refused' });
     registry.increment(meters.REFUSALS, { reason });
     registry.observeMs(meters.REQUEST_SECONDS, nowMs() - arrivedMs, { route });
     this.attemptAge.recordFailure(route);
-    return localReply(429, `not run: ${reason}`, retryAfterMs);
+    return localReply.createReply(429, `not run: ${reason}`, retryAfterMs);
   }
 
   /** Estimated time that the caller spent on earlier attempts; it retries on new connections. */
@@ -316,7 +307,7 @@
     deadlineMs: number | null,
   ): number {
     if (deadlineMs === null) return 0;
-    if (this.answered.has(socket) || this.attemptAge.hasNoRecentFailure(route, timeoutMs)) {
+    if (this.writer.hasAnswered(socket) || this.attemptAge.hasNoRecentFailure(route, timeoutMs)) {
       this.attemptAge.recordFirstAttempt(route, deadlineMs);
       return 0;
     }
@@ -330,7 +321,7 @@
     req: dispatcher.CallerRequest,
     limitMs: number,
     signal: AbortSignal,
-  ): Promise<exchange.Outcome | LocalReply> {
+  ): Promise<exchange.Outcome | localReply.LocalReply> {
     const { calleePressure: pressure, nowMs } = this.options;
     pressure.recordCall(req.route.name, nowMs());
     const outcome = await this.dispatchWithTimeout(req, limitMs, signal);
@@ -343,15 +334,15 @@
     req: dispatcher.CallerRequest,
     limitMs: number,
     signal: AbortSignal,
-  ): Promise<exchange.Outcome | LocalReply> {
+  ): Promise<exchange.Outcome | localReply.LocalReply> {
     const controller = new AbortController();
     const abortDispatch = () => controller.abort();
     signal.addEventListener('abort', abortDispatch, { once: true });
     let timer: NodeJS.Timeout | undefined;
     let abandon = () => {};
-    const timeout = new Promise<LocalReply>((resolve) => {
-      timer = setTimeout(() => resolve(localReply(504, 'timeout')), limitMs);
-      abandon = () => resolve(localReply(504, 'this node stops'));
+    const timeout = new Promise<localReply.LocalReply>((resolve) => {
+      timer = setTimeout(() => resolve(localReply.createReply(504, 'timeout')), limitMs);
+      abandon = () => resolve(localReply.createReply(504, 'this node stops'));
       this.abandonWaiting.add(abandon);
     });
     const outcome = await Promise.race([
@@ -373,7 +364,7 @@
 
   private recordMetrics(
     req: dispatcher.CallerRequest,
-    outcome: exchange.Outcome | LocalReply,
+    outcome: exchange.Outcome | localReply.LocalReply,
   ): void {
     const { meters: registry, nowMs } = this.options;
     const route = req.route.name;
@@ -385,67 +376,6 @@
       registry.increment(meters.REFUSALS, { reason: outcome.reason });
     }
   }
-
-  private write(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
-    outcome: exchange.Outcome | LocalReply,
-    pipelineEntry: callerConnections.TrackedRequest,
-  ): void {
-    if (outcome.type === 'localReply') {
-      this.writeLocalReply(req, res, outcome, pipelineEntry);
-    } else if (outcome.type === 'answer') {
-      const { status, headers, body } = outcome;
-      const connectionHeaders = this.prepareConnection(req, res, pipelineEntry);
-      res.sendDate = false;
-      res.writeHead(status, [
-        ...headers,
-        'Content-Length',
-        String(body.length),
-        ...connectionHeaders,
-      ]);
-      res.end(body);
-    } else if (outcome.type === 'refused') {
-      const { reason, retryAfterMs } = outcome;
-      const reply = localReply(503, `not run: ${reason}`, retryAfterMs);
-      this.writeLocalReply(req, res, reply, pipelineEntry);
-    } else {
-      this.writeLocalReply(req, res, localReply(502, outcome.detail), pipelineEntry);
-    }
-  }
-
-  private writeLocalReply(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
-    reply: LocalReply,
-    pipelineEntry: callerConnections.TrackedRequest,
-  ): void {
-    const { status, message, retryAfterMs } = reply;
-    const connectionHeaders = this.prepareConnection(req, res, pipelineEntry);
-    const headers = [
-      'Content-Type',
-      'text/plain',
-      'Content-Length',
-      String(Buffer.byteLength(message)),
-    ];
-    if (retryAfterMs !== undefined) headers.push('Retry-After', (retryAfterMs / 1_000).toFixed(3));
-    res.writeHead(status, [...headers, ...connectionHeaders]);
-    res.end(message);
-  }
-
-  /** @returns the headers that announce whether the connection closes after this answer */
-  private prepareConnection(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
-    { isLast }: callerConnections.TrackedRequest,
-  ): string[] {
-    const { socket } = req;
-    // The unread rest of a body would be parsed as the next request.
-    if (!req.complete) res.shouldKeepAlive = false;
-    if (this.draining || !req.complete) this.closer.markClosing(socket);
-    this.answered.add(socket);
-    return this.closer.isClosing(socket) && isLast ? ['Connection', 'close'] : [];
-  }
 }
 
 function identify(
@@ -457,16 +387,8 @@
   return { type: 'identified', customer: null, customerPriority: 0 };
 }
 
-function localReply(status: number, message: string, retryAfterMs?: number): LocalReply {
-  return { type: 'localReply', status, message, retryAfterMs };
-}
-
-function stoppingReply(): LocalReply {
-  return localReply(503, 'this node stops', STOPPING_RETRY_MS);
-}
-
 /** Value of the `outcome` label in metrics. */
-function outcomeLabel(outcome: exchange.Outcome | LocalReply): string {
+function outcomeLabel(outcome: exchange.Outcome | localReply.LocalReply): string {
   if (outcome.type === 'localReply') return 'timeout';
   return outcome.type === 'answer' && outcome.status >= 500 ? 'failedAnswer' : outcome.type;
 }
