refactor(mesh): move the dispatch with a time limit out of callerServer.ts

TimedDispatcher answers each request by its deadline, or by the time at which the process stops, and records the outcome. No change of behaviour.

--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -22,6 +22,7 @@
 import * as connectionCloser from './connectionCloser.js';
 import * as localReply from './localReply.js';
 import * as openAnswers from './openAnswers.js';
+import * as timedDispatcher from './timedDispatcher.js';
 
 /** Added to the configured timeouts, so that callers may reuse a connection until their end. */
 const TIMEOUT_SLACK_MS = 2_000;
@@ -58,11 +59,7 @@
 
   private refusesRequests = false;
 
-  /** Monotonic time by which each request must be answered, since the process exits soon after. */
-  private answerByMs = Infinity;
-
-  /** Ends each request that waits for its dispatch; called at `answerByMs`. */
-  private readonly abandonWaiting = new Set<() => void>();
+  private readonly dispatcher: timedDispatcher.TimedDispatcher;
 
   private readonly openAnswers: openAnswers.OpenAnswers;
 
@@ -82,8 +79,16 @@
   private readonly writer = new answerWriter.AnswerWriter(this.closer);
 
   constructor(private readonly options: CallerServerOptions) {
-    this.openAnswers = new openAnswers.OpenAnswers(options);
     this.attemptAge = new attemptAge.AttemptAge(options.nowMs);
+    this.dispatcher = new timedDispatcher.TimedDispatcher({
+      dispatcher: options.dispatcher,
+      calleePressure: options.calleePressure,
+      attemptAge: this.attemptAge,
+      log: options.log,
+      meters: options.meters,
+      nowMs: options.nowMs,
+    });
+    this.openAnswers = new openAnswers.OpenAnswers(options);
     this.server = http.createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       requestTimeout: 0,
@@ -122,11 +127,7 @@
 
   /** Answers requests that are still open at the given monotonic time, with 504, and later ones in time. */
   answerBy(atMs: number): void {
-    this.answerByMs = atMs;
-    const abandonAll = () => {
-      for (const abandon of this.abandonWaiting) abandon();
-    };
-    setTimeout(abandonAll, atMs - this.options.nowMs()).unref();
+    this.dispatcher.answerBy(atMs);
   }
 
   /** From now on, each answer closes its connection. */
@@ -260,7 +261,7 @@
     const limitMs = Math.min(
       route.timeoutMs,
       caller.deadlineMs ?? Infinity,
-      Math.max(0, this.answerByMs - arrivedMs),
+      Math.max(0, this.dispatcher.answerByMs - arrivedMs),
     );
     const ageMs = this.earlierAttemptsMs(req.socket, route, caller.deadlineMs);
     const callerRequest: dispatcher.CallerRequest = {
@@ -279,8 +280,8 @@
     const timeLeftMs = limitMs - waitedMs;
     const outcome =
       current.customers === null || customer.customer !== null
-        ? await this.dispatchWithTimeout(callerRequest, timeLeftMs, signal)
-        : await this.dispatchCall(callerRequest, timeLeftMs, signal);
+        ? await this.dispatcher.dispatch(callerRequest, timeLeftMs, signal)
+        : await this.dispatcher.dispatchCall(callerRequest, timeLeftMs, signal);
     if (quotaCustomer !== null && outcome.type === 'refused') {
       this.options.quotas.release(quotaCustomer, permit);
     }
@@ -315,67 +316,6 @@
     if (ageMs > 0) this.options.meters.increment(meters.RETURNING_REQUESTS, { route });
     return ageMs;
   }
-
-  /** Dispatches a request that the upstream on this host may have made while it runs another one. */
-  private async dispatchCall(
-    req: dispatcher.CallerRequest,
-    limitMs: number,
-    signal: AbortSignal,
-  ): Promise<exchange.Outcome | localReply.LocalReply> {
-    const { calleePressure: pressure, nowMs } = this.options;
-    pressure.recordCall(req.route.name, nowMs());
-    const outcome = await this.dispatchWithTimeout(req, limitMs, signal);
-    pressure.recordOutcome(req.route.name, outcome, nowMs());
-    return outcome;
-  }
-
-  /** Dispatches a request and answers within `limitMs`, whatever the state of the request. */
-  private async dispatchWithTimeout(
-    req: dispatcher.CallerRequest,
-    limitMs: number,
-    signal: AbortSignal,
-  ): Promise<exchange.Outcome | localReply.LocalReply> {
-    const controller = new AbortController();
-    const abortDispatch = () => controller.abort();
-    signal.addEventListener('abort', abortDispatch, { once: true });
-    let timer: NodeJS.Timeout | undefined;
-    let abandon = () => {};
-    const timeout = new Promise<localReply.LocalReply>((resolve) => {
-      timer = setTimeout(() => resolve(localReply.createReply(504, 'timeout')), limitMs);
-      abandon = () => resolve(localReply.createReply(504, 'this node stops'));
-      this.abandonWaiting.add(abandon);
-    });
-    const outcome = await Promise.race([
-      this.options.dispatcher.dispatch(req, controller.signal),
-      timeout,
-    ]);
-    clearTimeout(timer);
-    this.abandonWaiting.delete(abandon);
-    if (outcome.type === 'localReply') {
-      controller.abort();
-      this.options.log.decision('callers', req.requestId, 'a request timed out', {
-        route: req.route.name,
-        limitMs,
-      });
-    }
-    this.recordMetrics(req, outcome);
-    return outcome;
-  }
-
-  private recordMetrics(
-    req: dispatcher.CallerRequest,
-    outcome: exchange.Outcome | localReply.LocalReply,
-  ): void {
-    const { meters: registry, nowMs } = this.options;
-    const route = req.route.name;
-    const label = outcomeLabel(outcome);
-    registry.increment(meters.REQUESTS, { route, outcome: label });
-    if (label !== 'answer') this.attemptAge.recordFailure(route);
-    registry.observeMs(meters.REQUEST_SECONDS, nowMs() - req.arrivedMs, { route });
-    if (outcome.type === 'refused') {
-      registry.increment(meters.REFUSALS, { reason: outcome.reason });
-    }
-  }
 }
 
 function identify(
@@ -387,12 +327,6 @@
   return { type: 'identified', customer: null, customerPriority: 0 };
 }
 
-/** Value of the `outcome` label in metrics. */
-function outcomeLabel(outcome: exchange.Outcome | localReply.LocalReply): string {
-  if (outcome.type === 'localReply') return 'timeout';
-  return outcome.type === 'answer' && outcome.status >= 500 ? 'failedAnswer' : outcome.type;
-}
-
 function headerBytes(req: http.IncomingMessage): number {
   let bytes = (req.url ?? '').length;
   for (const part of req.rawHeaders) bytes += part.length + 2;
