refactor(mesh): move the admission of requests out of callerServer.ts

RequestAdmission does what comes before the dispatch: limits of headers and bodies, route, customer, quota and deadlines. CallerServer keeps the connections and the order of answers. No change of behaviour.

--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -2,19 +2,13 @@
 
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import { callerConnections, ids, outgoing, type metrics } from '@godwittrack/core';
-import type * as configuration from '../config/configuration.js';
+import { callerConnections, outgoing, type metrics } from '@godwittrack/core';
 import type * as configHolder from '../config/configHolder.js';
-import type * as customerDirectory from '../customers/customerDirectory.js';
 import type * as calleePressure from '../limits/calleePressure.js';
 import type * as observability from '../observability/decisionLog.js';
-import * as meters from '../observability/meters.js';
-import type * as quotaClient from '../quotas/quotaClient.js';
 import type * as quotaService from '../quotas/quotaService.js';
 import type * as dispatcher from '../routing/dispatcher.js';
-import * as exchange from '../routing/exchange.js';
 import type * as headerCodec from '../upstream/headerCodec.js';
-import * as eventLoop from '../eventLoop.js';
 import * as networkAddress from '../networkAddress.js';
 import * as answerWriter from './answerWriter.js';
 import * as attemptAge from './attemptAge.js';
@@ -22,6 +16,7 @@
 import * as connectionCloser from './connectionCloser.js';
 import * as localReply from './localReply.js';
 import * as openAnswers from './openAnswers.js';
+import * as requestAdmission from './requestAdmission.js';
 import * as timedDispatcher from './timedDispatcher.js';
 
 /** Added to the configured timeouts, so that callers may reuse a connection until their end. */
@@ -31,8 +26,6 @@
 const MAX_HEADER_BYTES = 256 * 1024;
 /** Backlog of connections to accept; large, since callers may open one per request. */
 const LISTEN_BACKLOG = 1_024;
-/** Retry delay stated while there is no configuration. */
-const NO_CONFIG_RETRY_MS = 250;
 
 /** Status lines of answers to requests that cannot be parsed. */
 const MALFORMED = {
@@ -57,16 +50,12 @@
 export class CallerServer {
   private readonly server: http.Server;
 
-  private refusesRequests = false;
+  private readonly admission: requestAdmission.RequestAdmission;
 
   private readonly dispatcher: timedDispatcher.TimedDispatcher;
 
   private readonly openAnswers: openAnswers.OpenAnswers;
 
-  private requestSequence = 1;
-
-  private readonly attemptAge: attemptAge.AttemptAge;
-
   private readonly connections = new callerConnections.CallerConnections();
 
   private readonly closer: connectionCloser.ConnectionCloser =
@@ -79,15 +68,27 @@
   private readonly writer = new answerWriter.AnswerWriter(this.closer);
 
   constructor(private readonly options: CallerServerOptions) {
-    this.attemptAge = new attemptAge.AttemptAge(options.nowMs);
+    const ages = new attemptAge.AttemptAge(options.nowMs);
     this.dispatcher = new timedDispatcher.TimedDispatcher({
       dispatcher: options.dispatcher,
       calleePressure: options.calleePressure,
-      attemptAge: this.attemptAge,
+      attemptAge: ages,
       log: options.log,
       meters: options.meters,
       nowMs: options.nowMs,
     });
+    this.admission = new requestAdmission.RequestAdmission({
+      config: options.config,
+      codec: options.codec,
+      isStateKnown: options.isStateKnown,
+      quotas: options.quotas,
+      bodies: this.bodies,
+      attemptAge: ages,
+      dispatcher: this.dispatcher,
+      hasAnswered: (socket) => this.writer.hasAnswered(socket),
+      meters: options.meters,
+      nowMs: options.nowMs,
+    });
     this.openAnswers = new openAnswers.OpenAnswers(options);
     this.server = http.createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -107,7 +108,7 @@
     options.config.onChange(({ cfg }) => {
       this.server.keepAliveTimeout = cfg.limits.idleTimeoutMs + TIMEOUT_SLACK_MS;
       this.server.headersTimeout = cfg.limits.headerTimeoutMs + TIMEOUT_SLACK_MS;
-      this.attemptAge.retain((route) => cfg.routes[route] !== undefined);
+      ages.retain((route) => cfg.routes[route] !== undefined);
     });
   }
 
@@ -137,7 +138,7 @@
 
   /** Refuses new requests; those in flight continue. */
   refuseNew(): void {
-    this.refusesRequests = true;
+    this.admission.refuseNew();
   }
 
   /**
@@ -146,7 +147,7 @@
    */
   closeIdle(): void {
     this.writer.drain();
-    this.refusesRequests = true;
+    this.admission.refuseNew();
     this.server.close();
     this.server.closeIdleConnections();
   }
@@ -171,7 +172,7 @@
     openAnswer.ahead = pipelineEntry.ahead;
     this.openAnswers.add(openAnswer);
     try {
-      const outcome = await this.answer(req, arrivedMs, controller.signal);
+      const outcome = await this.admission.answer(req, arrivedMs, controller.signal);
       // Answers are written in the order of their requests. Node stops reading a connection while
       // large answers wait to be written, and would then not notice that the caller closes it.
       await pipelineEntry.turn;
@@ -213,122 +214,4 @@
   recordUnanswered(): void {
     this.openAnswers.recordUnanswered();
   }
-
-  private async answer(
-    req: http.IncomingMessage,
-    arrivedMs: number,
-    signal: AbortSignal,
-  ): Promise<exchange.Outcome | localReply.LocalReply> {
-    if (this.refusesRequests) {
-      req.resume();
-      return localReply.createStoppingReply();
-    }
-    const current = this.options.isStateKnown() ? this.options.config.current : null;
-    if (current === null) {
-      req.resume();
-      return localReply.createReply(503, 'no configuration yet', NO_CONFIG_RETRY_MS);
-    }
-    const { limits } = current.cfg;
-    if (headerBytes(req) > limits.maxHeaderBytes)
-      return localReply.createReply(431, 'headers too large');
-    const body = await this.bodies.read(req, limits.maxBodyBytes);
-    if (body === null) return localReply.createReply(413, 'body too large');
-    if (!req.complete) return localReply.createReply(400, 'the request ended early');
-    await eventLoop.nextPoll();
-    if (signal.aborted) return exchange.cancelled();
-    // The body may have taken long.
-    if (this.refusesRequests) return localReply.createStoppingReply();
-    const route = current.routes.find(req.headers.host ?? '', req.url ?? '/');
-    if (route === null) return localReply.createReply(404, 'no route');
-    const caller = this.options.codec.readCaller(req.headers);
-    const customer = identify(current, route, caller.key);
-    if (customer.type === 'unknownKey') {
-      this.options.meters.increment(meters.UNKNOWN_KEYS, { route: route.name });
-      return localReply.createReply(401, 'unknown key');
-    }
-    this.requestSequence += 1;
-    const requestId = caller.requestId ?? ids.requestId(`none-${this.requestSequence}`);
-    let permit: quotaClient.UsedPermit = null;
-    let waitedMs = 0;
-    const quotaCustomer = customer.customer?.quota == null ? null : customer.customer.name;
-    if (quotaCustomer !== null) {
-      const identifiedMs = this.options.nowMs();
-      const decision = await this.options.quotas.admit(quotaCustomer, requestId);
-      if (decision.type === 'refused') return this.refuseByQuota(route, arrivedMs, decision);
-      permit = decision.permit;
-      waitedMs = this.options.nowMs() - identifiedMs;
-    }
-    const limitMs = Math.min(
-      route.timeoutMs,
-      caller.deadlineMs ?? Infinity,
-      Math.max(0, this.dispatcher.answerByMs - arrivedMs),
-    );
-    const ageMs = this.earlierAttemptsMs(req.socket, route, caller.deadlineMs);
-    const callerRequest: dispatcher.CallerRequest = {
-      requestId,
-      method: req.method ?? 'GET',
-      target: req.url ?? '/',
-      headers: this.options.codec.forwardable(req.rawHeaders, current.customers !== null),
-      body,
-      route,
-      customer: customer.customer,
-      customerPriority: customer.customerPriority,
-      arrivedMs,
-      targetAtMs: arrivedMs + route.targetLatencyMs - ageMs,
-      deadlineAtMs: arrivedMs + limitMs,
-    };
-    const timeLeftMs = limitMs - waitedMs;
-    const outcome =
-      current.customers === null || customer.customer !== null
-        ? await this.dispatcher.dispatch(callerRequest, timeLeftMs, signal)
-        : await this.dispatcher.dispatchCall(callerRequest, timeLeftMs, signal);
-    if (quotaCustomer !== null && outcome.type === 'refused') {
-      this.options.quotas.release(quotaCustomer, permit);
-    }
-    return outcome;
-  }
-
-  private refuseByQuota(
-    { name: route }: configuration.Route,
-    arrivedMs: number,
-    { reason, retryAfterMs }: quotaClient.Refused,
-  ): localReply.LocalReply {
-    const { meters: registry, nowMs } = this.options;
-    registry.increment(meters.REQUESTS, { route, outcome: 'refused' });
-    registry.increment(meters.REFUSALS, { reason });
-    registry.observeMs(meters.REQUEST_SECONDS, nowMs() - arrivedMs, { route });
-    this.attemptAge.recordFailure(route);
-    return localReply.createReply(429, `not run: ${reason}`, retryAfterMs);
-  }
-
-  /** Estimated time that the caller spent on earlier attempts; it retries on new connections. */
-  private earlierAttemptsMs(
-    socket: net.Socket,
-    { name: route, timeoutMs }: configuration.Route,
-    deadlineMs: number | null,
-  ): number {
-    if (deadlineMs === null) return 0;
-    if (this.writer.hasAnswered(socket) || this.attemptAge.hasNoRecentFailure(route, timeoutMs)) {
-      this.attemptAge.recordFirstAttempt(route, deadlineMs);
-      return 0;
-    }
-    const ageMs = this.attemptAge.estimateAge(route, deadlineMs);
-    if (ageMs > 0) this.options.meters.increment(meters.RETURNING_REQUESTS, { route });
-    return ageMs;
-  }
-}
-
-function identify(
-  { customers }: configHolder.ActiveConfiguration,
-  route: configuration.Route,
-  key: string | null,
-): customerDirectory.Identification {
-  if (customers !== null) return customers.identify(route, key);
-  return { type: 'identified', customer: null, customerPriority: 0 };
-}
-
-function headerBytes(req: http.IncomingMessage): number {
-  let bytes = (req.url ?? '').length;
-  for (const part of req.rawHeaders) bytes += part.length + 2;
-  return bytes;
 }
