--- a/packages/mesh/src/callers/callerServer.ts
+++ b/packages/mesh/src/callers/callerServer.ts
@@ -2,22 +2,22 @@
 
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import { byteCollector, callerConnections, ids, outgoing, type metrics } from '@godwittrack/core';
-import type * as configuration from '../config/configuration.js';
+import { callerConnections, outgoing, type metrics } from '@godwittrack/core';
 import type * as configHolder from '../config/configHolder.js';
-import type * as customerDirectory from '../customers/customerDirectory.js';
 import type * as calleePressure from '../limits/calleePressure.js';
 import type * as observability from '../observability/decisionLog.js';
-import * as meters from '../observability/meters.js';
-import type * as quotaClient from '../quotas/quotaClient.js';
 import type * as quotaService from '../quotas/quotaService.js';
 import type * as dispatcher from '../routing/dispatcher.js';
-import * as exchange from '../routing/exchange.js';
 import type * as headerCodec from '../upstream/headerCodec.js';
-import * as eventLoop from '../eventLoop.js';
 import * as networkAddress from '../networkAddress.js';
+import * as answerWriter from './answerWriter.js';
 import * as attemptAge from './attemptAge.js';
+import * as bodyReader from './bodyReader.js';
 import * as connectionCloser from './connectionCloser.js';
+import * as localReply from './localReply.js';
+import * as openAnswers from './openAnswers.js';
+import * as requestAdmission from './requestAdmission.js';
+import * as timedDispatcher from './timedDispatcher.js';
 
 /** Added to the configured timeouts, so that callers may reuse a connection until their end. */
 const TIMEOUT_SLACK_MS = 2_000;
@@ -26,10 +26,6 @@
 const MAX_HEADER_BYTES = 256 * 1024;
 /** Backlog of connections to accept; large, since callers may open one per request. */
 const LISTEN_BACKLOG = 1_024;
-/** Retry delay stated while there is no configuration. */
-const NO_CONFIG_RETRY_MS = 250;
-/** Retry delay stated while the process is about to exit. */
-const STOPPING_RETRY_MS = 50;
 
 /** Status lines of answers to requests that cannot be parsed. */
 const MALFORMED = {
@@ -51,57 +47,49 @@
   nowMs: () => number;
 }
 
-/** A response that this node gives by itself, without an upstream. */
-interface LocalReply {
-  type: 'localReply';
-  status: number;
-  message: string;
-  retryAfterMs?: number;
-}
-
-/** A request whose answer has not been handed to the kernel completely. */
-interface OpenAnswer {
-  arrivedMs: number;
-  /** Number of unfinished earlier requests on the same connection. */
-  ahead: number;
-  res: http.ServerResponse;
-  /** Whether the connection has ended before the answer was complete. */
-  isInterrupted: boolean;
-}
-
 export class CallerServer {
   private readonly server: http.Server;
 
-  private draining = false;
-
-  private refusesRequests = false;
+  private readonly admission: requestAdmission.RequestAdmission;
 
-  /** Monotonic time by which each request must be answered, since the process exits soon after. */
-  private answerByMs = Infinity;
+  private readonly dispatcher: timedDispatcher.TimedDispatcher;
 
-  /** Ends each request that waits for its dispatch; called at `answerByMs`. */
-  private readonly abandonWaiting = new Set<() => void>();
-
-  private readonly openAnswers = new Set<OpenAnswer>();
-
-  private requestSequence = 1;
-
-  private readonly attemptAge: attemptAge.AttemptAge;
+  private readonly openAnswers: openAnswers.OpenAnswers;
 
   private readonly connections = new callerConnections.CallerConnections();
 
-  private readonly closer = new connectionCloser.ConnectionCloser(
-    (socket) => this.answered.has(socket) && !this.connections.isInUse(socket),
-  );
+  private readonly closer: connectionCloser.ConnectionCloser =
+    new connectionCloser.ConnectionCloser(
+      (socket) => this.writer.hasAnswered(socket) && !this.connections.isInUse(socket),
+    );
 
-  /** Ends the reading of a body on a connection, with what has arrived of it. */
-  private readonly bodyReads = new WeakMap<net.Socket, () => void>();
+  private readonly bodies = new bodyReader.BodyReader();
 
-  /** Connections on which a request was answered. */
-  private readonly answered = new WeakSet<net.Socket>();
+  private readonly writer = new answerWriter.AnswerWriter(this.closer);
 
   constructor(private readonly options: CallerServerOptions) {
-    this.attemptAge = new attemptAge.AttemptAge(options.nowMs);
+    const ages = new attemptAge.AttemptAge(options.nowMs);
+    this.dispatcher = new timedDispatcher.TimedDispatcher({
+      dispatcher: options.dispatcher,
+      calleePressure: options.calleePressure,
+      attemptAge: ages,
+      log: options.log,
+      meters: options.meters,
+      nowMs: options.nowMs,
+    });
+    this.admission = new requestAdmission.RequestAdmission({
+      config: options.config,
+      codec: options.codec,
+      isStateKnown: options.isStateKnown,
+      quotas: options.quotas,
+      bodies: this.bodies,
+      attemptAge: ages,
+      dispatcher: this.dispatcher,
+      hasAnswered: (socket) => this.writer.hasAnswered(socket),
+      meters: options.meters,
+      nowMs: options.nowMs,
+    });
+    this.openAnswers = new openAnswers.OpenAnswers(options);
     this.server = http.createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       requestTimeout: 0,
@@ -120,7 +108,7 @@
     options.config.onChange(({ cfg }) => {
       this.server.keepAliveTimeout = cfg.limits.idleTimeoutMs + TIMEOUT_SLACK_MS;
       this.server.headersTimeout = cfg.limits.headerTimeoutMs + TIMEOUT_SLACK_MS;
-      this.attemptAge.retain((route) => cfg.routes[route] !== undefined);
+      ages.retain((route) => cfg.routes[route] !== undefined);
     });
   }
 
@@ -140,21 +128,17 @@
 
   /** Answers requests that are still open at the given monotonic time, with 504, and later ones in time. */
   answerBy(atMs: number): void {
-    this.answerByMs = atMs;
-    const abandonAll = () => {
-      for (const abandon of this.abandonWaiting) abandon();
-    };
-    setTimeout(abandonAll, atMs - this.options.nowMs()).unref();
+    this.dispatcher.answerBy(atMs);
   }
 
   /** From now on, each answer closes its connection. */
   drain(): void {
-    this.draining = true;
+    this.writer.drain();
   }
 
   /** Refuses new requests; those in flight continue. */
   refuseNew(): void {
-    this.refusesRequests = true;
+    this.admission.refuseNew();
   }
 
   /**
@@ -162,8 +146,8 @@
    * open; its first request is refused.
    */
   closeIdle(): void {
-    this.draining = true;
-    this.refusesRequests = true;
+    this.writer.drain();
+    this.admission.refuseNew();
     this.server.close();
     this.server.closeIdleConnections();
   }
@@ -181,26 +165,26 @@
     const openAnswer = { arrivedMs, ahead: 0, res, isInterrupted: false };
     const pipelineEntry = this.connections.track(req.socket, (closedBy) => {
       disconnectedMs = this.options.nowMs();
-      this.recordInterrupted(openAnswer, closedBy);
+      this.openAnswers.recordInterrupted(openAnswer, closedBy);
       controller.abort();
-      this.endBodyRead(req.socket);
+      this.bodies.end(req.socket);
     });
     openAnswer.ahead = pipelineEntry.ahead;
     this.openAnswers.add(openAnswer);
     try {
-      const outcome = await this.answer(req, arrivedMs, controller.signal);
+      const outcome = await this.admission.answer(req, arrivedMs, controller.signal);
       // Answers are written in the order of their requests. Node stops reading a connection while
       // large answers wait to be written, and would then not notice that the caller closes it.
       await pipelineEntry.turn;
-      if (!controller.signal.aborted) this.write(req, res, outcome, pipelineEntry);
+      if (!controller.signal.aborted) this.writer.write(req, res, outcome, pipelineEntry);
     } catch (err) {
       this.options.log.warn('callers', 'a request failed unexpectedly', { err: String(err) });
       if (!res.headersSent) {
-        const reply = localReply(502, 'internal failure');
-        this.writeLocalReply(req, res, reply, pipelineEntry);
+        const reply = localReply.createReply(502, 'internal failure');
+        this.writer.writeLocalReply(req, res, reply, pipelineEntry);
       }
     } finally {
-      if (disconnectedMs !== null) this.recordDisconnect(openAnswer, disconnectedMs);
+      if (disconnectedMs !== null) this.openAnswers.recordDisconnect(openAnswer, disconnectedMs);
       await outgoing.waitUntilFlushed(res, controller.signal);
       pipelineEntry.end();
       this.openAnswers.delete(openAnswer);
@@ -219,340 +203,15 @@
     if (this.connections.isInUse(socket)) {
       // Anything written now would be taken for the answer to an earlier request.
       this.closer.markClosing(socket);
-      this.endBodyRead(socket);
+      this.bodies.end(socket);
       return;
     }
     const status = code === 'HPE_HEADER_OVERFLOW' ? MALFORMED.headersTooLarge : MALFORMED.other;
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
   }
 
-  /** A small age means that the caller had disconnected before its request was read. */
-  private recordDisconnect({ arrivedMs, ahead, res }: OpenAnswer, disconnectedMs: number): void {
-    const { log, meters: registry, nowMs } = this.options;
-    const ageMs = disconnectedMs - arrivedMs;
-    const workedOnMs = nowMs() - disconnectedMs;
-    const labels = { position: ahead === 0 ? 'first' : 'behind' };
-    registry.observeMs(meters.LEFT_AGE_SECONDS, ageMs, labels);
-    registry.observeMs(meters.LEFT_WORK_SECONDS, workedOnMs, labels);
-    const message = 'the caller disconnected before its answer was written';
-    log.decision('callers', this.requestIdOf(res), message, {
-      ahead,
-      ageMs: Math.round(ageMs),
-      workedOnMs: Math.round(workedOnMs),
-    });
-  }
-
-  private requestIdOf({ req }: http.ServerResponse): string {
-    return this.options.codec.readCaller(req.headers).requestId ?? 'none';
-  }
-
   /** Records the requests that get no complete answer because the process exits. */
   recordUnanswered(): void {
-    for (const openAnswer of this.openAnswers) this.recordInterrupted(openAnswer, 'node');
-  }
-
-  private recordInterrupted(openAnswer: OpenAnswer, closedBy: callerConnections.ClosedBy): void {
-    if (openAnswer.isInterrupted) return;
-    openAnswer.isInterrupted = true;
-    const { arrivedMs, ahead, res } = openAnswer;
-    const { log, meters: registry, nowMs } = this.options;
-    registry.increment(meters.INTERRUPTED_ANSWERS, { closedBy });
-    const message = 'a connection ended before its answer was complete';
-    log.decision('callers', this.requestIdOf(res), message, {
-      closedBy,
-      ahead,
-      ageMs: Math.round(nowMs() - arrivedMs),
-      hasAnswer: res.headersSent,
-      unwrittenBytes: res.writableLength,
-    });
-  }
-
-  private async answer(
-    req: http.IncomingMessage,
-    arrivedMs: number,
-    signal: AbortSignal,
-  ): Promise<exchange.Outcome | LocalReply> {
-    if (this.refusesRequests) {
-      req.resume();
-      return stoppingReply();
-    }
-    const current = this.options.isStateKnown() ? this.options.config.current : null;
-    if (current === null) {
-      req.resume();
-      return localReply(503, 'no configuration yet', NO_CONFIG_RETRY_MS);
-    }
-    const { limits } = current.cfg;
-    if (headerBytes(req) > limits.maxHeaderBytes) return localReply(431, 'headers too large');
-    const body = await this.readBody(req, limits.maxBodyBytes);
-    if (body === null) return localReply(413, 'body too large');
-    if (!req.complete) return localReply(400, 'the request ended early');
-    await eventLoop.nextPoll();
-    if (signal.aborted) return exchange.cancelled();
-    // The body may have taken long.
-    if (this.refusesRequests) return stoppingReply();
-    const route = current.routes.find(req.headers.host ?? '', req.url ?? '/');
-    if (route === null) return localReply(404, 'no route');
-    const caller = this.options.codec.readCaller(req.headers);
-    const customer = identify(current, route, caller.key);
-    if (customer.type === 'unknownKey') {
-      this.options.meters.increment(meters.UNKNOWN_KEYS, { route: route.name });
-      return localReply(401, 'unknown key');
-    }
-    this.requestSequence += 1;
-    const requestId = caller.requestId ?? ids.requestId(`none-${this.requestSequence}`);
-    let permit: quotaClient.UsedPermit = null;
-    let waitedMs = 0;
-    const quotaCustomer = customer.customer?.quota == null ? null : customer.customer.name;
-    if (quotaCustomer !== null) {
-      const identifiedMs = this.options.nowMs();
-      const decision = await this.options.quotas.admit(quotaCustomer, requestId);
-      if (decision.type === 'refused') return this.refuseByQuota(route, arrivedMs, decision);
-      permit = decision.permit;
-      waitedMs = this.options.nowMs() - identifiedMs;
-    }
-    const limitMs = Math.min(
-      route.timeoutMs,
-      caller.deadlineMs ?? Infinity,
-      Math.max(0, this.answerByMs - arrivedMs),
-    );
-    const ageMs = this.earlierAttemptsMs(req.socket, route, caller.deadlineMs);
-    const callerRequest: dispatcher.CallerRequest = {
-      requestId,
-      method: req.method ?? 'GET',
-      target: req.url ?? '/',
-      headers: this.options.codec.forwardable(req.rawHeaders, current.customers !== null),
-      body,
-      route,
-      customer: customer.customer,
-      customerPriority: customer.customerPriority,
-      arrivedMs,
-      targetAtMs: arrivedMs + route.targetLatencyMs - ageMs,
-      deadlineAtMs: arrivedMs + limitMs,
-    };
-    const timeLeftMs = limitMs - waitedMs;
-    const outcome =
-      current.customers === null || customer.customer !== null
-        ? await this.dispatchWithTimeout(callerRequest, timeLeftMs, signal)
-        : await this.dispatchCall(callerRequest, timeLeftMs, signal);
-    if (quotaCustomer !== null && outcome.type === 'refused') {
-      this.options.quotas.release(quotaCustomer, permit);
-    }
-    return outcome;
-  }
-
-  private refuseByQuota(
-    { name: route }: configuration.Route,
-    arrivedMs: number,
-    { reason, retryAfterMs }: quotaClient.Refused,
-  ): LocalReply {
-    const { meters: registry, nowMs } = this.options;
-    registry.increment(meters.REQUESTS, { route, outcome: 'refused' });
-    registry.increment(meters.REFUSALS, { reason });
-    registry.observeMs(meters.REQUEST_SECONDS, nowMs() - arrivedMs, { route });
-    this.attemptAge.recordFailure(route);
-    return localReply(429, `not run: ${reason}`, retryAfterMs);
-  }
-
-  /** @returns null if the body is larger than `limitBytes` */
-  private async readBody(req: http.IncomingMessage, limitBytes: number): Promise<Buffer | null> {
-    if (Number(req.headers['content-length'] ?? 0) > limitBytes) return null;
-    if (
-      req.headers['content-length'] === undefined &&
-      req.headers['transfer-encoding'] === undefined
-    ) {
-      return Buffer.alloc(0);
-    }
-    return new Promise((resolve) => {
-      const received = new byteCollector.ByteCollector();
-      const settle = (body: Buffer | null) => {
-        this.bodyReads.delete(req.socket);
-        resolve(body);
-      };
-      const end = () => settle(received.take());
-      // After a parse error, Node ends neither the request nor its connection.
-      this.bodyReads.set(req.socket, end);
-      const add = (chunk: Buffer) => {
-        if (received.length + chunk.length <= limitBytes) {
-          received.append(chunk);
-          return;
-        }
-        req.off('data', add);
-        received.clear();
-        settle(null);
-      };
-      req.on('data', add);
-      for (const event of ['end', 'close', 'error']) req.on(event, end);
-    });
+    this.openAnswers.recordUnanswered();
   }
-
-  private endBodyRead(socket: net.Socket): void {
-    this.bodyReads.get(socket)?.();
-  }
-
-  /** Estimated time that the caller spent on earlier attempts; it retries on new connections. */
-  private earlierAttemptsMs(
-    socket: net.Socket,
-    { name: route, timeoutMs }: configuration.Route,
-    deadlineMs: number | null,
-  ): number {
-    if (deadlineMs === null) return 0;
-    if (this.answered.has(socket) || this.attemptAge.hasNoRecentFailure(route, timeoutMs)) {
-      this.attemptAge.recordFirstAttempt(route, deadlineMs);
-      return 0;
-    }
-    const ageMs = this.attemptAge.estimateAge(route, deadlineMs);
-    if (ageMs > 0) this.options.meters.increment(meters.RETURNING_REQUESTS, { route });
-    return ageMs;
-  }
-
-  /** Dispatches a request that the upstream on this host may have made while it runs another one. */
-  private async dispatchCall(
-    req: dispatcher.CallerRequest,
-    limitMs: number,
-    signal: AbortSignal,
-  ): Promise<exchange.Outcome | LocalReply> {
-    const { calleePressure: pressure, nowMs } = this.options;
-    pressure.recordCall(req.route.name, nowMs());
-    const outcome = await this.dispatchWithTimeout(req, limitMs, signal);
-    pressure.recordOutcome(req.route.name, outcome, nowMs());
-    return outcome;
-  }
-
-  /** Dispatches a request and answers within `limitMs`, whatever the state of the request. */
-  private async dispatchWithTimeout(
-    req: dispatcher.CallerRequest,
-    limitMs: number,
-    signal: AbortSignal,
-  ): Promise<exchange.Outcome | LocalReply> {
-    const controller = new AbortController();
-    const abortDispatch = () => controller.abort();
-    signal.addEventListener('abort', abortDispatch, { once: true });
-    let timer: NodeJS.Timeout | undefined;
-    let abandon = () => {};
-    const timeout = new Promise<LocalReply>((resolve) => {
-      timer = setTimeout(() => resolve(localReply(504, 'timeout')), limitMs);
-      abandon = () => resolve(localReply(504, 'this node stops'));
-      this.abandonWaiting.add(abandon);
-    });
-    const outcome = await Promise.race([
-      this.options.dispatcher.dispatch(req, controller.signal),
-      timeout,
-    ]);
-    clearTimeout(timer);
-    this.abandonWaiting.delete(abandon);
-    if (outcome.type === 'localReply') {
-      controller.abort();
-      this.options.log.decision('callers', req.requestId, 'a request timed out', {
-        route: req.route.name,
-        limitMs,
-      });
-    }
-    this.recordMetrics(req, outcome);
-    return outcome;
-  }
-
-  private recordMetrics(
-    req: dispatcher.CallerRequest,
-    outcome: exchange.Outcome | LocalReply,
-  ): void {
-    const { meters: registry, nowMs } = this.options;
-    const route = req.route.name;
-    const label = outcomeLabel(outcome);
-    registry.increment(meters.REQUESTS, { route, outcome: label });
-    if (label !== 'answer') this.attemptAge.recordFailure(route);
-    registry.observeMs(meters.REQUEST_SECONDS, nowMs() - req.arrivedMs, { route });
-    if (outcome.type === 'refused') {
-      registry.increment(meters.REFUSALS, { reason: outcome.reason });
-    }
-  }
-
-  private write(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
-    outcome: exchange.Outcome | LocalReply,
-    pipelineEntry: callerConnections.TrackedRequest,
-  ): void {
-    if (outcome.type === 'localReply') {
-      this.writeLocalReply(req, res, outcome, pipelineEntry);
-    } else if (outcome.type === 'answer') {
-      const { status, headers, body } = outcome;
-      const connectionHeaders = this.prepareConnection(req, res, pipelineEntry);
-      res.sendDate = false;
-      res.writeHead(status, [
-        ...headers,
-        'Content-Length',
-        String(body.length),
-        ...connectionHeaders,
-      ]);
-      res.end(body);
-    } else if (outcome.type === 'refused') {
-      const { reason, retryAfterMs } = outcome;
-      const reply = localReply(503, `not run: ${reason}`, retryAfterMs);
-      this.writeLocalReply(req, res, reply, pipelineEntry);
-    } else {
-      this.writeLocalReply(req, res, localReply(502, outcome.detail), pipelineEntry);
-    }
-  }
-
-  private writeLocalReply(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
-    reply: LocalReply,
-    pipelineEntry: callerConnections.TrackedRequest,
-  ): void {
-    const { status, message, retryAfterMs } = reply;
-    const connectionHeaders = this.prepareConnection(req, res, pipelineEntry);
-    const headers = [
-      'Content-Type',
-      'text/plain',
-      'Content-Length',
-      String(Buffer.byteLength(message)),
-    ];
-    if (retryAfterMs !== undefined) headers.push('Retry-After', (retryAfterMs / 1_000).toFixed(3));
-    res.writeHead(status, [...headers, ...connectionHeaders]);
-    res.end(message);
-  }
-
-  /** @returns the headers that announce whether the connection closes after this answer */
-  private prepareConnection(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
-    { isLast }: callerConnections.TrackedRequest,
-  ): string[] {
-    const { socket } = req;
-    // The unread rest of a body would be parsed as the next request.
-    if (!req.complete) res.shouldKeepAlive = false;
-    if (this.draining || !req.complete) this.closer.markClosing(socket);
-    this.answered.add(socket);
-    return this.closer.isClosing(socket) && isLast ? ['Connection', 'close'] : [];
-  }
-}
-
-function identify(
-  { customers }: configHolder.ActiveConfiguration,
-  route: configuration.Route,
-  key: string | null,
-): customerDirectory.Identification {
-  if (customers !== null) return customers.identify(route, key);
-  return { type: 'identified', customer: null, customerPriority: 0 };
-}
-
-function localReply(status: number, message: string, retryAfterMs?: number): LocalReply {
-  return { type: 'localReply', status, message, retryAfterMs };
-}
-
-function stoppingReply(): LocalReply {
-  return localReply(503, 'this node stops', STOPPING_RETRY_MS);
-}
-
-/** Value of the `outcome` label in metrics. */
-function outcomeLabel(outcome: exchange.Outcome | LocalReply): string {
-  if (outcome.type === 'localReply') return 'timeout';
-  return outcome.type === 'answer' && outcome.status >= 500 ? 'failedAnswer' : outcome.type;
-}
-
-function headerBytes(req: http.IncomingMessage): number {
-  let bytes = (req.url ?? '').length;
-  for (const part of req.rawHeaders) bytes += part.length + 2;
-  return bytes;
 }
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -1,51 +1,29 @@
-/** The upstream on this host as a destination: admits and sends requests, evaluates answers. */
+/** The upstream on this host as a destination: admits requests and has them run. */
 
-import type { ids, metrics } from '@godwittrack/core';
+import type { metrics } from '@godwittrack/core';
 import * as admissionQueue from '../limits/admissionQueue.js';
 import type * as calleePressure from '../limits/calleePressure.js';
 import * as targetMargin from '../limits/targetMargin.js';
 import type * as coldWatch from '../membership/coldWatch.js';
 import type * as localUpstream from '../membership/localUpstream.js';
-import * as members from '../membership/members.js';
 import type * as observability from '../observability/decisionLog.js';
 import * as meters from '../observability/meters.js';
-import * as frames from '../peers/frames.js';
 import * as exchange from '../routing/exchange.js';
 import type * as evidence from '../rollouts/evidence.js';
 import * as placements from '../routing/placement.js';
-import * as upstreamStats from '../routing/upstreamStats.js';
 import type * as quarantine from '../quarantine/quarantine.js';
-import * as endDetector from './endDetector.js';
+import * as answerEvaluator from './answerEvaluator.js';
+import * as answerStatistics from './answerStatistics.js';
+import * as connectFailures from './connectFailures.js';
 import type * as headerCodec from './headerCodec.js';
 import * as healthCheck from './healthCheck.js';
-import * as responseMonitor from './responseMonitor.js';
+import * as outcomeRecorder from './outcomeRecorder.js';
 import type * as placementCheck from './placementCheck.js';
-import type * as upstreamConnection from './upstreamConnection.js';
+import * as requestQueue from './requestQueue.js';
+import * as responseMonitor from './responseMonitor.js';
 import type * as upstreamPool from './upstreamPool.js';
-
-/** Retry delay stated with refusals other than those of the admission queue. */
-const RETRY_AFTER_MS = 100;
-/** Consecutive connect failures after which the upstream is considered down. */
-const DOWN_AFTER_FAILURES = 3;
-/** Time for which an upstream that is considered down gets no requests. */
-const DOWN_RETRY_MS = 500;
-/** Retry delay stated while the upstream does not respond; senders stay away for half of it. */
-const STALLED_RETRY_AFTER_MS = 500;
-/** Interval of the checks for waiting requests that can no longer be served. */
-const ADVANCE_INTERVAL_MS = 25;
-
-interface QueueEntry extends admissionQueue.AdmissionRequest {
-  arrivedMs: number;
-  req: exchange.ForwardedRequest;
-  signal: AbortSignal;
-  /** Expected size of the answer, as far as it waits for the uplink. */
-  uplinkBytes: number;
-  settle: (outcome: exchange.Outcome) => void;
-  /** Called when it gets a slot. */
-  start: (entry: QueueEntry) => void;
-}
-
-type QueueRefusal = Pick<admissionQueue.RefusedRequest<QueueEntry>, 'reason' | 'retryAfterMs'>;
+import * as upstreamRefusals from './upstreamRefusals.js';
+import * as upstreamRunner from './upstreamRunner.js';
 
 export interface LocalDestinationOptions {
   upstream: localUpstream.LocalUpstream;
@@ -70,38 +48,56 @@
 }
 
 export class LocalDestination extends exchange.Destination {
-  private readonly queue = new admissionQueue.AdmissionQueue<QueueEntry>();
+  private readonly queue: requestQueue.RequestQueue;
 
-  private readonly serviceTimes = new upstreamStats.RouteAverages();
-
-  private readonly answerSizes = new upstreamStats.RouteAverages();
+  private readonly statistics = new answerStatistics.AnswerStatistics();
 
   /** Expected size of the large answers to running requests of other hosts. */
   private expectedBytes = 0;
 
-  private readonly endDetector: endDetector.EndDetector;
-
   private readonly responses: responseMonitor.ResponseMonitor;
 
-  /** End of the upstream that was last counted. */
-  private countedEnd: ids.UpstreamEndId | null = null;
+  private readonly recorder: outcomeRecorder.OutcomeRecorder;
 
-  private connectFailures = 0;
+  private readonly runner: upstreamRunner.UpstreamRunner;
 
-  private downUntilMs = 0;
+  private readonly connectFailures: connectFailures.ConnectFailures;
 
-  private timer: NodeJS.Timeout | null = null;
+  private readonly refusals: upstreamRefusals.UpstreamRefusals;
 
   constructor(private readonly options: LocalDestinationOptions) {
     super();
-    this.endDetector = new endDetector.EndDetector({
-      current: () => options.upstream.state,
-      probe: () => options.pool.probe(),
-    });
     this.responses = new responseMonitor.ResponseMonitor({
       stoodStillMs: options.stoodStillMs,
       onChange: (isStalled, details) => this.recordStall(isStalled, details),
     });
+    this.queue = new requestQueue.RequestQueue({
+      ...options,
+      beforeAdvance: (nowMs) => this.responses.check(nowMs),
+    });
+    this.connectFailures = new connectFailures.ConnectFailures({
+      ...options,
+      onDown: () => this.queue.refuseWaiting('upstreamDown'),
+    });
+    this.refusals = new upstreamRefusals.UpstreamRefusals({
+      ...options,
+      connectFailures: this.connectFailures,
+    });
+    this.recorder = new outcomeRecorder.OutcomeRecorder({
+      ...options,
+      statistics: this.statistics,
+      load: () => this.load,
+    });
+    this.runner = new upstreamRunner.UpstreamRunner({
+      ...options,
+      refusals: this.refusals,
+      responses: this.responses,
+      evaluator: new answerEvaluator.AnswerEvaluator({
+        ...options,
+        connectFailures: this.connectFailures,
+        onLimitChange: () => this.applyLimit(),
+      }),
+    });
     options.upstream.cold.onChange(() => this.applyLimit());
     options.placement.onEvacuated(() => this.refuseEvacuated());
     let instance: string | null = null;
@@ -110,14 +106,13 @@
         instance = state.instance;
         options.pool.clear();
         options.calleePressure.clear();
-        this.connectFailures = 0;
-        this.serviceTimes.clear();
-        this.answerSizes.clear();
+        this.connectFailures.clear();
+        this.statistics.clear();
         this.responses.clear(options.nowMs());
       }
       this.queue.setSlots(state?.slots ?? 0);
       this.applyLimit();
-      if (state === null || !state.accepting) this.refuseWaiting('notAccepting');
+      if (state === null || !state.accepting) this.queue.refuseWaiting('notAccepting');
     });
   }
 
@@ -140,19 +135,19 @@
     if (req.crashReport !== null) this.options.quarantine.merge([req.crashReport], 'remote');
     return new Promise((resolve) => {
       const settle = (outcome: exchange.Outcome) => {
-        const averageMs = this.averageServiceMs(req);
+        const averageMs = this.statistics.averageServiceMs(req, this.options.nowMs());
         const transferWaitMs = this.options.transferWaitMs(this.expectedBytes);
         const report = { load: this.load, averageServiceMs: averageMs, transferWaitMs };
         resolve({ outcome, report });
       };
-      const refusal = this.refusalOf(req);
+      const refusal = this.refusals.refusalOf(req);
       if (refusal !== null) {
         settle(refusal);
         return;
       }
       const now = this.options.nowMs();
       if (this.responses.check(now) && !this.responses.admits(req.semantics, now)) {
-        settle(stalledRefusal());
+        settle(upstreamRefusals.stalled());
         return;
       }
       this.admit(req, signal, settle);
@@ -164,7 +159,7 @@
     return new Promise((resolve) => {
       const { state } = this.options.upstream;
       const req = state === null ? null : healthCheck.createRequest(state, path);
-      const reason = req === null ? 'upstreamUnknown' : this.refusalReason(req);
+      const reason = req === null ? 'upstreamUnknown' : this.refusals.refusalReason(req);
       if (req === null || reason !== null) {
         resolve({ type: 'none', reason: reason ?? 'upstreamUnknown' });
         return;
@@ -177,39 +172,15 @@
     });
   }
 
-  private async runHealthCheck(entry: QueueEntry): Promise<coldWatch.HealthOutcome> {
+  private async runHealthCheck(entry: requestQueue.QueueEntry): Promise<coldWatch.HealthOutcome> {
     const { pool, codec, upstream, nowMs } = this.options;
     const { req, deadlineAtMs } = entry;
     const raw = await healthCheck.send(pool, req, upstream.address, deadlineAtMs - nowMs());
-    if (raw.type === 'unsent') this.recordConnectFailure(raw.detail);
-    this.applyUpdate(this.queue.release(entry, nowMs()));
+    if (raw.type === 'unsent') this.connectFailures.record(raw.detail);
+    this.queue.release(entry, nowMs());
     return healthCheck.readOutcome(raw, codec, req.instance);
   }
 
-  private refusalOf(req: exchange.ForwardedRequest): exchange.Refusal | null {
-    const reason = this.refusalReason(req);
-    if (reason !== null) return exchange.refused(reason, RETRY_AFTER_MS);
-    return this.placementRefusalOf(req) ?? this.options.quarantine.refusalOf(req);
-  }
-
-  private placementRefusalOf(req: exchange.ForwardedRequest): exchange.Refusal | null {
-    const { placement, log, meters: registry } = this.options;
-    const reason = placement.refusalReason(req);
-    if (reason === null) return null;
-    registry.increment(meters.PLACEMENT_REFUSALS, { reason });
-    if (reason === placements.EVACUATED) {
-      return exchange.refused(reason, placements.EVACUATED_RETRY_MS);
-    }
-    const { requestId, route, customer, callerService } = req;
-    log.decision('upstream', requestId, 'a request was refused for the place of the upstream', {
-      reason,
-      route,
-      customer,
-      callerService,
-    });
-    return exchange.refused(reason, RETRY_AFTER_MS);
-  }
-
   /** Requests that wait are offered elsewhere by their senders; running ones go on. */
   private refuseEvacuated(): void {
     const { log, meters: registry } = this.options;
@@ -220,40 +191,28 @@
     });
     const reason = placements.EVACUATED;
     for (let i = 0; i < waiting; i += 1) registry.increment(meters.PLACEMENT_REFUSALS, { reason });
-    this.refuseWaiting(reason, placements.EVACUATED_RETRY_MS);
-  }
-
-  /** Reason why the upstream must not get a request now, whatever it is; null if it may. */
-  private refusalReason(req: exchange.ForwardedRequest): string | null {
-    const { state } = this.options.upstream;
-    if (state === null) return 'upstreamUnknown';
-    if (!state.accepting) return 'upstreamLeaving';
-    if (state.instance !== req.instance) return 'otherIncarnation';
-    if (!this.options.mayServe(state.service, state.version)) return 'versionTakenBack';
-    if (this.options.nowMs() < this.downUntilMs) return 'upstreamDown';
-    return null;
+    this.queue.refuseWaiting(reason, placements.EVACUATED_RETRY_MS);
   }
 
   private admit(
     req: exchange.ForwardedRequest,
     signal: AbortSignal,
     settle: (outcome: exchange.Outcome) => void,
-    start: QueueEntry['start'] = (entry) => {
+    start: requestQueue.QueueEntry['start'] = (entry) => {
       void this.run(entry);
     },
   ): void {
     const now = this.options.nowMs();
-    const serviceTime = this.serviceTimes.get(req.route);
-    const estimateMs = this.averageServiceMs(req) ?? req.estimateMs;
+    const estimateMs = this.statistics.averageServiceMs(req, now) ?? req.estimateMs;
     const { targetLeftMs } = req;
-    const uplinkBytes = this.uplinkBytes(req);
+    const uplinkBytes = this.statistics.uplinkBytes(req);
     const transferWaitMs = uplinkBytes === 0 ? 0 : this.options.transferWaitMs(this.expectedBytes);
     const marginMs = targetMargin.targetMargin(
       estimateMs,
-      serviceTime?.deviation ?? null,
+      this.statistics.serviceDeviationMs(req.route),
       targetLeftMs - transferWaitMs,
     );
-    const entry: QueueEntry = {
+    const entry: requestQueue.QueueEntry = {
       arrivedMs: now,
       req,
       signal,
@@ -275,23 +234,23 @@
       entry.start(entry);
     } else if (decision.type === 'refuse') {
       this.options.calleePressure.withdrawStart(req.route);
-      this.refuse(entry, { ...decision, reason: this.refusalReasonOf(decision) });
+      this.queue.refuse(entry, { ...decision, reason: this.refusalReasonOf(decision) });
     } else if (this.responses.isStalled) {
       // A probe needs a free slot.
-      this.displace(decision.displaced, entry);
+      this.queue.displace(decision.displaced, entry);
       this.options.calleePressure.withdrawStart(req.route);
-      settle(stalledRefusal());
-      this.applyUpdate(this.queue.release(entry, now));
+      settle(upstreamRefusals.stalled());
+      this.queue.release(entry, now);
     } else {
-      this.displace(decision.displaced, entry);
+      this.queue.displace(decision.displaced, entry);
       const cancelWaiting = () => {
         if (!this.queue.isWaiting(entry)) return;
-        this.countCancel('waiting');
-        settle(exchange.refused('cancelled', RETRY_AFTER_MS));
-        this.applyUpdate(this.queue.release(entry, this.options.nowMs()));
+        this.options.meters.increment(meters.CANCELS, { stage: 'waiting' });
+        settle(exchange.refused('cancelled', upstreamRefusals.RETRY_AFTER_MS));
+        this.queue.release(entry, this.options.nowMs());
       };
       signal.addEventListener('abort', cancelWaiting, { once: true });
-      this.scheduleAdvance();
+      this.queue.scheduleAdvance();
     }
   }
 
@@ -307,7 +266,7 @@
   }
 
   /** @returns false for a request that is refused because its calls would be */
-  private mayCall({ req, settle, share }: QueueEntry, nowMs: number): boolean {
+  private mayCall({ req, settle, share }: requestQueue.QueueEntry, nowMs: number): boolean {
     if (share === undefined) return true;
     const { route, requestId, customer, customerPriority } = req;
     const start = this.options.calleePressure.tryStart(route, customerPriority, nowMs);
@@ -326,88 +285,22 @@
     return customer ?? `route ${route}`;
   }
 
-  /** Null before the first answer. */
-  private averageServiceMs({ route, estimateMs }: exchange.ForwardedRequest): number | null {
-    return this.serviceTimes.get(route)?.valueAt(this.options.nowMs(), estimateMs) ?? null;
-  }
-
-  /** Expected size of an answer that waits for the uplink; 0 for small ones, which overtake the others. */
-  private uplinkBytes({ fromOtherHost, route }: exchange.ForwardedRequest): number {
-    const bytes = this.answerSizes.get(route)?.value ?? 0;
-    return fromOtherHost && bytes > frames.MAX_WHOLE_FRAME_BYTES ? bytes : 0;
-  }
-
-  private async run(entry: QueueEntry): Promise<void> {
+  private async run(entry: requestQueue.QueueEntry): Promise<void> {
     const startedMs = this.options.nowMs();
     this.expectedBytes += entry.uplinkBytes;
     const { calleePressure: pressure } = this.options;
     const run = entry.share === undefined ? null : pressure.beginRun(entry.req.route, startedMs);
-    const outcome = await this.sendToUpstream(entry, startedMs);
+    const outcome = await this.runner.run(entry, startedMs);
     const endedMs = this.options.nowMs();
     const isComplete = outcome.type === 'answer' && outcome.status < 500;
     if (run !== null) pressure.endRun(run, isComplete, endedMs);
-    this.recordOutcome(entry, outcome, endedMs - startedMs);
-    this.applyUpdate(this.queue.release(entry, endedMs));
+    this.recorder.record(entry, outcome, endedMs - startedMs);
+    this.queue.release(entry, endedMs);
     entry.settle(outcome);
     // From here on the answer is in the backlog of the uplink.
     this.expectedBytes -= entry.uplinkBytes;
   }
 
-  private async sendToUpstream(entry: QueueEntry, startedMs: number): Promise<exchange.Outcome> {
-    const { req, signal } = entry;
-    const { pool, quarantine: suspects } = this.options;
-    const refusal = this.refusalOf(req);
-    if (refusal !== null) return refusal;
-    const incarnation = this.options.upstream.state!;
-    const run = suspects.beginRun(req);
-    const response = this.responses.start(req.route, startedMs);
-    const connection = pool.acquire(req.semantics);
-    const deadlineLeftMs = entry.deadlineAtMs - startedMs;
-    const onAbort = () => {
-      // A request that may run only once goes on: its effect is wanted, or unknown if interrupted.
-      const isRepeatable = req.semantics === 'repeatable';
-      this.countCancel(isRepeatable ? 'running' : 'kept');
-      if (isRepeatable) connection.destroy('cancelled');
-    };
-    const timer = setTimeout(() => connection.destroy('deadline'), deadlineLeftMs);
-    signal.addEventListener('abort', onAbort, { once: true });
-    const raw = await connection.send(
-      req.requestId,
-      serialize(req, this.options.codec, deadlineLeftMs),
-      req.method,
-    );
-    clearTimeout(timer);
-    signal.removeEventListener('abort', onAbort);
-    pool.release(connection);
-    const serviceMs = this.options.nowMs() - startedMs;
-    this.recordResponse(response, raw, serviceMs);
-    const id = await this.findEnd(incarnation, raw);
-    const end = id === null ? undefined : { id, wasSuspect: run.wasSuspect };
-    if (end !== undefined) suspects.recordEnd(req, end, 'self');
-    if (end !== undefined && members.isSameIncarnation(this.options.upstream.state, incarnation))
-      this.options.upstream.cold.invalidate('upstreamEnded');
-    run.end();
-    return this.toOutcome(req, raw, serviceMs, end);
-  }
-
-  private recordResponse(
-    response: responseMonitor.Run,
-    raw: upstreamConnection.RawOutcome,
-    serviceMs: number,
-  ): void {
-    const now = this.options.nowMs();
-    if (raw.type === 'unsent') {
-      this.responses.discard(response, now);
-      return;
-    }
-    if (raw.type === 'broken' && raw.closedBy === 'node') {
-      this.responses.abandon(response, now);
-      return;
-    }
-    const hasWorked = raw.type === 'answer' && raw.answer.status < 400;
-    this.responses.complete(response, hasWorked ? serviceMs : null, now);
-  }
-
   private recordStall(isStalled: boolean, details: responseMonitor.StallDetails): void {
     const { log, meters: registry, upstream } = this.options;
     const message = isStalled
@@ -416,192 +309,13 @@
     log.warn('upstream', message, { instance: upstream.state?.instance, ...details });
     if (!isStalled) return;
     registry.increment(meters.UPSTREAM_STALLS);
-    this.refuseWaiting(admissionQueue.UPSTREAM_STALLED, STALLED_RETRY_AFTER_MS);
-  }
-
-  /** The outcome waits for it, so that the sender of the request knows of the end when it retries. */
-  private async findEnd(
-    incarnation: members.Incarnation,
-    raw: upstreamConnection.RawOutcome,
-  ): Promise<ids.UpstreamEndId | null> {
-    if (raw.type !== 'broken' || raw.closedBy === 'node') return null;
-    return this.endDetector.findEnd(incarnation);
-  }
-
-  private countCancel(stage: 'waiting' | 'running' | 'kept'): void {
-    this.options.meters.increment(meters.CANCELS, { stage });
-  }
-
-  private toOutcome(
-    req: exchange.ForwardedRequest,
-    raw: upstreamConnection.RawOutcome,
-    serviceMs: number,
-    end: exchange.UpstreamEnd | undefined,
-  ): exchange.Outcome {
-    if (raw.type === 'unsent') {
-      this.recordConnectFailure(raw.detail);
-      return exchange.refused('upstreamUnreachable', RETRY_AFTER_MS);
-    }
-    this.connectFailures = 0;
-    if (raw.type === 'broken') return exchange.lost(raw.detail, end);
-    const { status, headers, body } = raw.answer;
-    const answerInfo = this.options.codec.readAnswer(headers);
-    if (answerInfo.leaving) this.options.upstream.recordLeaving(req.instance);
-    this.recordLimit(req.instance, answerInfo, status);
-    if (answerInfo.notExecuted || status === 421) {
-      return exchange.refused(`upstream${status}`, RETRY_AFTER_MS, true);
-    }
-    if (status < 300 && !answerInfo.signed) return exchange.lost('answer without signature');
-    if (status < 500) this.options.quarantine.recordAnswer(req);
-    const returned = this.options.codec.returnable(headers);
-    return { type: 'answer', status, headers: returned, body, serviceMs };
-  }
-
-  /** A limit holds until an answer of the upstream states another one, or a successful one states none. */
-  private recordLimit(
-    instance: ids.InstanceId,
-    { limit, signed }: headerCodec.AnswerHeaders,
-    status: number,
-  ): void {
-    const { upstream, log } = this.options;
-    if (limit.type === 'unreadable') {
-      log.warn('upstream', 'unreadable limit ignored', { instance, limit: limit.text });
-      return;
-    }
-    if (limit.type === 'none' && (!signed || status >= 300)) return;
-    const perSecond = limit.type === 'rate' ? limit.perSecond : null;
-    if (upstream.limitPerSecond === perSecond) return;
-    log.info('upstream', 'limit changed', {
-      instance,
-      perSecond,
-      previous: upstream.limitPerSecond,
-    });
-    upstream.recordLimit(instance, perSecond);
-    this.applyLimit();
+    this.queue.refuseWaiting(
+      admissionQueue.UPSTREAM_STALLED,
+      upstreamRefusals.STALLED_RETRY_AFTER_MS,
+    );
   }
 
   private applyLimit(): void {
     this.queue.setRate(this.options.upstream.startLimitPerSecond, this.options.nowMs());
   }
-
-  private recordOutcome(entry: QueueEntry, outcome: exchange.Outcome, ms: number): void {
-    const { req } = entry;
-    const { state } = this.options.upstream;
-    const { meters: registry } = this.options;
-    const labels = { route: req.route };
-    registry.increment(meters.UPSTREAM_REQUESTS, { outcome: outcome.type });
-    registry.observeMs(meters.UPSTREAM_SECONDS, ms, labels);
-    registry.observeMs(meters.WAIT_SECONDS, this.options.nowMs() - ms - entry.arrivedMs, labels);
-    if (outcome.type === 'answer' && outcome.status < 500) {
-      const now = this.options.nowMs();
-      this.serviceTimes.add(req.route, ms, now);
-      this.answerSizes.add(req.route, outcome.body.length, now);
-    }
-    const cancelled = entry.signal.aborted || outcome.type === 'refused';
-    const isOfCountedEnd = outcome.type === 'lost' && !this.countEnd(outcome.end);
-    if (state !== null && state.instance === req.instance && !cancelled && !isOfCountedEnd) {
-      const failed = outcome.type === 'lost' || outcome.status >= 500;
-      this.options.evidence.record(req.route, failed, ms);
-    }
-    if (outcome.type !== 'answer' || outcome.status >= 500) {
-      this.options.log.decision('upstream', req.requestId, 'the upstream failed a request', {
-        route: req.route,
-        instance: req.instance,
-        outcome: outcome.type === 'answer' ? outcome.status : outcome,
-        serviceMs: Math.round(ms),
-        load: this.load,
-      });
-    }
-  }
-
-  /** @returns false for further requests of an end, of which one at most is the cause */
-  private countEnd(end: exchange.UpstreamEnd | undefined): boolean {
-    if (end === undefined) return true;
-    if (end.id === this.countedEnd) return false;
-    this.countedEnd = end.id;
-    this.options.meters.increment(meters.UPSTREAM_ENDS);
-    return true;
-  }
-
-  private recordConnectFailure(detail: string): void {
-    this.options.upstream.cold.invalidate('upstreamUnreachable');
-    this.connectFailures += 1;
-    if (this.connectFailures < DOWN_AFTER_FAILURES) return;
-    this.downUntilMs = this.options.nowMs() + DOWN_RETRY_MS;
-    this.options.log.info('upstream', 'the upstream does not accept connections', {
-      instance: this.options.upstream.state?.instance,
-      detail,
-      failures: this.connectFailures,
-    });
-    this.refuseWaiting('upstreamDown');
-  }
-
-  private refuseWaiting(reason: string, retryAfterMs = RETRY_AFTER_MS): void {
-    for (const entry of this.queue.clear()) {
-      entry.settle(exchange.refused(reason, retryAfterMs));
-    }
-  }
-
-  private applyUpdate(update: admissionQueue.QueueUpdate<QueueEntry>): void {
-    for (const refusal of update.refused) this.refuse(refusal.request, refusal);
-    for (const entry of update.started) entry.start(entry);
-  }
-
-  private refuse(entry: QueueEntry, { reason, retryAfterMs }: QueueRefusal): void {
-    if (reason === admissionQueue.CUSTOMER_SHARE_REACHED) {
-      const customer = entry.req.customer ?? 'none';
-      this.options.meters.increment(meters.SHARE_REFUSALS, { customer });
-    }
-    entry.settle(exchange.refused(reason, retryAfterMs));
-  }
-
-  /** Refuses waiting requests that gave way to another one. */
-  private displace(
-    refusals: readonly admissionQueue.RefusedRequest<QueueEntry>[],
-    { req: by }: QueueEntry,
-  ): void {
-    for (const refusal of refusals) {
-      const { req, arrivedMs } = refusal.request;
-      const { reason } = refusal;
-      this.options.meters.increment(meters.DISPLACED_REQUESTS, { reason });
-      const message = 'a waiting request gave way to another one';
-      this.options.log.decision('upstream', req.requestId, message, {
-        route: req.route,
-        customer: req.customer,
-        reason,
-        waitedMs: Math.round(this.options.nowMs() - arrivedMs),
-        by: { requestId: by.requestId, route: by.route, customer: by.customer },
-      });
-      this.refuse(refusal.request, refusal);
-    }
-  }
-
-  /** Checks waiting requests regularly, to refuse in time those that can no longer be served. */
-  private scheduleAdvance(): void {
-    if (this.timer !== null) return;
-    this.timer = setTimeout(() => {
-      this.timer = null;
-      this.responses.check(this.options.nowMs());
-      this.applyUpdate(this.queue.advance(this.options.nowMs()));
-      if (this.queue.waitingCount > 0) this.scheduleAdvance();
-    }, ADVANCE_INTERVAL_MS);
-  }
-}
-
-function stalledRefusal(): exchange.Refusal {
-  return exchange.refused(admissionQueue.UPSTREAM_STALLED, STALLED_RETRY_AFTER_MS);
-}
-
-function serialize(
-  req: exchange.ForwardedRequest,
-  codec: headerCodec.HeaderCodec,
-  deadlineLeftMs: number,
-): Buffer {
-  const lines = [`${req.method} ${req.target} HTTP/1.1`];
-  const headers = [...req.headers, ...codec.forUpstream(req, deadlineLeftMs)];
-  for (let i = 0; i < headers.length; i += 2) lines.push(`${headers[i]}: ${headers[i + 1]}`);
-  if (req.body.length > 0 || req.method === 'POST' || req.method === 'PUT') {
-    lines.push(`Content-Length: ${req.body.length}`);
-  }
-  return Buffer.concat([Buffer.from(`${lines.join('\r\n')}\r\n\r\n`, 'latin1'), req.body]);
 }
