fix(mesh): end requests whose caller left during the wait for a permit

A connection that this node closed before it was open made a warm upstream count as cold; only failures that the upstream caused do now.

--- a/packages/mesh/src/callers/__tests__/callerFixtures.ts
+++ b/packages/mesh/src/callers/__tests__/callerFixtures.ts
@@ -33,7 +33,10 @@
   metrics: metrics.Metrics;
   lines: fixtures.LogLine[];
   /** Decides on requests of customers with a quota; admits them by default. */
-  quotas: { decision: quotaClient.Decision; released: quotaClient.UsedPermit[] };
+  quotas: {
+    decision: quotaClient.Decision | Promise<quotaClient.Decision>;
+    released: quotaClient.UsedPermit[];
+  };
   address: string;
 }
 
--- a/packages/mesh/src/callers/__tests__/callerServer.test.ts
+++ b/packages/mesh/src/callers/__tests__/callerServer.test.ts
@@ -5,12 +5,15 @@
 import * as loopback from '../../__tests__/loopback.js';
 import * as meters from '../../observability/meters.js';
 import * as exchange from '../../routing/exchange.js';
+import type * as quotaClient from '../../quotas/quotaClient.js';
 import * as callerFixtures from './callerFixtures.js';
 
 /** Old space of a worker that serves callers. */
 const HEAP_MB = 32;
 const UPLOADS = 2;
 
+const CALLER = { closedBy: 'caller' };
+
 const { BUFFERED_BYTES, LARGE_BYTES, answer } = callerFixtures;
 
 describe('CallerServer', { timeout: 30_000 }, () => {
@@ -100,6 +103,23 @@
     });
 
     // A refused request must not run, and the caller must learn when the next one is within the quota.
+    // The request ran for nobody, beside the one that its caller had sent in its place.
+    it('does not dispatch a request whose caller left while it waited for a permit', async () => {
+      let grant = (_decision: quotaClient.Decision) => {};
+      const admitted = await fixture.quotas.decision;
+      fixture.quotas.decision = new Promise((resolve) => {
+        grant = resolve;
+      });
+      const caller = connect();
+      caller.socket.write(callerFixtures.request('1', 'k-1'));
+      await loopback.until(() => fixture.server.inFlightCount === 1);
+      caller.socket.destroy();
+      await loopback.until(() => fixture.metrics.counter(meters.INTERRUPTED_ANSWERS, CALLER) === 1);
+      grant(admitted);
+      await loopback.until(() => fixture.quotas.released.length === 1);
+      assert.equal(fixture.upstream.received.length, 0);
+    });
+
     it('answers 429 with the time to wait to a request over its quota', async () => {
       fixture.quotas.decision = { type: 'refused', reason: 'overQuota', retryAfterMs: 62 };
       const caller = connect();
--- a/packages/mesh/src/callers/requestAdmission.ts
+++ b/packages/mesh/src/callers/requestAdmission.ts
@@ -92,6 +92,11 @@
       if (decision.type === 'refused') return this.refuseByQuota(route, arrivedMs, decision);
       permit = decision.permit;
       waitedMs = this.options.nowMs() - identifiedMs;
+      // Both may have changed during the wait.
+      if (signal.aborted || this.refusesRequests) {
+        this.options.quotas.release(quotaCustomer, permit);
+        return signal.aborted ? exchange.cancelled() : localReply.createStoppingReply();
+      }
     }
     const { dispatcher: timed } = this.options;
     const limitMs = Math.min(
--- a/packages/mesh/src/callers/timedDispatcher.ts
+++ b/packages/mesh/src/callers/timedDispatcher.ts
@@ -61,6 +61,7 @@
   ): Promise<exchange.Outcome | localReply.LocalReply> {
     const controller = new AbortController();
     const abortDispatch = () => controller.abort();
+    if (signal.aborted) abortDispatch();
     signal.addEventListener('abort', abortDispatch, { once: true });
     let timer: NodeJS.Timeout | undefined;
     let abandon = () => {};
--- a/packages/mesh/src/upstream/answerEvaluator.ts
+++ b/packages/mesh/src/upstream/answerEvaluator.ts
@@ -30,7 +30,7 @@
     end: exchange.UpstreamEnd | undefined,
   ): exchange.Outcome {
     if (raw.type === 'unsent') {
-      this.options.connectFailures.record(raw.detail);
+      this.options.connectFailures.record(raw);
       return exchange.refused('upstreamUnreachable', upstreamRefusals.RETRY_AFTER_MS);
     }
     this.options.connectFailures.clear();
--- a/packages/mesh/src/upstream/connectFailures.ts
+++ b/packages/mesh/src/upstream/connectFailures.ts
@@ -2,6 +2,7 @@
 
 import type * as localUpstream from '../membership/localUpstream.js';
 import type * as observability from '../observability/decisionLog.js';
+import type * as upstreamConnection from './upstreamConnection.js';
 
 /** Consecutive connect failures after which the upstream is considered down. */
 const DOWN_AFTER_FAILURES = 3;
@@ -27,9 +28,10 @@
     return nowMs < this.downUntilMs;
   }
 
-  record(detail: string): void {
+  record({ detail, closedBy }: upstreamConnection.Unsent): void {
     const { upstream, log, nowMs, onDown } = this.options;
-    upstream.cold.invalidate('upstreamUnreachable');
+    // A request that was cancelled before its connection was open says nothing about the upstream.
+    if (closedBy === 'upstream') upstream.cold.invalidate('upstreamUnreachable');
     this.count += 1;
     if (this.count < DOWN_AFTER_FAILURES) return;
     this.downUntilMs = nowMs() + DOWN_RETRY_MS;
--- a/packages/mesh/src/upstream/localDestination.ts
+++ b/packages/mesh/src/upstream/localDestination.ts
@@ -176,7 +176,7 @@
     const { pool, codec, upstream, nowMs } = this.options;
     const { req, deadlineAtMs } = entry;
     const raw = await healthCheck.send(pool, req, upstream.address, deadlineAtMs - nowMs());
-    if (raw.type === 'unsent') this.connectFailures.record(raw.detail);
+    if (raw.type === 'unsent') this.connectFailures.record(raw);
     this.queue.release(entry, nowMs());
     return healthCheck.readOutcome(raw, codec, req.instance);
   }
--- a/packages/mesh/src/upstream/upstreamConnection.ts
+++ b/packages/mesh/src/upstream/upstreamConnection.ts
@@ -37,10 +37,16 @@
   body: Buffer;
 }
 
+/** Nothing was written to the upstream, so the request has not been run. */
+export interface Unsent {
+  type: 'unsent';
+  detail: string;
+  closedBy: ClosedBy;
+}
+
 export type RawOutcome =
   | { type: 'answer'; answer: RawAnswer }
-  /** Nothing was written to the upstream, so the request has not been run. */
-  | { type: 'unsent'; detail: string }
+  | Unsent
   /** The connection closed before the answer was complete; the request may have been run. */
   | { type: 'broken'; detail: string; closedBy: ClosedBy };
 
@@ -87,6 +93,8 @@
 
   private closeDetail = 'connection closed';
 
+  private closedBy: ClosedBy = 'node';
+
   /** Bytes received for the pending request, without the body of its answer. */
   private nonBodyBytes = 0;
 
@@ -102,7 +110,7 @@
     });
     this.socket = net.connect({ host, port, noDelay: true, allowHalfOpen: true });
     this.socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
-      if (!this.connected) this.close('connect timeout');
+      if (!this.connected) this.close('connect timeout', 'upstream');
     });
     this.socket.on('connect', () => {
       this.connected = true;
@@ -138,7 +146,7 @@
   send(requestId: string, bytes: Buffer, method = 'GET'): Promise<RawOutcome> {
     return new Promise((settle) => {
       if (this.closed) {
-        settle({ type: 'unsent', detail: this.closeDetail });
+        settle({ type: 'unsent', detail: this.closeDetail, closedBy: this.closedBy });
         return;
       }
       this.pending = { requestId, settle };
@@ -248,6 +256,7 @@
     this.closed = true;
     this.settleOpened('failed');
     this.closeDetail = detail;
+    this.closedBy = closedBy;
     this.socket.destroy();
     this.reader.stop();
     this.releaseIncoming();
@@ -255,7 +264,7 @@
     this.pending = null;
     if (pending !== null) {
       const unsent = !this.connected;
-      if (unsent) pending.settle({ type: 'unsent', detail });
+      if (unsent) pending.settle({ type: 'unsent', detail, closedBy });
       else pending.settle({ type: 'broken', detail, closedBy });
     }
     this.onClose(this);
