--- a/packages/mesh/src/limits/servedShares.ts
+++ b/packages/mesh/src/limits/servedShares.ts
@@ -5,8 +5,8 @@
  */
 
 /**
- * Share of the average of all requests that each customer and priority gets. A quarter is required. 0.3 gave
- * 0.26 in the model of an urgent flood, since requests that their senders refuse early are not counted.
+ * Share of the average of all requests that each customer and priority gets. A quarter is required; the rest
+ * makes up for requests that their senders refuse early, which are not counted here.
  */
 const MIN_RELATIVE_SHARE = 0.4;
 /** Half-life of the counts: with rare requests, several of them must be counted at once. */
--- a/packages/mesh/src/routing/choiceStrategy.ts
+++ b/packages/mesh/src/routing/choiceStrategy.ts
@@ -35,8 +35,8 @@
 /**
  * Draws a few options at random and chooses the best of them (power of two choices), so that nodes with the same
  * reports don't choose the same upstream at the same moment. The probability of an option is proportional to its
- * capacity and to the square of its free share, and lower for worse scores. With the free share itself instead of
- * its square, 9.7 % of the requests in the model wait although another upstream would answer sooner, not 4.4 %.
+ * capacity and to the square of its free share, and lower for worse scores. The square keeps requests away from
+ * upstreams that are nearly full, where they would wait.
  */
 export class BestOfDrawn extends ChoiceStrategy {
   /**
--- a/packages/mesh/src/upstream/responseMonitor.ts
+++ b/packages/mesh/src/upstream/responseMonitor.ts
@@ -11,7 +11,7 @@
 /** Evidence from which an upstream counts as stalled: -ln of a probability of 1e-9. */
 const STALL_EVIDENCE = 20.7;
 /**
- * Assumed work times: log-logistic, with a heavier tail than the log-normal times that were measured, and with
+ * Assumed work times: log-logistic, with a heavier tail than log-normal times, and with
  * a median of this multiple of the measured mean, since upstreams are slowed down by up to 2.5 at times.
  */
 const SLOWDOWN = 2.5;
