--- a/packages/mesh/src/routing/upstreamStats.ts
+++ b/packages/mesh/src/routing/upstreamStats.ts
@@ -23,8 +23,8 @@
 /** Upper bound of that time for a wait for a slot, since one can become free at any moment. */
 const MAX_SLOT_BACKOFF_MS = 100;
 /**
- * Half-life of the weight of a reported load. With 250 ms, reports of nodes with few requests have hardly any
- * weight, and in the model 1.6 times as many requests wait although another upstream would answer sooner.
+ * Half-life of the weight of a reported load. Nodes send few requests to each upstream, so that with a shorter
+ * one most reports would have hardly any weight.
  */
 const LOAD_HALF_LIFE_MS = 600;
 /** The end of a back-off is spread by this share of it in both directions, so that nodes return in turns. */
