Show that a bad version that is ordered again gets all traffic at once

review/6: v2 and v3 of a service are completed one after the other; then v2 is ordered again and is bad by now. It gets nearly all requests from the order on and is not rolled back.

--- a/review/common-2/lab.mjs
+++ b/review/common-2/lab.mjs
@@ -258,6 +258,9 @@
     this.sequence = 0;
     this.state = 'ready';
     this.limit = null;
+    /** Share of the requests that it runs and answers with 500. */
+    this.failShare = 0;
+    this.failures = 0;
     this.arrivals = [];
     this.runs = [];
     this.running = 0;
@@ -371,6 +374,11 @@
     this.running -= 1;
     this.waiting.shift()?.();
     res.setHeader('Response-Signature', `signed.${id}`);
+    if (Math.random() < this.failShare) {
+      this.failures += 1;
+      res.writeHead(500).end('failed');
+      return;
+    }
     res.end(`${this.id} ran ${id}`);
   }
 }
@@ -381,6 +389,7 @@
     Object.assign(this, { lab, name, ip, zone, region, server, clients });
     this.child = null;
     this.isReady = false;
+    this.isGone = false;
     this.misses = 0;
     this.startedMs = -Infinity;
   }
@@ -483,9 +492,10 @@
 
   /** The platform's readiness questions. After two misses, clients send it nothing new. */
   async probe() {
-    while (!this.lab.isOver) {
+    while (!this.lab.isOver && !this.isGone) {
       const status = await send(this.ready, 'GET', '/-/readiness');
       this.misses = status === 200 ? 0 : this.misses + 1;
+      if (this.isGone) return;
       const isReady = this.misses === 0 || (this.isReady && this.misses < 2);
       if (isReady !== this.isReady)
         this.lab.recorder.note(`${this.name} ${isReady ? 'is ready' : 'is out'}`);
@@ -543,18 +553,40 @@
     await this.store.start(`${this.network}.2`);
     this.store.put('config', 'main', { spec });
     for (const machine of this.machines) await machine.prepare();
-    for (const machine of this.machines) {
-      machine.start();
-      void machine.probe();
-      void machine.server.beat(machine.control);
-    }
+    this.machines.forEach((machine) => this.switchOn(machine));
+    await this.untilReady();
+    // Every server has sent a heartbeat by then.
+    await sleep(2 * HEARTBEAT_MS);
+  }
+
+  /** Adds machines with new servers to a deployment that runs. */
+  async join(machines) {
+    for (const machine of machines) await machine.prepare();
+    machines.forEach((machine) => this.switchOn(machine));
+    await this.untilReady();
+  }
+
+  /** The server ends at once; its machine goes with it. */
+  async remove(machine) {
+    machine.server.stop();
+    machine.isGone = true;
+    machine.isReady = false;
+    machine.signal('SIGTERM');
+    await sleep(0);
+  }
+
+  switchOn(machine) {
+    machine.start();
+    void machine.probe();
+    void machine.server.beat(machine.control);
+  }
+
+  async untilReady() {
     const endMs = now() + 15_000;
-    while (!this.machines.every(({ isReady }) => isReady)) {
+    while (!this.machines.every(({ isReady, isGone }) => isReady || isGone)) {
       if (now() > endMs) throw new Error('the nodes did not become ready');
       await sleep(100);
     }
-    // Every server has sent a heartbeat by then.
-    await sleep(2 * HEARTBEAT_MS);
   }
 
   /** Sends one request from a client on the machine. */
