Show that ordering the old version back exposes the bad new one

review/6: 1.5 s after the order of a version that fails on one route, the operator orders the old version again. The new one then gets a third of all requests until its deadline.

--- a/review/common-2/lab.mjs
+++ b/review/common-2/lab.mjs
@@ -260,6 +260,8 @@
     this.limit = null;
     /** Share of the requests that it runs and answers with 500. */
     this.failShare = 0;
+    /** Only requests whose target begins so fail. */
+    this.failPrefix = '/';
     this.failures = 0;
     this.arrivals = [];
     this.runs = [];
@@ -374,7 +376,7 @@
     this.running -= 1;
     this.waiting.shift()?.();
     res.setHeader('Response-Signature', `signed.${id}`);
-    if (Math.random() < this.failShare) {
+    if (Math.random() < this.failShare && req.url.startsWith(this.failPrefix)) {
       this.failures += 1;
       res.writeHead(500).end('failed');
       return;
@@ -658,7 +660,8 @@
     for (let n = 0; now() < untilMs && !this.isOver; n += 1) {
       const ready = this.machines.filter(({ isReady, clients }) => isReady && clients);
       if (ready.length > 0) {
-        under.push(this.request(ready[n % ready.length], target, options));
+        const to = typeof target === 'function' ? target(n) : target;
+        under.push(this.request(ready[n % ready.length], to, options));
       }
       await sleep(everyMs);
     }
