--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -21,12 +21,13 @@
     service: 'ledger',
   };
   await deployment.start(lab.configuration(['shop', 'ledger'], { 'ledger-view': ledger }));
-  const endMs = lab.now() + 10_000;
+  const endMs = lab.now() + 11_000;
   const load = Promise.all([
     deployment.load('/shop/item', 20, endMs),
     deployment.load('/ledger/redeem', 20, endMs, { method: 'POST', body: 'one' }),
   ]);
   await lab.sleep(4_000);
+  await server.nextHeartbeat();
   if (trouble) {
     // Another writer: the field `zone` is missing, so it names no server to use.
     const forged = server.announcement({ service: 'ledger', zone: undefined });
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -10,14 +10,14 @@
 const LATE_MS = 3_000;
 const DOWN_MS = 500;
 /** Time for which the server serves after the acknowledgement. */
-const SERVES_MS = 9_000;
+const SERVES_MS = 12_000;
 
 await lab.run(path.dirname(url.fileURLToPath(import.meta.url)), {}, async (deployment, trouble) => {
   const { recorder, machines } = deployment;
   for (const name of ['m1', 'm2', 'm3']) await deployment.add({ name });
   const { server } = machines[1];
   await deployment.start(lab.configuration(['shop']));
-  const load = deployment.load('/shop/item', 15, lab.now() + 15_000);
+  const load = deployment.load('/shop/item', 15, lab.now() + 18_000);
   await lab.sleep(3_000);
   // Sent now, and delayed on its way.
   const late = server.announcement();
--- a/review/common-2/lab.mjs
+++ b/review/common-2/lab.mjs
@@ -721,6 +721,13 @@
   const lab = new Lab(folder, options);
   const trouble = process.env.TROUBLE !== '0';
   let code = 2;
+  const abandon = (reason) => {
+    process.stdout.write(`could not run: ${reason}\n`);
+    for (const { child } of lab.machines) child?.kill('SIGKILL');
+    process.exit(2);
+  };
+  process.on('uncaughtException', (err) => abandon(err.message));
+  for (const name of ['SIGTERM', 'SIGINT']) process.on(name, () => abandon(name));
   try {
     if (!lab.isBuilt)
       throw new Error(`${lab.program} is missing: run the build of the deploy file first`);
